--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,31 @@
+"""Clock, registry and message numbers."""
+
+import pytest
+
+from wigeonwind.clock import ManualClock
+from wigeonwind.links.messages import MESSAGE_TYPE_BY_NUMBER
+from wigeonwind.registry import Registry
+
+
+def test_a_clock_never_goes_back():
+    clock = ManualClock(100.0)
+    clock.advance_to(50.0)
+    assert clock.now_ms() == 100.0
+    with pytest.raises(ValueError):
+        clock.advance(-1.0)
+
+
+def test_a_registry_refuses_a_second_item_of_the_same_name():
+    registry: Registry[int] = Registry("kind")
+    registry.register("a")(1)
+    with pytest.raises(ValueError):
+        registry.register("a")(2)
+
+
+def test_message_numbers_are_stable():
+    # A renumbered message would be misread by a process of the previous release.
+    names = {n: cls.__name__ for n, cls in MESSAGE_TYPE_BY_NUMBER.items()}
+    assert names[1] == "Hello"
+    assert names[2] == "Submit"
+    assert names[9] == "Failed"
+    assert len(names) == 27
--- /dev/null
+++ b/wigeonwind/clock.py
@@ -0,0 +1,50 @@
+"""The clock type of the project; all times and durations are in milliseconds."""
+
+import time
+from typing import Protocol
+
+MS_PER_SECOND = 1000.0
+"""Milliseconds in one second."""
+
+
+class Clock(Protocol):
+    """A monotonic clock in milliseconds; only differences have a meaning."""
+
+    def now_ms(self) -> float:
+        """Return the present reading in milliseconds."""
+        ...
+
+
+class SystemClock:
+    """The monotonic clock of the operating system."""
+
+    def now_ms(self) -> float:
+        """Return the present reading in milliseconds."""
+        return time.monotonic() * MS_PER_SECOND
+
+
+class ManualClock:
+    """A virtual clock that moves only when it is told to.
+
+    >>> clock = ManualClock()
+    >>> clock.advance(250.0)
+    >>> clock.now_ms()
+    250.0
+    """
+
+    def __init__(self, start_ms: float = 0.0) -> None:
+        self._now_ms = start_ms
+
+    def now_ms(self) -> float:
+        """Return the present reading in milliseconds."""
+        return self._now_ms
+
+    def advance(self, delta_ms: float) -> None:
+        """Move forward by `delta_ms`; raise ValueError if it is negative."""
+        if delta_ms < 0:
+            raise ValueError(f"a clock cannot go back: {delta_ms} ms")
+        self._now_ms += delta_ms
+
+    def advance_to(self, at_ms: float) -> None:
+        """Move forward to the reading `at_ms`; an earlier reading changes nothing."""
+        self._now_ms = max(self._now_ms, at_ms)
--- /dev/null
+++ b/wigeonwind/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O: order, admission, limits, endpoint choice, retries."""
--- /dev/null
+++ b/wigeonwind/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments in virtual time over the decision modules."""
--- /dev/null
+++ b/wigeonwind/links/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the processes of the system: messages, codec, websocket."""
--- /dev/null
+++ b/wigeonwind/roles/__init__.py
@@ -0,0 +1,1 @@
+"""The roles a daemon can take, and what they share."""
--- /dev/null
+++ b/wigeonwind/settings.py
@@ -0,0 +1,280 @@
+"""The settings file of a process: INI, every value checked, all mistakes at once."""
+
+import re
+from configparser import ConfigParser
+from configparser import Error as ConfigError
+from dataclasses import dataclass
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from wigeonwind.outcomes import Invalid, Ok, Problem
+
+ADDRESS_PATTERN = r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$"
+"""An IP number and a port; names are refused because no resolver is assumed."""
+
+Address = Annotated[str, Field(pattern=ADDRESS_PATTERN)]
+OptionalAddress = Annotated[str, Field(pattern=rf"^$|{ADDRESS_PATTERN}")]
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+AddressList = Annotated[
+    str, Field(pattern=r"^$|^[0-9.:]+(\s*,\s*[0-9.:]+)*$", validate_default=True)
+]
+
+
+class Section(BaseModel):
+    """Base of all sections: unknown keys are errors, values cannot change."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class NodeSettings(Section):
+    """Who this process is and where it runs."""
+
+    id: Name = Field(description="Unique name of this VM.")
+    role: Literal["entry", "side"] = Field(description="Role of the process.")
+    zone: Name = Field(description="Availability zone of the VM.")
+    region: Name = Field(description="Region of the VM.")
+
+
+class ListenSettings(Section):
+    """Addresses on which this process accepts connections."""
+
+    callers: OptionalAddress = Field("", description="HTTP for callers (entry only).")
+    links: Address = Field(description="Links from other processes of the system.")
+    operators: OptionalAddress = Field(
+        "", description="HTTP for wigeonctl, health and metrics."
+    )
+
+
+class PlatformSettings(Section):
+    """Addresses of the platform's services."""
+
+    store: Address = Field(description="Object store.")
+    vm_list: OptionalAddress = Field("", description="VM list.")
+    seeds: AddressList = Field(
+        "", description="Link addresses of other processes, used to join."
+    )
+
+
+class LinkSettings(Section):
+    """Links between the processes of the system."""
+
+    subset_size: int = Field(
+        20, ge=1, le=200, description="Sidecars of each service an entry links to."
+    )
+    heartbeat_ms: int = Field(
+        1000, ge=50, le=60000, description="Interval between heartbeats."
+    )
+    timeout_ms: int = Field(
+        5000, ge=100, le=300000, description="Silence after which a link is closed."
+    )
+    report_ms: int = Field(
+        1000, ge=50, le=60000, description="Interval between load reports."
+    )
+    key_file: str = Field("", description="File with the shared key of the fleet.")
+    tls_certificate: str = Field("", description="Certificate file for TLS.")
+    tls_key: str = Field("", description="Private key file for TLS.")
+    tls_authority: str = Field("", description="CA file that peers are checked by.")
+
+
+class EndpointSettings(Section):
+    """The endpoint beside a sidecar."""
+
+    service: Name = Field(description="Service the endpoint belongs to.")
+    kind: Literal["model", "plain"] = Field(description="Kind of the endpoint.")
+    address: Address = Field(description="HTTP address of the endpoint.")
+    checks_fence: bool = Field(
+        False, description="Whether the endpoint itself refuses old fencing tokens."
+    )
+
+
+class LimitSettings(Section):
+    """Bounds on everything a stranger controls."""
+
+    max_body_bytes: int = Field(
+        4_000_000, ge=1024, le=100_000_000, description="Largest request body."
+    )
+    max_header_bytes: int = Field(
+        16_384, ge=1024, le=1_000_000, description="Largest request head."
+    )
+    max_connections: int = Field(
+        2_000, ge=1, le=100_000, description="Callers' connections at a time."
+    )
+    read_timeout_ms: int = Field(
+        10_000, ge=100, le=600_000, description="Time to read one request."
+    )
+    request_timeout_ms: int = Field(
+        600_000, ge=100, le=3_600_000, description="Longest time for one request."
+    )
+
+
+class DrainSettings(Section):
+    """Graceful shutdown."""
+
+    grace_ms: int = Field(
+        2_000,
+        ge=0,
+        le=300_000,
+        description="Time an entry keeps accepting while the balancer catches up.",
+    )
+    limit_ms: int = Field(
+        120_000, ge=0, le=3_600_000, description="Longest time for a planned stop."
+    )
+
+
+class TraceSettings(Section):
+    """Where spans go."""
+
+    file: str = Field("", description="JSON lines file for spans.")
+    otlp: OptionalAddress = Field("", description="OTLP/HTTP collector.")
+    sample: float = Field(1.0, ge=0.0, le=1.0, description="Share of requests traced.")
+
+
+class Settings(Section):
+    """All settings of one process."""
+
+    node: NodeSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    links: LinkSettings = LinkSettings()
+    endpoint: EndpointSettings | None = None
+    limits: LimitSettings = LimitSettings()
+    drain: DrainSettings = DrainSettings()
+    trace: TraceSettings = TraceSettings()
+
+
+@dataclass(frozen=True)
+class SocketAddress:
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return host:port."""
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> SocketAddress:
+    """Split `host:port`; the text has passed the settings' check.
+
+    >>> parse_address("127.0.0.1:80")
+    SocketAddress(host='127.0.0.1', port=80)
+    """
+    host, _, port = text.rpartition(":")
+    return SocketAddress(host, int(port))
+
+
+def parse_address_list(text: str) -> tuple[SocketAddress, ...]:
+    """Split a comma-separated list of addresses.
+
+    >>> [str(a) for a in parse_address_list("127.0.0.1:1, 127.0.0.1:2")]
+    ['127.0.0.1:1', '127.0.0.1:2']
+    """
+    parts = [part.strip() for part in text.split(",")]
+    return tuple(parse_address(part) for part in parts if part)
+
+
+def read_settings(source: str) -> Ok[Settings] | Invalid:
+    """Check the text of a settings file and return it typed, or all its mistakes."""
+    parser = ConfigParser(interpolation=None, inline_comment_prefixes=(";",))
+    try:
+        parser.read_string(source)
+    except ConfigError as error:
+        return Invalid((_syntax_problem(error),))
+    values = {name: dict(parser[name]) for name in parser.sections()}
+    try:
+        settings = Settings.model_validate(values)
+    except ValidationError as error:
+        return Invalid(tuple(_problems(error)))
+    problems = tuple(_cross_checks(settings))
+    return Invalid(problems) if problems else Ok(settings)
+
+
+def _syntax_problem(error: ConfigError) -> Problem:
+    match = re.search(r"line:?\s+(\d+)", str(error))
+    line = int(match.group(1)) if match else 0
+    first_line = str(error).splitlines()[0]
+    return Problem("", "", first_line, "INI sections with key = value lines", line)
+
+
+def _problems(error: ValidationError) -> list[Problem]:
+    return [_problem_of(detail) for detail in error.errors()]
+
+
+def _problem_of(detail: object) -> Problem:
+    assert isinstance(detail, dict)
+    place = [str(part) for part in detail["loc"]] + ["", ""]
+    expected = str(detail["msg"])
+    value = str(detail.get("input", ""))
+    if detail["type"] == "extra_forbidden":
+        expected = "a known section" if not place[1] else "a known key"
+    if detail["type"] == "missing":
+        expected = "this setting to be present"
+        value = ""
+    return Problem(place[0], place[1], value, expected)
+
+
+def _cross_checks(settings: Settings) -> list[Problem]:
+    """Return mistakes that lie between settings."""
+    problems = []
+    if settings.node.role == "side" and settings.endpoint is None:
+        problems.append(Problem("endpoint", "", "", "a section for role side"))
+    if settings.node.role == "entry" and not settings.listen.callers:
+        problems.append(Problem("listen", "callers", "", "an address for role entry"))
+    if settings.links.timeout_ms <= settings.links.heartbeat_ms:
+        value = str(settings.links.timeout_ms)
+        expected = f"more than heartbeat_ms = {settings.links.heartbeat_ms}"
+        problems.append(Problem("links", "timeout_ms", value, expected))
+    for section, key, text in _addresses(settings):
+        for address in parse_address_list(text):
+            if not _is_valid(address):
+                problems.append(Problem(section, key, text, "an IP number and a port"))
+    return problems
+
+
+def _addresses(settings: Settings) -> list[tuple[str, str, str]]:
+    listen = settings.listen
+    platform = settings.platform
+    endpoint = settings.endpoint.address if settings.endpoint else ""
+    return [
+        ("listen", "callers", listen.callers),
+        ("listen", "links", listen.links),
+        ("listen", "operators", listen.operators),
+        ("platform", "store", platform.store),
+        ("platform", "vm_list", platform.vm_list),
+        ("platform", "seeds", platform.seeds),
+        ("endpoint", "address", endpoint),
+        ("trace", "otlp", settings.trace.otlp),
+    ]
+
+
+def _is_valid(address: SocketAddress) -> bool:
+    octets = [int(part) for part in address.host.split(".") if part.isdigit()]
+    in_range = len(octets) == 4 and all(octet <= 255 for octet in octets)
+    return in_range and address.port <= 65535
+
+
+def settings_reference() -> str:
+    """Return docs/settings.md, generated so that it cannot differ from the checks."""
+    lines = ["# Settings reference", "", "Generated by `wigeonctl settings`.", ""]
+    for name, field in Settings.model_fields.items():
+        lines += _section_reference(name, _section_class(field.annotation))
+    return "\n".join(lines)
+
+
+def _section_class(annotation: object) -> type[Section]:
+    options = [annotation, *getattr(annotation, "__args__", ())]
+    for option in options:
+        if isinstance(option, type) and issubclass(option, Section):
+            return option
+    raise AssertionError(f"not a section: {annotation}")
+
+
+def _section_reference(name: str, section: type[Section]) -> list[str]:
+    lines = [f"## [{name}]", "", str(section.__doc__), ""]
+    lines += ["| key | default | meaning |", "|---|---|---|"]
+    for key, field in section.model_fields.items():
+        default = "required" if field.is_required() else f"`{field.default}`"
+        lines.append(f"| `{key}` | {default} | {field.description} |")
+    return [*lines, ""]
--- /dev/null
+++ b/wigeonwind/state/__init__.py
@@ -0,0 +1,1 @@
+"""State that is agreed or kept: text, store client, membership, leases, bookings."""
--- /dev/null
+++ b/wigeonwind/tool/__init__.py
@@ -0,0 +1,1 @@
+"""The command line tool for operators."""
