Add the typed results of the object store

Cause: the client, bookings, leases and the text need one set of results. Conclusion: state modules can be written against the protocol.

--- /dev/null
+++ b/wigeonwind/state/store_types.py
@@ -0,0 +1,84 @@
+"""Typed results of the object store, shared by its client and all who keep state."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from wigeonwind.outcomes import Ok
+
+
+@dataclass(frozen=True)
+class StoredObject:
+    """One object; `version` counts its writes from 1."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+@dataclass(frozen=True)
+class NotFound:
+    """There is no object under this key."""
+
+    key: str
+
+
+@dataclass(frozen=True)
+class Conflict:
+    """A conditional write met another version; `version` 0 means no object."""
+
+    key: str
+    version: int
+
+
+@dataclass(frozen=True)
+class StoreFailure:
+    """The store gave no answer that can be used.
+
+    `maybe_written` says that a write may have taken effect all the same.
+    """
+
+    reason: str
+    maybe_written: bool
+    retry_after_ms: float = 1000.0
+
+
+@dataclass(frozen=True)
+class WatchEvent:
+    """One change under a watched prefix."""
+
+    key: str
+    version: int
+    revision: int
+    deleted: bool
+
+
+@dataclass(frozen=True)
+class WatchBatch:
+    """Changes after a revision; `revision` is where the next watch starts."""
+
+    revision: int
+    events: tuple[WatchEvent, ...]
+
+
+class Store(Protocol):
+    """The calls that the rest of the system makes to the object store."""
+
+    def get(self, key: str) -> Ok[StoredObject] | NotFound | StoreFailure:
+        """Read one object."""
+        ...
+
+    def put(
+        self, key: str, value: bytes, if_version: int
+    ) -> Ok[int] | Conflict | StoreFailure:
+        """Write if the object has `if_version` (0: must not exist); new version."""
+        ...
+
+    def delete(self, key: str, if_version: int) -> Ok[None] | Conflict | StoreFailure:
+        """Delete if the object has `if_version`."""
+        ...
+
+    def watch(
+        self, prefix: str, after: int, timeout_ms: float
+    ) -> Ok[WatchBatch] | StoreFailure:
+        """Wait for changes under `prefix` after revision `after`."""
+        ...
