--- a/wigeonwind/links/messages.py
+++ b/wigeonwind/links/messages.py
@@ -358,3 +358,13 @@
     """Answer to a heartbeat, with its time."""
 
     sent_ms: float
+
+
+@message(28)
+@dataclass(frozen=True)
+class MembersBuckets:
+    """Digests of the sender's member records by bucket, after a digest differed."""
+
+    digests: list[int]
+    reply: bool
+    """Whether the receiver shall send its own digests back."""
--- /dev/null
+++ b/wigeonwind/state/membership.py
@@ -0,0 +1,260 @@
+"""Who is there: member records merged from links, peers and the lagging VM list.
+
+A record is ordered by incarnation, then live < leaving < left, and the higher record
+wins. Merging is therefore commutative and idempotent, and messages may be lost,
+repeated or reordered. Suspicion is a local opinion and never part of a record.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, replace
+from enum import IntEnum
+
+from wigeonwind.hashing import hash_text
+
+BUCKETS = 32
+"""Digest buckets; at 1,200 members a differing bucket costs about 40 records."""
+
+LEFT_RETENTION_MS = 3_600_000.0
+"""How long a record of a member that left is kept, so that late copies of older
+records do not bring it back; an hour is far longer than any message is delayed."""
+
+UNLISTED_LIMIT_MS = 600_000.0
+"""A member that the VM list never showed is presumed dead after this silence; the
+list lags by tens of seconds, so ten minutes cannot hit a VM that is only new."""
+
+
+class MemberState(IntEnum):
+    """State of a member; a later state of one incarnation wins."""
+
+    LIVE = 0
+    LEAVING = 1
+    LEFT = 2
+
+
+@dataclass(frozen=True)
+class MemberRecord:
+    """One process of the system, as it or the VM list described it."""
+
+    member_id: str
+    incarnation: int
+    state: MemberState
+    role: str
+    zone: str
+    service: str
+    address: str
+
+    @property
+    def rank(self) -> tuple[int, int]:
+        """Return the order of records of one member."""
+        return (self.incarnation, self.state)
+
+    def to_row(self) -> list:
+        """Return the row that a Members message carries."""
+        return [
+            self.member_id,
+            self.incarnation,
+            int(self.state),
+            self.role,
+            self.zone,
+            self.service,
+            self.address,
+        ]
+
+
+def record_from_row(row: list) -> MemberRecord | None:
+    """Return the record in a row of a Members message, or None if it is malformed."""
+    if len(row) != 7 or not all(isinstance(row[i], str) for i in (0, 3, 4, 5, 6)):
+        return None
+    if not isinstance(row[1], int) or row[2] not in (0, 1, 2):
+        return None
+    state = MemberState(row[2])
+    return MemberRecord(row[0], row[1], state, row[3], row[4], row[5], row[6])
+
+
+@dataclass(frozen=True)
+class ListedVm:
+    """One VM of the platform's list."""
+
+    member_id: str
+    leaving: bool
+
+
+def _fingerprint(record: MemberRecord) -> int:
+    key = f"{record.member_id}|{record.incarnation}|{int(record.state)}"
+    return hash_text(key)
+
+
+def _bucket_of(member_id: str) -> int:
+    return hash_text(member_id) % BUCKETS
+
+
+class Membership:
+    """All members one process knows, itself included."""
+
+    def __init__(self, own: MemberRecord) -> None:
+        self._record_by_id: dict[str, MemberRecord] = {}
+        self._bucket_digests = [0] * BUCKETS
+        self._heard_ms_by_id: dict[str, float] = {}
+        self._left_ms_by_id: dict[str, float] = {}
+        self._listed_ids: set[str] = set()
+        self._suspect_ids: set[str] = set()
+        self.own = own
+        self._store(own, 0.0)
+
+    def record(self, member_id: str) -> MemberRecord | None:
+        """Return the record of a member, or None."""
+        return self._record_by_id.get(member_id)
+
+    def records(self) -> Iterator[MemberRecord]:
+        """Yield all records, those of members that left included."""
+        return iter(list(self._record_by_id.values()))
+
+    def live(self, role: str, service: str | None = None) -> Iterator[MemberRecord]:
+        """Yield live members of a role (and service), suspects included."""
+        for record in self.records():
+            if record.state is not MemberState.LIVE or record.role != role:
+                continue
+            if service is None or record.service == service:
+                yield record
+
+    def merge(self, records: Iterable[MemberRecord], now_ms: float) -> list:
+        """Take over newer records; return the rows that changed, to be passed on."""
+        changed_ids = [
+            record.member_id for record in records if self._merge_one(record, now_ms)
+        ]
+        # A refuted record of this process is passed on as it stands now.
+        return [self._record_by_id[member_id].to_row() for member_id in changed_ids]
+
+    def _merge_one(self, record: MemberRecord, now_ms: float) -> bool:
+        if record.member_id == self.own.member_id:
+            return self._merge_own(record, now_ms)
+        known = self._record_by_id.get(record.member_id)
+        if known is not None and known.rank >= record.rank:
+            return False
+        self._store(record, now_ms)
+        return True
+
+    def _merge_own(self, record: MemberRecord, now_ms: float) -> bool:
+        """Take over that this process leaves; refute that it has left."""
+        if record.rank <= self.own.rank:
+            return False
+        if record.state is MemberState.LEAVING:
+            self.own = replace(self.own, state=MemberState.LEAVING)
+            self._store(self.own, now_ms)
+            return True
+        self.own = replace(self.own, incarnation=record.incarnation + 1)
+        self._store(self.own, now_ms)
+        return True
+
+    def _store(self, record: MemberRecord, now_ms: float) -> None:
+        member_id = record.member_id
+        known = self._record_by_id.get(member_id)
+        bucket = _bucket_of(member_id)
+        if known is not None:
+            self._bucket_digests[bucket] ^= _fingerprint(known)
+        self._bucket_digests[bucket] ^= _fingerprint(record)
+        self._record_by_id[member_id] = record
+        self._heard_ms_by_id[member_id] = now_ms
+        if record.state is MemberState.LEFT:
+            self._left_ms_by_id[member_id] = now_ms
+        else:
+            self._left_ms_by_id.pop(member_id, None)
+
+    def leave(self, now_ms: float) -> list:
+        """Mark this process as leaving; return the row to announce."""
+        self.own = replace(self.own, state=MemberState.LEAVING)
+        self._store(self.own, now_ms)
+        return [self.own.to_row()]
+
+    def on_leaving(self, member_id: str, incarnation: int, now_ms: float) -> list:
+        """Record a member's own word that it leaves; return changed rows."""
+        known = self._record_by_id.get(member_id)
+        if known is None:
+            return []
+        state = MemberState.LEAVING
+        return self.merge(
+            [replace(known, incarnation=incarnation, state=state)], now_ms
+        )
+
+    def on_heard(self, member_id: str, now_ms: float) -> None:
+        """Record a sign of life over a direct link."""
+        self._suspect_ids.discard(member_id)
+        self._heard_ms_by_id[member_id] = now_ms
+
+    def on_silent(self, member_id: str) -> None:
+        """Suspect a member whose link was lost; only this process is affected."""
+        self._suspect_ids.add(member_id)
+
+    def is_suspect(self, member_id: str) -> bool:
+        """Return whether this process has lost touch with the member."""
+        return member_id in self._suspect_ids
+
+    def on_vm_list(
+        self, vms: Iterable[ListedVm], as_of_ms: float, now_ms: float
+    ) -> list:
+        """Merge the platform's list; return changed rows.
+
+        A VM that was listed and is gone has left. The list lags, so a member that is
+        linked and heard of is never removed for being absent from it. `as_of_ms` is the
+        wall-clock time of the list in milliseconds: what it says of a VM that was
+        started again since then is about the previous VM of that name.
+        """
+        listed_by_id = {vm.member_id: vm for vm in vms}
+        updates = [
+            update
+            for record in self.records()
+            if record.incarnation <= as_of_ms * 1000
+            and (update := self._listed_update(record, listed_by_id, now_ms))
+        ]
+        self._listed_ids = set(listed_by_id)
+        return self.merge(updates, now_ms)
+
+    def _listed_update(
+        self, record: MemberRecord, listed_by_id: dict[str, ListedVm], now_ms: float
+    ) -> MemberRecord | None:
+        member_id = record.member_id
+        if record.state is MemberState.LEFT:
+            return None
+        vm = listed_by_id.get(member_id)
+        if vm is not None:
+            if vm.leaving and record.state is MemberState.LIVE:
+                return replace(record, state=MemberState.LEAVING)
+            return None
+        silent_ms = now_ms - self._heard_ms_by_id.get(member_id, 0.0)
+        if member_id == self.own.member_id:
+            return None
+        dropped = member_id in self._listed_ids and member_id in self._suspect_ids
+        if dropped or silent_ms > UNLISTED_LIMIT_MS:
+            return replace(record, state=MemberState.LEFT)
+        return None
+
+    def expire(self, now_ms: float) -> None:
+        """Forget members that left more than LEFT_RETENTION_MS ago."""
+        for member_id, left_ms in list(self._left_ms_by_id.items()):
+            if now_ms - left_ms > LEFT_RETENTION_MS:
+                record = self._record_by_id.pop(member_id)
+                self._bucket_digests[_bucket_of(member_id)] ^= _fingerprint(record)
+                del self._left_ms_by_id[member_id]
+                self._heard_ms_by_id.pop(member_id, None)
+                self._suspect_ids.discard(member_id)
+
+    def digest(self) -> int:
+        """Return one number that is equal where the records are equal."""
+        return hash_text(repr(self._bucket_digests))
+
+    def bucket_digests(self) -> list[int]:
+        """Return the digest of each of the BUCKETS buckets."""
+        return list(self._bucket_digests)
+
+    def rows_that_differ(self, their_digests: list[int]) -> list:
+        """Return the rows of all buckets whose digest is not that of a peer."""
+        differing = {
+            index
+            for index, digest in enumerate(self._bucket_digests)
+            if index >= len(their_digests) or their_digests[index] != digest
+        }
+        return [
+            record.to_row()
+            for record in self.records()
+            if _bucket_of(record.member_id) in differing
+        ]
