Add the roller's lease and rollout plans

Cause: a leader that was paused past its lease must not change endpoints, and a rollout must go on from what is seen when its leader is lost. Change: a lease in the store with a fencing token, and a pure planner with a first endpoint, a soak time, waves in one zone, halt and rollback. Conclusion: the planner is ready for the roller process.

--- /dev/null
+++ b/tests/test_rolls.py
@@ -0,0 +1,118 @@
+"""Rollout plans: staged, halted when worse, resumed from what is seen."""
+
+from dataclasses import replace
+
+from wigeonwind.state.rolls import (
+    SOAK_MS,
+    EndpointView,
+    LoadVersion,
+    RollPlanner,
+    RollRecord,
+    Verdict,
+    WriteRecord,
+    read_roll_record,
+)
+
+RUNNING = RollRecord("llm", "2", "1", Verdict.RUNNING)
+
+
+def make_views(count: int, version: str = "1") -> list[EndpointView]:
+    return [
+        EndpointView(f"side-{i:02}", f"zone-{i % 3}", version, True, 100, 0, 100)
+        for i in range(count)
+    ]
+
+
+def run_roll(views, record, planner, steps=200, judge=None):
+    """Carry out planned steps; each load takes one round of 10 s."""
+    now_ms = 0.0
+    most_busy = 0
+    for _ in range(steps):
+        views = [replace(view, ready=True) for view in views]
+        if judge:
+            views = [judge(view) for view in views]
+        for step in list(planner.plan("2", record, views, now_ms)):
+            if isinstance(step, WriteRecord):
+                record = step.record
+            else:
+                views = [
+                    replace(v, version=step.version, ready=False, ended=0, attained=0)
+                    if v.endpoint_id == step.endpoint_id
+                    else v
+                    for v in views
+                ]
+        busy = [view for view in views if not view.ready]
+        assert len({view.zone for view in busy}) <= 1
+        most_busy = max(most_busy, len(busy))
+        now_ms += 10_000.0
+    return views, record, most_busy
+
+
+def test_a_roll_starts_with_one_endpoint_after_the_record_is_stored():
+    planner = RollPlanner("llm")
+    first = list(planner.plan("2", None, make_views(5), 0.0))
+    assert first == [WriteRecord(RUNNING)]
+    second = list(planner.plan("2", RUNNING, make_views(5), 1.0))
+    assert second == [LoadVersion("side-00", "2")]
+
+
+def test_the_others_wait_until_the_first_has_served():
+    planner = RollPlanner("llm")
+    views = make_views(5)
+    views[0] = replace(views[0], version="2")
+    assert list(planner.plan("2", RUNNING, views, 0.0)) == []
+    assert list(planner.plan("2", RUNNING, views, SOAK_MS - 1)) == []
+    assert len(list(planner.plan("2", RUNNING, views, SOAK_MS))) == 1
+
+
+def test_a_whole_roll_keeps_capacity_and_ends():
+    views, record, most_busy = run_roll(make_views(20), None, RollPlanner("llm"))
+    assert all(view.version == "2" for view in views)
+    assert record.verdict is Verdict.DONE
+    assert most_busy <= 4
+
+
+def test_a_worse_version_is_halted_and_rolled_back():
+    def judge(view):
+        if view.version == "2" and not view.ended:
+            return replace(view, ended=50, attained=40)
+        return view
+
+    views, record, _ = run_roll(make_views(10), None, RollPlanner("llm"), judge=judge)
+    assert record.verdict is Verdict.HALTED
+    assert "attainment fell" in record.reason
+    assert {view.version for view in views} == {"1"}
+
+
+def test_errors_halt_a_roll():
+    views = make_views(5)
+    views[0] = replace(views[0], version="2", ended=50, failed=10, attained=40)
+    (step,) = RollPlanner("llm").plan("2", RUNNING, views, 0.0)
+    assert step.record.verdict is Verdict.HALTED
+
+
+def test_a_new_leader_goes_on_from_what_is_seen():
+    views = make_views(10)
+    half_done = [replace(v, version="2") if i < 5 else v for i, v in enumerate(views)]
+    ended, record, _ = run_roll(half_done, RUNNING, RollPlanner("llm"))
+    assert all(view.version == "2" for view in ended)
+    assert record.verdict is Verdict.DONE
+
+
+def test_a_replaced_vm_gets_the_version_in_force():
+    done = replace(RUNNING, verdict=Verdict.DONE)
+    views = make_views(5, "2")
+    views[3] = replace(views[3], version="1", ready=False)
+    steps = list(RollPlanner("llm").plan("2", done, views, 0.0))
+    assert steps == [LoadVersion("side-03", "2")]
+
+
+def test_a_halted_version_goes_back_to_the_last_good_one_when_the_text_does():
+    halted = replace(RUNNING, verdict=Verdict.HALTED, reason="errors")
+    (step,) = RollPlanner("llm").plan("1", halted, make_views(5), 0.0)
+    assert step.record == RollRecord("llm", "1", "1", Verdict.DONE)
+
+
+def test_a_record_survives_storage():
+    assert read_roll_record(RUNNING.to_bytes()) == RUNNING
+    assert read_roll_record(b"{}") is None
--- a/wigeonwind/links/messages.py
+++ b/wigeonwind/links/messages.py
@@ -300,7 +300,11 @@
 @message(22)
 @dataclass(frozen=True)
 class Order:
-    """An order of the leader to the endpoint, with its fencing number."""
+    """An order of the leader to the endpoint, with its fencing token.
+
+    `action` is `load_model`, `load_adapter`, `change_role`, or `observe`, which only
+    announces the token and asks for the present state.
+    """
 
     order_id: str
     fence: int
@@ -313,7 +317,11 @@
 @message(23)
 @dataclass(frozen=True)
 class OrderResult:
-    """What became of an order; `fence` is the highest fencing number seen."""
+    """What became of an order; `fence` is the highest fencing token seen.
+
+    The rest describes the endpoint as it is now, also after the action `observe`;
+    the counts are requests since the version was loaded.
+    """
 
     order_id: str
     done: bool
@@ -322,6 +330,10 @@
     version: str
     role: str
     reason: str
+    ready: bool = True
+    ended: int = 0
+    failed: int = 0
+    attained: int = 0
 
 
 @message(24)
--- /dev/null
+++ b/wigeonwind/state/lease.py
@@ -0,0 +1,145 @@
+"""The leader's lease: one object in the store, with a fencing token.
+
+Clocks of two VMs are never compared. A holder counts its lease from the moment it sent
+the write that the store confirmed; a challenger counts from the moment it first read
+the version that it wants to replace. Each new holder raises the fencing token by one, a
+renewal keeps it.
+"""
+
+import json
+from dataclasses import dataclass
+
+from wigeonwind.clock import Clock
+from wigeonwind.ids import new_id
+from wigeonwind.outcomes import Ok
+from wigeonwind.state.store_types import NotFound, Store, StoredObject, StoreFailure
+
+LEASE_KEY = "lease/roller"
+"""Object that holds the lease of the process that carries out model rollouts."""
+
+LEASE_MS = 15_000.0
+"""A holder that did not renew for this long must stop giving orders."""
+
+RENEW_INTERVAL_MS = LEASE_MS / 3
+"""Two renewals may fail before the lease is lost; at one write in 5 s the store
+hardly notices."""
+
+TAKEOVER_MS = LEASE_MS * 1.5
+"""A challenger waits longer than the lease, as clocks may run at different rates."""
+
+
+@dataclass(frozen=True)
+class LeaseValue:
+    """What the lease object says; an empty `holder` means that it was given back."""
+
+    holder: str
+    fence: int
+    nonce: str
+
+    def to_bytes(self) -> bytes:
+        """Return the stored form."""
+        fields = {"holder": self.holder, "fence": self.fence, "nonce": self.nonce}
+        return json.dumps(fields).encode()
+
+
+def read_lease_value(data: bytes) -> LeaseValue | None:
+    """Return the value of a lease object, or None if it cannot be read."""
+    try:
+        fields = json.loads(data)
+        return LeaseValue(
+            str(fields["holder"]), int(fields["fence"]), str(fields["nonce"])
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+class Lease:
+    """One process's view of the lease; call `step` every RENEW_INTERVAL_MS."""
+
+    def __init__(self, store: Store, holder_id: str, clock: Clock) -> None:
+        self._store = store
+        self._holder_id = holder_id
+        self._clock = clock
+        self._nonce = new_id()
+        self._fence = 0
+        self._version = -1
+        self._valid_until_ms = 0.0
+        self._seen_version = -1
+        self._seen_ms = 0.0
+        self._unconfirmed_ms: float | None = None
+
+    def fence(self) -> int | None:
+        """Return the fencing token while the lease is certainly held, else None."""
+        if self._clock.now_ms() < self._valid_until_ms:
+            return self._fence
+        return None
+
+    def step(self) -> int | None:
+        """Renew, acquire or observe the lease; return the fencing token if held."""
+        if self._version >= 0 and self._unconfirmed_ms is None:
+            self._write(self._fence, self._version)
+        else:
+            self._observe()
+        return self.fence()
+
+    def release(self) -> None:
+        """Give the lease back, so that the next holder need not wait."""
+        if self.fence() is not None:
+            value = LeaseValue("", self._fence, self._nonce)
+            self._store.put(LEASE_KEY, value.to_bytes(), self._version)
+        self._drop()
+
+    def _observe(self) -> None:
+        found = self._store.get(LEASE_KEY)
+        if isinstance(found, StoreFailure):
+            return
+        if isinstance(found, NotFound):
+            self._write(1, 0)
+            return
+        self._consider(found.value)
+
+    def _consider(self, found: StoredObject) -> None:
+        value = read_lease_value(found.value)
+        if value is None:
+            return
+        if value.holder == self._holder_id and value.nonce == self._nonce:
+            self._adopt(found.version, value.fence)
+            return
+        self._drop()
+        now_ms = self._clock.now_ms()
+        if found.version != self._seen_version:
+            self._seen_version = found.version
+            self._seen_ms = now_ms
+        if not value.holder or now_ms - self._seen_ms > TAKEOVER_MS:
+            self._write(value.fence + 1, found.version)
+
+    def _adopt(self, version: int, fence: int) -> None:
+        """Take over a write whose answer was lost, counted from when it was sent.
+
+        An unchanged version shows that the write never took effect. It extends nothing,
+        since a challenger may have counted from this version for long.
+        """
+        if version != self._version and self._unconfirmed_ms is not None:
+            self._valid_until_ms = self._unconfirmed_ms + LEASE_MS
+        self._version = version
+        self._fence = fence
+        self._unconfirmed_ms = None
+
+    def _write(self, fence: int, if_version: int) -> None:
+        sent_ms = self._clock.now_ms()
+        value = LeaseValue(self._holder_id, fence, self._nonce)
+        result = self._store.put(LEASE_KEY, value.to_bytes(), if_version)
+        if isinstance(result, Ok):
+            self._version = result.value
+            self._fence = fence
+            self._valid_until_ms = sent_ms + LEASE_MS
+        elif isinstance(result, StoreFailure):
+            if result.maybe_written and self._unconfirmed_ms is None:
+                self._unconfirmed_ms = sent_ms
+        else:
+            self._drop()
+
+    def _drop(self) -> None:
+        self._version = -1
+        self._valid_until_ms = 0.0
+        self._unconfirmed_ms = None
--- /dev/null
+++ b/wigeonwind/state/rolls.py
@@ -0,0 +1,206 @@
+"""Model rollouts as a pure plan: from what is seen to the next steps.
+
+The planner keeps nothing between calls but the time at which it saw things, so that a
+new leader goes on from the endpoints and the stored record alone.
+"""
+
+import json
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass, replace
+from enum import Enum
+
+MAX_LOADING_SHARE = 0.2
+"""Share of a service's endpoints that may be out of service for loading."""
+
+SOAK_MS = 30_000.0
+"""Time the first converted endpoint serves before the others follow."""
+
+MIN_SAMPLES = 20
+"""Ended requests on the new version before it can be judged."""
+
+MAX_WORSE = 0.05
+"""Attainment lost or errors gained, as a share, that halt a rollout."""
+
+
+class Verdict(Enum):
+    """State of a rollout."""
+
+    RUNNING = "running"
+    HALTED = "halted"
+    DONE = "done"
+
+
+@dataclass(frozen=True)
+class RollRecord:
+    """What the store keeps of a rollout, under `rolls/<service>`."""
+
+    service: str
+    target: str
+    previous: str
+    verdict: Verdict
+    reason: str = ""
+
+    def to_bytes(self) -> bytes:
+        """Return the stored form."""
+        return json.dumps({**asdict(self), "verdict": self.verdict.value}).encode()
+
+
+def read_roll_record(data: bytes) -> RollRecord | None:
+    """Return a stored record, or None if it cannot be read."""
+    try:
+        fields = json.loads(data)
+        fields["verdict"] = Verdict(fields["verdict"])
+        return RollRecord(**fields)
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+@dataclass(frozen=True)
+class EndpointView:
+    """One endpoint as its sidecar described it; counts are since the version loaded."""
+
+    endpoint_id: str
+    zone: str
+    version: str
+    ready: bool
+    ended: int = 0
+    failed: int = 0
+    attained: int = 0
+
+
+@dataclass(frozen=True)
+class WriteRecord:
+    """Store this record before anything else is done."""
+
+    record: RollRecord
+
+
+@dataclass(frozen=True)
+class LoadVersion:
+    """Order this endpoint to load the version."""
+
+    endpoint_id: str
+    version: str
+
+
+RollStep = WriteRecord | LoadVersion
+
+
+@dataclass(frozen=True)
+class _Quality:
+    ended: int
+    failed_share: float
+    attained_share: float
+
+
+def _quality(views: list[EndpointView]) -> _Quality:
+    ended = sum(view.ended for view in views)
+    if not ended:
+        return _Quality(0, 0.0, 1.0)
+    failed = sum(view.failed for view in views)
+    attained = sum(view.attained for view in views)
+    return _Quality(ended, failed / ended, attained / ended)
+
+
+class RollPlanner:
+    """Plans the rollout of one service."""
+
+    def __init__(self, service: str) -> None:
+        self._service = service
+        self._first_converted_ms: float | None = None
+
+    def plan(
+        self,
+        target: str,
+        record: RollRecord | None,
+        views: list[EndpointView],
+        now_ms: float,
+    ) -> Iterator[RollStep]:
+        """Yield the next steps; empty while there is nothing to do or to wait for."""
+        if not views or not target:
+            return
+        if record is None or record.target != target:
+            yield from self._begin(target, record, views)
+        elif record.verdict is Verdict.RUNNING:
+            yield from self._advance(record, views, now_ms)
+        elif record.verdict is Verdict.HALTED:
+            yield from self._convert(record.previous, views, len(views))
+        else:
+            # A replaced VM may come up with another version than the one in force.
+            yield from self._convert(record.target, views, len(views))
+
+    def _begin(
+        self, target: str, record: RollRecord | None, views: list[EndpointView]
+    ) -> Iterator[RollStep]:
+        self._first_converted_ms = None
+        verdict = Verdict.RUNNING
+        if all(view.version == target for view in views):
+            verdict = Verdict.DONE
+        previous = _last_good(record) or _most_common_version(views)
+        yield WriteRecord(RollRecord(self._service, target, previous, verdict))
+
+    def _advance(
+        self, record: RollRecord, views: list[EndpointView], now_ms: float
+    ) -> Iterator[RollStep]:
+        new = [view for view in views if view.version == record.target]
+        old = [view for view in views if view.version != record.target]
+        reason = _worsened(_quality(new), _quality(old))
+        if reason:
+            halted = replace(record, verdict=Verdict.HALTED, reason=reason)
+            yield WriteRecord(halted)
+        elif not old:
+            yield WriteRecord(replace(record, verdict=Verdict.DONE))
+        elif self._may_spread(new, now_ms):
+            yield from self._convert(record.target, views, len(views))
+        elif not new:
+            yield from self._convert(record.target, views, 1)
+
+    def _may_spread(self, new: list[EndpointView], now_ms: float) -> bool:
+        if not any(view.ready for view in new):
+            self._first_converted_ms = None
+            return False
+        if self._first_converted_ms is None:
+            self._first_converted_ms = now_ms
+        return now_ms - self._first_converted_ms >= SOAK_MS
+
+    def _convert(
+        self, version: str, views: list[EndpointView], most: int
+    ) -> Iterator[RollStep]:
+        """Load `version` on a few endpoints of one zone at a time."""
+        waiting = [view for view in views if view.version != version]
+        busy = [view for view in views if not view.ready]
+        allowed = max(1, int(len(views) * MAX_LOADING_SHARE))
+        room = min(most, allowed - len(busy))
+        # An endpoint that is out of service already loses nothing by loading.
+        waiting.sort(key=lambda view: (view.ready, view.zone, view.endpoint_id))
+        zones = {view.zone for view in busy} or {view.zone for view in waiting[:1]}
+        for view in waiting:
+            if not view.ready:
+                yield LoadVersion(view.endpoint_id, version)
+            elif room > 0 and view.zone in zones:
+                room -= 1
+                yield LoadVersion(view.endpoint_id, version)
+
+
+def _last_good(record: RollRecord | None) -> str:
+    if record is None:
+        return ""
+    return record.target if record.verdict is Verdict.DONE else record.previous
+
+
+def _most_common_version(views: list[EndpointView]) -> str:
+    counts = Counter(view.version for view in views)
+    return max(sorted(counts), key=lambda version: counts[version])
+
+
+def _worsened(new: _Quality, old: _Quality) -> str:
+    """Return why the new version is worse, or an empty string."""
+    if new.ended < MIN_SAMPLES:
+        return ""
+    if new.failed_share > old.failed_share + MAX_WORSE:
+        return f"errors rose from {old.failed_share:.1%} to {new.failed_share:.1%}"
+    if new.attained_share < old.attained_share - MAX_WORSE:
+        share = f"{old.attained_share:.1%} to {new.attained_share:.1%}"
+        return f"attainment fell from {share}"
+    return ""
