Add the configuration text: parser, checks, and its spread

Cause: the entry and the sidecar need a checked catalog and a keeper that other parts can call.

Change: state/text.py parses INI by section (configparser, pydantic) and reports all mistakes with lines; state/text_keeper.py keeps the highest valid version and sends changed sections against a base version.

--- /dev/null
+++ b/wigeonwind/state/text.py
@@ -0,0 +1,194 @@
+"""A configuration text with its meaning: parsed and checked, whole or by section."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, replace
+from types import MappingProxyType
+from typing import Any
+
+from wigeonwind.catalog import Catalog, Customer
+from wigeonwind.outcomes import Invalid, Ok, Problem
+from wigeonwind.state.text_checks import (
+    Content,
+    check_customers,
+    check_services,
+    index_keys,
+)
+from wigeonwind.state.text_schema import (
+    Defaults,
+    SectionValue,
+    line_of_key,
+    read_section,
+)
+from wigeonwind.state.text_sections import PREAMBLE, Sections, SplitText, split_text
+
+MAX_TEXT_BYTES = 16_000_000
+"""Bound on what a process parses; a text for 29,000 customers has about 6 MB."""
+
+
+@dataclass(frozen=True)
+class Text:
+    """One version of the configuration text that has passed all checks.
+
+    `customer_by_key` gives the name of the customer to which the digest of an API key
+    belongs.
+    """
+
+    version: int
+    sections: Sections
+    catalog: Catalog
+    customer_by_key: Mapping[str, str]
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the whole text."""
+        return self.sections.digest
+
+    @property
+    def source(self) -> str:
+        """Return the whole text."""
+        return self.sections.source
+
+
+def parse_text(source: str, version: int) -> Ok[Catalog] | Invalid:
+    r"""Return what a text says, or all its mistakes with 1-based line numbers.
+
+    >>> result = parse_text("[service a]\nkind = model\nmodles = b\n", 1)
+    >>> [problem.line for problem in result.problems]
+    [3]
+    """
+    result = read_text(source, version)
+    return result if isinstance(result, Invalid) else Ok(result.value.catalog)
+
+
+def read_text(
+    source: str, version: int, base: Text | None = None
+) -> Ok[Text] | Invalid:
+    """Check a whole text; sections that `base` has too are not parsed again."""
+    if len(source) > MAX_TEXT_BYTES:
+        size = f"{len(source)} characters"
+        return Invalid((Problem("", "", size, f"at most {MAX_TEXT_BYTES}"),))
+    split = split_text(source, base.sections if base else None)
+    result = build_text(split.sections, version, base)
+    return _with_duplicates(split, result) if split.duplicates else result
+
+
+def _with_duplicates(split: SplitText, result: Ok[Text] | Invalid) -> Invalid:
+    problems = result.problems if isinstance(result, Invalid) else ()
+    duplicates = [
+        Problem(duplicate.name, "", "", "each section only once", duplicate.line)
+        for duplicate in split.duplicates
+    ]
+    return Invalid(tuple(sorted([*problems, *duplicates], key=lambda p: p.line)))
+
+
+def build_text(
+    sections: Sections, version: int, base: Text | None = None
+) -> Ok[Text] | Invalid:
+    """Check sections and return the text, parsing only what differs from `base`."""
+    old = base.sections.source_by_name if base else {}
+    new = sections.source_by_name
+    changed = [name for name, source in new.items() if old.get(name) != source]
+    removed = [name for name in old if name not in new]
+    problems: list[Problem] = []
+    values = _read_sections(sections, changed, problems)
+    content = _merge(base, values, removed)
+    if problems:
+        # Names of sections that could not be read would look unknown.
+        return Invalid(tuple(_placed(problems, sections)))
+    gone = _customers_at(base, [*changed, *removed])
+    new_customers = [v for v in values.values() if isinstance(v, Customer)]
+    keys, key_problems = index_keys(
+        base.customer_by_key if base else {}, gone, new_customers
+    )
+    problems += key_problems
+    problems += _cross_problems(content, new_customers, [*changed, *removed])
+    if problems:
+        return Invalid(tuple(_placed(problems, sections)))
+    return Ok(Text(version, sections, _catalog(content, version), keys))
+
+
+def _read_sections(
+    sections: Sections, names: Iterable[str], problems: list[Problem]
+) -> dict[str, SectionValue]:
+    """Return what each named section says; mistakes are added to `problems`."""
+    values: dict[str, SectionValue] = {}
+    for name in names:
+        source = sections.source_by_name[name]
+        if name == PREAMBLE:
+            problems += _preamble_problems(source)
+            continue
+        result = read_section(name, source)
+        if isinstance(result, Invalid):
+            problems += result.problems
+        else:
+            values[name] = result.value
+    return values
+
+
+def _preamble_problems(source: str) -> Iterator[Problem]:
+    for line, text in enumerate(source.splitlines(), 1):
+        if text.strip() and text.strip()[0] not in "#;":
+            yield Problem(PREAMBLE, "", text, "a section before the first key", line)
+
+
+def _merge(
+    base: Text | None, values: Mapping[str, SectionValue], removed: Iterable[str]
+) -> Content:
+    """Return the content of `base` with changed and without removed sections."""
+    catalog = base.catalog if base else Catalog(0)
+    maps: dict[str, dict[str, Any]] = {
+        "service": dict(catalog.service_by_name),
+        "class": dict(catalog.class_by_name),
+        "customer": dict(catalog.customer_by_name),
+        "defaults": {"": Defaults(catalog.allow_anonymous, catalog.default_limit)},
+    }
+    for name in removed:
+        kind, _, item = name.partition(" ")
+        maps.get(kind, {}).pop(item, None)
+    for name, value in values.items():
+        kind, _, item = name.partition(" ")
+        maps[kind][item] = value
+    defaults = maps["defaults"].get("", Defaults())
+    return Content(maps["service"], maps["class"], maps["customer"], defaults)
+
+
+def _customers_at(base: Text | None, names: Iterable[str]) -> list[Customer]:
+    """Return the customers of `base` among the named sections."""
+    known = base.catalog.customer_by_name if base else {}
+    items = [name.removeprefix("customer ") for name in names]
+    return [known[item] for item in items if item in known]
+
+
+def _cross_problems(
+    content: Content, changed_customers: Iterable[Customer], touched: Iterable[str]
+) -> Iterator[Problem]:
+    """Check between sections; customers that no change touches are left out."""
+    if all(name.startswith("customer ") for name in touched):
+        yield from check_customers(content, changed_customers)
+        return
+    yield from check_services(content)
+    yield from check_customers(content, content.customer_by_name.values())
+
+
+def _placed(problems: Iterable[Problem], sections: Sections) -> list[Problem]:
+    """Return problems with lines that count from the start of the text."""
+    placed = []
+    for problem in problems:
+        source = sections.source_by_name.get(problem.section, "")
+        line = problem.line or line_of_key(source, problem.key)
+        name = problem.section
+        if name in sections.source_by_name:
+            line += sections.start_line(name) - 1
+        placed.append(replace(problem, line=line))
+    return sorted(placed, key=lambda problem: problem.line)
+
+
+def _catalog(content: Content, version: int) -> Catalog:
+    return Catalog(
+        version=version,
+        service_by_name=MappingProxyType(content.service_by_name),  # type: ignore[arg-type]
+        class_by_name=MappingProxyType(content.class_by_name),  # type: ignore[arg-type]
+        customer_by_name=MappingProxyType(content.customer_by_name),  # type: ignore[arg-type]
+        allow_anonymous=content.defaults.allow_anonymous,
+        default_limit=content.defaults.limit,
+    )
--- /dev/null
+++ b/wigeonwind/state/text_keeper.py
@@ -0,0 +1,228 @@
+"""The configuration text in force in this process, and its spread between peers."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from wigeonwind.catalog import Catalog
+from wigeonwind.clock import Clock, SystemClock
+from wigeonwind.links.messages import TextChange, TextRequest, TextVersion
+from wigeonwind.outcomes import Invalid, Ok, Problem
+from wigeonwind.state.text import Text, build_text, read_text
+from wigeonwind.state.text_diff import (
+    SectionChange,
+    SectionEdit,
+    apply_change,
+    change_of,
+    diff_sections,
+)
+from wigeonwind.state.text_sections import Sections, sections_of
+
+Reply = Callable[[Any], None]
+
+MAX_REMEMBERED_CHANGES = 256
+"""Versions for which changes can be sent; older peers get the whole text. At 100
+edits a minute, this covers a peer that was cut off for two and a half minutes."""
+
+REQUEST_TIMEOUT_MS = 1000.0
+"""After this time another peer is asked for a version that was asked for before."""
+
+
+class TextKeeper:
+    """Keeps the newest valid text seen; a higher version wins and none reverts.
+
+    `broadcast` sends a message over all links. Handlers get `reply`, which sends over
+    the link on which the message came. No I/O happens here.
+    """
+
+    def __init__(self, broadcast: Reply, clock: Clock | None = None) -> None:
+        self._broadcast = broadcast
+        self._clock = clock or SystemClock()
+        self._text: Text | None = None
+        self._subscribers: list[Callable[[Catalog], None]] = []
+        self._changed_by_version: OrderedDict[int, frozenset[str]] = OrderedDict()
+        self._asked_version = 0
+        self._asked_at_ms = 0.0
+        self.refused_version = 0
+        """Highest version that was refused as invalid, 0 if none was."""
+        self.refused_problems: tuple[Problem, ...] = ()
+        self.count_by_event: dict[str, int] = {}
+        """Counters: adopted, invalid, digest_mismatch, whole_requested, ..."""
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return self._text.version if self._text else 0
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the text in force."""
+        return self._text.digest if self._text else ""
+
+    @property
+    def source(self) -> str:
+        """Return the text in force."""
+        return self._text.source if self._text else ""
+
+    @property
+    def text(self) -> Text | None:
+        """Return the text in force with its sections, None before the first."""
+        return self._text
+
+    @property
+    def catalog(self) -> Catalog:
+        """Return what the text in force says; version 0 says nothing."""
+        return self._text.catalog if self._text else Catalog(0)
+
+    def customer_of_key(self, key_digest: str) -> str | None:
+        """Return the customer to whom the digest of an API key belongs, or None."""
+        return self._text.customer_by_key.get(key_digest) if self._text else None
+
+    def subscribe(self, callback: Callable[[Catalog], None]) -> None:
+        """Call `callback` with the catalog in force, now if there is one."""
+        self._subscribers.append(callback)
+        if self._text:
+            callback(self._text.catalog)
+
+    def check(self, source: str, version: int = 0) -> Ok[Text] | Invalid:
+        """Check a text; sections equal to those in force are not parsed again."""
+        return read_text(source, version, self._text)
+
+    def offer(self, version: int, source: str) -> bool:
+        """Put a whole text in force if it is newer and valid; return whether it was."""
+        if version <= self.version:
+            return False
+        return self._adopt(version, read_text(source, version, self._text))
+
+    def announce(self, reply: Reply) -> None:
+        """Tell a peer, whose link has come up, the version in force."""
+        reply(TextVersion(self.version, self.digest))
+
+    def tick(self) -> None:
+        """Announce the version to all peers again; repairs lost announcements."""
+        self._broadcast(TextVersion(self.version, self.digest))
+
+    def on_text_version(self, message: TextVersion, reply: Reply) -> None:
+        """Ask for a newer text, or tell an older peer of ours."""
+        if message.version < self.version:
+            reply(TextVersion(self.version, self.digest))
+        elif message.version == self.version:
+            if message.digest != self.digest:
+                self._count("digest_conflict")
+        elif message.version != self.refused_version and self._may_ask(message.version):
+            reply(TextRequest(self.version))
+
+    def on_text_request(self, message: TextRequest, reply: Reply) -> None:
+        """Send the changes since the peer's version, or the whole text."""
+        if self._text is None or message.have_version >= self._text.version:
+            return
+        base = message.have_version
+        names = self._changed_since(base)
+        if names is None:
+            reply(_whole_message(self._text))
+            self._count("whole_sent")
+            return
+        now = self._text.sections.source_by_name
+        present = [name for name in names if name in now]
+        removed = [name for name in names if name not in now]
+        change = change_of(self._text.sections, present, removed, set(present))
+        reply(_change_message(change, base, self._text.version))
+        self._count("change_sent")
+
+    def on_text_change(self, message: TextChange, reply: Reply) -> None:
+        """Apply changes to the text in force; ask for the whole if they do not fit."""
+        if message.version <= self.version:
+            return
+        if message.base_version not in (0, self.version):
+            self._ask_again(message.version, reply, self.version)
+            return
+        base = self._text.sections if self._text else sections_of({})
+        sections: Sections | None
+        if message.base_version == 0:
+            sections = _whole_sections(message, base)
+        else:
+            sections = apply_change(base, _change(message))
+        if sections is None or sections.digest != message.digest:
+            self._count("digest_mismatch")
+            if message.base_version != 0:
+                self._ask_again(message.version, reply, 0)
+            return
+        self._adopt(message.version, build_text(sections, message.version, self._text))
+
+    def _may_ask(self, version: int) -> bool:
+        """Whether to ask for `version` now; the same version is asked for once."""
+        now_ms = self._clock.now_ms()
+        waiting = now_ms - self._asked_at_ms < REQUEST_TIMEOUT_MS
+        if version <= self._asked_version and waiting:
+            return False
+        self._asked_version = version
+        self._asked_at_ms = now_ms
+        return True
+
+    def _ask_again(self, version: int, reply: Reply, have_version: int) -> None:
+        self._asked_version = version
+        self._asked_at_ms = self._clock.now_ms()
+        reply(TextRequest(have_version))
+        if have_version == 0:
+            self._count("whole_requested")
+
+    def _adopt(self, version: int, result: Ok[Text] | Invalid) -> bool:
+        if isinstance(result, Invalid):
+            self._count("invalid")
+            self.refused_version = max(self.refused_version, version)
+            self.refused_problems = result.problems
+            return False
+        old, self._text = self._text, result.value
+        self._remember_change(old, result.value)
+        self._count("adopted")
+        for callback in self._subscribers:
+            callback(result.value.catalog)
+        self._broadcast(TextVersion(self.version, self.digest))
+        return True
+
+    def _remember_change(self, old: Text | None, new: Text) -> None:
+        if old is None:
+            return
+        change = diff_sections(old.sections, new.sections)
+        names = [edit.name for edit in change.edits]
+        self._changed_by_version[old.version] = frozenset([*names, *change.removed])
+        while len(self._changed_by_version) > MAX_REMEMBERED_CHANGES:
+            self._changed_by_version.popitem(last=False)
+
+    def _changed_since(self, version: int) -> set[str] | None:
+        """Return the sections changed since `version`, None if that is not known."""
+        if version not in self._changed_by_version:
+            return None
+        names: set[str] = set()
+        for base, changed in self._changed_by_version.items():
+            if base >= version:
+                names |= changed
+        return names
+
+    def _count(self, event: str) -> None:
+        self.count_by_event[event] = self.count_by_event.get(event, 0) + 1
+
+
+def _whole_message(text: Text) -> TextChange:
+    pairs = [[name, source] for name, source in text.sections.source_by_name.items()]
+    return TextChange(0, text.version, pairs, [], text.digest)
+
+
+def _whole_sections(message: TextChange, base: Sections) -> Sections:
+    return sections_of({row[0]: row[1] for row in message.sections}, base)
+
+
+def _change_message(change: SectionChange, base: int, version: int) -> TextChange:
+    rows = [
+        [edit.name, edit.source, *([] if edit.after is None else [edit.after])]
+        for edit in change.edits
+    ]
+    return TextChange(base, version, rows, list(change.removed), change.digest)
+
+
+def _change(message: TextChange) -> SectionChange:
+    edits = [
+        SectionEdit(row[0], row[1], row[2] if len(row) > 2 else None)
+        for row in message.sections
+    ]
+    return SectionChange(tuple(edits), tuple(message.removed), message.digest)
--- /dev/null
+++ b/wigeonwind/state/text_schema.py
@@ -0,0 +1,358 @@
+"""The keys of each kind of section, and how one section becomes catalog data."""
+
+import re
+from configparser import DuplicateOptionError, ParsingError, RawConfigParser
+from configparser import Error as ConfigError
+from dataclasses import dataclass
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, BeforeValidator, ConfigDict, ValidationError
+from pydantic_core import PydanticCustomError
+
+from wigeonwind.catalog import (
+    BookingMode,
+    Customer,
+    LatencyTarget,
+    Limit,
+    RequestClass,
+    Service,
+    ServiceKind,
+    TargetKind,
+)
+from wigeonwind.outcomes import Invalid, Ok, Problem
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+MODEL_PATTERN = re.compile(r"[a-z0-9][a-z0-9.-]{0,62}")
+KEY_PATTERN = re.compile(r"[0-9a-f]{64}")
+METHOD_PATTERN = re.compile(r"[A-Z]{1,16}")
+DURATION_PATTERN = re.compile(r"(\d+(?:\.\d+)?)\s*(ms|s|m|h)")
+PERCENT_PATTERN = re.compile(r"(\d+(?:\.\d+)?)\s*%")
+
+MS_BY_UNIT = {"ms": 1.0, "s": 1000.0, "m": 60_000.0, "h": 3_600_000.0}
+"""Milliseconds in each unit of a duration."""
+
+LONGEST_DURATION_MS = 24 * 3_600_000.0
+LARGEST_NUMBER = 1e12
+PRIORITIES = 100
+"""Priorities run from 0 to one less than this."""
+
+EXPECTED_DURATION = "a duration above 0 such as 1500ms, 4s or 2m"
+
+
+def _expected(what: str) -> PydanticCustomError:
+    return PydanticCustomError("expected", what)  # type: ignore[arg-type]
+
+
+def parse_duration_ms(text: str) -> float | None:
+    """Return a duration in milliseconds, or None if it is none.
+
+    >>> parse_duration_ms("1500ms"), parse_duration_ms("2m"), parse_duration_ms("2")
+    (1500.0, 120000.0, None)
+    """
+    match = DURATION_PATTERN.fullmatch(text.strip())
+    if match is None:
+        return None
+    value = float(match.group(1)) * MS_BY_UNIT[match.group(2)]
+    return value if 0 < value <= LONGEST_DURATION_MS else None
+
+
+def _duration(text: str) -> float:
+    value = parse_duration_ms(text)
+    if value is None:
+        raise _expected(EXPECTED_DURATION)
+    return value
+
+
+def _share(text: str) -> float:
+    match = PERCENT_PATTERN.fullmatch(text.strip())
+    value = float(match.group(1)) / 100.0 if match else 0.0
+    if not 0 < value <= 1:
+        raise _expected("a share above 0% up to 100%, so that the class never starves")
+    return value
+
+
+def _number(text: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = 0.0
+    if not 0 < value <= LARGEST_NUMBER:
+        raise _expected("a number above 0 (0 would shut out all work)")
+    return value
+
+
+def _count(text: str) -> int:
+    if not text.isascii() or not text.isdigit() or not 0 < int(text) <= LARGEST_NUMBER:
+        raise _expected("a whole number above 0 (0 would shut out all work)")
+    return int(text)
+
+
+def _priority(text: str) -> int:
+    if not text.isascii() or not text.isdigit() or int(text) >= PRIORITIES:
+        raise _expected(f"a whole number from 0 (most urgent) to {PRIORITIES - 1}")
+    return int(text)
+
+
+def _yes_or_no(text: str) -> bool:
+    if text not in ("yes", "no"):
+        raise _expected("yes or no")
+    return text == "yes"
+
+
+def _target(text: str) -> LatencyTarget:
+    kind, _, limit = text.partition(" ")
+    limit_ms = parse_duration_ms(limit)
+    if limit_ms is None or kind not in {option.value for option in TargetKind}:
+        raise _expected(
+            "first-token, between-tokens or whole, then a duration, "
+            "such as first-token 1500ms"
+        )
+    return LatencyTarget(TargetKind(kind), limit_ms)
+
+
+def _list_of(pattern: re.Pattern[str], what: str) -> BeforeValidator:
+    """Return a validator for a list separated by commas or line ends."""
+
+    def check(text: str) -> tuple[str, ...]:
+        parts = [part for part in re.split(r"[,\s]+", text) if part]
+        wrong = [part for part in parts if not pattern.fullmatch(part)]
+        if wrong:
+            raise _expected(f"{what}, separated by commas; {wrong[0]!r} is none")
+        if len(set(parts)) < len(parts):
+            raise _expected("each item only once")
+        return tuple(parts)
+
+    return BeforeValidator(check)
+
+
+def _one(pattern: re.Pattern[str], what: str) -> BeforeValidator:
+    def check(text: str) -> str:
+        if text and not pattern.fullmatch(text):
+            raise _expected(what)
+        return text
+
+    return BeforeValidator(check)
+
+
+NAME_RULE = "names of lower-case letters, digits and hyphens"
+Names = Annotated[tuple[str, ...], _list_of(NAME_PATTERN, NAME_RULE)]
+Models = Annotated[tuple[str, ...], _list_of(MODEL_PATTERN, "model names")]
+Keys = Annotated[
+    tuple[str, ...],
+    _list_of(KEY_PATTERN, "SHA-256 digests of API keys, 64 hexadecimal digits each"),
+]
+Methods = Annotated[tuple[str, ...], _list_of(METHOD_PATTERN, "HTTP methods")]
+Name = Annotated[str, _one(NAME_PATTERN, "one name")]
+Version = Annotated[str, _one(re.compile(r"[A-Za-z0-9._-]{1,63}"), "a version name")]
+Number = Annotated[float, BeforeValidator(_number)]
+Count = Annotated[int, BeforeValidator(_count)]
+Duration = Annotated[float, BeforeValidator(_duration)]
+Share = Annotated[float, BeforeValidator(_share)]
+Flag = Annotated[bool, BeforeValidator(_yes_or_no)]
+
+
+class _Section(BaseModel):
+    """Base of all sections: unknown keys are errors."""
+
+    model_config = ConfigDict(extra="forbid", arbitrary_types_allowed=True)
+
+
+class _Limited(_Section):
+    """The three limits that several kinds of section share."""
+
+    requests_per_s: Number | None = None
+    tokens_per_s: Number | None = None
+    concurrency: Count | None = None
+
+    def limit(self) -> Limit:
+        """Return the limits as catalog data."""
+        return Limit(self.requests_per_s, self.tokens_per_s, self.concurrency)
+
+
+@dataclass(frozen=True)
+class Defaults:
+    """What the section `defaults` says."""
+
+    allow_anonymous: bool = False
+    limit: Limit = Limit()
+
+
+SectionValue = Service | RequestClass | Customer | Defaults
+
+
+class DefaultsSection(_Limited):
+    """Keys of `[defaults]`."""
+
+    allow_anonymous: Flag = False
+
+    def value(self, name: str) -> SectionValue:
+        """Return the catalog data; `name` is not used."""
+        return Defaults(self.allow_anonymous, self.limit())
+
+
+class ServiceSection(_Section):
+    """Keys of `[service NAME]`."""
+
+    kind: Literal["model", "plain"]
+    models: Models = ()
+    model_version: Version = ""
+    classes: Names = ()
+    default_class: Name = ""
+    concurrency: Count = 8
+    unrepeatable_methods: Methods = Service.unrepeatable_methods
+    bookings: Literal["claim", "endpoint"] = "claim"
+    depends_on: Names = ()
+
+    def value(self, name: str) -> SectionValue:
+        """Return the service called `name`."""
+        return Service(
+            name=name,
+            kind=ServiceKind(self.kind),
+            models=self.models,
+            default_class=self.default_class or (self.classes or ("",))[0],
+            classes=self.classes,
+            unrepeatable_methods=self.unrepeatable_methods,
+            bookings=BookingMode(self.bookings),
+            depends_on=self.depends_on,
+            model_version=self.model_version,
+            concurrency=self.concurrency,
+        )
+
+
+class ClassSection(_Limited):
+    """Keys of `[class NAME]`."""
+
+    priority: Annotated[int, BeforeValidator(_priority)]
+    target: Annotated[LatencyTarget, BeforeValidator(_target)]
+    max_wait: Duration
+    min_share: Share = RequestClass.min_share
+    finish_late: Flag = True
+
+    def value(self, name: str) -> SectionValue:
+        """Return the request class called `name`."""
+        return RequestClass(
+            name=name,
+            priority=self.priority,
+            target=self.target,
+            max_wait_ms=self.max_wait,
+            min_share=self.min_share,
+            limit=self.limit(),
+            finish_late=self.finish_late,
+        )
+
+
+class CustomerSection(_Limited):
+    """Keys of `[customer NAME]`."""
+
+    weight: Number = 1.0
+    keys: Keys = ()
+    classes: Names = ()
+
+    def value(self, name: str) -> SectionValue:
+        """Return the customer called `name`."""
+        return Customer(name, self.weight, self.limit(), self.keys, self.classes)
+
+
+SECTION_BY_KIND: dict[str, Any] = {
+    "defaults": DefaultsSection,
+    "service": ServiceSection,
+    "class": ClassSection,
+    "customer": CustomerSection,
+}
+
+EXPECTED_HEADER = "[defaults], [service NAME], [class NAME] or [customer NAME]"
+
+MISSING = {
+    "target": "a target such as first-token 1500ms",
+    "max_wait": EXPECTED_DURATION + " (without one the class might wait forever)",
+    "kind": "model or plain",
+    "priority": f"a whole number from 0 (most urgent) to {PRIORITIES - 1}",
+}
+
+
+def read_section(name: str, source: str) -> Ok[SectionValue] | Invalid:
+    """Check one section by itself; lines of problems count from its header, 1."""
+    kind, _, item = name.partition(" ")
+    section = SECTION_BY_KIND.get(kind)
+    if section is None or (kind == "defaults") != (item == ""):
+        return Invalid((Problem(name, "", f"[{name}]", EXPECTED_HEADER, 1),))
+    problems: list[Problem] = []
+    if item and not NAME_PATTERN.fullmatch(item):
+        problems.append(Problem(name, "", item, f"one of the {NAME_RULE}", 1))
+    values = _read_keys(name, source, problems)
+    try:
+        model = section.model_validate(values)
+    except ValidationError as error:
+        known = ", ".join(sorted(section.model_fields))
+        problems += [_problem(name, source, known, d) for d in error.errors()]
+        return Invalid(tuple(problems))
+    return Invalid(tuple(problems)) if problems else Ok(model.value(item))
+
+
+def _read_keys(name: str, source: str, problems: list[Problem]) -> dict[str, str]:
+    """Return the keys of a section; mistakes of syntax are added to `problems`."""
+    parser = _parser(strict=True)
+    try:
+        parser.read_string(source)
+    except DuplicateOptionError as error:
+        text = f"the key only once in [{name}]"
+        problems.append(Problem(name, error.option, "", text, error.lineno or 0))
+        parser = _parser(strict=False)
+        _read_leniently(parser, source)
+    except ParsingError as error:
+        for line, text in error.errors:
+            problems.append(
+                Problem(name, "", text.strip("'\\n"), "a line key = value", line)
+            )
+    except ConfigError as error:
+        problems.append(Problem(name, "", str(error).splitlines()[0], "INI lines", 1))
+    if not parser.sections():
+        return {}
+    return dict(parser[parser.sections()[0]])
+
+
+def _read_leniently(parser: RawConfigParser, source: str) -> None:
+    try:
+        parser.read_string(source)
+    except ConfigError:
+        pass
+
+
+class _KeyParser(RawConfigParser):
+    """INI as the project writes it: `=` only, keys keep their case."""
+
+    def optionxform(self, optionstr: str) -> str:
+        return optionstr
+
+
+def _parser(strict: bool) -> RawConfigParser:
+    return _KeyParser(
+        delimiters=("=",),
+        inline_comment_prefixes=(";",),
+        strict=strict,
+        empty_lines_in_values=False,
+        default_section="\0",
+        interpolation=None,
+    )
+
+
+def _problem(name: str, source: str, known: str, detail: Any) -> Problem:
+    key = str(detail["loc"][0])
+    value = str(detail.get("input", ""))
+    expected = str(detail["msg"])
+    if detail["type"] == "extra_forbidden":
+        expected = f"a known key ({known})"
+    elif detail["type"] == "missing":
+        value = ""
+        expected = MISSING.get(key, "this key to be present")
+    elif detail["type"] == "literal_error":
+        expected = str(detail["ctx"]["expected"]).replace("'", "")
+    return Problem(name, key, value, expected, line_of_key(source, key))
+
+
+def line_of_key(source: str, key: str) -> int:
+    """Return the 1-based line of `key` in the source of a section; 1 if it has none."""
+    for line, text in enumerate(source.splitlines(), 1):
+        if text.partition("=")[0].strip() == key:
+            return line
+    return 1
