Add the checked CBOR codec of the links

Cause: processes exchange the typed messages of links/messages.py and must not trust the bytes of a peer. Change: encode() writes the CBOR array; decode() checks type and size of every field and of every row item, ignores extra fields and row items of a newer release, and returns DecodeFailure instead of raising. Conclusion: a handler only ever sees well-typed messages.

--- /dev/null
+++ b/wigeonwind/links/codec.py
@@ -0,0 +1,206 @@
+"""Encoding of messages as CBOR arrays, and checked decoding.
+
+A message that does not decode completely is returned as `DecodeFailure`; no handler
+ever sees a field of the wrong type or size.
+"""
+
+from collections.abc import Callable
+from dataclasses import MISSING, dataclass, fields
+from math import isfinite
+from operator import attrgetter
+from typing import Any, get_args, get_origin, get_type_hints
+
+from cbor2 import CBORDecodeError, dumps, loads
+
+from wigeonwind.links.messages import (
+    MESSAGE_TYPE_BY_NUMBER,
+    PROTOCOL_VERSION,
+    Grant,
+    GrantRequest,
+    LoadReport,
+    Members,
+)
+
+MAX_NAME_CHARS = 8_192
+"""Bound of names, paths, reasons and header values; larger than any valid URL."""
+
+MAX_TEXT_CHARS = 4_000_000
+"""Bound of long texts: a resumed answer, or one section of the configuration."""
+
+MAX_ROWS = 50_000
+"""Bound of the rows in one list; a section list of 29,000 customers fits."""
+
+MAX_INTEGER = 2**64 - 1
+"""Largest integer; digests are unsigned 64-bit numbers."""
+
+MAX_DEPTH = 4
+"""Nesting of a message: the array, a list, its rows, their items."""
+
+LONG_FIELDS = frozenset({"resume_text", "sections"})
+"""Fields bounded by MAX_TEXT_CHARS; all others by MAX_NAME_CHARS."""
+
+ROW_TYPES_BY_FIELD: dict[tuple[type, str], tuple[type, ...]] = {
+    (LoadReport, "waiting_by_class"): (str, int),
+    (Members, "records"): (str, int, str, str, str, str, str),
+    (GrantRequest, "rows"): (str, str, float, float),
+    (Grant, "rows"): (str, str, float, float),
+}
+"""Item types of the rows whose annotation does not give them.
+
+Extra items at the end of a row are dropped, as are extra fields of a message.
+"""
+
+Check = Callable[[Any], bool]
+
+
+@dataclass(frozen=True)
+class DecodeFailure:
+    """A message that cannot be used; `code` labels the counter."""
+
+    code: str
+    reason: str
+
+
+@dataclass(frozen=True)
+class _Layout:
+    cls: type
+    names: tuple[str, ...]
+    checks: tuple[Check, ...]
+    required: int
+    values_of: Callable[[Any], Any]
+
+
+def encode(message: Any) -> bytes:
+    """Return the CBOR array of a message."""
+    layout = _LAYOUT_BY_NUMBER[message.NUMBER]
+    return dumps([PROTOCOL_VERSION, message.NUMBER, *layout.values_of(message)])
+
+
+def decode(data: bytes) -> Any | DecodeFailure:
+    """Return the message, or what is wrong with it.
+
+    >>> from wigeonwind.links.messages import Ping
+    >>> decode(encode(Ping(12.5)))
+    Ping(sent_ms=12.5)
+    >>> decode(b"").code
+    'cbor'
+    """
+    try:
+        items = loads(data, max_depth=MAX_DEPTH, allow_indefinite=False)
+    except (CBORDecodeError, ValueError, OverflowError, RecursionError) as error:
+        return DecodeFailure("cbor", str(error)[:200])
+    if type(items) is not list or len(items) < 2 or not _is_integer(items[0]):
+        return DecodeFailure("shape", "not an array with version and number")
+    if items[0] != PROTOCOL_VERSION:
+        return DecodeFailure("version", f"protocol version {items[0]}")
+    layout = _LAYOUT_BY_NUMBER.get(items[1]) if _is_integer(items[1]) else None
+    if layout is None:
+        return DecodeFailure("number", "unknown message number")
+    return _build(layout, items[2:])
+
+
+def _build(layout: _Layout, values: list) -> Any | DecodeFailure:
+    if len(values) < layout.required:
+        return DecodeFailure("fields", f"{layout.cls.__name__}: fields are missing")
+    for name, check, value in zip(layout.names, layout.checks, values, strict=False):
+        if not check(value):
+            return DecodeFailure("field", f"{layout.cls.__name__}.{name} is not valid")
+    return layout.cls(*values[: len(layout.names)])
+
+
+def _is_integer(value: Any) -> bool:
+    return type(value) is int and 0 <= value <= MAX_INTEGER
+
+
+def _is_number(value: Any) -> bool:
+    if type(value) is float:
+        return isfinite(value)
+    return type(value) is int and -MAX_INTEGER <= value <= MAX_INTEGER
+
+
+def _is_flag(value: Any) -> bool:
+    return type(value) is bool
+
+
+def _is_bytes(value: Any) -> bool:
+    return type(value) is bytes
+
+
+def _is_name(value: Any) -> bool:
+    return type(value) is str and len(value) <= MAX_NAME_CHARS
+
+
+def _is_text(value: Any) -> bool:
+    return type(value) is str and len(value) <= MAX_TEXT_CHARS
+
+
+def _list_check(check: Check) -> Check:
+    def is_list(value: Any) -> bool:
+        return type(value) is list and len(value) <= MAX_ROWS and all(map(check, value))
+
+    return is_list
+
+
+def _row_check(checks: tuple[Check, ...]) -> Check:
+    """Return a check of one row that drops the items after the known ones."""
+
+    def is_row(value: Any) -> bool:
+        if type(value) is not list or len(value) < len(checks):
+            return False
+        del value[len(checks) :]
+        return all(check(item) for check, item in zip(checks, value, strict=True))
+
+    return is_row
+
+
+def _optional_check(check: Check) -> Check:
+    def is_optional(value: Any) -> bool:
+        return value is None or check(value)
+
+    return is_optional
+
+
+def _scalar_check(annotation: type, is_long: bool) -> Check:
+    if annotation is str:
+        return _is_text if is_long else _is_name
+    check_by_type: dict[type, Check] = {
+        int: _is_integer,
+        float: _is_number,
+        bool: _is_flag,
+        bytes: _is_bytes,
+    }
+    return check_by_type[annotation]
+
+
+def _check_of(cls: type, name: str, annotation: Any) -> Check:
+    is_long = name in LONG_FIELDS
+    if type(None) in get_args(annotation):
+        inner = next(a for a in get_args(annotation) if a is not type(None))
+        return _optional_check(_check_of(cls, name, inner))
+    if get_origin(annotation) is not list and annotation is not list:
+        return _scalar_check(annotation, is_long)
+    if annotation == list[str]:
+        return _list_check(_is_name)
+    if annotation == list[list[str]]:
+        pair = (_is_name, _is_text if is_long else _is_name)
+        return _list_check(_row_check(pair))
+    types = ROW_TYPES_BY_FIELD[(cls, name)]
+    return _list_check(_row_check(tuple(_scalar_check(t, is_long) for t in types)))
+
+
+def _layout_of(cls: Any) -> _Layout:
+    annotation_by_name = get_type_hints(cls)
+    own = fields(cls)
+    names = tuple(field.name for field in own)
+    checks = tuple(_check_of(cls, n, annotation_by_name[n]) for n in names)
+    required = sum(field.default is MISSING for field in own)
+    getter = attrgetter(*names)
+    values_of = getter if len(names) > 1 else lambda message: (getter(message),)
+    return _Layout(cls, names, checks, required, values_of)
+
+
+def _layouts() -> dict[int, _Layout]:
+    return {number: _layout_of(cls) for number, cls in MESSAGE_TYPE_BY_NUMBER.items()}
+
+
+_LAYOUT_BY_NUMBER = _layouts()
