Add the engine model in virtual time

Change: EngineModel works in iterations that decode one token for each running request and prefill a bounded number of prompt tokens; equal iterations are handled together. It covers memory, the prefix cache with late events, pause, KV transfer, orders with fencing tokens and faults.

--- /dev/null
+++ b/tests/test_standins_engine_model.py
@@ -0,0 +1,288 @@
+"""The engine model: token times, memory, preemption, orders and faults."""
+
+from dataclasses import replace
+
+import pytest
+
+from wigeonwind.standins.engine_model import EngineModel
+from wigeonwind.standins.engine_types import (
+    EngineConfig,
+    EngineOrder,
+    EngineRequest,
+    KvExported,
+    KvImported,
+    OrderFailed,
+    OrderFenced,
+    OrderTaken,
+    PrefixKey,
+    RefusalReason,
+    RequestDone,
+    RequestLost,
+    RequestRefused,
+    RequestStopped,
+    TokensProduced,
+)
+
+CONFIG = EngineConfig(
+    slots=4,
+    prefill_tokens_per_s=1000.0,
+    prefill_chunk_tokens=100,
+    decode_ms_base=10.0,
+    decode_ms_per_running=1.0,
+    kv_limit_tokens=1000,
+)
+
+
+def request(name, prompt=50, output=5, **fields):
+    return EngineRequest(name, prompt, output, **fields)
+
+
+def token_times(events):
+    """Return (index, time) of each token by request id."""
+    times = {}
+    for event in events:
+        if isinstance(event, TokensProduced):
+            times.setdefault(event.request_id, []).extend(event.times())
+    return times
+
+
+def run(model, until_ms=100_000.0):
+    return list(model.advance(until_ms))
+
+
+def ends(events):
+    return {e.request_id: e.at_ms for e in events if isinstance(e, RequestDone)}
+
+
+@pytest.mark.parametrize("step_ms", [1.0, 7.0, 250.0])
+def test_token_times_do_not_depend_on_how_often_the_model_is_advanced(step_ms):
+    def build():
+        model = EngineModel(CONFIG)
+        for number in range(9):
+            model.submit(request(f"r{number}", 30 + 40 * number, 7 + number), 0.0)
+        return model
+
+    stepped = build()
+    events = []
+    for tick in range(int(5000 / step_ms)):
+        events += stepped.advance(tick * step_ms)
+    assert token_times(events) == token_times(run(build(), 4750.0))
+
+
+def test_every_token_appears_once_and_in_order():
+    model = EngineModel(CONFIG)
+    for number in range(10):
+        model.submit(request(f"r{number}", output=3 + number), 5.0 * number)
+    for name, times in token_times(run(model)).items():
+        assert [index for index, _ in times] == list(range(3 + int(name[1:])))
+        assert all(a[1] < b[1] for a, b in zip(times, times[1:], strict=False))
+
+
+def test_a_prefill_delays_the_running_batch():
+    alone = EngineModel(CONFIG)
+    alone.submit(request("a", output=50), 0.0)
+    shared = EngineModel(CONFIG)
+    shared.submit(request("a", output=50), 0.0)
+    shared.submit(request("b", prompt=400, output=1), 100.0)
+    # Four chunks of 100 tokens at 1000 tokens/s add 400 ms.
+    delay_ms = ends(run(shared))["a"] - ends(run(alone))["a"]
+    assert delay_ms == pytest.approx(400.0)
+
+
+def test_a_larger_batch_slows_each_step():
+    model = EngineModel(CONFIG)
+    model.submit(request("a", output=100), 0.0)
+    list(model.advance(100.0))
+    assert model.next_token_ms() - 100.0 <= 11.0
+    model.submit(request("b", output=100), 100.0)
+    events = run(model, 1000.0)
+    last = [e for e in events if isinstance(e, TokensProduced)][-1]
+    assert last.step_ms == pytest.approx(12.0)
+
+
+def test_a_full_memory_lets_new_requests_wait():
+    model = EngineModel(CONFIG)
+    model.submit(request("a", prompt=600, output=100), 0.0)
+    model.submit(request("b", prompt=400, output=10), 0.0)
+    events = run(model)
+    assert min(token_times(events)["b"])[1] > ends(events)["a"]
+
+
+def test_a_request_larger_than_the_memory_is_refused():
+    model = EngineModel(CONFIG)
+    outcome = model.submit(request("a", prompt=990, output=11), 0.0)
+    assert outcome == RequestRefused("a", RefusalReason.TOO_LARGE)
+
+
+def test_waiting_requests_start_by_priority():
+    model = EngineModel(replace(CONFIG, slots=1))
+    model.submit(request("running"), 0.0)
+    model.submit(request("low", priority=2), 1.0)
+    model.submit(request("urgent", priority=0), 2.0)
+    assert list(ends(run(model))) == ["running", "urgent", "low"]
+
+
+def test_a_cached_prefix_is_not_prefilled_again():
+    keys = (PrefixKey(11, 64), PrefixKey(12, 128))
+    model = EngineModel(CONFIG)
+    model.submit(request("a", prompt=130, prefix_keys=keys), 0.0)
+    run(model, 1000.0)
+    model.submit(request("b", prompt=130, prefix_keys=keys), 1000.0)
+    done = [e for e in run(model) if isinstance(e, RequestDone)]
+    assert done[0].cached_tokens == 128
+    assert model.counters().prefill_tokens == 132
+
+
+@pytest.mark.parametrize(("kv", "prefilled", "dropped"), [
+    ("keep", 50, 0), ("export", 50, 0), ("drop", 50 + 53, 53),
+])  # fmt: skip
+def test_a_paused_request_continues_where_it_stopped(kv, prefilled, dropped):
+    model = EngineModel(CONFIG)
+    model.submit(request("a", prompt=50, output=8), 0.0)
+    events = list(model.advance(85.0))
+    stopped = model.pause("a", kv, 85.0)
+    assert stopped == RequestStopped("a", 3, dropped)
+    events += model.advance(500.0)
+    model.resume("a", 500.0)
+    events += run(model)
+    times = token_times(events)["a"]
+    assert [index for index, _ in times] == list(range(8))
+    assert times[2][1] <= 85.0
+    assert times[3][1] > 500.0
+    counters = model.counters()
+    assert (counters.prefill_tokens, counters.dropped_tokens) == (prefilled, dropped)
+
+
+def test_only_kept_kv_cache_blocks_memory():
+    for kv, waits in (("keep", True), ("export", False), ("drop", False)):
+        model = EngineModel(CONFIG)
+        model.submit(request("a", prompt=600, output=50), 0.0)
+        list(model.advance(700.0))
+        model.pause("a", kv, 700.0)
+        model.submit(request("b", prompt=600, output=2), 700.0)
+        assert ("b" not in ends(model.advance(5000.0))) == waits, kv
+
+
+def test_a_cancelled_request_gives_its_slot_back_and_counts_as_wasted():
+    model = EngineModel(replace(CONFIG, slots=1))
+    model.submit(request("a", output=500), 0.0)
+    model.submit(request("b"), 0.0)
+    list(model.advance(83.0))
+    assert model.cancel("a", 83.0) == RequestStopped("a", 3, 53)
+    assert list(ends(run(model))) == ["b"]
+    assert model.counters().dropped_tokens == 53
+
+
+def test_exported_kv_cache_saves_the_prefill_elsewhere():
+    first, second = EngineModel(CONFIG), EngineModel(CONFIG)
+    first.submit(request("a", prompt=400, output=20), 0.0)
+    list(first.advance(500.0))
+    exported = first.export_kv("a", 500.0)
+    assert isinstance(exported, KvExported)
+    delivered = first.cancel("a", 500.0).tokens
+    assert second.import_kv(exported.kv_id, 500.0) == KvImported("a", exported.tokens)
+    second.submit(request("a", 400, 20, resume_tokens=delivered), 500.0)
+    times = token_times(run(second))["a"]
+    assert [index for index, _ in times] == list(range(delivered, 20))
+    assert second.counters().prefill_tokens == 0
+
+
+def test_a_resumed_request_makes_only_the_missing_tokens():
+    model = EngineModel(CONFIG)
+    model.submit(request("a", prompt=40, output=9, resume_tokens=6), 0.0)
+    assert [i for i, _ in token_times(run(model))["a"]] == [6, 7, 8]
+    assert model.counters().prefill_tokens == 46
+
+
+def test_a_load_report_is_old():
+    model = EngineModel(replace(CONFIG, report_lag_ms=500.0))
+    model.submit(request("a", output=400), 1000.0)
+    list(model.advance(1400.0))
+    assert model.load_report(1400.0).running == 0
+    list(model.advance(1600.0))
+    report = model.load_report(1600.0)
+    assert (report.running, report.measured_at_ms <= 1100.0) == (1, True)
+
+
+def test_cache_events_come_late_and_with_gaps():
+    def seqs(gap, at_ms):
+        model = EngineModel(replace(CONFIG, event_lag_ms=300.0, event_gap=gap))
+        for number in range(40):
+            keys = (PrefixKey(number, 10),)
+            model.submit(request(f"r{number}", 20, 1, prefix_keys=keys), 0.0)
+        return [e.seq for e in model.cache_events(0, at_ms).events]
+
+    assert seqs(0.0, 299.0) == []
+    assert seqs(0.0, 99_000.0) == list(range(1, 41))
+    gappy = seqs(0.4, 99_000.0)
+    assert 10 < len(gappy) < 40
+
+
+def test_an_old_fence_is_refused_only_by_an_engine_that_checks_it():
+    old = EngineOrder(6, "load_model", "barley-7b", "2")
+    for obeys in (True, False):
+        model = EngineModel(replace(CONFIG, obeys_fence=obeys))
+        model.order(EngineOrder(7, "change_role", role="mixed"), 0.0)
+        outcome = model.order(old, 10.0)
+        assert isinstance(outcome, OrderFenced if obeys else OrderTaken)
+        list(model.advance(10_000.0))
+        assert model.orders.version == ("1" if obeys else "2")
+
+
+def test_loading_a_model_loses_work_and_refuses_requests_until_done():
+    model = EngineModel(replace(CONFIG, load_model_ms=1000.0))
+    model.submit(request("a", output=400), 0.0)
+    order = EngineOrder(1, "load_model", "barley-7b", "2")
+    assert model.order(order, 200.0) == OrderTaken(order, 1200.0)
+    assert isinstance(model.order(order, 200.0), OrderFailed)
+    assert [type(e) for e in model.advance(300.0)][-1] is RequestLost
+    refused = RequestRefused("b", RefusalReason.LOADING)
+    assert model.submit(request("b"), 1199.0) == refused
+    model.submit(request("b"), 1200.0)
+    assert list(ends(run(model))) == ["b"]
+    assert model.orders.version == "2"
+
+
+def test_a_crash_after_tokens_loses_the_answer_midway():
+    model = EngineModel(CONFIG)
+    model.submit(request("a", output=50), 0.0)
+    model.crash(0.0, after_tokens=10)
+    events = run(model)
+    assert len(token_times(events)["a"]) == 10
+    assert isinstance(events[-1], RequestLost)
+    assert model.crashed
+    model.restart(2000.0)
+    model.submit(request("a"), 2000.0)
+    assert list(ends(run(model))) == ["a"]
+
+
+def test_a_frozen_engine_goes_on_where_it_stopped():
+    model = EngineModel(CONFIG)
+    model.submit(request("a", output=20), 0.0)
+    before = list(model.advance(100.0))
+    model.freeze(100.0)
+    assert list(model.advance(5000.0)) == []
+    assert model.next_event_ms() is None
+    model.unfreeze(5000.0)
+    times = token_times(before + run(model))["a"]
+    assert [index for index, _ in times] == list(range(20))
+    assert max(b[1] - a[1] for a, b in zip(times, times[1:], strict=False)) > 4900.0
+
+
+def test_a_straggler_takes_longer_by_its_factor():
+    model = EngineModel(CONFIG)
+    model.set_straggle(3.0, 0.0)
+    model.submit(request("a", prompt=90, output=4), 0.0)
+    assert ends(run(model))["a"] == pytest.approx(3 * (100.0 + 3 * 11.0))
+
+
+def test_the_next_event_time_always_leads_on():
+    model = EngineModel(replace(CONFIG, decode_ms_per_running=0.37))
+    for number in range(30):
+        model.submit(request(f"r{number}", 33 + number, 3 + number), 1e9 + number / 7)
+    calls = 0
+    while (at_ms := model.next_event_ms()) is not None:
+        list(model.advance(at_ms))
+        calls += 1
+        assert calls < 1000
+    assert model.counters().finished == 30
--- /dev/null
+++ b/wigeonwind/standins/engine_model.py
@@ -0,0 +1,401 @@
+"""A deterministic model of a continuous-batching engine in virtual time.
+
+The engine works in iterations. Each gives one token to every decoding request and
+prefills a bounded number of prompt tokens, so prompts delay the running batch. Equal
+iterations are handled together; the result does not depend on how often `advance` is
+called. All times are milliseconds of one clock that never goes back.
+"""
+
+from collections.abc import Iterator
+
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.standins.engine_batch import (
+    TIME_TOLERANCE_MS,
+    Batch,
+    Iteration,
+    RequestState,
+    Stage,
+)
+from wigeonwind.standins.engine_orders import LOAD_MODEL, OrderBook
+from wigeonwind.standins.engine_reports import LoadHistory
+from wigeonwind.standins.engine_types import (
+    KV_DROP,
+    KV_EXPORT,
+    CacheEventBatch,
+    EngineConfig,
+    EngineCounters,
+    EngineEvent,
+    EngineLoad,
+    EngineOrder,
+    EngineRequest,
+    KvExported,
+    KvImported,
+    KvRefused,
+    OrderFailed,
+    OrderFenced,
+    OrderTaken,
+    RefusalReason,
+    RequestAccepted,
+    RequestRefused,
+    RequestStopped,
+    RequestUnknown,
+)
+from wigeonwind.standins.prefix_cache import PrefixCache
+
+
+class EngineModel:
+    """One engine. Every call first brings the engine to its `now_ms`.
+
+    >>> engine = EngineModel(EngineConfig(decode_ms_base=10, decode_ms_per_running=0))
+    >>> engine.submit(EngineRequest("a", 80, 3), 0.0)
+    RequestAccepted(request_id='a')
+    >>> engine.next_event_ms()
+    20.0
+    >>> first, rest, done = engine.advance(100.0)
+    >>> list(first.times()), list(rest.times())
+    ([(0, 20.0)], [(1, 30.0), (2, 40.0)])
+    >>> done
+    RequestDone(request_id='a', at_ms=40.0, tokens=3, cached_tokens=0)
+    """
+
+    def __init__(self, config: EngineConfig) -> None:
+        assert config.decode_ms_base > 0, "an iteration must take time"
+        self.config = config
+        self.event_lag_ms = config.event_lag_ms
+        self.orders = OrderBook(config)
+        self.history = LoadHistory(config.report_lag_ms)
+        self._cache = PrefixCache(
+            config.prefix_cache_tokens, config.event_gap, config.seed
+        )
+        self._batch = Batch(config, self._cache)
+        self._iteration: Iteration | None = None
+        self._kv_by_request: dict[str, tuple[int, float]] = {}
+        self._seq = 0
+        self._at_ms = 0.0
+        self._crashed = False
+        self._crash_after: int | None = None
+        self._frozen_at: float | None = None
+        self._snapshot(0.0)
+
+    @property
+    def crashed(self) -> bool:
+        """Return whether the engine has crashed and not restarted."""
+        return self._crashed
+
+    @property
+    def frozen(self) -> bool:
+        """Return whether the engine makes no progress."""
+        return self._frozen_at is not None
+
+    def counters(self) -> EngineCounters:
+        """Return what the engine has done so far."""
+        return self._batch.counters()
+
+    # Time
+
+    def advance(self, now_ms: float) -> Iterator[EngineEvent]:
+        """Bring the engine to `now_ms` and yield the events since the last call."""
+        self._run_to(now_ms)
+        events = self._batch.events
+        self._batch.events = []
+        return iter(events)
+
+    def next_event_ms(self) -> float | None:
+        """Return when the next first token, end or change is due, None if never.
+
+        Later tokens of running answers come earlier; `next_token_ms` tells when.
+        """
+        iteration = self._iteration
+        end_ms = iteration.end_ms(iteration.repeat) if iteration else None
+        return self._earliest(end_ms)
+
+    def next_token_ms(self) -> float | None:
+        """Return when the iteration in progress ends, None if there is no work."""
+        iteration = self._iteration
+        end_ms = iteration.end_ms(iteration.done + 1) if iteration else None
+        return self._earliest(end_ms)
+
+    def _earliest(self, iteration_end_ms: float | None) -> float | None:
+        if self._batch.events:
+            return self._at_ms
+        if self.frozen or self._crashed:
+            return None
+        times = [iteration_end_ms]
+        if iteration_end_ms is None:
+            times.append(self._batch.next_transfer_ms())
+        if self.orders.pending:
+            times.append(self.orders.pending.done_at_ms)
+        return min((at for at in times if at is not None), default=None)
+
+    def _run_to(self, now_ms: float) -> None:
+        if self.frozen or self._crashed:
+            return
+        now_ms = max(now_ms, self._at_ms)
+        order = self.orders.pending
+        if order and order.done_at_ms <= now_ms + TIME_TOLERANCE_MS:
+            self._run_batch(order.done_at_ms)
+            self.orders.complete()
+        self._run_batch(now_ms)
+        self._at_ms = now_ms
+
+    def _run_batch(self, now_ms: float) -> None:
+        while not self._crashed:
+            iteration = self._iteration
+            if iteration is None:
+                ready_ms = self._batch.next_transfer_ms()
+                if ready_ms is None or ready_ms > now_ms + TIME_TOLERANCE_MS:
+                    return
+                self._plan(ready_ms)
+                continue
+            over = iteration.over_at(now_ms)
+            if over <= iteration.done:
+                return
+            self._finish(iteration, over)
+
+    def _finish(self, iteration: Iteration, over: int) -> None:
+        before = self._batch.decode_tokens
+        self._batch.finish(iteration, over)
+        end_ms = iteration.end_ms(over)
+        self._at_ms = max(self._at_ms, end_ms)
+        if self._crash_after is not None:
+            self._crash_after -= self._batch.decode_tokens - before
+            if self._crash_after <= 0:
+                self._crash(end_ms)
+                return
+        if over == iteration.repeat:
+            self._plan(end_ms)
+        self._snapshot(end_ms)
+
+    def _plan(self, at_ms: float) -> None:
+        self._iteration = self._batch.plan(at_ms, self._crash_after)
+
+    def _replan(self, now_ms: float) -> None:
+        """Let a change take effect at the end of the iteration in progress."""
+        if self._iteration:
+            self._iteration.end_early()
+        elif not self.frozen and not self._crashed:
+            self._plan(now_ms)
+        self._snapshot(now_ms)
+
+    # Requests
+
+    def submit(
+        self, request: EngineRequest, now_ms: float
+    ) -> RequestAccepted | RequestRefused:
+        """Take a request, or refuse it; a refused request has not run."""
+        self._run_to(now_ms)
+        reason = self._refusal(request)
+        if reason:
+            self._batch.refused += 1
+            return RequestRefused(request.request_id, reason)
+        kv_tokens, ready_ms = self._kv_by_request.pop(request.request_id, (0, now_ms))
+        self._seq += 1
+        context = request.prompt_tokens + request.resume_tokens
+        state = RequestState(request, self._seq, min(kv_tokens, context))
+        self._batch.enqueue(state, ready_ms, now_ms)
+        self._replan(now_ms)
+        return RequestAccepted(request.request_id)
+
+    def _refusal(self, request: EngineRequest) -> RefusalReason | None:
+        if self._crashed:
+            return RefusalReason.CRASHED
+        if self.orders.blocks_requests:
+            return RefusalReason.LOADING
+        if request.request_id in self._batch.state_by_id:
+            return RefusalReason.DUPLICATE
+        whole = request.prompt_tokens + request.output_tokens
+        if whole > self.config.kv_limit_tokens:
+            return RefusalReason.TOO_LARGE
+        return None
+
+    def pause(
+        self, request_id: str, kv: str, now_ms: float
+    ) -> RequestStopped | RequestUnknown:
+        """Take the request out of the batch; `kv` is keep, export or drop.
+
+        Kept KV cache stays in the engine's memory. Exported KV cache leaves it and is
+        moved back by `resume`. Dropped KV cache is computed again after `resume`.
+        """
+        self._run_to(now_ms)
+        state = self._batch.state_by_id.get(request_id)
+        if state is None or state.stage is Stage.PAUSED:
+            return RequestUnknown(request_id)
+        self._batch.take_out(state, Stage.PAUSED)
+        dropped = 0
+        if kv == KV_DROP:
+            dropped = self._batch.drop(state)
+        if kv == KV_EXPORT:
+            self._kv_by_request[request_id] = (state.kv_tokens, now_ms)
+            self._batch.release(state)
+        self._replan(now_ms)
+        return RequestStopped(request_id, state.produced, dropped)
+
+    def resume(self, request_id: str, now_ms: float) -> RequestStopped | RequestUnknown:
+        """Let a paused request wait for a slot again, in its old place."""
+        self._run_to(now_ms)
+        state = self._batch.state_by_id.get(request_id)
+        if state is None or state.stage is not Stage.PAUSED:
+            return RequestUnknown(request_id)
+        ready_ms = now_ms
+        if request_id in self._kv_by_request:
+            state.kv_tokens, _ = self._kv_by_request.pop(request_id)
+            ready_ms += self._transfer_ms(state.kv_tokens)
+        self._batch.enqueue(state, ready_ms, now_ms)
+        self._replan(now_ms)
+        return RequestStopped(request_id, state.produced, 0)
+
+    def cancel(self, request_id: str, now_ms: float) -> RequestStopped | RequestUnknown:
+        """End a request; what was computed for it is wasted."""
+        self._run_to(now_ms)
+        state = self._batch.state_by_id.get(request_id)
+        if state is None:
+            return RequestUnknown(request_id)
+        self._kv_by_request.pop(request_id, None)
+        dropped = self._batch.drop(state)
+        self._batch.take_out(state, Stage.GONE)
+        self._replan(now_ms)
+        return RequestStopped(request_id, state.produced, dropped)
+
+    def export_kv(self, request_id: str, now_ms: float) -> KvExported | RequestUnknown:
+        """Copy the KV cache of a request; the id can be imported by any engine."""
+        self._run_to(now_ms)
+        state = self._batch.state_by_id.get(request_id)
+        if state is None:
+            return RequestUnknown(request_id)
+        tokens, _ = self._kv_by_request.get(request_id, (state.kv_tokens, 0.0))
+        return KvExported(f"{request_id}:{tokens}", tokens)
+
+    def import_kv(self, kv_id: str, now_ms: float) -> KvImported | KvRefused:
+        """Take exported KV cache for the next `submit` under the same request id."""
+        self._run_to(now_ms)
+        request_id, _, tokens = kv_id.rpartition(":")
+        if self._crashed:
+            return KvRefused("crashed")
+        if not request_id or not tokens.isdigit():
+            return KvRefused("unknown kv_id")
+        count = int(tokens)
+        ready_ms = now_ms + self._transfer_ms(count)
+        self._kv_by_request[request_id] = (count, ready_ms)
+        return KvImported(request_id, count)
+
+    def _transfer_ms(self, tokens: int) -> float:
+        return tokens * MS_PER_SECOND / self.config.kv_transfer_tokens_per_s
+
+    # Reports
+
+    def load_report(self, now_ms: float) -> EngineLoad:
+        """Return the newest load that is at least `history.lag_ms` old."""
+        self._run_to(now_ms)
+        if not self.frozen and not self._crashed:
+            self._snapshot(now_ms)
+        return self.history.read(now_ms)
+
+    def current_load(self) -> EngineLoad:
+        """Return the load as it is, for checkers."""
+        return self._measure(self._at_ms)
+
+    def cache_events(self, after: int, now_ms: float) -> CacheEventBatch:
+        """Return cache events after number `after`; late, and some are missing."""
+        self._run_to(now_ms)
+        return self._cache.events(after, now_ms - self.event_lag_ms)
+
+    def _snapshot(self, now_ms: float) -> None:
+        if self.history.is_due(now_ms):
+            self.history.record(self._measure(now_ms), now_ms)
+
+    def _measure(self, now_ms: float) -> EngineLoad:
+        batch = self._batch
+        paused = batch.count(Stage.PAUSED)
+        running = batch.running
+        return EngineLoad(
+            running=running,
+            waiting=len(batch.state_by_id) - paused - running,
+            paused=paused,
+            kv_used_tokens=batch.kv_used(),
+            kv_limit_tokens=self.config.kv_limit_tokens,
+            tokens_per_s=running * MS_PER_SECOND / batch.step_ms,
+            measured_at_ms=now_ms,
+            model=self.orders.model,
+            version=self.orders.version,
+            role=self.orders.role,
+        )
+
+    # Orders
+
+    def order(
+        self, order: EngineOrder, now_ms: float
+    ) -> OrderTaken | OrderFenced | OrderFailed:
+        """Take a control command, or refuse it.
+
+        Loading a model loses all work of the old one. While a model is loaded or the
+        role changes, new requests are refused. An engine that does not check fencing
+        tokens takes an order with an old one.
+        """
+        self._run_to(now_ms)
+        if self._crashed or self.frozen:
+            return OrderFailed("the engine does not answer", may_retry=True)
+        result = self.orders.take(order, now_ms)
+        if isinstance(result, OrderTaken):
+            loads = order.action == LOAD_MODEL and result.done_at_ms > now_ms
+            if loads:
+                self._lose_work("model unloaded", now_ms)
+            self._run_to(now_ms)
+        return result
+
+    def _lose_work(self, reason: str, now_ms: float) -> None:
+        self._batch.lose_all(reason, now_ms)
+        self._cache.clear(now_ms)
+        self._kv_by_request.clear()
+        self._iteration = None
+
+    # Faults
+
+    def set_straggle(self, factor: float, now_ms: float) -> None:
+        """Make every later iteration `factor` times as long."""
+        self._run_to(now_ms)
+        self._batch.straggle = factor
+        self._replan(now_ms)
+
+    def set_event_gap(self, share: float) -> None:
+        """Leave this share (0 to 1) of later cache events out."""
+        self._cache.gap = share
+
+    def crash(self, now_ms: float, after_tokens: int = 0) -> None:
+        """Crash now, or once `after_tokens` more tokens have been produced."""
+        self._run_to(now_ms)
+        if not after_tokens:
+            self._crash(now_ms)
+            return
+        self._crash_after = after_tokens
+        self._replan(now_ms)
+
+    def restart(self, now_ms: float) -> None:
+        """Start again after a crash, empty; also withdraws a crash still to come."""
+        self._crash_after = None
+        if self._crashed:
+            self._crashed = False
+            self._at_ms = max(self._at_ms, now_ms)
+
+    def _crash(self, now_ms: float) -> None:
+        self._lose_work("crashed", now_ms)
+        self._crashed = True
+        self._crash_after = None
+        self.orders.forget()
+
+    def freeze(self, now_ms: float) -> None:
+        """Make no progress from now on; requests are still accepted."""
+        self._run_to(now_ms)
+        if self._frozen_at is None:
+            self._frozen_at = now_ms
+
+    def unfreeze(self, now_ms: float) -> None:
+        """Go on where `freeze` stopped the engine."""
+        if self._frozen_at is None:
+            return
+        pause_ms = max(0.0, now_ms - self._frozen_at)
+        self._frozen_at = None
+        self._at_ms = max(self._at_ms, now_ms)
+        if self._iteration:
+            self._iteration.start_ms += pause_ms
+        self.orders.delay(pause_ms)
+        self._replan(now_ms)
--- /dev/null
+++ b/wigeonwind/standins/engine_orders.py
@@ -0,0 +1,90 @@
+"""Control commands to the engine model: what it serves, and fencing tokens."""
+
+from wigeonwind.standins.engine_types import (
+    EngineConfig,
+    EngineOrder,
+    OrderFailed,
+    OrderFenced,
+    OrderTaken,
+)
+
+LOAD_MODEL = "load_model"
+LOAD_ADAPTER = "load_adapter"
+CHANGE_ROLE = "change_role"
+ACTIONS = (LOAD_MODEL, LOAD_ADAPTER, CHANGE_ROLE)
+
+
+class OrderBook:
+    """The order in progress, the highest fencing token and what the engine serves.
+
+    >>> book = OrderBook(EngineConfig())
+    >>> book.take(EngineOrder(7, "change_role", role="decode"), 0.0).done_at_ms
+    1000.0
+    >>> book.take(EngineOrder(6, "change_role", role="prefill"), 0.0)
+    OrderFenced(highest=7)
+    """
+
+    def __init__(self, config: EngineConfig) -> None:
+        self.obeys_fence = config.obeys_fence
+        self.model = config.model
+        self.version = config.version
+        self.role = config.role
+        self.fence = 0
+        self.pending: OrderTaken | None = None
+        self.taken: list[EngineOrder] = []
+        self._config = config
+
+    @property
+    def blocks_requests(self) -> bool:
+        """Return whether the order in progress keeps new requests out."""
+        return bool(self.pending and self.pending.order.action != LOAD_ADAPTER)
+
+    def take(
+        self, order: EngineOrder, now_ms: float
+    ) -> OrderTaken | OrderFenced | OrderFailed:
+        """Begin an order, or refuse it."""
+        if order.action not in ACTIONS:
+            return OrderFailed(f"unknown action {order.action!r}", may_retry=False)
+        if self.obeys_fence and order.fence < self.fence:
+            return OrderFenced(self.fence)
+        if self.pending:
+            return OrderFailed("another order is being carried out", may_retry=True)
+        self.fence = max(self.fence, order.fence)
+        self.taken.append(order)
+        self.pending = OrderTaken(order, now_ms + self._duration_ms(order))
+        return self.pending
+
+    def complete(self) -> None:
+        """Let the order in progress take effect."""
+        assert self.pending
+        order = self.pending.order
+        self.pending = None
+        if order.action == CHANGE_ROLE:
+            self.role = order.role
+            return
+        self.model = order.model or self.model
+        self.version = order.version or self.version
+
+    def delay(self, pause_ms: float) -> None:
+        """Let the order in progress end later."""
+        if self.pending:
+            done_at_ms = self.pending.done_at_ms + pause_ms
+            self.pending = OrderTaken(self.pending.order, done_at_ms)
+
+    def forget(self) -> None:
+        """Lose the order in progress and the fencing token, as a restart does."""
+        self.pending = None
+        self.fence = 0
+
+    def _duration_ms(self, order: EngineOrder) -> float:
+        wanted = (order.model, order.version)
+        if order.action == LOAD_MODEL and wanted == (self.model, self.version):
+            return 0.0
+        if order.action == CHANGE_ROLE and order.role == self.role:
+            return 0.0
+        duration_ms_by_action = {
+            LOAD_MODEL: self._config.load_model_ms,
+            LOAD_ADAPTER: self._config.load_adapter_ms,
+            CHANGE_ROLE: self._config.change_role_ms,
+        }
+        return duration_ms_by_action[order.action]
--- /dev/null
+++ b/wigeonwind/standins/engine_types.py
@@ -0,0 +1,262 @@
+"""Inputs, events and results of the engine model, as frozen data."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+KV_KEEP = "keep"
+KV_EXPORT = "export"
+KV_DROP = "drop"
+KV_MODES = (KV_KEEP, KV_EXPORT, KV_DROP)
+"""What may become of the KV cache of a paused request."""
+
+
+@dataclass(frozen=True)
+class EngineConfig:
+    """Speed, memory and manners of one model engine.
+
+    One iteration of a batch of n decoding requests takes `decode_ms_base` +
+    n * `decode_ms_per_running` milliseconds plus the time of the prompt tokens that are
+    prefilled in it, at most `prefill_chunk_tokens`. `event_gap` is the share (0 to 1)
+    of cache events that are never reported.
+    """
+
+    slots: int = 16
+    prefill_tokens_per_s: float = 8000.0
+    prefill_chunk_tokens: int = 512
+    decode_ms_base: float = 12.0
+    decode_ms_per_running: float = 0.6
+    kv_limit_tokens: int = 60_000
+    kv_transfer_tokens_per_s: float = 200_000.0
+    prefix_cache_tokens: int = 30_000
+    report_lag_ms: float = 500.0
+    event_lag_ms: float = 500.0
+    event_gap: float = 0.0
+    obeys_fence: bool = True
+    load_model_ms: float = 4000.0
+    load_adapter_ms: float = 500.0
+    change_role_ms: float = 1000.0
+    model: str = "barley-7b"
+    version: str = "1"
+    role: str = "mixed"
+    seed: int = 1
+
+
+@dataclass(frozen=True)
+class PrefixKey:
+    """A hash of a prompt prefix and the length of that prefix in tokens."""
+
+    key: int
+    tokens: int
+
+
+@dataclass(frozen=True)
+class EngineRequest:
+    """One generation; `output_tokens` counts the whole answer.
+
+    `resume_tokens` tokens of it are already delivered: their text is prefilled with the
+    prompt and generation continues after them. `prefix_keys` are in growing order.
+    """
+
+    request_id: str
+    prompt_tokens: int
+    output_tokens: int
+    priority: int = 0
+    prefix_keys: tuple[PrefixKey, ...] = ()
+    resume_tokens: int = 0
+
+
+class RefusalReason(Enum):
+    """Why an engine does not take a request; it certainly did not run."""
+
+    DUPLICATE = "duplicate"
+    TOO_LARGE = "too_large"
+    LOADING = "loading"
+    CRASHED = "crashed"
+
+
+@dataclass(frozen=True)
+class RequestAccepted:
+    """The engine runs the request when a slot and memory are free."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class RequestRefused:
+    """The engine does not run the request."""
+
+    request_id: str
+    reason: RefusalReason
+
+
+@dataclass(frozen=True)
+class RequestUnknown:
+    """The engine has no such request (any more)."""
+
+    request_id: str
+
+
+@dataclass(frozen=True)
+class RequestStopped:
+    """A request was paused, resumed or cancelled.
+
+    `tokens` of its answer exist, counting resumed ones; `dropped_tokens` were computed
+    and are now discarded.
+    """
+
+    request_id: str
+    tokens: int
+    dropped_tokens: int
+
+
+@dataclass(frozen=True)
+class KvExported:
+    """KV cache of `tokens` tokens can be imported as `kv_id`."""
+
+    kv_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class KvImported:
+    """The engine holds KV cache of `tokens` tokens for `request_id`."""
+
+    request_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class KvRefused:
+    """The KV cache cannot be imported."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class TokensProduced:
+    """Tokens `index` to `index + count - 1` of one answer.
+
+    The first of them existed at `at_ms`, each later one `step_ms` after its
+    predecessor. `first` marks the first token that this engine made for the request.
+    """
+
+    request_id: str
+    index: int
+    count: int
+    at_ms: float
+    step_ms: float
+    first: bool = False
+
+    def times(self) -> Iterator[tuple[int, float]]:
+        """Yield (token index, time in milliseconds) of each token.
+
+        >>> list(TokensProduced("a", 4, 3, 100.0, 20.0).times())
+        [(4, 100.0), (5, 120.0), (6, 140.0)]
+        """
+        for offset in range(self.count):
+            yield self.index + offset, self.at_ms + offset * self.step_ms
+
+
+@dataclass(frozen=True, slots=True)
+class RequestDone:
+    """The whole answer exists; `cached_tokens` of the prompt came from the cache."""
+
+    request_id: str
+    at_ms: float
+    tokens: int
+    cached_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLost:
+    """The engine lost the request after `tokens` tokens of its answer."""
+
+    request_id: str
+    at_ms: float
+    tokens: int
+    reason: str
+
+
+EngineEvent = TokensProduced | RequestDone | RequestLost
+
+
+@dataclass(frozen=True)
+class EngineLoad:
+    """A load report; `measured_at_ms` is the time at which it was true."""
+
+    running: int
+    waiting: int
+    paused: int
+    kv_used_tokens: int
+    kv_limit_tokens: int
+    tokens_per_s: float
+    measured_at_ms: float
+    model: str
+    version: str
+    role: str
+
+
+@dataclass(frozen=True)
+class CacheEvent:
+    """A prefix was `stored` or `evicted`."""
+
+    seq: int
+    kind: str
+    prefix: int
+    at_ms: float
+
+
+@dataclass(frozen=True)
+class CacheEventBatch:
+    """Events after the asked number; the next call asks after `next_seq`."""
+
+    events: tuple[CacheEvent, ...]
+    next_seq: int
+
+
+@dataclass(frozen=True)
+class EngineOrder:
+    """A control command with the fencing token of its issuer."""
+
+    fence: int
+    action: str
+    model: str = ""
+    version: str = ""
+    role: str = ""
+
+
+@dataclass(frozen=True)
+class OrderTaken:
+    """The order takes effect at `done_at_ms`."""
+
+    order: EngineOrder
+    done_at_ms: float
+
+
+@dataclass(frozen=True)
+class OrderFenced:
+    """The order carries an older fencing token than `highest`."""
+
+    highest: int
+
+
+@dataclass(frozen=True)
+class OrderFailed:
+    """The engine cannot carry out the order now, or at all if not `may_retry`."""
+
+    reason: str
+    may_retry: bool
+
+
+@dataclass(frozen=True)
+class EngineCounters:
+    """What an engine has done since it was made, in tokens and requests."""
+
+    prefill_tokens: int
+    decode_tokens: int
+    cached_tokens: int
+    dropped_tokens: int
+    finished: int
+    lost: int
+    refused: int
--- /dev/null
+++ b/wigeonwind/standins/prefix_cache.py
@@ -0,0 +1,86 @@
+"""The prompt-prefix cache of the engine model and its late, gappy event log."""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+
+from xxhash import xxh64_intdigest
+
+from wigeonwind.standins.engine_types import CacheEvent, CacheEventBatch, PrefixKey
+
+EVENT_LOG_LENGTH = 20_000
+"""Events kept for readers; an engine does not keep them without bound."""
+
+HASH_RANGE = float(2**64)
+
+
+class PrefixCache:
+    """Least recently used prompt blocks within a number of tokens.
+
+    Each growing prefix adds one block, the tokens after the previous prefix. A prefix
+    counts as cached only if all shorter ones are.
+
+    >>> cache = PrefixCache(limit_tokens=100)
+    >>> keys = (PrefixKey(1, 40), PrefixKey(2, 80))
+    >>> cache.store(keys, 0.0)
+    >>> cache.match((PrefixKey(1, 40), PrefixKey(9, 80)))
+    40
+    """
+
+    def __init__(self, limit_tokens: int, gap: float = 0.0, seed: int = 1) -> None:
+        self._limit_tokens = limit_tokens
+        self._used_tokens = 0
+        self._block_tokens_by_key: OrderedDict[int, int] = OrderedDict()
+        self._events: deque[CacheEvent] = deque(maxlen=EVENT_LOG_LENGTH)
+        self._last_seq = 0
+        self._seed = seed
+        self.gap = gap
+
+    def match(self, keys: Iterable[PrefixKey]) -> int:
+        """Return the tokens of the longest cached prefix and mark it as used."""
+        found = []
+        tokens = 0
+        for prefix in keys:
+            if prefix.key not in self._block_tokens_by_key:
+                break
+            found.append(prefix.key)
+            tokens = prefix.tokens
+        # A prefix must outlive its extensions, so it is marked last.
+        for key in reversed(found):
+            self._block_tokens_by_key.move_to_end(key)
+        return tokens
+
+    def store(self, keys: tuple[PrefixKey, ...], now_ms: float) -> None:
+        """Store the prefixes and evict what no longer fits."""
+        before = 0
+        for prefix in keys:
+            if prefix.tokens > self._limit_tokens:
+                break
+            if prefix.key not in self._block_tokens_by_key:
+                self._block_tokens_by_key[prefix.key] = prefix.tokens - before
+                self._used_tokens += prefix.tokens - before
+                self._record("stored", prefix.key, now_ms)
+            before = prefix.tokens
+        self.match(keys)
+        while self._used_tokens > self._limit_tokens:
+            key, tokens = self._block_tokens_by_key.popitem(last=False)
+            self._used_tokens -= tokens
+            self._record("evicted", key, now_ms)
+
+    def clear(self, now_ms: float) -> None:
+        """Forget everything, as a restart or another model does."""
+        for key in self._block_tokens_by_key:
+            self._record("evicted", key, now_ms)
+        self._block_tokens_by_key.clear()
+        self._used_tokens = 0
+
+    def events(self, after: int, until_ms: float) -> CacheEventBatch:
+        """Return the reported events after number `after` and not after `until_ms`."""
+        found = [e for e in self._events if e.seq > after and e.at_ms <= until_ms]
+        return CacheEventBatch(tuple(found), found[-1].seq if found else after)
+
+    def _record(self, kind: str, key: int, now_ms: float) -> None:
+        self._last_seq += 1
+        name = f"gap:{self._last_seq}".encode()
+        draw = xxh64_intdigest(name, seed=self._seed) / HASH_RANGE
+        if draw >= self.gap:
+            self._events.append(CacheEvent(self._last_seq, kind, key, now_ms))
