Add links over websocket with heartbeat, bounds and proof of the fleet key

Cause: entries and sidecars need one link type that a bad or slow peer cannot harm beyond itself. The Hello token is an HMAC over nonces of both sides, so the key never crosses the wire. After a silence longer than timeout_ms bytes found in the socket are not acted on. TLS contexts are not covered by a test (no certificates in the tree). Conclusion: other parts can build on Link, LinkHandler, LinkServer, connect_link.

--- /dev/null
+++ b/tests/test_links_link.py
@@ -0,0 +1,264 @@
+"""Links over loopback sockets, and their behaviour with hostile or silent peers."""
+
+import gevent
+import pytest
+from cbor2 import dumps
+from gevent import socket
+from gevent.event import Event
+from gevent.queue import Queue
+
+from wigeonwind.links.handshake import open_client
+from wigeonwind.links.link import LinkOptions, LinkServer, connect_link, link_options
+from wigeonwind.links.messages import Chunk, Hello, Leaving, Ping
+from wigeonwind.links.websocket import WebsocketLink
+from wigeonwind.outcomes import Failure, Invalid, Ok
+from wigeonwind.settings import LinkSettings, SocketAddress
+
+LIMIT_S = 5.0
+"""Only bounds a test that fails."""
+
+
+class Recorder:
+    """Handler that records events and can answer each message."""
+
+    def __init__(self):
+        self.links, self.messages, self.downs = Queue(), Queue(), Queue()
+
+    def on_up(self, link):
+        self.links.put(link)
+
+    def on_message(self, link, message):
+        self.messages.put((link, message))
+
+    def on_down(self, link, reason):
+        self.downs.put((link, reason))
+
+
+def hello(name="side-1", **fields):
+    return lambda: Hello(name, 1, "side", "zone-a", "wigeon-llm", 0, **fields)
+
+
+class Pair:
+    """A server with its recorder, and clients made on demand."""
+
+    def __init__(self, **options):
+        self.options = options
+        self.raw = []
+        self.server_options = LinkOptions(**options)
+        self.recorder = Recorder()
+        local = SocketAddress("127.0.0.1", 0)
+        self.server = LinkServer(local, hello(), self.recorder, self.server_options)
+        self.address = self.server.start()
+
+    def connect(self, name="entry-1", **options):
+        recorder = Recorder()
+        merged = LinkOptions(**{**self.options, **options})
+        result = connect_link(self.address, hello(name), recorder, merged)
+        return result, recorder
+
+    def connect_raw(self):
+        """Return a socket and protocol after the handshake and a valid Hello."""
+        from websockets.client import ClientProtocol
+        from websockets.uri import parse_uri
+
+        from wigeonwind.links.codec import encode
+
+        sock = socket.create_connection((self.address.host, self.address.port))
+        protocol = ClientProtocol(parse_uri(f"ws://{self.address}/link"))
+        self.raw.append(sock)  # a collected socket would close the connection
+        open_client(sock, protocol)
+        protocol.send_binary(encode(hello("raw-1")()))
+        sock.sendall(b"".join(protocol.data_to_send()))
+        self.recorder.links.get(timeout=LIMIT_S)
+        return sock, protocol
+
+
+@pytest.fixture
+def make_pair():
+    pairs = []
+
+    def make(**options):
+        pairs.append(Pair(**options))
+        return pairs[-1]
+
+    yield make
+    for pair in pairs:
+        pair.server.stop()
+
+
+def send_raw(sock, protocol, data):
+    protocol.send_binary(data)
+    sock.sendall(b"".join(protocol.data_to_send()))
+
+
+def test_messages_arrive_in_order_both_ways(make_pair):
+    pair = make_pair()
+    result, client = pair.connect()
+    assert isinstance(result, Ok)
+    served = pair.recorder.links.get(timeout=LIMIT_S)
+    assert (result.value.hello.member_id, served.hello.member_id) == (
+        "side-1",
+        "entry-1",
+    )
+    sent = [Chunk("r", 0, seq, b"x" * (seq * 100), 1) for seq in range(50)]
+    for message in sent:
+        assert result.value.send(message)
+        assert served.send(message)
+    got = [pair.recorder.messages.get(timeout=LIMIT_S)[1] for _ in sent]
+    assert got == sent
+    assert [client.messages.get(timeout=LIMIT_S)[1] for _ in sent] == sent
+    # All were queued before the writer ran, so they must share one packet.
+    assert pair.server_options.counts.writes == 1
+
+
+def test_close_sends_what_is_queued_first(make_pair):
+    # A draining process must not lose the last answers that it has queued.
+    pair = make_pair()
+    result, client = pair.connect()
+    served = pair.recorder.links.get(timeout=LIMIT_S)
+    for seq in range(100):
+        served.send(Chunk("r", 0, seq, b"x" * 10_000, 1))
+        result.value.send(Chunk("r", 0, seq, b"unread", 1))
+    served.close("drained")
+    assert not served.send(Ping(0.0))
+    got = [client.messages.get(timeout=LIMIT_S)[1].seq for _ in range(100)]
+    assert got == list(range(100))
+    assert client.downs.get(timeout=LIMIT_S) == (result.value, "closed by the peer")
+    assert pair.recorder.downs.get(timeout=LIMIT_S) == (served, "drained")
+
+
+@pytest.mark.parametrize("data", [b"\xff", dumps([1, 7, "r"]), dumps([2, 26, 1.0])])
+def test_a_malformed_message_closes_only_its_link(make_pair, data):
+    pair = make_pair()
+    good, _ = pair.connect()
+    pair.recorder.links.get(timeout=LIMIT_S)
+    sock, protocol = pair.connect_raw()
+    send_raw(sock, protocol, data)
+    _, reason = pair.recorder.downs.get(timeout=LIMIT_S)
+    assert "decoded" in reason
+    assert pair.server_options.counts.decode_failures == 1
+    assert pair.recorder.messages.empty()
+    good.value.send(Leaving("entry-1", 1))
+    assert pair.recorder.messages.get(timeout=LIMIT_S)[1] == Leaving("entry-1", 1)
+
+
+def test_bytes_that_are_no_websocket_frame_close_the_link(make_pair):
+    pair = make_pair()
+    sock, _ = pair.connect_raw()
+    sock.sendall(b"\xff" * 100)
+    assert "websocket" in pair.recorder.downs.get(timeout=LIMIT_S)[1]
+
+
+def test_a_message_over_the_size_bound_is_refused_at_both_ends(make_pair):
+    pair = make_pair(max_message_bytes=1000)
+    result, _ = pair.connect()
+    assert not result.value.send(Chunk("r", 0, 0, b"x" * 2000, 1))
+    assert result.value.is_open
+    sock, protocol = pair.connect_raw()
+    send_raw(sock, protocol, b"x" * 2000)
+    assert "websocket" in pair.recorder.downs.get(timeout=LIMIT_S)[1]
+
+
+@pytest.mark.parametrize("client_key, opens", [(b"k1", True), (b"k2", False), (b"", 0)])
+def test_only_a_peer_with_the_fleet_key_gets_a_link(make_pair, client_key, opens):
+    pair = make_pair(key=b"k1")
+    result, _ = pair.connect(key=client_key)
+    gevent.sleep(0)
+    assert isinstance(result, Ok) == bool(opens) or client_key == b""
+    if not opens:
+        sleep_until(lambda: pair.server_options.counts.refused)
+        assert pair.recorder.links.empty()
+
+
+def sleep_until(condition):
+    with gevent.Timeout(LIMIT_S):
+        while not condition():
+            gevent.sleep(0.001)
+
+
+def test_a_token_does_not_serve_on_another_link(make_pair):
+    # An eavesdropper must not join with a recorded token.
+    from wigeonwind.links.handshake import is_proven, proof
+
+    token = proof(b"k", hello()(), "client", ("n1", "n2"))
+    stolen = hello(token=token)()
+    assert is_proven(b"k", stolen, "client", ("n1", "n2"))
+    assert not is_proven(b"k", stolen, "client", ("n1", "n3"))
+    assert not is_proven(b"k", stolen, "server", ("n1", "n2"))
+
+
+def test_a_silent_peer_is_closed_and_a_talking_one_is_not(make_pair):
+    pair = make_pair(heartbeat_ms=10, timeout_ms=60)
+    talking, _ = pair.connect()
+    pair.recorder.links.get(timeout=LIMIT_S)
+    pair.connect_raw()
+    link, reason = pair.recorder.downs.get(timeout=LIMIT_S)
+    assert (link.hello.member_id, reason) == ("raw-1", "silence")
+    assert talking.value.is_open
+
+
+def test_a_peer_that_does_not_read_is_closed_and_blocks_no_one(make_pair):
+    pair = make_pair(max_queue_bytes=2_000_000)
+    pair.connect_raw()  # never reads
+    slow = next(iter(pair.server._links))
+    good, client = pair.connect()
+    fast = pair.recorder.links.get(timeout=LIMIT_S)
+    big = Chunk("r", 0, 0, b"x" * 500_000, 1)
+    with gevent.Timeout(LIMIT_S):
+        while slow.send(big):
+            gevent.sleep(0)
+    assert fast.send(Leaving("side-1", 1))
+    assert client.messages.get(timeout=LIMIT_S)[1] == Leaving("side-1", 1)
+    assert "does not read" in pair.recorder.downs.get(timeout=LIMIT_S)[1]
+
+
+def test_messages_found_after_a_pause_longer_than_the_timeout_are_not_used():
+    # A resumed process must not act on orders of a peer that gave up long ago.
+    from websockets.client import ClientProtocol
+    from websockets.uri import parse_uri
+
+    from wigeonwind.clock import ManualClock
+
+    clock = ManualClock()
+    recorder = Recorder()
+    protocol = ClientProtocol(parse_uri("ws://127.0.0.1:1/link"))
+    options = LinkOptions(clock=clock)
+    link = WebsocketLink(socket.socket(), protocol, recorder, options)
+    link.is_open = True
+    assert link._note_received(10)
+    clock.advance(options.timeout_ms + 1)
+    assert not link._note_received(10)
+    assert not link.is_open
+
+
+def test_a_refused_connection_is_a_failure_and_not_an_exception():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = SocketAddress("127.0.0.1", sock.getsockname()[1])
+        result = connect_link(address, hello(), Recorder(), LinkOptions())
+    assert isinstance(result, Failure)
+
+
+def test_wrong_files_in_the_settings_are_reported_with_their_key(tmp_path):
+    empty = tmp_path / "key"
+    empty.write_text(" \n")
+    result = link_options(LinkSettings(key_file=str(empty), tls_key="missing"))
+    assert isinstance(result, Invalid)
+    assert {p.key for p in result.problems} == {
+        "key_file",
+        "tls_key",
+        "tls_certificate",
+    }
+
+
+def test_on_down_comes_once_even_if_both_sides_close(make_pair):
+    pair = make_pair()
+    result, client = pair.connect()
+    served = pair.recorder.links.get(timeout=LIMIT_S)
+    served.close("a")
+    result.value.close("b")
+    assert client.downs.get(timeout=LIMIT_S)[1] == "b"
+    assert pair.recorder.downs.get(timeout=LIMIT_S)[1] == "a"
+    Event().wait(0.01)
+    assert client.downs.empty()
+    assert pair.recorder.downs.empty()
