Add the node runtime: peering, spread, roller

Cause: roles need links, members and the text in force without the store. Change: a link table with spares, dialling with back-off, spread of member records and text with anti-entropy, and the roller's loop over the lease. Found on the way: the codec dropped the third item of a section row, which gives the place of a new section; member rows carry the state as a number.

--- a/tests/test_links_codec.py
+++ b/tests/test_links_codec.py
@@ -17,6 +17,7 @@
     Ping,
     Queued,
     Submit,
+    TextChange,
 )
 
 SUBMIT = Submit(
@@ -32,7 +33,8 @@
         Chunk("r", 1, 0, b"\x00\xff", 2),
         ClaimState("t", "done", 200, [["a", "b"]], b"body"),
         ClaimState("t", "unknown"),
-        Members([["a", 1, "live", "side", "z", "s", "1.2.3.4:5"]]),
+        TextChange(1, 2, [["class a", "x = 1", "class b"], ["class c", ""]], [], "d"),
+        Members([["a", 1, 0, "side", "z", "s", "1.2.3.4:5"]]),
     ],
 )
 def test_a_message_survives_the_wire(message):
@@ -41,10 +43,10 @@
 
 def test_fields_and_row_items_of_a_newer_release_are_ignored():
     # Otherwise processes of two releases could not work together during a rollout.
-    array = loads(encode(Members([["a", 1, "live", "side", "z", "s", ""]])))
+    array = loads(encode(Members([["a", 1, 0, "side", "z", "s", ""]])))
     array[2][0].append("new item")
     assert decode(dumps([*array, "new field"])) == Members(
-        [["a", 1, "live", "side", "z", "s", ""]]
+        [["a", 1, 0, "side", "z", "s", ""]]
     )
 
 
--- /dev/null
+++ b/tests/test_peering.py
@@ -0,0 +1,163 @@
+"""Peering, link table and spread, over links that deliver at once in memory."""
+
+from random import Random
+
+from wigeonwind.clock import ManualClock
+from wigeonwind.links.messages import Hello
+from wigeonwind.roles.link_table import LinkTable
+from wigeonwind.roles.peering import MAX_RETRY_MS, DialBackoff, Peering
+from wigeonwind.roles.spread import Spread
+from wigeonwind.settings import SocketAddress
+from wigeonwind.state.membership import MemberRecord, Membership, MemberState
+from wigeonwind.state.text_keeper import TextKeeper
+
+
+def make_record(name, role="entry", zone="zone-a"):
+    address = f"127.0.0.1:{1000 + sum(name.encode())}"
+    return MemberRecord(name, 1, MemberState.LIVE, role, zone, "", address)
+
+
+class MemoryLink:
+    """One end of a pair; what is sent reaches the other process at once."""
+
+    def __init__(self, hello, deliver):
+        self.hello = hello
+        self.is_open = True
+        self.sent = []
+        self._deliver = deliver
+
+    def send(self, message):
+        self.sent.append(message)
+        self._deliver(message)
+        return True
+
+    def close(self, reason):
+        self.is_open = False
+
+
+class Process:
+    """Membership, text and spread of one process."""
+
+    def __init__(self, name, zone="zone-a"):
+        self.clock = ManualClock()
+        self.members = Membership(make_record(name, zone=zone))
+        self.ups, self.downs = [], []
+        self.table = LinkTable(
+            self.ups.append, lambda link, reason: self.downs.append(link)
+        )
+        self.text = TextKeeper(self.table.broadcast, self.clock)
+        self.spread = Spread(self.members, self.text, self.table, self.clock, Random(1))
+
+    def hello(self):
+        own = self.members.own
+        return Hello(
+            own.member_id, 1, own.role, own.zone, "", self.text.version, "", own.address
+        )
+
+
+def connect(first, second):
+    to_second = MemoryLink(second.hello(), lambda message: None)
+    to_first = MemoryLink(first.hello(), lambda message: None)
+    to_second._deliver = lambda message: second.spread.on_message(to_first, message)
+    to_first._deliver = lambda message: first.spread.on_message(to_second, message)
+    first.table.add(to_second)
+    second.table.add(to_first)
+    first.spread.on_up(to_second)
+    second.spread.on_up(to_first)
+    return to_second, to_first
+
+
+TEXT = """
+[service llm]
+kind = model
+models = m
+classes = chat
+default_class = chat
+[class chat]
+priority = 0
+target = first-token 1500ms
+max_wait = 4s
+"""
+
+
+def test_records_reach_processes_that_are_not_linked():
+    first, middle, last = Process("e1"), Process("e2"), Process("e3")
+    connect(first, middle)
+    connect(middle, last)
+    assert {r.member_id for r in first.members.records()} == {"e1", "e2", "e3"}
+    assert first.members.digest() == last.members.digest()
+
+
+def test_leaving_reaches_all_at_once():
+    # New work for a VM that leaves would be cut off or handed back.
+    first, middle, last = Process("e1"), Process("e2"), Process("e3")
+    connect(first, middle)
+    connect(middle, last)
+    first.spread.announce(first.members.leave(1.0))
+    assert last.members.record("e1").state is MemberState.LEAVING
+
+
+def test_a_text_spreads_without_the_store_and_a_late_process_catches_up():
+    first, middle, last = Process("e1"), Process("e2", "zone-b"), Process("e3")
+    connect(first, middle)
+    assert first.text.offer(7, TEXT)
+    assert middle.text.version == 7
+    connect(middle, last)
+    assert last.text.version == 7
+    assert first.spread.zones_with_text(7) == {"zone-b"}
+
+
+def test_anti_entropy_repairs_a_lost_announcement():
+    first, second = Process("e1"), Process("e2")
+    link, _ = connect(first, second)
+    deliver, link._deliver = link._deliver, lambda message: None
+    first.spread.merge([make_record("s1", "side")], None)
+    assert second.members.record("s1") is None
+    link._deliver = deliver
+    first.spread.tick()
+    assert second.members.record("s1") is not None
+
+
+def test_a_spare_link_takes_over_when_the_first_breaks():
+    ups, downs = [], []
+    table = LinkTable(ups.append, lambda link, reason: downs.append(link))
+    hello = Hello("e2", 1, "entry", "zone-a", "", 0)
+    first = MemoryLink(hello, lambda message: None)
+    spare = MemoryLink(hello, lambda message: None)
+    table.add(first)
+    table.add(spare)
+    assert ups == [first]
+    table.remove(first, "broken")
+    assert (ups, downs) == ([first, spare], [first])
+    table.remove(spare, "broken")
+    assert len(table) == 0
+
+
+def test_dials_back_off_with_jitter():
+    # Without a growing delay, a healed partition meets every process at once.
+    backoff = DialBackoff(Random(3))
+    waits = []
+    for _ in range(12):
+        backoff.on_failure("127.0.0.1:1", 0.0)
+        waits.append(backoff._backoff_by_address["127.0.0.1:1"].next_ms)
+    assert waits[0] < waits[3] < waits[8] <= MAX_RETRY_MS
+    assert len(set(waits[7:])) == 5
+    backoff.on_success("127.0.0.1:1")
+    assert backoff.may_dial("127.0.0.1:1", 0.0)
+
+
+def test_a_fresh_process_joins_by_seeds_or_by_the_vm_list():
+    members = Membership(make_record("e1"))
+    seed = SocketAddress("127.0.0.1", 5)
+    assert Peering(members, 20, [seed]).join_addresses(Random(1)) == ["127.0.0.1:5"]
+    peering = Peering(members, 20, [])
+    peering.set_listed_addresses(["127.0.0.1:6", members.own.address])
+    assert peering.join_addresses(Random(1)) == ["127.0.0.1:6"]
+
+
+def test_a_sidecar_dials_only_while_nobody_links_to_it():
+    members = Membership(make_record("s1", "side"))
+    members.merge([make_record(f"e{i}") for i in range(9)], 0.0)
+    peering = Peering(members, 20, [])
+    assert len(list(peering.wanted((), linked=0))) == 3
+    assert list(peering.wanted((), linked=2)) == []
--- a/wigeonwind/links/codec.py
+++ b/wigeonwind/links/codec.py
@@ -41,7 +41,7 @@
 
 ROW_TYPES_BY_FIELD: dict[tuple[type, str], tuple[type, ...]] = {
     (LoadReport, "waiting_by_class"): (str, int),
-    (Members, "records"): (str, int, str, str, str, str, str),
+    (Members, "records"): (str, int, int, str, str, str, str),
     (GrantRequest, "rows"): (str, str, float, float),
     (Grant, "rows"): (str, str, float, float),
 }
@@ -153,6 +153,17 @@
     return is_row
 
 
+def _section_check(checks: tuple[Check, ...]) -> Check:
+    """Return a check of a section row: name, source and perhaps the name before it."""
+
+    def is_section(value: Any) -> bool:
+        if type(value) is not list or not len(checks) <= len(value) <= len(checks) + 1:
+            return False
+        return all(_is_text(item) for item in value) and checks[0](value[0])
+
+    return is_section
+
+
 def _optional_check(check: Check) -> Check:
     def is_optional(value: Any) -> bool:
         return value is None or check(value)
@@ -181,9 +192,11 @@
         return _scalar_check(annotation, is_long)
     if annotation == list[str]:
         return _list_check(_is_name)
+    if annotation == list[int]:
+        return _list_check(_is_integer)
     if annotation == list[list[str]]:
         pair = (_is_name, _is_text if is_long else _is_name)
-        return _list_check(_row_check(pair))
+        return _list_check(_section_check(pair) if is_long else _row_check(pair))
     types = ROW_TYPES_BY_FIELD[(cls, name)]
     return _list_check(_row_check(tuple(_scalar_check(t, is_long) for t in types)))
 
--- /dev/null
+++ b/wigeonwind/roles/node.py
@@ -0,0 +1,348 @@
+"""The runtime of one process: its links, members, text and role."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+from gevent import Greenlet, sleep, spawn
+from gevent.event import Event
+from structlog import get_logger
+
+from wigeonwind.catalog import Catalog, ServiceKind
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.decisions.interfaces import EndpointInfo
+from wigeonwind.ids import new_incarnation
+from wigeonwind.links.link import LinkServer, connect_link
+from wigeonwind.links.link_types import Link, LinkOptions
+from wigeonwind.links.messages import Hello, Leaving, OrderResult
+from wigeonwind.outcomes import Ok
+from wigeonwind.roles.link_table import LinkTable
+from wigeonwind.roles.peering import DialBackoff, Peering, address_of
+from wigeonwind.roles.roller import Roller
+from wigeonwind.roles.spread import ANTI_ENTROPY_MS, Spread
+from wigeonwind.settings import Settings, SocketAddress, parse_address
+from wigeonwind.settings import parse_address_list as parse_addresses
+from wigeonwind.state.lease import Lease
+from wigeonwind.state.membership import MemberRecord, Membership, MemberState
+from wigeonwind.state.store_types import Store
+from wigeonwind.state.text_keeper import TextKeeper
+
+PEERING_MS = 250.0
+"""Interval between looks at the links that are missing."""
+
+SPARE_LIMIT_MS = 30_000.0
+"""Time a link that nothing is sent on stays open: a second link to a peer, or a
+sidecar's link that its entry did not ask for."""
+
+CONFIRM_POLL_MS = 20.0
+"""Interval between looks at what peers have confirmed."""
+
+DIRECT_STORE_WATCHERS = 2
+"""Processes of each zone that watch the store; one may be restarting."""
+
+log = get_logger("wigeonwind.node")
+
+
+class Role(Protocol):
+    """What the runtime asks of a role."""
+
+    def on_up(self, link: Link) -> None:
+        """Take a link to a peer."""
+        ...
+
+    def on_message(self, link: Link, message: Any) -> bool:
+        """Take a message; False if it was not for this role."""
+        ...
+
+    def on_down(self, link: Link, reason: str) -> None:
+        """Forget a link."""
+        ...
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Use another version of the text."""
+        ...
+
+    def start(self) -> Any:
+        """Start to serve."""
+        ...
+
+    def drain(self) -> None:
+        """Stop to take new work and finish what runs; block until done."""
+        ...
+
+    def stop(self) -> None:
+        """Stop at once."""
+        ...
+
+
+class EndpointConsumer(Protocol):
+    """The part of an entry that chooses among endpoints."""
+
+    def set_endpoints(self, endpoints: tuple[EndpointInfo, ...]) -> None:
+        """Use these endpoints for new work."""
+        ...
+
+
+@dataclass
+class NodeCounts:
+    """Counts of one process since its start."""
+
+    unhandled_messages: int = 0
+    failed_dials: int = 0
+    dials: int = 0
+
+
+class Node:
+    """One process of the system, whatever its role.
+
+    The role is set by `attach` before `start`, as roles need the node's parts.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        store: Store,
+        options: LinkOptions,
+        rng: Random,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.store = store
+        self.options = options
+        self.rng = rng
+        self.counts = NodeCounts()
+        self.incarnation = new_incarnation()
+        self.links = LinkTable(self._on_first_up, self._on_last_down)
+        self.text = TextKeeper(self.links.broadcast, clock)
+        self.members = Membership(self._own_record())
+        self.spread = Spread(self.members, self.text, self.links, clock, rng)
+        seeds = parse_addresses(settings.platform.seeds)
+        self.peering = Peering(self.members, settings.links.subset_size, seeds)
+        self._backoff = DialBackoff(rng)
+        self._server = LinkServer(
+            parse_address(settings.listen.links), self.hello, self, options
+        )
+        self._up_ms_by_link: dict[int, float] = {}
+        self._dialling: set[str] = set()
+        self._greenlets: list[Greenlet] = []
+        self._stopped = Event()
+        self._endpoint_ids: tuple[str, ...] = ()
+        self.role: Role | None = None
+        self.endpoint_consumer: EndpointConsumer | None = None
+        self.roller: Roller | None = None
+
+    def _own_record(self) -> MemberRecord:
+        node = self.settings.node
+        endpoint = self.settings.endpoint
+        service = endpoint.service if endpoint and node.role == "side" else ""
+        return MemberRecord(
+            node.id,
+            self.incarnation,
+            MemberState.LIVE,
+            node.role,
+            node.zone,
+            service,
+            self.settings.listen.links,
+        )
+
+    def hello(self) -> Hello:
+        """Return the first message of each link."""
+        own = self.members.own
+        return Hello(
+            own.member_id,
+            own.incarnation,
+            own.role,
+            own.zone,
+            own.service,
+            self.text.version,
+            address=own.address,
+        )
+
+    def attach(self, role: Role, consumer: EndpointConsumer | None = None) -> None:
+        """Set the role, and for an entry the part that chooses endpoints."""
+        self.role = role
+        self.endpoint_consumer = consumer
+        self.text.subscribe(role.set_catalog)
+        if consumer is not None:
+            self.text.subscribe(lambda catalog: self.refresh_endpoints())
+
+    def start(self) -> SocketAddress:
+        """Accept links and start to dial; return the link address in use."""
+        bound = self._server.start()
+        own = self.members.own
+        if not own.address.endswith(f":{bound.port}"):
+            self._use_port(bound)
+        self._greenlets = [spawn(self._peering_loop), spawn(self._spread_loop)]
+        if self.settings.node.role == "entry":
+            self._start_roller()
+        return bound
+
+    def _use_port(self, bound: SocketAddress) -> None:
+        """State the port that was really taken, for settings with port 0."""
+        host = parse_address(self.settings.listen.links).host
+        self.members.set_own_address(f"{host}:{bound.port}")
+
+    def _start_roller(self) -> None:
+        lease = Lease(self.store, self.settings.node.id, self.clock)
+        self.roller = Roller(
+            self.store,
+            lease,
+            self.clock,
+            lambda: self.text.catalog,
+            lambda service: self.members.live("side", service),
+            self.open_link,
+        )
+        self._greenlets.append(spawn(self.roller.run))
+
+    def stop(self) -> None:
+        """Close all links and stop at once."""
+        self._stopped.set()
+        if self.roller is not None:
+            self.roller.stop()
+        for greenlet in self._greenlets:
+            greenlet.kill(block=False)
+        self._server.stop()
+        for link in [*self.links.used(), *self.links.spares()]:
+            link.close("the process stops")
+
+    def announce_leaving(self) -> None:
+        """Tell every peer that this process takes no new work."""
+        own = self.members.own
+        rows = self.members.leave(self.clock.now_ms())
+        self.links.broadcast(Leaving(own.member_id, own.incarnation))
+        self.spread.announce(rows)
+        log.info("leaving", member_id=own.member_id)
+
+    def drain(self) -> None:
+        """Leave gracefully: announce, let the role finish, give the lease back."""
+        self.announce_leaving()
+        if self.roller is not None:
+            self.roller.stop()
+        if self.role is not None:
+            self.role.drain()
+        self.stop()
+
+    def on_up(self, link: Link) -> None:
+        """Take a link that has come up."""
+        self._up_ms_by_link[id(link)] = self.clock.now_ms()
+        self.links.add(link)
+        self.spread.on_up(link)
+
+    def on_message(self, link: Link, message: Any) -> None:
+        """Pass a message to the part it is for."""
+        if self.role is not None and self.role.on_message(link, message):
+            return
+        if self.spread.on_message(link, message):
+            self.refresh_endpoints()
+        elif isinstance(message, OrderResult) and self.roller is not None:
+            self.roller.on_result(message)
+        else:
+            self.counts.unhandled_messages += 1
+
+    def on_down(self, link: Link, reason: str) -> None:
+        """Forget a link that is down."""
+        self._up_ms_by_link.pop(id(link), None)
+        self.links.remove(link, reason)
+        if self.links.get(link.hello.member_id) is None:
+            self.spread.on_down(link)
+        self.refresh_endpoints()
+
+    def _on_first_up(self, link: Link) -> None:
+        if self.role is not None:
+            self.role.on_up(link)
+
+    def _on_last_down(self, link: Link, reason: str) -> None:
+        if self.role is not None:
+            self.role.on_down(link, reason)
+
+    def refresh_endpoints(self) -> None:
+        """Give the entry the endpoints that may get new work now."""
+        if self.endpoint_consumer is None:
+            return
+        infos = tuple(self._usable_endpoints())
+        ids = tuple(info.endpoint_id for info in infos)
+        if ids != self._endpoint_ids:
+            self._endpoint_ids = ids
+            self.endpoint_consumer.set_endpoints(infos)
+
+    def _usable_endpoints(self) -> Iterator[EndpointInfo]:
+        catalog = self.text.catalog
+        for record in self.peering.endpoints(catalog.service_by_name):
+            link = self.links.get(record.member_id)
+            if link is None or link.hello.incarnation != record.incarnation:
+                continue
+            service = catalog.service_by_name[record.service]
+            models = service.models if service.kind is ServiceKind.MODEL else ()
+            yield EndpointInfo(record.member_id, record.zone, record.service, models)
+
+    def open_link(self, record: MemberRecord) -> Link | None:
+        """Return the link to a member, opened now if there is none."""
+        link = self.links.get(record.member_id)
+        if link is None:
+            address = address_of(record)
+            if address is not None:
+                connect_link(address, self.hello, self, self.options)
+            link = self.links.get(record.member_id)
+        return link
+
+    def confirm(self, version: int, timeout_ms: float) -> list[str]:
+        """Wait until each linked zone has `version`; return the zones that do."""
+        deadline_ms = self.clock.now_ms() + timeout_ms
+        while True:
+            linked = {link.hello.zone for link in self.links.used()}
+            confirmed = self.spread.zones_with_text(version)
+            if linked <= confirmed or self.clock.now_ms() >= deadline_ms:
+                return sorted(confirmed)
+            sleep(CONFIRM_POLL_MS / MS_PER_SECOND)
+
+    def _spread_loop(self) -> None:
+        while not self._stopped.is_set():
+            sleep(self.rng.uniform(0.8, 1.2) * ANTI_ENTROPY_MS / MS_PER_SECOND)
+            self.spread.tick()
+
+    def _peering_loop(self) -> None:
+        while not self._stopped.is_set():
+            self._dial_missing()
+            self._close_unused()
+            self.refresh_endpoints()
+            sleep(PEERING_MS / MS_PER_SECOND)
+
+    def _dial_missing(self) -> None:
+        services = list(self.text.catalog.service_by_name)
+        linked = len(self.links)
+        for record in self.peering.wanted(services, linked):
+            if self.links.get(record.member_id) is None:
+                self._dial(record.address)
+        if not linked:
+            for address in self.peering.join_addresses(self.rng):
+                self._dial(address)
+
+    def _dial(self, address: str) -> None:
+        now_ms = self.clock.now_ms()
+        host, _, port = address.rpartition(":")
+        usable = bool(host) and port.isdigit() and address not in self._dialling
+        if usable and self._backoff.may_dial(address, now_ms):
+            self._dialling.add(address)
+            spawn(self._dial_now, address)
+
+    def _dial_now(self, address: str) -> None:
+        self.counts.dials += 1
+        try:
+            target = parse_address(address)
+            result = connect_link(target, self.hello, self, self.options)
+        finally:
+            self._dialling.discard(address)
+        if isinstance(result, Ok):
+            self._backoff.on_success(address)
+        else:
+            self.counts.failed_dials += 1
+            self._backoff.on_failure(address, self.clock.now_ms())
+
+    def _close_unused(self) -> None:
+        """Close spare links, and links that neither side asked for, after a while."""
+        oldest_ms = self.clock.now_ms() - SPARE_LIMIT_MS
+        for link in list(self.links.spares()):
+            if self._up_ms_by_link.get(id(link), oldest_ms) < oldest_ms:
+                link.close("a second link to the same process")
--- /dev/null
+++ b/wigeonwind/roles/roller.py
@@ -0,0 +1,209 @@
+"""The roller: the entry that holds the lease and carries out model rollouts."""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from gevent import Timeout, sleep, spawn
+from gevent.event import AsyncResult
+from structlog import get_logger
+
+from wigeonwind.catalog import Catalog, Service, ServiceKind
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.ids import new_id
+from wigeonwind.links.link_types import Link
+from wigeonwind.links.messages import Order, OrderResult
+from wigeonwind.outcomes import Ok
+from wigeonwind.state.lease import RENEW_INTERVAL_MS, Lease
+from wigeonwind.state.membership import MemberRecord
+from wigeonwind.state.rolls import (
+    EndpointView,
+    LoadVersion,
+    RollPlanner,
+    RollRecord,
+    WriteRecord,
+    read_roll_record,
+)
+from wigeonwind.state.store_types import NotFound, Store
+
+OBSERVE_TIMEOUT_MS = 2_000.0
+"""Time for a sidecar to describe its endpoint."""
+
+LOAD_TIMEOUT_MS = 600_000.0
+"""Time for an endpoint to load a model version."""
+
+ROUND_MS = 5_000.0
+"""Interval between looks at the endpoints while a rollout is under way."""
+
+IDLE_ROUND_MS = 60_000.0
+"""Interval between looks while nothing is to be done; a replaced VM that came up with
+an old version is found within it."""
+
+log = get_logger("wigeonwind.roller")
+
+
+@dataclass(frozen=True)
+class _StoredRecord:
+    record: RollRecord | None
+    version: int
+
+
+class Roller:
+    """Carries out rollouts while it holds the lease.
+
+    `open_link` returns a link to a sidecar, in use or opened for the purpose.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        lease: Lease,
+        clock: Clock,
+        catalog: Callable[[], Catalog],
+        sides: Callable[[str], Iterator[MemberRecord]],
+        open_link: Callable[[MemberRecord], Link | None],
+    ) -> None:
+        self._store = store
+        self._lease = lease
+        self._clock = clock
+        self._catalog = catalog
+        self._sides = sides
+        self._open_link = open_link
+        self._planner_by_service: dict[str, RollPlanner] = {}
+        self._result_by_order_id: dict[str, AsyncResult] = {}
+        self._loading_ids: set[str] = set()
+        self._stopped = False
+        self._fence_held: int | None = None
+
+    def run(self) -> None:
+        """Renew the lease and carry out rollouts until `stop`; blocks."""
+        next_round_ms = 0.0
+        while not self._stopped:
+            fence = self._lease.step()
+            self._note_fence(fence)
+            now_ms = self._clock.now_ms()
+            if fence is not None and now_ms >= next_round_ms:
+                busy = self._round()
+                next_round_ms = now_ms + (ROUND_MS if busy else IDLE_ROUND_MS)
+            sleep(min(RENEW_INTERVAL_MS, ROUND_MS) / MS_PER_SECOND)
+
+    def stop(self) -> None:
+        """Stop after the present step and give the lease back."""
+        self._stopped = True
+        self._lease.release()
+
+    def on_result(self, result: OrderResult) -> None:
+        """Take a sidecar's answer to an order."""
+        waiting = self._result_by_order_id.get(result.order_id)
+        if waiting is not None:
+            waiting.set(result)
+
+    def _note_fence(self, fence: int | None) -> None:
+        if fence != self._fence_held:
+            self._fence_held = fence
+            state = "held" if fence is not None else "not held"
+            log.info("roller lease", state=state, fence=fence)
+
+    def _round(self) -> bool:
+        """Look at each model service once; return whether any rollout is under way."""
+        services = self._catalog().service_by_name.values()
+        busy = [
+            self._round_of(service)
+            for service in services
+            if service.kind is ServiceKind.MODEL and service.model_version
+        ]
+        return any(busy)
+
+    def _round_of(self, service: Service) -> bool:
+        stored = self._read_record(service.name)
+        if stored is None:
+            return False
+        views = list(self._observe(service))
+        planner = self._planner_by_service.setdefault(
+            service.name, RollPlanner(service.name)
+        )
+        now_ms = self._clock.now_ms()
+        target = service.model_version
+        steps = list(planner.plan(target, stored.record, views, now_ms))
+        for step in steps:
+            self._carry_out(service, step, stored.version)
+        running = stored.record is None or stored.record.verdict.value == "running"
+        return bool(steps) or running
+
+    def _read_record(self, service: str) -> _StoredRecord | None:
+        found = self._store.get(f"rolls/{service}")
+        if isinstance(found, Ok):
+            record = read_roll_record(found.value.value)
+            return _StoredRecord(record, found.value.version)
+        if isinstance(found, NotFound):
+            return _StoredRecord(None, 0)
+        return None
+
+    def _observe(self, service: Service) -> Iterator[EndpointView]:
+        model = service.models[0] if service.models else ""
+        pending = [
+            (record, spawn(self._order, record, "observe", model, ""))
+            for record in list(self._sides(service.name))
+        ]
+        for record, greenlet in pending:
+            result = greenlet.get()
+            if result is None:
+                continue
+            member_id = record.member_id
+            loading = member_id in self._loading_ids
+            yield EndpointView(
+                member_id,
+                record.zone,
+                result.version,
+                result.ready and not loading,
+                result.ended,
+                result.failed,
+                result.attained,
+            )
+
+    def _carry_out(
+        self, service: Service, step: WriteRecord | LoadVersion, version: int
+    ) -> None:
+        if isinstance(step, WriteRecord):
+            record = step.record
+            self._store.put(f"rolls/{service.name}", record.to_bytes(), version)
+            log.info(
+                "rollout",
+                service=service.name,
+                target=record.target,
+                verdict=record.verdict.value,
+                reason=record.reason,
+            )
+        elif step.endpoint_id not in self._loading_ids:
+            spawn(self._load, service, step)
+
+    def _load(self, service: Service, step: LoadVersion) -> None:
+        records = self._sides(service.name)
+        named = [r for r in records if r.member_id == step.endpoint_id]
+        if not named:
+            return
+        self._loading_ids.add(step.endpoint_id)
+        try:
+            self._order(named[0], "load_model", service.models[0], step.version)
+        finally:
+            self._loading_ids.discard(step.endpoint_id)
+
+    def _order(
+        self, record: MemberRecord, action: str, model: str, version: str
+    ) -> OrderResult | None:
+        """Give one order; None if the lease is not held or no answer came."""
+        link = self._open_link(record)
+        # Checked last: the lease may have ended while the link was opened.
+        fence = self._lease.fence()
+        if link is None or fence is None:
+            return None
+        order_id = new_id()
+        waiting: AsyncResult = AsyncResult()
+        self._result_by_order_id[order_id] = waiting
+        link.send(Order(order_id, fence, action, model, version, ""))
+        limit_ms = OBSERVE_TIMEOUT_MS if action == "observe" else LOAD_TIMEOUT_MS
+        try:
+            return waiting.get(timeout=limit_ms / MS_PER_SECOND)
+        except Timeout:
+            return None
+        finally:
+            del self._result_by_order_id[order_id]
--- /dev/null
+++ b/wigeonwind/roles/spread.py
@@ -0,0 +1,177 @@
+"""Spread of member records and of the text over the links of a process."""
+
+from random import Random
+from typing import Any
+
+from wigeonwind.clock import Clock
+from wigeonwind.links.link_types import Link
+from wigeonwind.links.messages import (
+    Hello,
+    Leaving,
+    Members,
+    MembersBuckets,
+    MembersDigest,
+    TextChange,
+    TextRequest,
+    TextVersion,
+)
+from wigeonwind.registry import Registry
+from wigeonwind.roles.link_table import LinkTable
+from wigeonwind.state.membership import (
+    MemberRecord,
+    Membership,
+    MemberState,
+    record_from_row,
+)
+from wigeonwind.state.text_keeper import TextKeeper
+
+ANTI_ENTROPY_MS = 10_000.0
+"""Interval at which records and text version are compared with one random peer; it
+repairs what was lost with a link, at about 40 bytes an interval."""
+
+HANDLERS: Registry[Any] = Registry("spread handler")
+"""Handlers by message name; each takes the spread, the link and the message."""
+
+
+class Spread:
+    """Answers and sends the messages that keep processes alike."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        text: TextKeeper,
+        links: LinkTable,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self.membership = membership
+        self.text = text
+        self.links = links
+        self.clock = clock
+        self._rng = rng
+        self._text_version_by_id: dict[str, int] = {}
+        self._handler_by_type = {
+            message_type: HANDLERS.get(message_type.__name__)
+            for message_type in (
+                Leaving,
+                Members,
+                MembersBuckets,
+                MembersDigest,
+                TextChange,
+                TextRequest,
+                TextVersion,
+            )
+        }
+
+    def on_up(self, link: Link) -> None:
+        """Take a peer's record from its Hello and compare what both know."""
+        hello = link.hello
+        self.membership.on_heard(hello.member_id, self.clock.now_ms())
+        self.merge([record_of_hello(hello)], link)
+        link.send(MembersDigest(self.membership.digest(), 0))
+        self.text.announce(link.send)
+
+    def on_down(self, link: Link) -> None:
+        """Suspect the peer; others keep their own opinion."""
+        self.membership.on_silent(link.hello.member_id)
+        self._text_version_by_id.pop(link.hello.member_id, None)
+
+    def on_message(self, link: Link, message: Any) -> bool:
+        """Handle a message of the spread; False if it is not one."""
+        handler = self._handler_by_type.get(type(message))
+        if handler is None:
+            return False
+        handler(self, link, message)
+        return True
+
+    def merge(self, records: list[MemberRecord], source: Link | None) -> None:
+        """Merge records and pass on what was news."""
+        changed = self.membership.merge(records, self.clock.now_ms())
+        self.announce(changed, source)
+
+    def announce(self, rows: list, source: Link | None = None) -> None:
+        """Send changed rows to all peers but the source."""
+        if rows:
+            self.links.broadcast(Members(rows), source)
+
+    def tick(self) -> None:
+        """Compare with one random peer; call it every ANTI_ENTROPY_MS."""
+        self.membership.expire(self.clock.now_ms())
+        links = list(self.links.used())
+        if links:
+            link = self._rng.choice(links)
+            link.send(MembersDigest(self.membership.digest(), 0))
+            self.text.announce(link.send)
+
+    def note_text_version(self, member_id: str, version: int) -> None:
+        """Record the version a peer says it has in force."""
+        self._text_version_by_id[member_id] = version
+
+    def text_version_of(self, member_id: str) -> int | None:
+        """Return the version a linked peer has in force, None if it is not linked."""
+        return self._text_version_by_id.get(member_id)
+
+    def zones_with_text(self, version: int) -> set[str]:
+        """Return the zones in which a linked peer has `version` or a later one."""
+        return {
+            link.hello.zone
+            for link in self.links.used()
+            if self._text_version_by_id.get(link.hello.member_id, 0) >= version
+        }
+
+
+def record_of_hello(hello: Hello) -> MemberRecord:
+    """Return the member record that a peer's Hello states."""
+    return MemberRecord(
+        hello.member_id,
+        hello.incarnation,
+        MemberState.LIVE,
+        hello.role,
+        hello.zone,
+        hello.service,
+        hello.address,
+    )
+
+
+@HANDLERS.register("Members")
+def _on_members(spread: Spread, link: Link, message: Members) -> None:
+    records = [record for row in message.records if (record := record_from_row(row))]
+    spread.merge(records, link)
+
+
+@HANDLERS.register("MembersDigest")
+def _on_digest(spread: Spread, link: Link, message: MembersDigest) -> None:
+    if message.digest != spread.membership.digest():
+        link.send(MembersBuckets(spread.membership.bucket_digests(), reply=True))
+
+
+@HANDLERS.register("MembersBuckets")
+def _on_buckets(spread: Spread, link: Link, message: MembersBuckets) -> None:
+    rows = spread.membership.rows_that_differ(message.digests)
+    if message.reply:
+        link.send(MembersBuckets(spread.membership.bucket_digests(), reply=False))
+    if rows:
+        link.send(Members(rows))
+
+
+@HANDLERS.register("Leaving")
+def _on_leaving(spread: Spread, link: Link, message: Leaving) -> None:
+    now_ms = spread.clock.now_ms()
+    rows = spread.membership.on_leaving(message.member_id, message.incarnation, now_ms)
+    spread.announce(rows, link)
+
+
+@HANDLERS.register("TextVersion")
+def _on_text_version(spread: Spread, link: Link, message: TextVersion) -> None:
+    spread.note_text_version(link.hello.member_id, message.version)
+    spread.text.on_text_version(message, link.send)
+
+
+@HANDLERS.register("TextRequest")
+def _on_text_request(spread: Spread, link: Link, message: TextRequest) -> None:
+    spread.text.on_text_request(message, link.send)
+
+
+@HANDLERS.register("TextChange")
+def _on_text_change(spread: Spread, link: Link, message: TextChange) -> None:
+    spread.text.on_text_change(message, link.send)
--- /dev/null
+++ b/wigeonwind/roles/vm_list_client.py
@@ -0,0 +1,66 @@
+"""Client of the platform's VM list (design, section 6.4)."""
+
+import json
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+from geventhttpclient import HTTPClient
+
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.outcomes import ErrorCode, Failure, Ok, Outcome
+from wigeonwind.settings import SocketAddress
+from wigeonwind.state.membership import ListedVm
+
+VM_LIST_PATH = "/v1/vms"
+
+TIMEOUT_MS = 2_000.0
+"""Time for one call; the list is polled, so a slow answer is of little use."""
+
+MAX_LIST_BYTES = 4_000_000
+"""Bound on the answer; 1,200 VMs take about 120 kB."""
+
+
+@dataclass(frozen=True)
+class VmList:
+    """One answer of the VM list; `as_of_ms` is wall-clock time in milliseconds."""
+
+    vms: tuple[ListedVm, ...]
+    addresses: tuple[str, ...]
+    as_of_ms: float
+
+
+class VmListClient:
+    """Reads the VM list; one connection, opened when needed."""
+
+    def __init__(self, address: SocketAddress) -> None:
+        timeout_s = TIMEOUT_MS / MS_PER_SECOND
+        self._client = HTTPClient(
+            address.host,
+            address.port,
+            connection_timeout=timeout_s,
+            network_timeout=timeout_s,
+        )
+
+    def read(self) -> Ok[VmList] | Failure:
+        """Return the list; a failure is normal and leaves members as they are."""
+        try:
+            response = self._client.get(urlsplit(VM_LIST_PATH).path)
+            body = response.read(MAX_LIST_BYTES)
+            if response.status_code != 200:
+                return _failure(f"status {response.status_code}")
+            return Ok(_parse(json.loads(bytes(body))))
+        except (OSError, ValueError, KeyError, TypeError, EOFError) as error:
+            self._client.close()
+            return _failure(str(error))
+
+
+def _failure(reason: str) -> Failure:
+    text = f"the VM list gave no answer: {reason}"
+    return Failure(Outcome.FAILED, ErrorCode.STORE_UNAVAILABLE, text)
+
+
+def _parse(document: dict) -> VmList:
+    rows = [row for row in document["vms"] if row["state"] in ("live", "leaving")]
+    vms = tuple(ListedVm(str(row["id"]), row["state"] == "leaving") for row in rows)
+    addresses = tuple(str(row["address"]) for row in rows if row["state"] == "live")
+    return VmList(vms, addresses, float(document["as_of_ms"]))
--- a/wigeonwind/state/membership.py
+++ b/wigeonwind/state/membership.py
@@ -160,6 +160,11 @@
         else:
             self._left_ms_by_id.pop(member_id, None)
 
+    def set_own_address(self, address: str) -> None:
+        """State the link address of this process, known once it is bound."""
+        self.own = replace(self.own, address=address)
+        self._store(self.own, 0.0)
+
     def leave(self, now_ms: float) -> list:
         """Mark this process as leaving; return the row to announce."""
         self.own = replace(self.own, state=MemberState.LEAVING)
--- a/wigeonwind/state/text_keeper.py
+++ b/wigeonwind/state/text_keeper.py
@@ -21,7 +21,7 @@
     sections_of,
 )
 
-Reply = Callable[[Any], None]
+Reply = Callable[[Any], object]
 
 MAX_REMEMBERED_CHANGES = 256
 """Versions for which changes can be sent; older peers get the whole text. At 100
