--- /dev/null
+++ b/wigeonwind/roles/attempt.py
@@ -0,0 +1,274 @@
+"""One attempt of a request at one sidecar, from Submit to its end."""
+
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+
+from wigeonwind.clock import Clock
+from wigeonwind.links.messages import (
+    Cancel,
+    Chunk,
+    Failed,
+    Finished,
+    Head,
+    Queued,
+    Refused,
+    Started,
+    Submit,
+    Withdraw,
+    WithdrawResult,
+)
+from wigeonwind.outcomes import ErrorCode
+from wigeonwind.roles.answer import (
+    AnswerEnd,
+    AnswerHead,
+    AnswerParts,
+    AnswerSoFar,
+    CallerRequest,
+)
+from wigeonwind.roles.pending import MAX_UNREAD_BYTES, Link, LinkLost, Mailbox
+
+WITHDRAW_WAIT_MS = 500.0
+"""Time a sidecar has to confirm a withdrawal when the deadline has passed."""
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """The attempt certainly never ran; `code` is an ErrorCode value."""
+
+    code: str
+    reason: str
+    retry_after_ms: float | None = None
+
+
+@dataclass(frozen=True)
+class Broken:
+    """The attempt ended without a whole answer and may have run.
+
+    `ran` says that it certainly ran (at a model that had begun to answer).
+    """
+
+    reason: str
+    ran: bool
+
+
+@dataclass(frozen=True)
+class Withdrawn:
+    """The sidecar confirmed that the attempt never starts."""
+
+
+@dataclass(frozen=True)
+class TimedOut:
+    """The deadline passed; `certain_not_run` if a withdrawal was confirmed."""
+
+    certain_not_run: bool
+    ran: bool
+
+
+@dataclass(frozen=True)
+class CallerGone:
+    """The caller closed its connection."""
+
+
+AttemptEnd = AnswerEnd | NotRun | Broken | Withdrawn | TimedOut | CallerGone
+AnswerEvent = AnswerHead | AnswerParts
+AttemptEvents = Generator[AnswerEvent, None, AttemptEnd]
+
+
+class Attempt:
+    """One attempt that has been sent over `link`."""
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        submit: Submit,
+        link: Link,
+        mailbox: Mailbox,
+        answer: AnswerSoFar,
+        clock: Clock,
+    ) -> None:
+        self.request = request
+        self.key = (submit.request_id, submit.attempt)
+        self.link = link
+        self.mailbox = mailbox
+        self.answer = answer
+        self.clock = clock
+        self.sent_ms = clock.now_ms()
+        self.first_part_ms: float | None = None
+        self.tokens = 0
+        self.started = False
+        self._asked_back = False
+        self._kept = False
+        self._end: AttemptEnd | None = None
+        self._pieces: list[bytes] = []
+
+    def events(
+        self, move_at_ms: float | None, has_other: Callable[[Link], bool]
+    ) -> AttemptEvents:
+        """Yield the answer as it arrives and return how the attempt ended.
+
+        At `move_at_ms` an attempt that still waits in the sidecar's queue is asked
+        back if another endpoint could take it.
+        """
+        while self._end is None:
+            if not self._wait(move_at_ms):
+                self._on_time(move_at_ms, has_other)
+                continue
+            if self.mailbox.caller_gone:
+                return CallerGone()
+            yield from self._take_all()
+        return self._end
+
+    def cancel(self) -> None:
+        """Tell the sidecar to stop."""
+        self.link.send(Cancel(*self.key))
+
+    def _wait(self, move_at_ms: float | None) -> bool:
+        now_ms = self.clock.now_ms()
+        until_ms = self.request.deadline_ms
+        if move_at_ms is not None and self._may_move():
+            until_ms = min(until_ms, move_at_ms)
+        return self.mailbox.wait(until_ms - now_ms)
+
+    def _may_move(self) -> bool:
+        return not (self.started or self._asked_back)
+
+    def _on_time(
+        self, move_at_ms: float | None, has_other: Callable[[Link], bool]
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        if now_ms >= self.request.deadline_ms:
+            self._end = self._time_out()
+        elif move_at_ms is not None and now_ms >= move_at_ms and self._may_move():
+            self._asked_back = True
+            if has_other(self.link):
+                self.link.send(Withdraw(*self.key))
+
+    def _time_out(self) -> TimedOut:
+        """Ask the attempt back, so that the caller may be told not-run."""
+        if not self.started and self.link.send(Withdraw(*self.key)):
+            limit_ms = self.clock.now_ms() + WITHDRAW_WAIT_MS
+            while self._end is None and self._wait_until(limit_ms):
+                for _ in self._take_all():
+                    pass
+        certain = isinstance(self._end, (Withdrawn, NotRun))
+        return TimedOut(certain, self.request.is_model and self.started)
+
+    def _wait_until(self, limit_ms: float) -> bool:
+        left_ms = limit_ms - self.clock.now_ms()
+        if left_ms <= 0 or self._kept or self.mailbox.caller_gone:
+            return False
+        return self.mailbox.wait(left_ms)
+
+    def _take_all(self) -> Generator[AnswerEvent, None, None]:
+        """Handle all that has arrived; pieces that arrived together stay together."""
+        items = self.mailbox.items
+        if self.mailbox.unread_bytes > MAX_UNREAD_BYTES:
+            self._end = Broken("the caller reads too slowly", self._ran())
+            return
+        while items and self._end is None:
+            item = items.popleft()
+            if type(item) is Chunk:
+                self._on_chunk(item)
+            elif type(item) is Head:
+                yield from self._flush()
+                yield from self._on_head(item)
+            else:
+                yield from self._flush()
+                self._on_other(item)
+        yield from self._flush()
+
+    def _flush(self) -> Generator[AnswerEvent, None, None]:
+        if self._pieces:
+            pieces, self._pieces = self._pieces, []
+            yield AnswerParts(pieces)
+
+    def _on_chunk(self, chunk: Chunk) -> None:
+        answer = self.answer
+        if not answer.accepts(chunk):
+            reason = f"chunk {chunk.seq} arrived where {answer.next_seq} was due"
+            self._end = Broken(reason, self._ran())
+            return
+        if not self.request.is_model and not answer.has_head:
+            self._end = Broken("the body arrived before its head", False)
+            return
+        self.started = True
+        if self.first_part_ms is None:
+            self.first_part_ms = self.clock.now_ms()
+        self.mailbox.unread_bytes -= len(chunk.data)
+        self.tokens += chunk.tokens
+        answer.tokens += chunk.tokens
+        if self.request.is_model:
+            answer.pieces.append(chunk.data)
+        if chunk.data:
+            self._pieces.append(chunk.data)
+
+    def _on_head(self, head: Head) -> Generator[AnswerEvent, None, None]:
+        self.started = True
+        if self.request.is_model or self.answer.has_head:
+            self._end = Broken("a head arrived out of place", self._ran())
+            return
+        self.answer.has_head = True
+        yield AnswerHead(head.status, head.headers)
+
+    def _on_other(self, item: object) -> None:
+        match item:
+            case Started():
+                self.started = True
+            case Queued():
+                pass
+            case Finished():
+                self._end = self._finished(item)
+            case Refused(code=code, reason=reason, retry_after_ms=retry_after_ms):
+                self._end = self._not_run(code, reason, retry_after_ms)
+            case Failed(started=False, code=code, reason=reason):
+                self._end = self._not_run(code, reason, None)
+            case Failed(reason=reason):
+                self._end = Broken(reason, self.request.is_model)
+            case WithdrawResult(withdrawn=True):
+                self._end = self._withdrawn()
+            case WithdrawResult():
+                self._kept = True
+            case LinkLost(reason=reason):
+                self._end = Broken(f"link lost: {reason}", self._ran())
+
+    def _not_run(
+        self, code: str, reason: str, retry_after_ms: float | None
+    ) -> NotRun | Broken:
+        if self._has_answer():
+            return Broken(f"refused after the answer had begun: {reason}", self._ran())
+        return NotRun(code, reason, retry_after_ms)
+
+    def _withdrawn(self) -> Withdrawn | Broken:
+        if self._has_answer():
+            return Broken("withdrawn after the answer had begun", self._ran())
+        return Withdrawn()
+
+    def _has_answer(self) -> bool:
+        """Return whether this attempt has sent any of its answer."""
+        return self.answer.next_seq > 0 or self.answer.has_head
+
+    def _finished(self, finished: Finished) -> AttemptEnd:
+        answer = self.answer
+        if not answer.is_whole(finished):
+            counts = f"{answer.next_seq} of {finished.chunks} chunks arrived"
+            return Broken(counts, self._ran())
+        if not self.request.is_model and not answer.has_head:
+            return Broken("the answer has no head", False)
+        return AnswerEnd(
+            finished.finish_reason,
+            finished.prompt_tokens,
+            answer.tokens,
+            finished.cached_tokens,
+        )
+
+    def _ran(self) -> bool:
+        """Return whether it is certain that a model has run (part of) the request."""
+        return self.request.is_model and self.started
+
+
+def failure_code(code: str) -> ErrorCode:
+    """Return the code a sidecar gave, or ENDPOINT_FAILED for an unknown one."""
+    try:
+        return ErrorCode(code)
+    except ValueError:
+        return ErrorCode.ENDPOINT_FAILED
--- /dev/null
+++ b/wigeonwind/roles/booking_call.py
@@ -0,0 +1,227 @@
+"""Bookings of callers: carries out the steps of the claim protocol."""
+
+import time
+from collections.abc import Generator
+
+from gevent.event import AsyncResult
+from gevent.timeout import Timeout
+
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.ids import new_id
+from wigeonwind.links.messages import ClaimState, ResolveClaim
+from wigeonwind.outcomes import ErrorCode, Failure, Outcome
+from wigeonwind.roles.answer import AnswerEnd, AnswerHead, AnswerParts, CallerRequest
+from wigeonwind.roles.attempt import failure_code
+from wigeonwind.roles.dispatch import Dispatcher, RequestRun
+from wigeonwind.roles.http_call import HttpCall
+from wigeonwind.roles.pending import Link
+from wigeonwind.roles.plain_headers import reply_headers
+from wigeonwind.roles.replies import Reply, failure, failure_reply, status_line
+from wigeonwind.roles.run import Running
+from wigeonwind.state.booking_record import RecordedAnswer
+from wigeonwind.state.booking_steps import (
+    AskClaim,
+    Booked,
+    BookingCall,
+    BookingResult,
+    BookingUnknown,
+    CertainlyNotRun,
+    ChooseTarget,
+    ClaimAnswer,
+    Forbidden,
+    MayHaveRun,
+    NoTarget,
+    NotBooked,
+    OtherBody,
+    RanWhole,
+    ReadRecord,
+    RunAttempt,
+    RunResult,
+    Step,
+    StepResult,
+    Target,
+    Unresolved,
+    WriteRecord,
+)
+from wigeonwind.state.bookings import body_digest, book, record_key
+from wigeonwind.state.store_types import Store
+
+ASK_TIMEOUT_MS = 2000.0
+"""Time a sidecar has to say what became of a claim."""
+
+RETRY_WITHIN_HEADER = ("X-Booking-Retry-Within", "86400")
+"""Seconds in which a caller may retry a key; records are kept for longer."""
+
+
+class BookingCalls:
+    """Runs bookings and asks sidecars about claims."""
+
+    def __init__(self, store: Store, dispatcher: Dispatcher) -> None:
+        self._store = store
+        self._dispatcher = dispatcher
+        self._asked_by_token: dict[str, tuple[Link, AsyncResult]] = {}
+
+    def answer(
+        self, call: HttpCall, request: CallerRequest, running: Running, key: str
+    ) -> Generator[bytes, None, None]:
+        """Answer one call with an idempotency key."""
+        booking = BookingCall(
+            record_key(request.customer, request.service.name, key),
+            body_digest(request.method, request.path, request.body),
+        )
+        run = RequestRun(self._dispatcher, request, running.mailbox)
+        result = self._drive(booking, run)
+        running.set_outcome(_outcome_of(result))
+        yield from _reply(call, result)
+
+    def on_claim_state(self, link: Link, state: ClaimState) -> bool:
+        """Take a sidecar's answer about a claim."""
+        asked = self._asked_by_token.get(state.claim_token)
+        if asked is None or asked[0] is not link:
+            return False
+        asked[1].set(state)
+        return True
+
+    def on_down(self, link: Link) -> None:
+        """Answer the questions asked over a link that is gone."""
+        for asked_link, result in tuple(self._asked_by_token.values()):
+            if asked_link is link:
+                result.set(None)
+
+    def _drive(self, booking: BookingCall, run: RequestRun) -> BookingResult:
+        """Carry the protocol's steps out one by one."""
+        steps = book(booking, new_id, _wall_ms)
+        result: StepResult | None = None
+        while True:
+            try:
+                step = next(steps) if result is None else steps.send(result)
+            except StopIteration as end:
+                return end.value
+            result = self._carry_out(step, run)
+
+    def _carry_out(self, step: Step, run: RequestRun) -> StepResult:
+        match step:
+            case ReadRecord(key=key):
+                return self._store.get(key)
+            case WriteRecord(key=key, value=value, if_version=if_version):
+                return self._store.put(key, value, if_version)
+            case ChooseTarget():
+                return _choose(run)
+            case RunAttempt(claim_token=token, target=target):
+                return _run(run, token, target)
+            case AskClaim(claim_token=token, target=target):
+                return self._ask(token, target)
+
+    def _ask(self, token: str, target: Target) -> ClaimAnswer:
+        link = self._dispatcher.links.open_link(target.endpoint_id)
+        if link is None or link.hello.incarnation != target.incarnation:
+            return Unresolved("the endpoint that may have run it cannot be reached")
+        if token in self._asked_by_token:
+            return Unresolved("another call asks about the same claim")
+        result = AsyncResult()
+        self._asked_by_token[token] = (link, result)
+        try:
+            if not link.send(ResolveClaim(token)):
+                return Unresolved("the endpoint that may have run it cannot be reached")
+            state = result.get(timeout=ASK_TIMEOUT_MS / MS_PER_SECOND)
+        except Timeout:
+            return Unresolved("the endpoint gave no answer about the claim")
+        finally:
+            del self._asked_by_token[token]
+        return _claim_answer(state)
+
+
+def _wall_ms() -> float:
+    return time.time() * MS_PER_SECOND
+
+
+def _claim_answer(state: ClaimState | None) -> ClaimAnswer:
+    if state is None:
+        return Unresolved("the link broke before the endpoint answered")
+    if state.state == "forbidden":
+        return Forbidden()
+    if state.state == "done":
+        return RanWhole(RecordedAnswer(state.status, state.headers or [], state.body))
+    return Unresolved(f"the endpoint says: {state.state}")
+
+
+def _choose(run: RequestRun) -> Target | NoTarget:
+    """Choose the endpoint of the next claim; after the first only as retries allow."""
+    if run.attempts and not run.may_resend_not_run():
+        return NoTarget("no other attempt is allowed", None)
+    chosen = run.choose()
+    if isinstance(chosen, Failure):
+        return NoTarget(chosen.message, chosen.retry_after_ms, chosen.code.value)
+    return Target(chosen.hello.member_id, chosen.hello.incarnation)
+
+
+def _run(run: RequestRun, token: str, target: Target) -> RunResult:
+    """Send the call once and collect its whole answer."""
+    head: AnswerHead | None = None
+    pieces: list[bytes] = []
+    only = (target.endpoint_id, target.incarnation)
+    for event in run.events(only, token):
+        match event:
+            case AnswerHead():
+                head = event
+            case AnswerParts():
+                pieces += event.pieces
+            case AnswerEnd() if head is not None:
+                body = b"".join(pieces)
+                return RanWhole(RecordedAnswer(head.status, head.headers, body))
+            case Failure(outcome=Outcome.NOT_RUN):
+                return CertainlyNotRun(
+                    event.code.value, event.message, event.retry_after_ms
+                )
+            case Failure():
+                return MayHaveRun(event.message)
+    return MayHaveRun("the answer has no head")
+
+
+def _outcome_of(result: BookingResult) -> str:
+    match result:
+        case Booked():
+            return "whole"
+        case BookingUnknown():
+            return Outcome.UNKNOWN.value
+    return Outcome.NOT_RUN.value
+
+
+def _failure_of(result: NotBooked | BookingUnknown | OtherBody) -> Failure:
+    match result:
+        case NotBooked(reason=reason, retry_after_ms=retry_after_ms):
+            message = f"this call was not run: {reason}"
+            code = failure_code(result.code)
+            return failure(Outcome.NOT_RUN, code, message, retry_after_ms)
+        case BookingUnknown(reason=reason, retry_after_ms=retry_after_ms):
+            message = f"the booking may have run: {reason}; retry with the same key"
+            code = ErrorCode.BOOKING_UNKNOWN
+            return failure(Outcome.UNKNOWN, code, message, retry_after_ms)
+    message = "this Idempotency-Key belongs to a call with another body"
+    return failure(Outcome.NOT_RUN, ErrorCode.BOOKING_CONFLICT, message)
+
+
+def _reply(call: HttpCall, result: BookingResult) -> Generator[bytes, None, None]:
+    if not isinstance(result, Booked):
+        error = _failure_of(result)
+        reply = failure_reply(error, call.request_id)
+        headers = [*reply.headers, RETRY_WITHIN_HEADER]
+        yield from call.reply(Reply(reply.status, headers, reply.body))
+        return
+    answer = result.answer
+    headers = [
+        row
+        for row in reply_headers(answer.headers)
+        if row[0].lower() != "content-length"
+    ]
+    headers.append(("X-Request-Id", call.request_id))
+    if result.replayed:
+        headers.append(("X-Booking-Replayed", "true"))
+    body = answer.body
+    if body is None:
+        headers.append(("X-Booking-Body", "not-recorded"))
+        body = b""
+    if answer.status not in (204, 304):
+        headers.append(("Content-Length", str(len(body))))
+    call.start_response(status_line(answer.status), headers)
+    yield body
--- /dev/null
+++ b/wigeonwind/roles/caller_identity.py
@@ -0,0 +1,129 @@
+"""Who calls, and in which class: checks against the catalog of the request."""
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from wigeonwind.catalog import Catalog, Customer, RequestClass, Service, ServiceKind
+from wigeonwind.outcomes import ErrorCode, Failure, Ok
+from wigeonwind.roles.replies import refusal
+
+ANONYMOUS = "anonymous"
+"""Customer of callers that give no key and no name, where the text allows them."""
+
+BEARER = "bearer "
+
+DIGEST_PREFIX_LENGTH = 16
+"""Hexadecimal digits that index the digests.
+
+The lookup by prefix may take a time that depends on the prefix, which is a part of a
+hash and tells nothing about the key; the whole digest is compared in constant time.
+"""
+
+
+class CustomerDirectory:
+    """Customers of one catalog, found by key without a scan."""
+
+    def __init__(self, catalog: Catalog) -> None:
+        self.catalog = catalog
+        self.service_by_model = _service_by_model(catalog)
+        self._keys_by_prefix: dict[str, list[tuple[str, Customer]]] = {}
+        for customer in catalog.customer_by_name.values():
+            for digest in customer.keys:
+                prefix = digest.lower()[:DIGEST_PREFIX_LENGTH]
+                entries = self._keys_by_prefix.setdefault(prefix, [])
+                entries.append((digest.lower(), customer))
+
+    def customer_of_key(self, key: str) -> Customer | None:
+        """Return the customer whose API key this is."""
+        digest = hashlib.sha256(key.encode("latin-1", "replace")).hexdigest()
+        found = None
+        candidates = self._keys_by_prefix.get(digest[:DIGEST_PREFIX_LENGTH], [])
+        for known, customer in candidates:
+            if hmac.compare_digest(known, digest):
+                found = customer
+        return found
+
+
+def _service_by_model(catalog: Catalog) -> dict[str, Service]:
+    found: dict[str, Service] = {}
+    for service in catalog.service_by_name.values():
+        if service.kind is ServiceKind.MODEL:
+            for model in service.models:
+                found.setdefault(model, service)
+    return found
+
+
+@dataclass(frozen=True)
+class Caller:
+    """The customer of a request; `customer` is None for anonymous callers."""
+
+    name: str
+    customer: Customer | None
+
+
+def identify(
+    directory: CustomerDirectory, headers: Mapping[str, str]
+) -> Ok[Caller] | Failure:
+    """Find the customer; `headers` has lower-case names.
+
+    Messages never repeat the key.
+    """
+    authorization = headers.get("authorization", "")
+    if authorization[: len(BEARER)].lower() == BEARER:
+        return _by_key(directory, authorization[len(BEARER) :].strip(), headers)
+    name = headers.get("x-customer", "")
+    if name:
+        return _by_name(directory, name)
+    if directory.catalog.allow_anonymous:
+        return Ok(Caller(ANONYMOUS, None))
+    message = "no API key (Authorization: Bearer KEY) and no X-Customer header"
+    return refusal(ErrorCode.UNAUTHORIZED, message)
+
+
+def _by_key(
+    directory: CustomerDirectory, key: str, headers: Mapping[str, str]
+) -> Ok[Caller] | Failure:
+    customer = directory.customer_of_key(key)
+    if customer is not None:
+        return Ok(Caller(customer.name, customer))
+    name = headers.get("x-customer", "")
+    if name and not _has_keys(directory, name):
+        return _by_name(directory, name)
+    if directory.catalog.allow_anonymous and not name:
+        return Ok(Caller(ANONYMOUS, None))
+    return refusal(ErrorCode.UNAUTHORIZED, "the API key is not known")
+
+
+def _has_keys(directory: CustomerDirectory, name: str) -> bool:
+    customer = directory.catalog.customer_by_name.get(name)
+    return customer is not None and bool(customer.keys)
+
+
+def _by_name(directory: CustomerDirectory, name: str) -> Ok[Caller] | Failure:
+    customer = directory.catalog.customer_by_name.get(name)
+    if customer is None:
+        return refusal(ErrorCode.UNKNOWN_CUSTOMER, "the X-Customer name is not known")
+    if customer.keys:
+        message = "this customer must give its API key (Authorization: Bearer KEY)"
+        return refusal(ErrorCode.UNAUTHORIZED, message)
+    return Ok(Caller(customer.name, customer))
+
+
+def choose_class(
+    catalog: Catalog, service: Service, caller: Caller, wanted: str
+) -> Ok[RequestClass] | Failure:
+    """Return the class of a request: `wanted` if given, else the service's default."""
+    name = wanted or service.default_class
+    request_class = catalog.class_by_name.get(name)
+    if request_class is None:
+        return refusal(ErrorCode.UNKNOWN_CLASS, f"unknown request class {name!r}")
+    if name not in service.classes:
+        message = f"service {service.name!r} does not serve class {name!r}"
+        return refusal(ErrorCode.UNKNOWN_CLASS, message)
+    customer = caller.customer
+    if customer is not None and customer.classes and name not in customer.classes:
+        message = f"customer {customer.name!r} may not use class {name!r}"
+        return refusal(ErrorCode.UNKNOWN_CLASS, message, http_status=403)
+    return Ok(request_class)
--- /dev/null
+++ b/wigeonwind/roles/endpoint_links.py
@@ -0,0 +1,55 @@
+"""Open links of an entry to the sidecars, by member id."""
+
+from wigeonwind.roles.pending import Link
+
+SIDE_ROLE = "side"
+
+
+class EndpointLinks:
+    """The links to sidecars; the newest incarnation of a member replaces an older."""
+
+    def __init__(self) -> None:
+        self._link_by_id: dict[str, Link] = {}
+        self._leaving: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of links."""
+        return len(self._link_by_id)
+
+    def on_up(self, link: Link) -> None:
+        """Add a link, unless one to a newer incarnation is there."""
+        hello = link.hello
+        if hello.role != SIDE_ROLE:
+            return
+        present = self._link_by_id.get(hello.member_id)
+        if present is not None and present.is_open and _is_newer(present, link):
+            return
+        self._link_by_id[hello.member_id] = link
+        if self._leaving.get(hello.member_id, 0) < hello.incarnation:
+            self._leaving.pop(hello.member_id, None)
+
+    def on_down(self, link: Link) -> None:
+        """Remove a link, unless another has replaced it."""
+        member_id = link.hello.member_id
+        if self._link_by_id.get(member_id) is link:
+            del self._link_by_id[member_id]
+            self._leaving.pop(member_id, None)
+
+    def on_leaving(self, member_id: str, incarnation: int) -> None:
+        """Send no new work to a member that has begun to leave."""
+        link = self._link_by_id.get(member_id)
+        if link is not None and link.hello.incarnation <= incarnation:
+            self._leaving[member_id] = incarnation
+
+    def leaving_ids(self) -> frozenset[str]:
+        """Return the members that get no new work."""
+        return frozenset(self._leaving)
+
+    def open_link(self, member_id: str) -> Link | None:
+        """Return the link to a member if messages can be sent over it."""
+        link = self._link_by_id.get(member_id)
+        return link if link is not None and link.is_open else None
+
+
+def _is_newer(link: Link, other: Link) -> bool:
+    return link.hello.incarnation > other.hello.incarnation
--- /dev/null
+++ b/wigeonwind/roles/entry.py
@@ -0,0 +1,184 @@
+"""The entry role: accepts callers' requests and answers them through sidecars."""
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from wigeonwind.catalog import Catalog
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.decisions.interfaces import (
+    EndpointChoice,
+    EndpointInfo,
+    EndpointLoad,
+    LimitDecisions,
+    RetryDecisions,
+)
+from wigeonwind.links.messages import ClaimState, Leaving, LoadReport
+from wigeonwind.outcomes import ErrorCode
+from wigeonwind.roles.admission import Admission
+from wigeonwind.roles.booking_call import BookingCalls
+from wigeonwind.roles.dispatch import Dispatcher
+from wigeonwind.roles.endpoint_links import EndpointLinks
+from wigeonwind.roles.entry_http import CallerServer
+from wigeonwind.roles.health_api import HealthApi
+from wigeonwind.roles.http_call import HttpCall, StartResponse, read_call
+from wigeonwind.roles.metrics_sink import MetricsSink
+from wigeonwind.roles.openai_api import OpenAiApi
+from wigeonwind.roles.pending import Link
+from wigeonwind.roles.plain_api import PREFIX as PLAIN_PREFIX
+from wigeonwind.roles.plain_api import PlainApi
+from wigeonwind.roles.replies import failure_reply, refusal
+from wigeonwind.roles.run import Runner
+from wigeonwind.roles.tracing import Tracer
+from wigeonwind.settings import Settings, SocketAddress, parse_address
+from wigeonwind.state.store_types import Store
+
+DRAIN_POLL_MS = 20.0
+"""Interval at which a drain looks whether requests are still in flight."""
+
+
+class EntryRole:
+    """The parts of one entry and its state: starting, ready, draining, stopped."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        store: Store,
+        choice: EndpointChoice,
+        limits: LimitDecisions,
+        retry: RetryDecisions,
+        metrics: MetricsSink,
+        tracer: Tracer,
+        metrics_text: Callable[[], bytes] | None = None,
+    ) -> None:
+        """Build the parts; `metrics_text` renders `/metrics`."""
+        self._settings = settings
+        self._clock = clock
+        self._choice = choice
+        self._metrics = metrics
+        self._links = EndpointLinks()
+        self._has_had_link = False
+        self._started = False
+        self._draining = False
+        self._grace_over = Event()
+        self.dispatcher = Dispatcher(clock, self._links, choice, limits, retry, metrics)
+        timeout_ms = float(settings.limits.request_timeout_ms)
+        self._admission = Admission(clock, limits, timeout_ms)
+        runner = Runner(clock, self._admission, self.dispatcher, metrics, tracer)
+        self._runner = runner
+        self._bookings = BookingCalls(store, self.dispatcher)
+        self._openai = OpenAiApi(self._admission, runner)
+        self._plain = PlainApi(self._admission, runner, self._bookings.answer)
+        for_callers = None if settings.listen.operators else metrics_text
+        self._health = HealthApi(lambda: self.ready, for_callers)
+        self._server = CallerServer(
+            parse_address(settings.listen.callers),
+            self.application,
+            settings.limits,
+            runner.count_reply,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the entry may receive new requests."""
+        if not self._started or self._draining:
+            return False
+        return self._admission.has_catalog and self._has_had_link
+
+    def application(
+        self, environ: Mapping[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one HTTP request (a WSGI application)."""
+        call = read_call(environ, start_response)
+        if call.path.startswith("/v1/"):
+            return self._openai.answer(call)
+        if call.path.startswith(PLAIN_PREFIX):
+            return self._plain.answer(call)
+        health = self._health.answer(call)
+        return self._not_found(call) if health is None else health
+
+    def _not_found(self, call: HttpCall) -> Iterable[bytes]:
+        message = "there is nothing at this path"
+        error = refusal(ErrorCode.BAD_REQUEST, message, http_status=404)
+        self._runner.count_reply(error)
+        return call.reply(failure_reply(error, call.request_id))
+
+    def on_up(self, link: Link) -> None:
+        """Use a link that has come up."""
+        self._links.on_up(link)
+        self._has_had_link = self._has_had_link or len(self._links) > 0
+
+    def on_message(self, link: Link, message: object) -> bool:
+        """Handle a message; False if it is not for this role.
+
+        Leaving is noted here at once and left to the membership too.
+        """
+        if self.dispatcher.on_message(link, message):
+            return True
+        match message:
+            case LoadReport():
+                self._on_load(link, message)
+                return True
+            case ClaimState():
+                return self._bookings.on_claim_state(link, message)
+            case Leaving(member_id=member_id, incarnation=incarnation):
+                self._links.on_leaving(member_id, incarnation)
+        return False
+
+    def _on_load(self, link: Link, report: LoadReport) -> None:
+        waiting = tuple((str(row[0]), int(row[1])) for row in report.waiting_by_class)
+        load = EndpointLoad(
+            report.running,
+            report.slots,
+            waiting,
+            report.engine_age_ms,
+            report.ms_per_token,
+            report.ms_to_first_token,
+            report.queued_tokens,
+            report.ready,
+        )
+        self._choice.on_load(link.hello.member_id, load, self._clock.now_ms())
+
+    def on_down(self, link: Link, reason: str) -> None:
+        """Stop using a link; attempts on it end."""
+        self._links.on_down(link)
+        self.dispatcher.pending.on_down(link, reason)
+        self._bookings.on_down(link)
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Admit new requests under another version of the text."""
+        self._admission.set_catalog(catalog)
+
+    def set_endpoints(self, endpoints: tuple[EndpointInfo, ...]) -> None:
+        """Choose among these endpoints from now on."""
+        self._choice.set_endpoints(endpoints, self._clock.now_ms())
+
+    def start(self) -> SocketAddress:
+        """Listen for callers and return where."""
+        self._server.start()
+        self._started = True
+        return self._server.bound_address
+
+    def drain(self) -> None:
+        """Stop gracefully; blocks until nothing is in flight or the limit is over.
+
+        A second call shortens the grace period and waits for the same end.
+        """
+        if self._draining:
+            self._grace_over.set()
+        limit_ms = self._clock.now_ms() + self._settings.drain.limit_ms
+        self._draining = True
+        self._server.is_draining = True
+        self._grace_over.wait(self._settings.drain.grace_ms / MS_PER_SECOND)
+        self._server.close_idle()
+        while self._server.in_flight and self._clock.now_ms() < limit_ms:
+            gevent.sleep(DRAIN_POLL_MS / MS_PER_SECOND)
+
+    def stop(self) -> None:
+        """Stop at once; what is in flight is cut off."""
+        self._started = False
+        self._server.close_idle()
+        self._server.stop(timeout=0)
--- /dev/null
+++ b/wigeonwind/roles/entry_http.py
@@ -0,0 +1,293 @@
+"""The HTTP server towards callers: gevent's WSGI server with bounds on strangers."""
+
+import socket
+from collections.abc import Callable, Iterable
+from email.message import Message
+from http.client import HTTPException
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.ids import new_id
+from wigeonwind.outcomes import ErrorCode, Failure
+from wigeonwind.roles.http_call import (
+    BODY_KEY,
+    HEADERS_KEY,
+    SOCKET_KEY,
+    TARGET_KEY,
+    ReplyAbortedError,
+)
+from wigeonwind.roles.replies import failure_reply, raw_reply, refusal
+from wigeonwind.settings import LimitSettings, SocketAddress
+
+IDLE_TIMEOUT_S = 60.0
+"""Longest silence of a connection between requests, and of a caller that should read.
+
+Load balancers commonly drop idle connections after a minute.
+"""
+
+LINGER_S = 0.5
+LINGER_BYTES = 1_000_000
+"""What is read and dropped after a refusal.
+
+Closing a socket with unread data resets it, and the caller would lose the refusal.
+"""
+
+BODY_READ_BYTES = 65_536
+OVERLOAD_RETRY_MS = 1000.0
+
+Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
+class RequestRefusedError(ValueError):
+    """Raised inside the server where a request breaks a bound; never leaves it."""
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.message)
+        self.failure = failure
+
+
+def _refused(message: str, code: ErrorCode, status: int) -> RequestRefusedError:
+    return RequestRefusedError(refusal(code, message, http_status=status))
+
+
+class BoundedHead:
+    """Reads header lines up to a number of bytes."""
+
+    def __init__(self, rfile: Any, limit: int) -> None:
+        self._rfile = rfile
+        self._left = limit
+
+    def readline(self, size: int) -> bytes:
+        """Read one line; raise RequestRefusedError where the head grows too large."""
+        line: bytes = self._rfile.readline(min(size, self._left + 1))
+        self._left -= len(line)
+        if self._left < 0:
+            message = "the request's head is too large"
+            raise _refused(message, ErrorCode.TOO_LARGE, 431)
+        return line
+
+
+class CallerHandler(WSGIHandler):
+    """One connection of a caller."""
+
+    server: "CallerServer"
+
+    def handle_one_request(self) -> Any:
+        """Serve one request; the head and body have `read_timeout_ms` to arrive."""
+        if not self._await_request():
+            return None
+        timer = gevent.Timeout.start_new(self.server.read_timeout_s)
+        self._read_timer = timer
+        try:
+            return super().handle_one_request()
+        except gevent.Timeout as expired:
+            if expired is not timer:
+                raise
+            message = "the request did not arrive in time"
+            self._refuse(refusal(ErrorCode.BAD_REQUEST, message, http_status=408))
+            return None
+        finally:
+            timer.close()
+
+    def _await_request(self) -> bool:
+        """Wait for the first byte of a request."""
+        if self.server.is_closing:
+            return False
+        self.server.idle.add(self)
+        try:
+            return bool(self.rfile.peek(1))
+        except (OSError, ValueError):
+            return False
+        finally:
+            self.server.idle.discard(self)
+
+    def end_idle(self) -> None:
+        """Close a connection on which no request has begun."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def MessageClass(self, rfile: Any, *args: Any) -> Any:  # noqa: N802
+        """Read the header lines."""
+        bounded = BoundedHead(rfile, self.server.limits.max_header_bytes)
+        return super().MessageClass(bounded, *args)
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Parse the head; raise ValueError where it is not plain HTTP/1.x."""
+        if len(raw_requestline.split()) != 3:
+            raise _refused("the request line is wrong", ErrorCode.BAD_REQUEST, 400)
+        read = super().read_request(raw_requestline)
+        self._check_framing(self.headers)
+        return bool(read)
+
+    def _check_framing(self, headers: Message) -> None:
+        """Refuse heads that two servers could frame in different ways."""
+        encodings = headers.get_all("transfer-encoding", [])
+        if encodings and [value.lower().strip() for value in encodings] != ["chunked"]:
+            message = "the transfer encoding is not supported"
+            raise _refused(message, ErrorCode.BAD_REQUEST, 501)
+        lengths = headers.get_all("content-length", [])
+        if len(lengths) > 1 or not all(_is_length(value) for value in lengths):
+            raise _refused("wrong Content-Length", ErrorCode.BAD_REQUEST, 400)
+        if lengths and int(lengths[0]) > self.server.limits.max_body_bytes:
+            raise self._too_large()
+
+    def _too_large(self) -> RequestRefusedError:
+        limit = self.server.limits.max_body_bytes
+        message = f"the body is larger than {limit} bytes"
+        return _refused(message, ErrorCode.TOO_LARGE, 413)
+
+    def get_environ(self) -> Any:
+        """Add what the interfaces towards callers need."""
+        environ = super().get_environ()
+        environ[TARGET_KEY] = self.path
+        environ[HEADERS_KEY] = [list(pair) for pair in self.headers.items()]
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+    def handle_one_response(self) -> None:
+        """Read the body within its bounds, then let the application answer."""
+        try:
+            self.environ[BODY_KEY] = self._read_body()
+        except RequestRefusedError as error:
+            self._refuse(error.failure)
+            return
+        except OSError:
+            message = "the body is not complete or its chunks are malformed"
+            self._refuse(refusal(ErrorCode.BAD_REQUEST, message))
+            return
+        self._read_timer.close()
+        self.server.in_flight += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.in_flight -= 1
+
+    def _read_body(self) -> bytes:
+        pieces = []
+        size = 0
+        while piece := self.wsgi_input.read(BODY_READ_BYTES):
+            size += len(piece)
+            if size > self.server.limits.max_body_bytes:
+                raise self._too_large()
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def _handle_client_error(self, ex: Exception) -> None:
+        if isinstance(ex, RequestRefusedError):
+            self._refuse(ex.failure)
+        elif isinstance(ex, HTTPException):
+            message = "the request has too many headers"
+            self._refuse(refusal(ErrorCode.TOO_LARGE, message, http_status=431))
+        else:
+            message = "the request is not valid HTTP"
+            self._refuse(refusal(ErrorCode.BAD_REQUEST, message))
+
+    def _refuse(self, failure: Failure) -> None:
+        """Send a refusal and end the connection."""
+        self.close_connection = True
+        self.server.count_refused(failure)
+        send_refusal(self.socket, failure)
+
+    def finalize_headers(self) -> None:
+        """Announce the end of the connection while the entry drains."""
+        if self.server.is_draining and not self.close_connection:
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
+        super().finalize_headers()
+        if self.command == "HEAD":
+            self.response_use_chunked = False
+
+    def process_result(self) -> None:
+        """Send the reply; an aborted one ends without its last chunk."""
+        try:
+            super().process_result()
+        except ReplyAbortedError:
+            self.close_connection = True
+
+    def log_request(self) -> None:
+        """Write no line for each request: counters tell as much."""
+
+
+def _is_length(value: str) -> bool:
+    return value.isascii() and value.isdigit() and len(value) <= 18
+
+
+def send_refusal(sock: Any, failure: Failure) -> None:
+    """Send a refusal over a connection that ends with it."""
+    reply = raw_reply(failure_reply(failure, new_id()))
+    try:
+        sock.sendall(reply)
+        sock.shutdown(socket.SHUT_WR)
+        with gevent.Timeout(LINGER_S, False):
+            dropped = 0
+            while dropped < LINGER_BYTES and (data := sock.recv(BODY_READ_BYTES)):
+                dropped += len(data)
+    except OSError:
+        pass
+
+
+class CallerServer(WSGIServer):
+    """Accepts callers' connections."""
+
+    handler_class = CallerHandler
+
+    def __init__(
+        self,
+        address: SocketAddress,
+        application: Application,
+        limits: LimitSettings,
+        count_refused: Callable[[Failure], None],
+    ) -> None:
+        super().__init__(
+            (address.host, address.port),
+            application,
+            log=None,
+            error_log=None,
+            # A name here saves a lookup that a machine without resolver waits for.
+            environ={"SERVER_NAME": address.host},
+        )
+        self.limits = limits
+        self.read_timeout_s = limits.read_timeout_ms / MS_PER_SECOND
+        self.count_refused = count_refused
+        self.idle: set[CallerHandler] = set()
+        self.in_flight = 0
+        self.connections = 0
+        self.is_draining = False
+        self.is_closing = False
+
+    def handle(self, sock: Any, address: Any) -> None:
+        """Serve one connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(IDLE_TIMEOUT_S)
+        self.connections += 1
+        try:
+            if self.connections > self.limits.max_connections:
+                self._refuse_connection(sock)
+            else:
+                super().handle(sock, address)
+        finally:
+            self.connections -= 1
+
+    def _refuse_connection(self, sock: Any) -> None:
+        message = "too many connections"
+        failure = refusal(ErrorCode.OVERLOADED, message, OVERLOAD_RETRY_MS)
+        self.count_refused(failure)
+        send_refusal(sock, failure)
+        sock.close()
+
+    def close_idle(self) -> None:
+        """Accept no connection and close those on which no request has begun."""
+        self.is_closing = True
+        self.stop_accepting()
+        for handler in tuple(self.idle):
+            handler.end_idle()
+
+    @property
+    def bound_address(self) -> SocketAddress:
+        """Return where the server listens; the port is known after `start`."""
+        return SocketAddress(self.server_host, self.server_port)
--- /dev/null
+++ b/wigeonwind/roles/http_call.py
@@ -0,0 +1,104 @@
+"""One HTTP request of a caller, as the interfaces towards callers see it."""
+
+import socket
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from gevent import get_hub
+
+from wigeonwind.ids import new_id
+from wigeonwind.roles.replies import Headers, Reply, status_line
+
+BODY_KEY = "wigeonwind.body"
+TARGET_KEY = "wigeonwind.target"
+HEADERS_KEY = "wigeonwind.headers"
+SOCKET_KEY = "wigeonwind.socket"
+
+READ = 1
+"""Event mask of the loop for a readable socket."""
+
+StartResponse = Callable[[str, Headers], Any]
+Body = Iterable[bytes]
+
+
+class ReplyAbortedError(Exception):
+    """Ends a reply whose rest cannot be sent, so that it does not look whole."""
+
+
+class CallerWatch:
+    """Notices that a caller closes its connection while its request is served.
+
+    A caller that shuts down only its sending side counts as gone too: HTTP gives no
+    way to tell the two apart before the answer is written.
+    """
+
+    def __init__(self, sock: Any) -> None:
+        self._sock = sock
+        self._watcher: Any = None
+        self._on_gone: Callable[[], None] | None = None
+
+    def start(self, on_gone: Callable[[], None]) -> None:
+        """Call `on_gone` once when the connection is closed by the caller."""
+        self._on_gone = on_gone
+        self._watcher = get_hub().loop.io(self._sock.fileno(), READ)
+        self._watcher.start(self._check)
+
+    def stop(self) -> None:
+        """Watch no longer."""
+        watcher, self._watcher = self._watcher, None
+        if watcher is not None:
+            watcher.stop()
+            watcher.close()
+
+    def _check(self) -> None:
+        try:
+            data = self._sock._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        self.stop()
+        if not data and self._on_gone is not None:
+            self._on_gone()
+
+
+@dataclass(frozen=True)
+class HttpCall:
+    """A request whose body has been read.
+
+    `target` is the path with its query, as sent. `header_by_name` has lower-case names
+    and keeps the last of repeated headers; `headers` keeps all as sent.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    target: str
+    header_by_name: Mapping[str, str]
+    headers: list[list[str]]
+    body: bytes
+    start_response: StartResponse
+    watch: CallerWatch | None
+
+    def reply(self, reply: Reply) -> list[bytes]:
+        """Send a whole reply."""
+        self.start_response(status_line(reply.status), reply.headers)
+        return [reply.body]
+
+
+def read_call(environ: Mapping[str, Any], start_response: StartResponse) -> HttpCall:
+    """Return the request that the server has read."""
+    headers = environ[HEADERS_KEY]
+    sock = environ.get(SOCKET_KEY)
+    return HttpCall(
+        new_id(),
+        environ["REQUEST_METHOD"],
+        environ["PATH_INFO"],
+        environ[TARGET_KEY],
+        {name.lower(): value for name, value in headers},
+        headers,
+        environ[BODY_KEY],
+        start_response,
+        None if sock is None else CallerWatch(sock),
+    )
--- /dev/null
+++ b/wigeonwind/roles/openai_request.py
@@ -0,0 +1,113 @@
+"""Checks of the OpenAI request bodies; unknown fields are left as they are."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import xxhash
+
+from wigeonwind.outcomes import ErrorCode, Failure, Ok
+from wigeonwind.roles.replies import refusal
+
+CHARACTERS_PER_TOKEN = 4
+"""Usual length of a token in English text; only estimates depend on it."""
+
+PREFIX_STEP_CHARACTERS = 256
+"""Shortest prompt prefix whose place in a cache is worth knowing."""
+
+MAX_PREFIX_KEYS = 12
+"""Prefixes double in length, so 12 reach half a million characters."""
+
+
+@dataclass(frozen=True)
+class ModelRequest:
+    """What the entry needs of a request body."""
+
+    model: str
+    stream: bool
+    include_usage: bool
+    prompt_tokens: int
+    prefix_keys: tuple[int, ...]
+
+
+def read_model_request(body: bytes, is_chat: bool) -> Ok[ModelRequest] | Failure:
+    """Check the body of a chat or completion request."""
+    document = _read_object(body)
+    if isinstance(document, Failure):
+        return document
+    fields = document.value
+    model = fields.get("model")
+    if not isinstance(model, str) or not model:
+        return _bad("`model` must be a string")
+    stream = fields.get("stream")
+    if stream is not None and not isinstance(stream, bool):
+        return _bad("`stream` must be true or false")
+    if fields.get("n") not in (None, 1):
+        return _bad("`n` above 1 is not supported")
+    prompt = _chat_prompt(fields) if is_chat else _completion_prompt(fields)
+    if isinstance(prompt, Failure):
+        return prompt
+    text = prompt.value
+    tokens = max(1, len(text) // CHARACTERS_PER_TOKEN)
+    options = fields.get("stream_options")
+    usage = isinstance(options, dict) and options.get("include_usage") is True
+    return Ok(ModelRequest(model, bool(stream), usage, tokens, prefix_keys(text)))
+
+
+def prefix_keys(prompt: str) -> tuple[int, ...]:
+    """Return hashes of prefixes of doubling length, shortest first.
+
+    >>> len(prefix_keys("a" * 255)), len(prefix_keys("a" * 1024))
+    (0, 3)
+    """
+    keys: list[int] = []
+    length = PREFIX_STEP_CHARACTERS
+    while length <= len(prompt) and len(keys) < MAX_PREFIX_KEYS:
+        keys.append(xxhash.xxh64_intdigest(prompt[:length].encode("utf-8", "replace")))
+        length *= 2
+    return tuple(keys)
+
+
+def _read_object(body: bytes) -> Ok[dict[str, object]] | Failure:
+    try:
+        document = json.loads(body)
+    except RecursionError:
+        return _bad("the body is nested too deeply")
+    except ValueError:
+        return _bad("the body is not valid JSON")
+    if not isinstance(document, dict):
+        return _bad("the body must be a JSON object")
+    return Ok(document)
+
+
+def _chat_prompt(fields: dict[str, object]) -> Ok[str] | Failure:
+    messages = fields.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return _bad("`messages` must be a list with at least one message")
+    if not all(isinstance(message, dict) for message in messages):
+        return _bad("each of `messages` must be an object")
+    texts = [text for message in messages for text in _texts(message.get("content"))]
+    return Ok("\n".join(texts))
+
+
+def _texts(content: object) -> Iterator[str]:
+    """Yield the texts of a message's content, which is a string or a list of parts."""
+    if isinstance(content, str):
+        yield content
+    elif isinstance(content, list):
+        for part in content:
+            if isinstance(part, dict) and isinstance(part.get("text"), str):
+                yield part["text"]
+
+
+def _completion_prompt(fields: dict[str, object]) -> Ok[str] | Failure:
+    prompt = fields.get("prompt")
+    if isinstance(prompt, list) and len(prompt) == 1:
+        prompt = prompt[0]
+    if not isinstance(prompt, str):
+        return _bad("`prompt` must be a string")
+    return Ok(prompt)
+
+
+def _bad(message: str) -> Failure:
+    return refusal(ErrorCode.BAD_REQUEST, message)
--- /dev/null
+++ b/wigeonwind/roles/plain_api.py
@@ -0,0 +1,147 @@
+"""The interface to plain services: `/svc/SERVICE/...`."""
+
+from collections.abc import Callable, Generator
+
+from wigeonwind.catalog import BookingMode, ServiceKind
+from wigeonwind.outcomes import ErrorCode, Failure, Ok
+from wigeonwind.roles.admission import Admission, Known, Work
+from wigeonwind.roles.answer import AnswerEnd, AnswerHead, AnswerParts, CallerRequest
+from wigeonwind.roles.http_call import Body, HttpCall, ReplyAbortedError
+from wigeonwind.roles.plain_headers import reply_headers, request_headers
+from wigeonwind.roles.replies import (
+    Headers,
+    failure_reply,
+    refusal,
+    status_line,
+)
+from wigeonwind.roles.run import Runner, Running
+
+PREFIX = "/svc/"
+BOOKING_HEADER = "idempotency-key"
+MAX_BOOKING_KEY_LENGTH = 255
+
+NO_BODY_STATUSES = frozenset({204, 304})
+"""Statuses whose replies never have a body."""
+
+Book = Callable[[HttpCall, CallerRequest, Running, str], Body]
+
+
+class PlainApi:
+    """Answers the paths below `/svc/`."""
+
+    def __init__(self, admission: Admission, runner: Runner, book: Book) -> None:
+        self._admission = admission
+        self._runner = runner
+        self._book = book
+
+    def answer(self, call: HttpCall) -> Body:
+        """Answer a call; a generator, so that its end is always seen."""
+        span = self._runner.start_span("entry", call)
+        admitted = self._accept(call, span.traceparent)
+        if isinstance(admitted, Failure):
+            self._runner.count_reply(admitted)
+            span.end({"outcome": admitted.outcome.value})
+            yield from call.reply(failure_reply(admitted, call.request_id))
+            return
+        request = admitted.value
+        running = self._runner.start(request, call, span)
+        try:
+            key = call.header_by_name.get(BOOKING_HEADER, "")
+            if key and not request.repeatable:
+                yield from self._book(call, request, running, key)
+            else:
+                yield from self._pass(call, running)
+        finally:
+            running.close()
+
+    def _accept(self, call: HttpCall, traceparent: str) -> Ok[CallerRequest] | Failure:
+        known = self._admission.identify(call)
+        if isinstance(known, Failure):
+            return known
+        work = _work(call, known.value)
+        if isinstance(work, Failure):
+            return work
+        return self._admission.admit(call, known.value, work.value, traceparent)
+
+    def _pass(self, call: HttpCall, running: Running) -> Generator[bytes, None, None]:
+        """Pass the answer on as it arrives."""
+        body: _BodyCheck | None = None
+        for event in running.events:
+            match event:
+                case AnswerHead():
+                    headers = reply_headers(event.headers)
+                    headers.append(("X-Request-Id", call.request_id))
+                    body = _BodyCheck(call.method, event.status, headers)
+                    call.start_response(status_line(event.status), body.headers)
+                case AnswerParts() if body is not None:
+                    yield from body.pass_on(event.pieces)
+                case AnswerEnd() if body is not None:
+                    body.end()
+                case Failure() if body is None:
+                    yield from call.reply(failure_reply(event, call.request_id))
+                case Failure():
+                    raise ReplyAbortedError(event.message)
+
+
+class _BodyCheck:
+    """Holds the body of a reply to the length its head has announced."""
+
+    def __init__(self, method: str, status: int, headers: Headers) -> None:
+        self._has_body = method != "HEAD" and status not in NO_BODY_STATUSES
+        self._left = _announced_length(headers) if self._has_body else None
+        self.headers = headers
+        if status in NO_BODY_STATUSES:
+            self.headers = [
+                row for row in headers if row[0].lower() != "content-length"
+            ]
+
+    def pass_on(self, pieces: list[bytes]) -> Generator[bytes, None, None]:
+        """Yield the pieces that belong to the body."""
+        if not self._has_body:
+            return
+        data = b"".join(pieces)
+        if self._left is not None:
+            self._left -= len(data)
+            if self._left < 0:
+                raise ReplyAbortedError("the endpoint sent more than it announced")
+        yield data
+
+    def end(self) -> None:
+        """Check that nothing is missing."""
+        if self._left:
+            raise ReplyAbortedError("the endpoint sent less than it announced")
+
+
+def _announced_length(headers: Headers) -> int | None:
+    for name, value in headers:
+        if name.lower() == "content-length" and value.isascii() and value.isdigit():
+            return int(value)
+    return None
+
+
+def _work(call: HttpCall, known: Known) -> Ok[Work] | Failure:
+    name, rest = split_target(call.target)
+    service = known.catalog.service_by_name.get(name)
+    if service is None or service.kind is not ServiceKind.PLAIN:
+        message = f"there is no plain service {name[:100]!r}"
+        return refusal(ErrorCode.UNKNOWN_SERVICE, message)
+    key = call.header_by_name.get(BOOKING_HEADER, "")
+    if len(key) > MAX_BOOKING_KEY_LENGTH:
+        message = f"Idempotency-Key is longer than {MAX_BOOKING_KEY_LENGTH}"
+        return refusal(ErrorCode.BAD_REQUEST, message)
+    headers = request_headers(call.headers)
+    checked = bool(key) and service.bookings is BookingMode.ENDPOINT
+    return Ok(Work(service, rest, headers, False, 0, key_is_checked=checked))
+
+
+def split_target(target: str) -> tuple[str, str]:
+    """Split a request target into service and the path with query for it.
+
+    >>> split_target("/svc/spot-desk/lots/7?day=2")
+    ('spot-desk', '/lots/7?day=2')
+    >>> split_target("/svc/spot-desk?day=2")
+    ('spot-desk', '/?day=2')
+    """
+    path, mark, query = target[len(PREFIX) :].partition("?")
+    name, _, rest = path.partition("/")
+    return name, f"/{rest}{mark}{query}"
--- /dev/null
+++ b/wigeonwind/roles/plain_headers.py
@@ -0,0 +1,80 @@
+"""Headers that pass between a caller and an endpoint."""
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection only (RFC 9110 section 7.6.1)."""
+
+CONSUMED = frozenset(
+    {
+        "host",
+        "content-length",
+        "expect",
+        "traceparent",
+        "x-customer",
+        "x-request-class",
+        "x-request-timeout-ms",
+    }
+)
+"""Request headers that the router uses itself or that the next hop sets anew."""
+
+OURS = frozenset({"x-request-id", "x-outcome", "x-booking-replayed"})
+"""Reply headers that only the entry may set."""
+
+
+def _connection_names(headers: list[list[str]]) -> set[str]:
+    """Return the headers that a Connection header declares hop-by-hop."""
+    names: set[str] = set()
+    for name, value in headers:
+        if name.lower() == "connection":
+            names |= {part.strip().lower() for part in value.split(",")}
+    return names
+
+
+def request_headers(headers: list[list[str]]) -> list[list[str]]:
+    """Return the request headers an endpoint gets; API keys do not pass.
+
+    >>> request_headers([["Authorization", "Bearer k"], ["Accept", "*/*"]])
+    [['Accept', '*/*']]
+    """
+    dropped = HOP_BY_HOP | CONSUMED | _connection_names(headers)
+    return [
+        [name, value]
+        for name, value in headers
+        if name.lower() not in dropped and not _is_key(name, value)
+    ]
+
+
+def _is_key(name: str, value: str) -> bool:
+    return name.lower() == "authorization" and value[:7].lower() == "bearer "
+
+
+def reply_headers(headers: list[list[str]]) -> list[tuple[str, str]]:
+    """Return the reply headers a caller gets.
+
+    >>> reply_headers([["Connection", "X-Hop"], ["X-Hop", "1"], ["ETag", "e"]])
+    [('ETag', 'e')]
+    """
+    dropped = HOP_BY_HOP | OURS | _connection_names(headers)
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() not in dropped and _is_clean(name) and _is_clean(value)
+    ]
+
+
+def _is_clean(text: str) -> bool:
+    """Return whether a text can be sent in a header line."""
+    if "\r" in text or "\n" in text or "\0" in text:
+        return False
+    return all(ord(character) < 256 for character in text)
--- /dev/null
+++ b/wigeonwind/roles/tracing.py
@@ -0,0 +1,156 @@
+"""Traces: an OpenTelemetry span for each hop, exported as the settings say."""
+
+from collections.abc import Mapping, Sequence
+from typing import Protocol
+
+from opentelemetry import trace
+from opentelemetry.exporter.otlp.proto.http.trace_exporter import OTLPSpanExporter
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import ReadableSpan, TracerProvider
+from opentelemetry.sdk.trace.export import (
+    BatchSpanProcessor,
+    SpanExporter,
+    SpanExportResult,
+)
+from opentelemetry.sdk.trace.sampling import ParentBased, TraceIdRatioBased
+from opentelemetry.trace.propagation.tracecontext import (
+    TraceContextTextMapPropagator,
+)
+
+from wigeonwind.settings import TraceSettings
+
+PROPAGATOR = TraceContextTextMapPropagator()
+TRACEPARENT = "traceparent"
+
+
+class Span(Protocol):
+    """One hop of a request."""
+
+    @property
+    def traceparent(self) -> str:
+        """Return what the next hop takes as its parent."""
+        ...
+
+    def end(self, attributes: Mapping[str, str | int | float]) -> None:
+        """End the span with attributes known only now."""
+        ...
+
+
+class Tracer(Protocol):
+    """Starts spans."""
+
+    def start_span(
+        self,
+        name: str,
+        traceparent: str,
+        attributes: Mapping[str, str | int | float],
+    ) -> Span:
+        """Start a span below `traceparent`, or a new trace if that is empty."""
+        ...
+
+
+class JsonLinesExporter(SpanExporter):
+    """Appends each span to a file as one line of JSON."""
+
+    def __init__(self, path: str) -> None:
+        self._file = open(path, "a", encoding="utf-8")  # noqa: SIM115
+
+    def export(self, spans: Sequence[ReadableSpan]) -> SpanExportResult:
+        """Write the spans; a full disk loses spans, never requests."""
+        try:
+            for span in spans:
+                self._file.write(span.to_json(indent=None) + "\n")
+            self._file.flush()
+        except OSError:
+            return SpanExportResult.FAILURE
+        return SpanExportResult.SUCCESS
+
+    def shutdown(self) -> None:
+        """Close the file."""
+        self._file.close()
+
+
+class PassedSpan:
+    """A span that records nothing and passes the caller's trace context on."""
+
+    def __init__(self, traceparent: str) -> None:
+        self.traceparent = traceparent
+
+    def end(self, attributes: Mapping[str, str | int | float]) -> None:
+        """Record nothing."""
+
+
+class PassingTracer:
+    """Records nothing; used where the settings name no exporter."""
+
+    def start_span(
+        self,
+        name: str,
+        traceparent: str,
+        attributes: Mapping[str, str | int | float],
+    ) -> PassedSpan:
+        """Return a span that keeps `traceparent`."""
+        return PassedSpan(traceparent)
+
+    def shutdown(self) -> None:
+        """Do nothing."""
+
+
+class RecordedSpan:
+    """A span of the SDK."""
+
+    def __init__(self, span: trace.Span) -> None:
+        self._span = span
+        carrier: dict[str, str] = {}
+        PROPAGATOR.inject(carrier, trace.set_span_in_context(span))
+        self.traceparent = carrier.get(TRACEPARENT, "")
+
+    def end(self, attributes: Mapping[str, str | int | float]) -> None:
+        """End the span."""
+        self._span.set_attributes(dict(attributes))
+        self._span.end()
+
+
+class RecordingTracer:
+    """Starts spans of the SDK."""
+
+    def __init__(self, provider: TracerProvider) -> None:
+        self._provider = provider
+        self._tracer = provider.get_tracer("wigeonwind")
+
+    def start_span(
+        self,
+        name: str,
+        traceparent: str,
+        attributes: Mapping[str, str | int | float],
+    ) -> RecordedSpan:
+        """Start a span; a malformed `traceparent` starts a new trace."""
+        carrier = {TRACEPARENT: traceparent} if traceparent else {}
+        context = PROPAGATOR.extract(carrier)
+        span = self._tracer.start_span(name, context, attributes=dict(attributes))
+        return RecordedSpan(span)
+
+    def shutdown(self) -> None:
+        """Export what is left."""
+        self._provider.shutdown()
+
+
+def make_tracer(
+    settings: TraceSettings, node_id: str, role: str
+) -> PassingTracer | RecordingTracer:
+    """Set up the SDK from the settings."""
+    if not (settings.file or settings.otlp):
+        return PassingTracer()
+    resource = Resource({"service.name": f"wigeonwind-{role}", "node.id": node_id})
+    sampler = ParentBased(TraceIdRatioBased(settings.sample))
+    provider = TracerProvider(
+        sampler=sampler, resource=resource, shutdown_on_exit=False
+    )
+    if settings.file:
+        exporter = JsonLinesExporter(settings.file)
+        provider.add_span_processor(BatchSpanProcessor(exporter))
+    if settings.otlp:
+        url = f"http://{settings.otlp}/v1/traces"
+        otlp = OTLPSpanExporter(endpoint=url)
+        provider.add_span_processor(BatchSpanProcessor(otlp))
+    return RecordingTracer(provider)
--- /dev/null
+++ b/wigeonwind/state/booking_record.py
@@ -0,0 +1,104 @@
+"""The stored record of one booking: CBOR with a version."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+import cbor2
+
+RECORD_VERSION = 1
+
+RETENTION_MS = 7 * 24 * 3_600_000.0
+"""Records are kept 7 days; callers may retry a key for 24 hours."""
+
+MAX_RECORDED_BODY_BYTES = 262_144
+"""Larger answers are recorded without their body; the store takes values to 1 MB."""
+
+
+class RecordState(Enum):
+    """How far a booking has come."""
+
+    CLAIMED = "claimed"
+    DONE = "done"
+    RELEASED = "released"
+    """The claim ended certainly not run, and the next call may claim anew."""
+
+
+@dataclass(frozen=True)
+class RecordedAnswer:
+    """The endpoint's answer; `body` is None if it was too large to record."""
+
+    status: int
+    headers: list[list[str]]
+    body: bytes | None
+
+
+@dataclass(frozen=True)
+class BookingRecord:
+    """One booking.
+
+    `claimed_ms` is wall-clock time in milliseconds since 1970. `incarnation` is that of
+    the sidecar `endpoint_id` which alone may run the claim.
+    """
+
+    state: RecordState
+    claim_token: str
+    body_digest: str
+    endpoint_id: str
+    incarnation: int
+    claimed_ms: float
+    answer: RecordedAnswer | None = None
+
+
+def recorded(answer: RecordedAnswer) -> RecordedAnswer:
+    """Return the part of an answer that fits into a record."""
+    body = answer.body
+    if body is not None and len(body) > MAX_RECORDED_BODY_BYTES:
+        body = None
+    return RecordedAnswer(answer.status, answer.headers, body)
+
+
+def encode_record(record: BookingRecord) -> bytes:
+    """Return the stored form.
+
+    >>> record = BookingRecord(RecordState.CLAIMED, "t", "d", "side-1", 7, 0.0)
+    >>> decode_record(encode_record(record)) == record
+    True
+    """
+    fields: dict[str, object] = {
+        "v": RECORD_VERSION,
+        "state": record.state.value,
+        "token": record.claim_token,
+        "digest": record.body_digest,
+        "endpoint": record.endpoint_id,
+        "incarnation": record.incarnation,
+        "claimed_ms": record.claimed_ms,
+    }
+    if record.answer is not None:
+        answer = record.answer
+        fields["answer"] = [answer.status, answer.headers, answer.body]
+    return cbor2.dumps(fields)
+
+
+def decode_record(value: bytes) -> BookingRecord | None:
+    """Return the record, or None for one that this version cannot read."""
+    try:
+        fields = cbor2.loads(value)
+        if fields["v"] != RECORD_VERSION:
+            return None
+        answer = fields.get("answer")
+        return BookingRecord(
+            RecordState(fields["state"]),
+            fields["token"],
+            fields["digest"],
+            fields["endpoint"],
+            fields["incarnation"],
+            float(fields["claimed_ms"]),
+            None if answer is None else RecordedAnswer(*answer),
+        )
+    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError, AttributeError):
+        return None
+
+
+def is_expired(record: BookingRecord, wall_ms: float) -> bool:
+    """Return whether a record is past its retention and may be replaced or deleted."""
+    return wall_ms - record.claimed_ms > RETENTION_MS
