--- /dev/null
+++ b/tests/test_store_client.py
@@ -0,0 +1,190 @@
+"""The store client against a small HTTP fake: faults, budgets, coalescing."""
+
+import json
+from base64 import b64encode
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+from urllib.parse import parse_qs
+
+import gevent
+import pytest
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from wigeonwind.outcomes import Ok
+from wigeonwind.settings import SocketAddress
+from wigeonwind.state.memory_store import MemoryStore
+from wigeonwind.state.store_client import StoreClient, StoreLimits
+from wigeonwind.state.store_http import BreakerLimits, LaneLimits
+from wigeonwind.state.store_types import Conflict, NotFound, StoredObject, StoreFailure
+
+LIMITS = StoreLimits(
+    LaneLimits(4, 1000, 9000), LaneLimits(4, 1000, 9000), LaneLimits(2, 1000, 9000, 400)
+)
+SHORT = LaneLimits(2, 1000, 30)
+IMPATIENT = StoreLimits(SHORT, SHORT, LIMITS.watches)
+
+
+class NoBackoff(Random):
+    """Makes every backoff 0."""
+
+    def uniform(self, a: float, b: float) -> float:
+        return 0.0
+
+
+class FakeStore:
+    """A MemoryStore behind HTTP; `answers` are statuses to give before it is asked."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.answers: list[int] = []
+        self.requests: list[str] = []
+        self.gate = Event()
+        self.gate.set()
+        self.cut_after_write = False
+        self.server = WSGIServer(("127.0.0.1", 0), self._app, log=None)
+        self.server.start()
+        self.address = SocketAddress("127.0.0.1", self.server.server_port)
+
+    def _app(self, environ: dict, start: Any) -> list[bytes]:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        self.requests.append(f"{method} {path}")
+        self.gate.wait()
+        if self.answers:
+            status, body = self.answers.pop(0), {}
+        else:
+            status, body = self._handle(environ, method, path)
+        if self.cut_after_write and method == "PUT":
+            environ["wsgi.input"].rfile._sock.close()
+            raise ConnectionResetError
+        start(f"{status} X", [("Content-Type", "application/json")])
+        return [json.dumps(body).encode()]
+
+    def _handle(self, environ: dict, method: str, path: str) -> tuple[int, dict]:
+        if path == "/v1/watch":
+            query = parse_qs(environ["QUERY_STRING"])
+            batch = self.store.watch(query["prefix"][0], int(query["after"][0]), 0)
+            assert isinstance(batch, Ok)
+            events = [vars(event) for event in batch.value.events]
+            return 200, {"revision": batch.value.revision, "events": events}
+        key = path.removeprefix("/v1/objects/")
+        if method == "GET":
+            found = self.store.get(key)
+            if not isinstance(found, Ok):
+                return 404, {}
+            value = b64encode(found.value.value).decode()
+            return 200, {"key": key, "version": found.value.version, "value": value}
+        body = environ["wsgi.input"].read()
+        if_version = int(environ["HTTP_IF_MATCH"])
+        result: Any
+        if method == "DELETE":
+            result = self.store.delete(key, if_version)
+        else:
+            result = self.store.put(key, body, if_version)
+        if isinstance(result, Conflict):
+            return 412, {"version": result.version}
+        return 200, {"version": result.value}
+
+
+@pytest.fixture
+def fake() -> Iterator[FakeStore]:
+    server = FakeStore()
+    yield server
+    server.gate.set()
+    server.server.stop(timeout=0.1)
+
+
+def client_of(fake: FakeStore, breaker: BreakerLimits | None = None) -> StoreClient:
+    limits = StoreLimits(LIMITS.reads, LIMITS.writes, LIMITS.watches, breaker)
+    return StoreClient(fake.address, limits, random=Random(1))
+
+
+def test_objects_are_written_read_and_watched_by_version(fake: FakeStore):
+    client = client_of(fake)
+    assert client.get("text/head") == NotFound("text/head")
+    assert client.put("text/head", b"\x00one", 0) == Ok(1)
+    assert client.put("text/head", b"two", 0) == Conflict("text/head", 1)
+    found = client.get("text/head")
+    assert found == Ok(StoredObject("text/head", 1, b"\x00one"))
+    batch = client.watch("text/", 0, 100)
+    assert isinstance(batch, Ok)
+    assert [event.key for event in batch.value.events] == ["text/head"]
+    assert client.delete("text/head", 1) == Ok(None)
+    assert client.count_by_kind() == {"reads": 2, "writes": 3, "watches": 1}
+
+
+def test_throttling_is_met_by_another_try(fake: FakeStore):
+    fake.answers = [429]
+    assert client_of(fake).put("k", b"v", 0) == Ok(1)
+    assert len(fake.requests) == 2
+
+
+def test_a_write_whose_fate_is_unknown_is_not_sent_again(fake: FakeStore):
+    # A second conditional write would conflict with the first one's own effect.
+    fake.answers = [503]
+    result = client_of(fake).put("k", b"v", 0)
+    assert isinstance(result, StoreFailure)
+    assert result.maybe_written
+    assert len(fake.requests) == 1
+
+
+def test_a_connection_lost_after_the_write_is_reported_once(fake: FakeStore):
+    fake.cut_after_write = True
+    result = client_of(fake).put("k", b"v", 0)
+    assert isinstance(result, StoreFailure)
+    assert result.maybe_written
+    assert fake.requests == ["PUT /v1/objects/k"]
+    assert fake.store.version_of("k") == 1
+
+
+def test_a_silent_store_ends_in_a_timeout_that_frees_the_connection(fake: FakeStore):
+    client = StoreClient(fake.address, IMPATIENT, random=NoBackoff())
+    fake.gate.clear()
+    results = [client.get("k") for _ in range(3)]
+    assert all(isinstance(result, StoreFailure) for result in results)
+    # More reads than connections were sent, so none has kept its connection.
+    assert client.count_by_kind()["reads"] == 3
+
+
+def test_a_refused_connection_certainly_wrote_nothing():
+    client = StoreClient(SocketAddress("127.0.0.1", 1), IMPATIENT, random=Random(1))
+    result = client.put("k", b"v", 0)
+    assert isinstance(result, StoreFailure)
+    assert not result.maybe_written
+
+
+def test_waiting_watches_do_not_keep_reads_and_writes_from_the_store(fake: FakeStore):
+    client = client_of(fake)
+    fake.gate.clear()
+    watches = [gevent.spawn(client.watch, "text/", 0, 400) for _ in range(6)]
+    gevent.sleep(0.01)
+    assert client.count_by_kind()["watches"] == 2
+    fake.gate.set()
+    assert client.put("k", b"v", 0) == Ok(1)
+    gevent.joinall(watches)
+
+
+def test_reads_that_wait_become_one_and_never_join_an_older_one(fake: FakeStore):
+    client = client_of(fake)
+    fake.gate.clear()
+    first = gevent.spawn(client.get, "k")
+    gevent.sleep(0.01)
+    later = [gevent.spawn(client.get, "k") for _ in range(5)]
+    gevent.sleep(0.01)
+    fake.gate.set()
+    gevent.joinall([first, *later])
+    assert len(fake.requests) == 2
+    assert client.coalesced_reads == 4
+    assert all(job.value == NotFound("k") for job in later)
+
+
+def test_an_open_breaker_refuses_at_once(fake: FakeStore):
+    client = client_of(fake, BreakerLimits(failures=2, open_ms=10_000))
+    fake.answers = [500, 500]
+    for _ in range(2):
+        client.put("k", b"v", 0)
+    result = client.put("k", b"v", 0)
+    assert isinstance(result, StoreFailure)
+    assert result.reason == "circuit breaker is open"
+    assert len(fake.requests) == 2
--- /dev/null
+++ b/wigeonwind/state/memory_store.py
@@ -0,0 +1,129 @@
+"""An object store in memory, with the published semantics and faults on demand."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from wigeonwind.outcomes import Ok
+from wigeonwind.state.store_types import (
+    Conflict,
+    NotFound,
+    StoredObject,
+    StoreFailure,
+    WatchBatch,
+    WatchEvent,
+)
+
+MAX_VALUE_BYTES = 1_000_000
+"""Largest value of the platform's store."""
+
+OUTAGE = StoreFailure("store is down", maybe_written=False)
+
+
+@dataclass
+class StoreFaults:
+    """Faults that the next calls meet; counters go down as faults are met."""
+
+    down: bool = False
+    fail_before: int = 0
+    """Writes that fail before they take effect, with `maybe_written`."""
+    lose_answer: int = 0
+    """Writes that take effect and whose answer is lost."""
+    fail_reads: int = 0
+    skip_events: int = 0
+    repeat_events: int = 0
+
+
+@dataclass
+class MemoryStore:
+    """Implements `Store`: versions, conditional writes, watches that never wait.
+
+    `value_by_key_version` keeps all that was ever written, for checks.
+    """
+
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    object_by_key: dict[str, StoredObject] = field(default_factory=dict)
+    value_by_key_version: dict[tuple[str, int], list[bytes]] = field(
+        default_factory=dict
+    )
+    count_by_kind: dict[str, int] = field(default_factory=dict)
+    revision: int = 0
+    _events: deque[WatchEvent] = field(default_factory=deque)
+
+    def get(self, key: str) -> Ok[StoredObject] | NotFound | StoreFailure:
+        """Read one object."""
+        self._count("reads")
+        if self.faults.down or self._meets("fail_reads"):
+            return OUTAGE
+        stored = self.object_by_key.get(key)
+        return NotFound(key) if stored is None else Ok(stored)
+
+    def put(
+        self, key: str, value: bytes, if_version: int
+    ) -> Ok[int] | Conflict | StoreFailure:
+        """Write if the object has `if_version`."""
+        self._count("writes")
+        if self.faults.down:
+            return OUTAGE
+        if self._meets("fail_before"):
+            return StoreFailure("no answer", maybe_written=True)
+        if len(value) > MAX_VALUE_BYTES:
+            return StoreFailure("value over 1 MB", maybe_written=False)
+        result = self._write(key, value, if_version)
+        if self._meets("lose_answer"):
+            return StoreFailure("no answer", maybe_written=True)
+        return result
+
+    def _write(self, key: str, value: bytes, if_version: int) -> Ok[int] | Conflict:
+        version = self.version_of(key)
+        if version != if_version:
+            return Conflict(key, version)
+        self.object_by_key[key] = StoredObject(key, version + 1, value)
+        written = self.value_by_key_version.setdefault((key, version + 1), [])
+        written.append(value)
+        self._add_event(key, version + 1, deleted=False)
+        return Ok(version + 1)
+
+    def delete(self, key: str, if_version: int) -> Ok[None] | Conflict | StoreFailure:
+        """Delete if the object has `if_version`."""
+        self._count("writes")
+        if self.faults.down:
+            return OUTAGE
+        version = self.version_of(key)
+        if version != if_version:
+            return Conflict(key, version)
+        self.object_by_key.pop(key, None)
+        self._add_event(key, version, deleted=True)
+        return Ok(None)
+
+    def watch(
+        self, prefix: str, after: int, timeout_ms: float
+    ) -> Ok[WatchBatch] | StoreFailure:
+        """Return the changes after revision `after` at once, even if there are none."""
+        self._count("watches")
+        if self.faults.down:
+            return OUTAGE
+        if self._meets("repeat_events"):
+            after = 0
+        events = [e for e in self._events if e.revision > after]
+        events = [event for event in events if event.key.startswith(prefix)]
+        if events and self._meets("skip_events"):
+            events = []
+        return Ok(WatchBatch(self.revision, tuple(events)))
+
+    def version_of(self, key: str) -> int:
+        """Return the version of an object, 0 if there is none."""
+        stored = self.object_by_key.get(key)
+        return stored.version if stored else 0
+
+    def _add_event(self, key: str, version: int, deleted: bool) -> None:
+        self.revision += 1
+        self._events.append(WatchEvent(key, version, self.revision, deleted))
+
+    def _count(self, kind: str) -> None:
+        self.count_by_kind[kind] = self.count_by_kind.get(kind, 0) + 1
+
+    def _meets(self, fault: str) -> bool:
+        left = getattr(self.faults, fault)
+        if left > 0:
+            setattr(self.faults, fault, left - 1)
+        return left > 0
--- /dev/null
+++ b/wigeonwind/state/store_http.py
@@ -0,0 +1,251 @@
+"""One class of store calls over HTTP: own connections, own rate, own backoff.
+
+Reads, writes and watches get a lane each, so that none of them can use up the
+connections or the rate of another.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from random import Random
+
+import gevent
+from gevent.lock import BoundedSemaphore
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.settings import SocketAddress
+from wigeonwind.state.store_types import StoreFailure
+
+FIRST_BACKOFF_MS = 50.0
+LONGEST_BACKOFF_MS = 10_000.0
+MAX_REPLY_BYTES = 4_000_000
+"""Bound on a reply: a value of 1 MB in base64, or a long list of keys."""
+
+CONNECT_TIMEOUT_MS = 1_000.0
+
+
+@dataclass(frozen=True)
+class LaneLimits:
+    """Budget of one kind of calls; `timeout_ms` bounds one call with its waits."""
+
+    connections: int
+    calls_per_s: float
+    timeout_ms: float
+    hold_ms: float = 0.0
+    """Longest time for which the store itself may hold a request (watches)."""
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Status and body of an answer of the store."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True)
+class BreakerLimits:
+    """After `failures` in a row, calls are refused at once for `open_ms`."""
+
+    failures: int = 5
+    open_ms: float = 2_000.0
+
+
+@dataclass
+class LaneCounts:
+    """What became of the calls of one lane."""
+
+    calls: int = 0
+    """Requests sent to the store; the store counts these."""
+    failures: int = 0
+    throttled: int = 0
+    """Answers 429."""
+    refused_by_breaker: int = 0
+    over_budget: int = 0
+    by_status: dict[int, int] = field(default_factory=dict)
+
+
+class StoreLane:
+    """Sends one kind of calls, within its rate, with backoff after failures."""
+
+    def __init__(
+        self,
+        address: SocketAddress,
+        limits: LaneLimits,
+        clock: Clock,
+        random: Random,
+        breaker: BreakerLimits | None,
+        sleep_ms: Callable[[float], None] | None = None,
+    ) -> None:
+        self.limits = limits
+        self.counts = LaneCounts()
+        self._clock = clock
+        self._random = random
+        self._breaker = breaker
+        self._sleep_ms = sleep_ms or (lambda ms: gevent.sleep(ms / MS_PER_SECOND))
+        self._slots = BoundedSemaphore(limits.connections)
+        self._client = _http_client(address, limits)
+        self._failures = 0
+        self._not_before_ms = 0.0
+        self._open_until_ms = 0.0
+        self._tokens = limits.calls_per_s
+        self._filled_at_ms = clock.now_ms()
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._client.close()
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        hold_ms: float = 0.0,
+    ) -> Reply | StoreFailure:
+        """Send one request; wait for its turn within the timeout of the lane.
+
+        A request that the store has certainly not processed is sent again. Others
+        are not: the caller knows whether that is safe. `hold_ms` is the time for
+        which the store itself may hold this request.
+        """
+        deadline_ms = self._clock.now_ms() + self.limits.timeout_ms + hold_ms
+        while True:
+            waited = self._wait_for_turn(deadline_ms)
+            if waited is not None:
+                return waited
+            result = self._send(method, path, body, headers or {}, deadline_ms)
+            self._note(result)
+            if not isinstance(result, StoreFailure) or result.maybe_written:
+                return result
+            if self._clock.now_ms() + self._backoff_left_ms() >= deadline_ms:
+                return result
+
+    def _wait_for_turn(self, deadline_ms: float) -> StoreFailure | None:
+        """Wait for backoff and rate; return a failure if that takes too long."""
+        now_ms = self._clock.now_ms()
+        if self._open_until_ms > now_ms:
+            self.counts.refused_by_breaker += 1
+            left_ms = self._open_until_ms - now_ms
+            return StoreFailure("circuit breaker is open", False, left_ms)
+        delay_ms = max(self._backoff_left_ms(), self._take_token())
+        if now_ms + delay_ms >= deadline_ms:
+            self._tokens += 1
+            self.counts.over_budget += 1
+            return StoreFailure("rate or backoff leaves no time", False, delay_ms)
+        if delay_ms > 0:
+            self._sleep_ms(delay_ms)
+        return None
+
+    def _backoff_left_ms(self) -> float:
+        return max(0.0, self._not_before_ms - self._clock.now_ms())
+
+    def _take_token(self) -> float:
+        """Take one token of the rate; return how long to wait until it is there."""
+        now_ms = self._clock.now_ms()
+        per_ms = self.limits.calls_per_s / MS_PER_SECOND
+        refill = (now_ms - self._filled_at_ms) * per_ms
+        self._tokens = min(self.limits.calls_per_s, self._tokens + refill) - 1
+        self._filled_at_ms = now_ms
+        return max(0.0, -self._tokens / per_ms)
+
+    def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        deadline_ms: float,
+    ) -> Reply | StoreFailure:
+        timeout_s = (deadline_ms - self._clock.now_ms()) / MS_PER_SECOND
+        if not self._slots.acquire(timeout=max(timeout_s, 0.0)):
+            self.counts.over_budget += 1
+            return StoreFailure("no connection is free", False)
+        try:
+            self.counts.calls += 1
+            return self._exchange(method, path, body, headers, deadline_ms)
+        finally:
+            self._slots.release()
+
+    def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str],
+        deadline_ms: float,
+    ) -> Reply | StoreFailure:
+        try:
+            left_s = (deadline_ms - self._clock.now_ms()) / MS_PER_SECOND
+            # The library releases its socket on an OSError such as TimeoutError.
+            with gevent.Timeout(max(left_s, 0.001), TimeoutError("answer too slow")):
+                response = self._client.request(method, path, body, dict(headers))
+                if (response.content_length or 0) > MAX_REPLY_BYTES:
+                    raise OSError(f"answer over {MAX_REPLY_BYTES} bytes")
+                data = response.read()
+        except ConnectionRefusedError:
+            return StoreFailure("connection refused", maybe_written=False)
+        except (OSError, HTTPParseError) as error:
+            reason = f"no answer: {error or type(error).__name__}"
+            return StoreFailure(reason, maybe_written=True)
+        status = response.status_code
+        by_status = self.counts.by_status
+        by_status[status] = by_status.get(status, 0) + 1
+        return self._judged(status, bytes(data), response.get("retry-after"))
+
+    def _judged(
+        self, status: int, data: bytes, retry_after: object
+    ) -> Reply | StoreFailure:
+        """Turn refusals into failures.
+
+        429 says that nothing was done. After 503 or another 5xx that is not certain,
+        because a gateway may answer for a store that has done the work.
+        """
+        retry_ms = _retry_after_ms(retry_after)
+        if status == 429:
+            self.counts.throttled += 1
+            return StoreFailure("store is throttling", False, retry_ms)
+        if status >= 500:
+            return StoreFailure(f"store answered {status}", True, retry_ms)
+        return Reply(status, data)
+
+    def _note(self, result: Reply | StoreFailure) -> None:
+        """Set backoff and breaker after an answer."""
+        if isinstance(result, Reply):
+            self._failures = 0
+            return
+        self.counts.failures += 1
+        self._failures += 1
+        now_ms = self._clock.now_ms()
+        ceiling = min(
+            FIRST_BACKOFF_MS * 2 ** min(self._failures, 12), LONGEST_BACKOFF_MS
+        )
+        # Full jitter keeps processes that failed together from returning together.
+        self._not_before_ms = now_ms + self._random.uniform(ceiling / 2, ceiling)
+        if self._breaker and self._failures >= self._breaker.failures:
+            open_ms = self._breaker.open_ms * self._random.uniform(0.5, 1.5)
+            self._open_until_ms = now_ms + open_ms
+
+
+def _http_client(address: SocketAddress, limits: LaneLimits) -> HTTPClient:
+    client = HTTPClient(
+        address.host,
+        address.port,
+        concurrency=limits.connections,
+        connection_timeout=CONNECT_TIMEOUT_MS / MS_PER_SECOND,
+        network_timeout=(limits.timeout_ms + limits.hold_ms) / MS_PER_SECOND,
+        block_size=65_536,
+    )
+    # geventhttpclient repeats PUT and DELETE on a broken connection, size + 1 times. A
+    # repeated conditional write would meet its own first write and report a conflict.
+    client._connection_pool.size = -1
+    return client
+
+
+def _retry_after_ms(value: object) -> float:
+    """Return a Retry-After header in ms; one second if there is none."""
+    try:
+        return float(str(value)) * MS_PER_SECOND
+    except ValueError:
+        return MS_PER_SECOND
--- /dev/null
+++ b/wigeonwind/state/text_head.py
@@ -0,0 +1,138 @@
+"""How a configuration text is kept in the store: one head, and parts by digest.
+
+The head `text/head` has the version of the text as its object version. A small text
+is inside the head. A larger one is cut into parts that never change once written, so
+that an edit writes the head and the parts in which it falls.
+"""
+
+import json
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from hashlib import sha256
+from typing import Any
+from zlib import crc32
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from wigeonwind.state.text_sections import Sections
+
+HEAD_KEY = "text/head"
+PART_PREFIX = "text/part/"
+
+INLINE_LIMIT_BYTES = 32_000
+"""Texts up to this size are kept in the head itself."""
+
+SECTIONS_PER_PART = 128
+"""Average sections of one part. At 29,000 customers this gives some 230 parts of
+18 KB and a head of 9 KB, so an edit costs about 27 KB in the store."""
+
+MAX_PART_BYTES = 500_000
+"""Bound on a part, half the value limit of the store."""
+
+PART_DIGEST_DIGITS = 32
+
+REMEMBERED_SUBMISSIONS = 32
+"""Accepted submissions listed in a head; within this many versions, a repeated
+submission is recognised."""
+
+
+class AcceptedSubmission(BaseModel):
+    """One submission that was accepted, with the version it became."""
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    version: int
+    submission_id: str
+    digest: str
+
+
+class Head(BaseModel):
+    """The value of `text/head`; `source` is set if `parts` is empty."""
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    version: int
+    submission_id: str
+    digest: str
+    parts: tuple[str, ...] = ()
+    source: str = ""
+    recent: tuple[AcceptedSubmission, ...] = ()
+
+    def encode(self) -> bytes:
+        """Return the head as JSON."""
+        return json.dumps(self.model_dump(), separators=(",", ":")).encode()
+
+    def accepted(self, submission_id: str) -> AcceptedSubmission | None:
+        """Return the accepted submission of this id, if it is still listed."""
+        for row in self.recent:
+            if row.submission_id == submission_id:
+                return row
+        return None
+
+
+def decode_head(value: bytes, version: int) -> Head | None:
+    """Return a head, or None if it is damaged or not of object version `version`."""
+    try:
+        head = Head.model_validate_json(value)
+    except ValidationError:
+        return None
+    return head if head.version == version else None
+
+
+@dataclass(frozen=True)
+class StoredText:
+    """A text as it is written: its head, and the sources of its parts by digest."""
+
+    head: Head
+    part_by_digest: Mapping[str, str]
+
+
+def store_text(sections: Sections, base: Head, submission_id: str) -> StoredText:
+    """Return what to write for a text that follows `base`."""
+    version = base.version + 1
+    row = AcceptedSubmission(
+        version=version, submission_id=submission_id, digest=sections.digest
+    )
+    recent = (*base.recent, row)[-REMEMBERED_SUBMISSIONS:]
+    fields: dict[str, Any] = {
+        "version": version,
+        "submission_id": submission_id,
+        "digest": sections.digest,
+        "recent": recent,
+    }
+    source = sections.source
+    if len(source.encode()) <= INLINE_LIMIT_BYTES:
+        return StoredText(Head(source=source, **fields), {})
+    part_by_digest = dict(cut_parts(sections))
+    return StoredText(Head(parts=tuple(part_by_digest), **fields), part_by_digest)
+
+
+def cut_parts(sections: Sections) -> Iterable[tuple[str, str]]:
+    """Yield digest and source of each part of a text, in order.
+
+    The name of a section decides whether a part ends behind it, so an added or removed
+    section changes one part only.
+    """
+    piece: list[str] = []
+    size = 0
+    for name, source in sections.source_by_name.items():
+        if piece and size + len(source) > MAX_PART_BYTES:
+            yield _part(piece)
+            piece, size = [], 0
+        piece.append(source)
+        size += len(source)
+        if crc32(name.encode()) % SECTIONS_PER_PART == 0:
+            yield _part(piece)
+            piece, size = [], 0
+    if piece:
+        yield _part(piece)
+
+
+def _part(piece: Iterable[str]) -> tuple[str, str]:
+    source = "".join(piece)
+    return part_digest(source), source
+
+
+def part_digest(source: str) -> str:
+    """Return the digest under which a part is kept."""
+    return sha256(source.encode()).hexdigest()[:PART_DIGEST_DIGITS]
--- /dev/null
+++ b/wigeonwind/state/text_store.py
@@ -0,0 +1,261 @@
+"""Submission of a configuration text to the store, and reading it back."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from wigeonwind.outcomes import Invalid, Ok, Problem
+from wigeonwind.state.store_steps import GetCall, PauseCall, PutCall, Steps
+from wigeonwind.state.store_types import NotFound, StoreFailure
+from wigeonwind.state.text_head import (
+    HEAD_KEY,
+    PART_PREFIX,
+    AcceptedSubmission,
+    Head,
+    StoredText,
+    decode_head,
+    part_digest,
+    store_text,
+)
+from wigeonwind.state.text_sections import Sections, normalise, split_text
+
+ATTEMPTS = 4
+"""Tries of a store call before the submission is given up."""
+
+RETRY_PAUSE_MS = 200.0
+"""First pause between tries; it doubles each time."""
+
+
+@dataclass(frozen=True)
+class Accepted:
+    """The submission is in force as `version`."""
+
+    version: int
+
+
+@dataclass(frozen=True)
+class SubmitConflict:
+    """Another version than the edited one is in force; `source` is its text."""
+
+    version: int
+    source: str
+
+
+@dataclass(frozen=True)
+class SubmitUnavailable:
+    """The store did not answer.
+
+    `maybe_accepted` says that the text may be accepted all the same; the same
+    submission id can be submitted again safely.
+    """
+
+    reason: str
+    maybe_accepted: bool
+    retry_after_ms: float = 1000.0
+
+
+SubmitResult = Accepted | SubmitConflict | SubmitUnavailable | Invalid
+
+
+@dataclass(frozen=True)
+class HeadDamaged:
+    """The store holds a head or part that cannot be used, at object `version`."""
+
+    version: int
+    reason: str
+
+
+@dataclass(frozen=True)
+class FetchedText:
+    """A whole text as read from the store."""
+
+    version: int
+    source: str
+    submission_id: str
+
+
+@dataclass(frozen=True)
+class NothingNewer:
+    """The head of the store is no newer than what is known."""
+
+    version: int
+
+
+def submit_steps(
+    base_version: int, submission_id: str, sections: Sections
+) -> Steps[SubmitResult]:
+    """Submit checked sections as the successor of `base_version`.
+
+    The head is written only if it still has `base_version`. After a lost answer the
+    head is read back: it lists the submission if it was accepted, and otherwise the
+    same conditional write is repeated, which cannot take effect twice.
+    """
+    read = yield from _read_head()
+    if isinstance(read, StoreFailure):
+        return _unavailable(read, maybe_accepted=False)
+    early = yield from _answer_from(read, base_version, submission_id, sections)
+    if early is not None:
+        return early
+    # A missing or damaged head is replaced, under its own version.
+    base = read if isinstance(read, Head) else _empty_head(base_version)
+    stored = store_text(sections, base, submission_id)
+    failure = yield from _write_parts(stored, base)
+    if failure is not None:
+        return _unavailable(failure, maybe_accepted=False)
+    return (yield from _write_head(stored.head, base_version, sections))
+
+
+def _empty_head(version: int) -> Head:
+    return Head(version=version, submission_id="", digest="")
+
+
+def _answer_from(
+    read: Head | HeadDamaged | NotFound,
+    base_version: int,
+    submission_id: str,
+    sections: Sections,
+) -> Steps[SubmitResult | None]:
+    """Return the answer if the head decides it before a write, else None."""
+    if isinstance(read, Head):
+        row = read.accepted(submission_id)
+        if row is not None:
+            return _repeated(row, sections)
+    version = 0 if isinstance(read, NotFound) else read.version
+    if version == base_version:
+        return None
+    return (yield from _conflict(read))
+
+
+def _repeated(row: AcceptedSubmission, sections: Sections) -> SubmitResult:
+    """Return the answer to a submission id that was accepted before."""
+    if row.digest == sections.digest:
+        return Accepted(row.version)
+    expected = f"a new id; this one was used for the text of version {row.version}"
+    return Invalid((Problem("", "submission_id", row.submission_id, expected),))
+
+
+def _conflict(read: Head | HeadDamaged | NotFound) -> Steps[SubmitResult]:
+    if isinstance(read, NotFound):
+        return SubmitConflict(0, "")
+    if isinstance(read, HeadDamaged):
+        return SubmitConflict(read.version, "")
+    fetched = yield from read_parts_steps(read, {})
+    if isinstance(fetched, FetchedText):
+        return SubmitConflict(fetched.version, fetched.source)
+    return SubmitConflict(read.version, "")
+
+
+def _unavailable(failure: StoreFailure, maybe_accepted: bool) -> SubmitUnavailable:
+    return SubmitUnavailable(failure.reason, maybe_accepted, failure.retry_after_ms)
+
+
+def _read_head() -> Steps[Head | HeadDamaged | NotFound | StoreFailure]:
+    """Read the head, with a few tries."""
+    failure = StoreFailure("not tried", maybe_written=False)
+    for attempt in range(ATTEMPTS):
+        if attempt:
+            yield PauseCall(RETRY_PAUSE_MS * 2**attempt)
+        result = yield GetCall(HEAD_KEY)
+        if isinstance(result, NotFound):
+            return result
+        if isinstance(result, Ok):
+            stored = result.value
+            head = decode_head(stored.value, stored.version)
+            return head or HeadDamaged(stored.version, "text/head cannot be read")
+        failure = result
+    return failure
+
+
+def _write_parts(stored: StoredText, base: Head) -> Steps[StoreFailure | None]:
+    """Write the parts that the base does not have; they must precede the head."""
+    known = set(base.parts)
+    for digest, source in stored.part_by_digest.items():
+        if digest in known:
+            continue
+        failure = yield from _write_part(digest, source)
+        if failure is not None:
+            return failure
+    return None
+
+
+def _write_part(digest: str, source: str) -> Steps[StoreFailure | None]:
+    """Create a part; one that exists already has the same content."""
+    failure = None
+    for attempt in range(ATTEMPTS):
+        if attempt:
+            yield PauseCall(RETRY_PAUSE_MS * 2**attempt)
+        result = yield PutCall(PART_PREFIX + digest, source.encode(), 0)
+        if not isinstance(result, StoreFailure):
+            return None
+        failure = result
+    return failure
+
+
+def _write_head(
+    head: Head, base_version: int, sections: Sections
+) -> Steps[SubmitResult]:
+    """Write the head if it still has `base_version`, and resolve lost answers."""
+    failure = StoreFailure("not tried", maybe_written=False)
+    maybe_accepted = False
+    for attempt in range(ATTEMPTS):
+        if attempt:
+            yield PauseCall(RETRY_PAUSE_MS * 2**attempt)
+        result = yield PutCall(HEAD_KEY, head.encode(), base_version)
+        if isinstance(result, Ok):
+            return Accepted(result.value)
+        if isinstance(result, StoreFailure):
+            failure = result
+            maybe_accepted = maybe_accepted or result.maybe_written
+            if not result.maybe_written:
+                continue
+        # A conflict can be with an earlier try of this same write.
+        read = yield from _read_head()
+        if isinstance(read, StoreFailure):
+            failure = read
+            maybe_accepted = True
+            continue
+        answer = yield from _answer_from(
+            read, base_version, head.submission_id, sections
+        )
+        if answer is not None:
+            return answer
+    return _unavailable(failure, maybe_accepted)
+
+
+def fetch_steps(
+    newer_than: int, known_parts: Callable[[], Mapping[str, str]]
+) -> Steps[FetchedText | NothingNewer | HeadDamaged | NotFound | StoreFailure]:
+    """Read the text of the head if its version is above `newer_than`.
+
+    Parts that `known_parts` returns by digest are not read.
+    """
+    read = yield from _read_head()
+    if isinstance(read, NotFound | StoreFailure):
+        return read
+    if read.version <= newer_than:
+        return NothingNewer(read.version)
+    if isinstance(read, HeadDamaged):
+        return read
+    return (yield from read_parts_steps(read, known_parts()))
+
+
+def read_parts_steps(
+    head: Head, part_by_digest: Mapping[str, str]
+) -> Steps[FetchedText | HeadDamaged | StoreFailure]:
+    """Read the parts of a head and check the digest of the whole."""
+    pieces = [head.source]
+    for digest in head.parts:
+        source = part_by_digest.get(digest)
+        if source is None:
+            result = yield GetCall(PART_PREFIX + digest)
+            if isinstance(result, StoreFailure):
+                return result
+            if isinstance(result, NotFound):
+                return HeadDamaged(head.version, f"part {digest} is missing")
+            source = result.value.value.decode(errors="replace")
+            if part_digest(source) != digest:
+                return HeadDamaged(head.version, f"part {digest} is damaged")
+        pieces.append(source)
+    source = normalise("".join(pieces))
+    if split_text(source).sections.digest != head.digest:
+        return HeadDamaged(head.version, "the digest of the text does not match")
+    return FetchedText(head.version, source, head.submission_id)
