Harden the entry and test its bounds, outcomes and bookings

Cause: strangers' input, broken attempts and lost store answers must end in clear and true replies.

Change: bounds and refusals of the HTTP server, a request run split from the dispatcher, metrics behind a sink over the shared registry, the listening socket closed on drain, connections ended on stop with outcome `unknown`.

--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -94,6 +94,9 @@
     def observe_ms(self, name: str, labels: Mapping[str, str], ms: float) -> None:
         pass
 
+    def render(self) -> bytes:
+        return b"metrics 1\n"
+
 
 class MemoryStore:
     """A store; `failures` are returned first, after the write if maybe_written."""
@@ -181,7 +184,6 @@
             RetryPolicy(Random(1)),
             self.metrics,
             PassingTracer(),
-            lambda: b"metrics 1\n",
         )
         self.role.set_catalog(self.catalog)
         self.sides: list[FakeSide] = []
--- /dev/null
+++ b/tests/test_entry_dispatch.py
@@ -0,0 +1,262 @@
+"""Attempts, retries, resumption and outcomes, with fake sidecars."""
+
+import socket
+from collections.abc import Callable, Iterator
+
+import gevent
+import pytest
+from entry_fakes import (
+    EntryUnderTest,
+    FakeSide,
+    answer_plain,
+    answer_words,
+    chunks,
+    finished,
+    make_catalog,
+)
+
+from wigeonwind.links.messages import (
+    Cancel,
+    Chunk,
+    Failed,
+    Queued,
+    Refused,
+    Started,
+    Submit,
+    Withdraw,
+    WithdrawResult,
+)
+
+Handler = Callable[[FakeSide, Submit], None]
+
+
+@pytest.fixture
+def entry() -> Iterator[EntryUnderTest]:
+    running = EntryUnderTest(make_catalog(max_wait_ms=40.0))
+    yield running
+    running.role.stop()
+
+
+def silent(side: FakeSide, submit: Submit) -> None:
+    side.reply(Queued(submit.request_id, submit.attempt, 3))
+
+
+def refuse(side: FakeSide, submit: Submit) -> None:
+    key = (submit.request_id, submit.attempt)
+    side.reply(Refused(*key, "overloaded", "queue is full", 1200.0))
+
+
+def fail(started: bool) -> Handler:
+    def on_submit(side: FakeSide, submit: Submit) -> None:
+        key = (submit.request_id, submit.attempt)
+        side.reply(Failed(*key, started, "endpoint_failed", "crashed"))
+
+    return on_submit
+
+
+def break_link(side: FakeSide, submit: Submit) -> None:
+    side.break_link()
+
+
+def once(first: Handler, then: Handler) -> Handler:
+    """Return a handler for all sides whose first call differs from the later ones."""
+    handlers = [first]
+
+    def on_submit(side: FakeSide, submit: Submit) -> None:
+        handler = handlers.pop() if handlers else then
+        handler(side, submit)
+
+    return on_submit
+
+
+def add_two(entry: EntryUnderTest, handler: Handler, service: str = "wigeon-llm"):
+    return entry.add_side(handler, service), entry.add_side(handler, service)
+
+
+def submits(*sides: FakeSide) -> list[Submit]:
+    return [submit for side in sides for submit in side.submits]
+
+
+@pytest.mark.parametrize("how", ["failed", "link", "truncated", "gap", "repeated"])
+def test_answer_resumes_without_gap_or_repetition(
+    entry: EntryUnderTest, how: str
+) -> None:
+    # Guards against a second attempt that repeats or skips text the caller has.
+    def die(side: FakeSide, submit: Submit) -> None:
+        side.reply(*chunks(submit, ["a ", "b "]))
+        if how == "failed":
+            fail(True)(side, submit)
+        elif how == "link":
+            side.break_link()
+        elif how == "truncated":
+            side.reply(finished(submit, 3))
+        else:
+            seq = 3 if how == "gap" else 1
+            side.reply(*chunks(submit, ["x"], seq))
+
+    def go_on(side: FakeSide, submit: Submit) -> None:
+        assert (submit.resume_text, submit.resume_tokens) == ("a b ", 2)
+        side.reply(*chunks(submit, ["c"]), finished(submit, 1))
+
+    sides = add_two(entry, once(die, go_on))
+    streamed = entry.chat(stream=True)
+    assert streamed.text == "a b c"
+    assert streamed.body.endswith(b"data: [DONE]\n\n")
+    assert sorted(row.attempt for row in submits(*sides)) == [0, 1]
+    assert entry.metrics.counts["entry_resumed"] == 1
+
+
+@pytest.mark.parametrize("stream", [True, False])
+def test_truncated_answer_never_looks_whole(
+    entry: EntryUnderTest, stream: bool
+) -> None:
+    # Guards against a lost chunk that ends in a reply a client takes for whole.
+    def truncate(side: FakeSide, submit: Submit) -> None:
+        side.reply(*chunks(submit, ["a"]), finished(submit, 2))
+
+    entry.add_side(truncate)
+    answer = entry.chat(stream=stream)
+    assert b"[DONE]" not in answer.body
+    assert b'"outcome": "failed"' in answer.body
+    if not stream:
+        assert (answer.status, answer.outcome) == (502, "failed")
+
+
+def test_stray_messages_reach_no_caller(entry: EntryUnderTest) -> None:
+    # Guards against answers that arrive late, twice or over another link.
+    def confused(side: FakeSide, submit: Submit) -> None:
+        key = (submit.request_id, submit.attempt)
+        other = entry.sides[0] if side is entry.sides[1] else entry.sides[1]
+        other.reply(Chunk(*key, 0, b"stolen", 1))
+        side.reply(Chunk(submit.request_id, submit.attempt + 1, 0, b"future", 1))
+        answer_words("own")(side, submit)
+        side.reply(Chunk(*key, 1, b"late", 1), finished(submit, 2))
+
+    add_two(entry, confused)
+    bodies = [entry.chat().json for _ in range(4)]
+    texts = {body["choices"][0]["message"]["content"] for body in bodies}
+    assert texts == {"own"}
+    # The messages after Finished are dropped too, unless the caller's greenlet had
+    # not yet read Finished.
+    assert entry.metrics.counts["entry_dropped_messages"] >= 8
+
+
+@pytest.mark.parametrize(
+    ("handler", "outcome", "status"),
+    [
+        (refuse, "not-run", 503),
+        (fail(False), "not-run", 502),
+        (fail(True), "unknown", 502),
+        (break_link, "unknown", 502),
+    ],
+)
+def test_outcome_of_unrepeatable_call(
+    entry: EntryUnderTest, handler: Handler, outcome: str, status: int
+) -> None:
+    # Guards against not-run for a call that may have run, and against its repetition.
+    sides = add_two(entry, handler, "spot-desk")
+    answer = entry.call("POST", "/svc/spot-desk/lots", b"x")
+    assert (answer.outcome, answer.status) == (outcome, status)
+    assert answer.json["request_id"] == answer.headers["X-Request-Id"]
+    if outcome == "unknown":
+        assert len(submits(*sides)) == 1
+
+
+def test_refusal_carries_retry_after_in_whole_seconds(entry: EntryUnderTest) -> None:
+    # Guards against fractions, which HTTP does not allow, and against rounding down.
+    add_two(entry, refuse)
+    answer = entry.chat()
+    assert answer.headers["Retry-After"] == "2"
+    assert answer.json["error"]["code"] == answer.json["code"] == "overloaded"
+
+
+@pytest.mark.parametrize("handler", [fail(False), fail(True), break_link])
+def test_repeatable_call_goes_elsewhere(
+    entry: EntryUnderTest, handler: Handler
+) -> None:
+    # Guards against giving up while another endpoint could answer.
+    add_two(entry, once(handler, answer_plain(200, b"ok")), "spot-desk")
+    assert entry.call("GET", "/svc/spot-desk/stock").body == b"ok"
+
+
+@pytest.mark.parametrize("withdrawn", [True, False])
+def test_waiting_request_moves_only_when_withdrawn(
+    entry: EntryUnderTest, withdrawn: bool
+) -> None:
+    # Guards against a call that runs at two endpoints.
+    def on_other(side: FakeSide, message: object) -> None:
+        if isinstance(message, Withdraw):
+            key = (message.request_id, message.attempt)
+            side.reply(WithdrawResult(*key, withdrawn))
+            if not withdrawn:
+                answer_plain(200, b"slow")(side, side.submits[0])
+
+    handler = once(silent, answer_plain(200, b"fast"))
+    for _ in range(2):
+        entry.add_side(handler, "spot-desk", on_other=on_other)
+    answer = entry.call("POST", "/svc/spot-desk/lots", b"x")
+    assert answer.body == (b"fast" if withdrawn else b"slow")
+    assert len(submits(*entry.sides)) == (2 if withdrawn else 1)
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome"), [(True, "not-run"), (False, "unknown"), (None, "unknown")]
+)
+def test_deadline_is_not_run_only_when_withdrawn(
+    entry: EntryUnderTest, reply: bool | None, outcome: str
+) -> None:
+    # Guards against calling a request not-run that the sidecar may still start.
+    def on_other(side: FakeSide, message: object) -> None:
+        if isinstance(message, Withdraw) and reply is not None:
+            key = (message.request_id, message.attempt)
+            side.reply(WithdrawResult(*key, reply))
+
+    side = entry.add_side(silent, on_other=on_other)
+    path = "/v1/chat/completions"
+    body = {"model": "barley-7b", "messages": [{"role": "user", "content": "x"}]}
+    answer = entry.call("POST", path, body, {"X-Request-Timeout-Ms": "10"})
+    assert (answer.status, answer.outcome) == (504, outcome)
+    assert 0 < side.submits[0].budget_ms <= 10
+
+
+def test_caller_that_leaves_is_cancelled(entry: EntryUnderTest) -> None:
+    # Guards against an endpoint that computes an answer for nobody.
+    side = entry.add_side(silent)
+    body = b'{"model": "barley-7b", "messages": [{"role": "user"}]}'
+    head = f"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: {len(body)}\r\n"
+    sock = socket.create_connection((entry.address.host, entry.address.port))
+    sock.sendall(head.encode() + b"X-Customer: named\r\n\r\n" + body)
+    wait_for(lambda: bool(side.submits))
+    sock.close()
+    wait_for(lambda: any(isinstance(row, Cancel) for row in side.sent))
+    assert entry.metrics.counts["entry_cancelled"] == 1
+
+
+def test_request_keeps_its_catalog(entry: EntryUnderTest) -> None:
+    # Guards against an edit that changes a request already admitted.
+    def edit_and_die(side: FakeSide, submit: Submit) -> None:
+        entry.role.set_catalog(make_catalog(version=2))
+        side.reply(Started(submit.request_id, submit.attempt))
+        fail(True)(side, submit)
+
+    sides = add_two(entry, once(edit_and_die, answer_words("x")))
+    assert entry.chat().status == 200
+    assert [row.text_version for row in submits(*sides)] == [1, 1]
+    entry.chat()
+    assert 2 in [row.text_version for row in submits(*sides)]
+
+
+def test_no_endpoint_is_not_run(entry: EntryUnderTest) -> None:
+    # Guards against waiting for endpoints that are not there.
+    answer = entry.chat()
+    assert (answer.status, answer.outcome) == (503, "not-run")
+    side = entry.add_side(answer_words("x"))
+    side.is_open = False
+    assert (entry.chat().outcome, side.submits) == ("not-run", [])
+
+
+def wait_for(condition: Callable[[], bool]) -> None:
+    """Let other greenlets run until `condition` holds, up to two seconds."""
+    with gevent.Timeout(2.0):
+        while not condition():
+            gevent.sleep(0.001)
--- /dev/null
+++ b/tests/test_entry_http.py
@@ -0,0 +1,267 @@
+"""Bounds of the HTTP server, health, drain, and the interface to plain services."""
+
+import json
+import socket
+from collections.abc import Iterator
+
+import gevent
+import pytest
+from entry_fakes import (
+    CHAT,
+    KEY,
+    MODEL,
+    EntryUnderTest,
+    FakeSide,
+    answer_plain,
+    answer_words,
+)
+
+from wigeonwind.links.messages import Chunk, Failed, Head, Leaving, Submit
+
+POST = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Customer: named\r\n"
+
+
+@pytest.fixture
+def entry() -> Iterator[EntryUnderTest]:
+    running = EntryUnderTest()
+    yield running
+    running.role.stop()
+
+
+def connect(entry: EntryUnderTest) -> socket.socket:
+    address = (entry.address.host, entry.address.port)
+    return socket.create_connection(address, timeout=5)
+
+
+def raw(entry: EntryUnderTest, data: bytes) -> bytes:
+    """Send bytes and return everything until the server closes."""
+    with connect(entry) as sock:
+        sock.sendall(data)
+        return read_all(sock)
+
+
+def read_all(sock: socket.socket) -> bytes:
+    pieces = []
+    while piece := sock.recv(65536):
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
+CHUNKED = POST + "Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (f"{POST}X-Big: {'a' * 20000}\r\n\r\n", 431),
+        (POST + "".join(f"X-{n}: 1\r\n" for n in range(150)) + "\r\n", 431),
+        (f"GET /{'a' * 9000} HTTP/1.1\r\n\r\n", 414),
+        ("nonsense\r\n\r\n", 400),
+        ("GET /v1/models HTTP/7.1\r\n\r\n", 400),
+        (POST + "Content-Length: 100001\r\n\r\n", 413),
+        (POST + "Content-Length: 1_0\r\n\r\n", 400),
+        (POST + "Content-Length: 2\r\nContent-Length: 3\r\n\r\n{}", 400),
+        (POST + "Transfer-Encoding: gzip, chunked\r\n\r\n", 501),
+        (CHUNKED + "zz\r\n", 400),
+        (CHUNKED + "f" * 40 + "\r\n", 400),
+        (CHUNKED + "4\r\n{}{}XX", 400),
+        (CHUNKED + "186a1\r\n" + "a" * 100001 + "\r\n0\r\n\r\n", 413),
+        (POST + "Content-Length: 10\r\n\r\n{", 408),
+        (POST, 408),
+    ],
+)
+def test_malformed_requests_get_clear_refusals(
+    entry: EntryUnderTest, data: str, status: int
+) -> None:
+    # Guards against hangs, resets and bare error pages for what strangers send.
+    reply = raw(entry, data.encode())
+    head, _, body = reply.partition(b"\r\n\r\n")
+    assert head.startswith(f"HTTP/1.1 {status} ".encode())
+    assert b"X-Outcome: not-run" in head and b"X-Request-Id: " in head
+    assert json.loads(body)["error"]["message"]
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"[" * 100_000,
+        b'{"a":' * 15_000,
+        b"[]",
+        b"{",
+        b"\xff",
+        b'{"model": 1}',
+        b'{"model": "barley-7b"}',
+        b'{"model": "barley-7b", "messages": [1]}',
+        b'{"model": "barley-7b", "messages": [{}], "n": 2}',
+        b'{"model": "barley-7b", "messages": [{}], "stream": "yes"}',
+        b'{"model": "barley-7b", "messages": [{}], "n": ' + b"9" * 9000 + b"}",
+    ],
+)
+def test_malformed_bodies_get_clear_refusals(
+    entry: EntryUnderTest, body: bytes
+) -> None:
+    # Guards against a stack overflow or an endpoint that must sort out such bodies.
+    side = entry.add_side(answer_words("x"))
+    answer = entry.call("POST", "/v1/chat/completions", body)
+    assert (answer.status, answer.outcome) == (400, "not-run")
+    assert side.submits == []
+
+
+def test_slow_callers_do_not_harm_others(entry: EntryUnderTest) -> None:
+    # Guards against slow-loris connections that stop service for other callers.
+    entry.add_side(answer_words("x"))
+    slow = [connect(entry) for _ in range(10)]
+    for sock in slow:
+        sock.sendall(b"POST /v1/chat/completions HT")
+    assert entry.chat().status == 200
+    assert b" 408 " in read_all(slow[0])
+    for sock in slow:
+        sock.close()
+
+
+def test_too_many_connections_are_refused(entry: EntryUnderTest) -> None:
+    # Guards against unbounded memory, and against a silent queue of connections.
+    idle = [connect(entry) for _ in range(20)]
+    gevent.sleep(0.01)
+    reply = raw(entry, b"")
+    assert b"HTTP/1.1 503 " in reply and b"Retry-After: 1" in reply
+    for sock in idle:
+        sock.close()
+    gevent.sleep(0.01)
+    assert entry.call("GET", "/healthz").status == 200
+
+
+@pytest.mark.parametrize(
+    ("headers", "status"),
+    [
+        ({"Authorization": f"Bearer {KEY}"}, 200),
+        ({"Authorization": "Bearer wrong"}, 401),
+        ({"X-Customer": "named"}, 200),
+        ({"X-Customer": "keyed"}, 401),
+        ({"X-Customer": "nobody"}, 403),
+        ({}, 401),
+        ({"X-Customer": "named", "X-Request-Class": "gold"}, 400),
+        ({"X-Customer": "named", "X-Request-Class": "desk"}, 400),
+        ({"X-Customer": "named", "X-Request-Timeout-Ms": "-1"}, 400),
+    ],
+)
+def test_identity_and_class(
+    entry: EntryUnderTest, headers: dict[str, str], status: int
+) -> None:
+    # Guards against serving strangers, and against an error that repeats a key.
+    entry.add_side(answer_words("x"))
+    fields = {"X-Customer": "", **headers}
+    answer = entry.call("POST", "/v1/chat/completions", CHAT, fields)
+    assert answer.status == status
+    assert (answer.outcome is None) == (status == 200)
+    assert b"wrong" not in answer.body
+
+
+def test_customer_without_the_class_is_refused(entry: EntryUnderTest) -> None:
+    # Guards against a customer that uses a class it has no right to.
+    entry.add_side(answer_plain(200, b""), "spot-desk")
+    answer = entry.call("GET", "/svc/spot-desk/x", headers={"X-Customer": "chat-only"})
+    assert (answer.status, answer.outcome) == (403, "not-run")
+
+
+def test_unknown_names(entry: EntryUnderTest) -> None:
+    # Guards against a wrong name that reaches some endpoint all the same.
+    assert entry.chat(model="rye-7b").json["code"] == "unknown_model"
+    answer = entry.call("GET", "/svc/nowhere/x")
+    assert (answer.status, answer.json["code"]) == (404, "unknown_service")
+    assert entry.call("GET", "/svc/wigeon-llm/x").status == 404
+    assert entry.call("GET", "/v1/models/rye-7b").status == 404
+    assert entry.call("GET", f"/v1/models/{MODEL}").json["id"] == MODEL
+    assert entry.call("GET", "/nothing").outcome == "not-run"
+
+
+def test_plain_call_keeps_all_but_hop_by_hop(entry: EntryUnderTest) -> None:
+    # Guards against a changed call or answer, and against an API key that leaks.
+    reply_headers = [["Set-Cookie", "a=1"], ["Set-Cookie", "b=2"], ["X-Outcome", "x"]]
+    reply_headers += [["Connection", "X-Hop"], ["X-Hop", "1"], ["Content-Length", "2"]]
+    side = entry.add_side(answer_plain(418, b"ok", reply_headers), "spot-desk")
+    headers = {
+        "Authorization": f"Bearer {KEY}",
+        "X-Own": "1",
+        "Connection": "X-Gone",
+        "X-Gone": "1",
+        "TE": "trailers",
+    }
+    path = "/svc/spot-desk/lots/a%2Fb?day=2&x=%20"
+    answer = entry.call("PATCH", path, b"\x00\x01", headers)
+    submit = side.submits[0]
+    assert (submit.method, submit.path) == ("PATCH", "/lots/a%2Fb?day=2&x=%20")
+    assert submit.body == b"\x00\x01" and submit.customer == "keyed"
+    names = {name.lower() for name, _ in submit.headers}
+    assert "x-own" in names and not names & {"authorization", "x-gone", "te"}
+    assert (answer.status, answer.body, answer.outcome) == (418, b"ok", None)
+    assert answer.headers["Set-Cookie"] == "b=2" and "X-Hop" not in answer.headers
+
+
+@pytest.mark.parametrize("length", [None, "10"])
+def test_broken_plain_answer_never_looks_whole(
+    entry: EntryUnderTest, length: str | None
+) -> None:
+    # Guards against a cut body that a client takes for the whole.
+    def cut(side: FakeSide, submit: Submit) -> None:
+        key = (submit.request_id, submit.attempt)
+        headers = [["Content-Length", length]] if length else []
+        side.reply(Head(*key, 200, headers), Chunk(*key, 0, b"half", 0))
+        side.reply(Failed(*key, True, "endpoint_failed", "crashed"))
+
+    entry.add_side(cut, "spot-desk")
+    request = b"GET /svc/spot-desk/x HTTP/1.1\r\nX-Customer: named\r\n\r\n"
+    reply = raw(entry, request)
+    assert b"half" in reply
+    assert not reply.endswith(b"0\r\n\r\n")
+
+
+def test_health(entry: EntryUnderTest) -> None:
+    # Guards against traffic from the balancer before the entry can serve it.
+    assert entry.call("GET", "/readyz").status == 503
+    entry.add_side(answer_words("x"))
+    assert entry.call("GET", "/readyz").status == 200
+    assert entry.call("GET", "/healthz").status == 200
+    assert entry.call("GET", "/metrics").body == b"metrics 1\n"
+
+
+def test_leaving_side_gets_no_new_work(entry: EntryUnderTest) -> None:
+    # Guards against work sent to a VM after it has said that it leaves.
+    side = entry.add_side(answer_words("x"))
+    entry.add_side(answer_words("y"))
+    entry.role.on_message(side, Leaving("side-0", 7))
+    for _ in range(5):
+        assert entry.chat().status == 200
+    assert side.submits == []
+
+
+def test_drain_finishes_what_is_in_flight(entry: EntryUnderTest) -> None:
+    # Guards against a planned stop that cuts an answer or leaves idle connections.
+    held: list[tuple[FakeSide, Submit]] = []
+    entry.add_side(lambda side, submit: held.append((side, submit)))
+    idle = connect(entry)
+    calling = gevent.spawn(entry.chat)
+    while not held:
+        gevent.sleep(0.001)
+    draining = gevent.spawn(entry.role.drain)
+    gevent.sleep(0.001)
+    assert not entry.role.ready
+    assert read_all(idle) == b""
+    assert not draining.ready()
+    answer_words("whole")(*held[0])
+    answer = calling.get(timeout=5)
+    assert answer.status == 200 and answer.headers["Connection"] == "close"
+    draining.get(timeout=5)
+    with pytest.raises(ConnectionRefusedError):
+        connect(entry)
+
+
+def test_stop_tells_what_is_in_flight(entry: EntryUnderTest) -> None:
+    # Guards against a stop that leaves callers waiting or says not-run.
+    side = entry.add_side(lambda side, submit: None)
+    calling = gevent.spawn(entry.chat)
+    while not side.submits:
+        gevent.sleep(0.001)
+    entry.role.stop()
+    answer = calling.get(timeout=5)
+    assert (answer.status, answer.outcome) == (500, "unknown")
--- a/wigeonwind/roles/admission.py
+++ b/wigeonwind/roles/admission.py
@@ -67,7 +67,9 @@
         return self._directory is not None
 
     def set_catalog(self, catalog: Catalog) -> None:
-        """Use another version for new requests."""
+        """Use another version for new requests; version 0 is no text at all."""
+        if catalog.version == 0:
+            return
         self._directory = CustomerDirectory(catalog)
         self._limits.set_catalog(catalog)
 
--- a/wigeonwind/roles/attempt.py
+++ b/wigeonwind/roles/attempt.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from wigeonwind.clock import Clock
+from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import (
     Cancel,
     Chunk,
@@ -25,7 +26,7 @@
     AnswerSoFar,
     CallerRequest,
 )
-from wigeonwind.roles.pending import MAX_UNREAD_BYTES, Link, LinkLost, Mailbox
+from wigeonwind.roles.pending import MAX_UNREAD_BYTES, LinkLost, Mailbox
 
 WITHDRAW_WAIT_MS = 500.0
 """Time a sidecar has to confirm a withdrawal when the deadline has passed."""
--- a/wigeonwind/roles/booking_call.py
+++ b/wigeonwind/roles/booking_call.py
@@ -8,15 +8,16 @@
 
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.ids import new_id
+from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import ClaimState, ResolveClaim
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.roles.answer import AnswerEnd, AnswerHead, AnswerParts, CallerRequest
 from wigeonwind.roles.attempt import failure_code
-from wigeonwind.roles.dispatch import Dispatcher, RequestRun
+from wigeonwind.roles.dispatch import Dispatcher
 from wigeonwind.roles.http_call import HttpCall
-from wigeonwind.roles.pending import Link
 from wigeonwind.roles.plain_headers import reply_headers
 from wigeonwind.roles.replies import Reply, failure, failure_reply, status_line
+from wigeonwind.roles.request_run import RequestRun
 from wigeonwind.roles.run import Running
 from wigeonwind.state.booking_record import RecordedAnswer
 from wigeonwind.state.booking_steps import (
@@ -69,7 +70,7 @@
             record_key(request.customer, request.service.name, key),
             body_digest(request.method, request.path, request.body),
         )
-        run = RequestRun(self._dispatcher, request, running.mailbox)
+        run = self._dispatcher.run(request, running.mailbox)
         result = self._drive(booking, run)
         running.set_outcome(_outcome_of(result))
         yield from _reply(call, result)
@@ -113,7 +114,7 @@
                 return self._ask(token, target)
 
     def _ask(self, token: str, target: Target) -> ClaimAnswer:
-        link = self._dispatcher.links.open_link(target.endpoint_id)
+        link = self._dispatcher.context.links.open_link(target.endpoint_id)
         if link is None or link.hello.incarnation != target.incarnation:
             return Unresolved("the endpoint that may have run it cannot be reached")
         if token in self._asked_by_token:
--- a/wigeonwind/roles/endpoint_links.py
+++ b/wigeonwind/roles/endpoint_links.py
@@ -1,6 +1,6 @@
 """Open links of an entry to the sidecars, by member id."""
 
-from wigeonwind.roles.pending import Link
+from wigeonwind.links.link_types import Link
 
 SIDE_ROLE = "side"
 
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -1,6 +1,6 @@
 """The entry role: accepts callers' requests and answers them through sidecars."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import gevent
@@ -15,6 +15,7 @@
     LimitDecisions,
     RetryDecisions,
 )
+from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import ClaimState, Leaving, LoadReport
 from wigeonwind.outcomes import ErrorCode
 from wigeonwind.roles.admission import Admission
@@ -26,10 +27,11 @@
 from wigeonwind.roles.http_call import HttpCall, StartResponse, read_call
 from wigeonwind.roles.metrics_sink import MetricsSink
 from wigeonwind.roles.openai_api import OpenAiApi
-from wigeonwind.roles.pending import Link
+from wigeonwind.roles.pending import PendingAttempts
 from wigeonwind.roles.plain_api import PREFIX as PLAIN_PREFIX
 from wigeonwind.roles.plain_api import PlainApi
 from wigeonwind.roles.replies import failure_reply, refusal
+from wigeonwind.roles.request_run import RunContext
 from wigeonwind.roles.run import Runner
 from wigeonwind.roles.tracing import Tracer
 from wigeonwind.settings import Settings, SocketAddress, parse_address
@@ -52,9 +54,7 @@
         retry: RetryDecisions,
         metrics: MetricsSink,
         tracer: Tracer,
-        metrics_text: Callable[[], bytes] | None = None,
     ) -> None:
-        """Build the parts; `metrics_text` renders `/metrics`."""
         self._settings = settings
         self._clock = clock
         self._choice = choice
@@ -64,7 +64,11 @@
         self._started = False
         self._draining = False
         self._grace_over = Event()
-        self.dispatcher = Dispatcher(clock, self._links, choice, limits, retry, metrics)
+        self._pending = PendingAttempts()
+        context = RunContext(
+            clock, self._links, choice, limits, retry, metrics, self._pending
+        )
+        self.dispatcher = Dispatcher(context)
         timeout_ms = float(settings.limits.request_timeout_ms)
         self._admission = Admission(clock, limits, timeout_ms)
         runner = Runner(clock, self._admission, self.dispatcher, metrics, tracer)
@@ -72,7 +76,7 @@
         self._bookings = BookingCalls(store, self.dispatcher)
         self._openai = OpenAiApi(self._admission, runner)
         self._plain = PlainApi(self._admission, runner, self._bookings.answer)
-        for_callers = None if settings.listen.operators else metrics_text
+        for_callers = None if settings.listen.operators else metrics.render
         self._health = HealthApi(lambda: self.ready, for_callers)
         self._server = CallerServer(
             parse_address(settings.listen.callers),
@@ -145,7 +149,7 @@
     def on_down(self, link: Link, reason: str) -> None:
         """Stop using a link; attempts on it end."""
         self._links.on_down(link)
-        self.dispatcher.pending.on_down(link, reason)
+        self._pending.on_down(link, reason)
         self._bookings.on_down(link)
 
     def set_catalog(self, catalog: Catalog) -> None:
--- a/wigeonwind/roles/entry_http.py
+++ b/wigeonwind/roles/entry_http.py
@@ -7,11 +7,12 @@
 from typing import Any
 
 import gevent
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pool import Pool
+from gevent.pywsgi import MAX_REQUEST_LINE, WSGIHandler, WSGIServer
 
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.ids import new_id
-from wigeonwind.outcomes import ErrorCode, Failure
+from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.roles.http_call import (
     BODY_KEY,
     HEADERS_KEY,
@@ -19,7 +20,7 @@
     TARGET_KEY,
     ReplyAbortedError,
 )
-from wigeonwind.roles.replies import failure_reply, raw_reply, refusal
+from wigeonwind.roles.replies import failure, failure_reply, raw_reply, refusal
 from wigeonwind.settings import LimitSettings, SocketAddress
 
 IDLE_TIMEOUT_S = 60.0
@@ -44,9 +45,9 @@
 class RequestRefusedError(ValueError):
     """Raised inside the server where a request breaks a bound; never leaves it."""
 
-    def __init__(self, failure: Failure) -> None:
-        super().__init__(failure.message)
-        self.failure = failure
+    def __init__(self, error: Failure) -> None:
+        super().__init__(error.message)
+        self.failure = error
 
 
 def _refused(message: str, code: ErrorCode, status: int) -> RequestRefusedError:
@@ -83,6 +84,9 @@
         self._read_timer = timer
         try:
             return super().handle_one_request()
+        except RequestRefusedError as error:
+            self._refuse(error.failure)
+            return None
         except gevent.Timeout as expired:
             if expired is not timer:
                 raise
@@ -111,6 +115,14 @@
         except OSError:
             pass
 
+    def read_requestline(self) -> str:
+        """Read the first line; raise RequestRefusedError if it is too long."""
+        line = str(super().read_requestline())
+        if len(line) >= MAX_REQUEST_LINE:
+            message = "the request line is too long"
+            raise _refused(message, ErrorCode.TOO_LARGE, 414)
+        return line
+
     def MessageClass(self, rfile: Any, *args: Any) -> Any:  # noqa: N802
         """Read the header lines."""
         bounded = BoundedHead(rfile, self.server.limits.max_header_bytes)
@@ -187,11 +199,11 @@
             message = "the request is not valid HTTP"
             self._refuse(refusal(ErrorCode.BAD_REQUEST, message))
 
-    def _refuse(self, failure: Failure) -> None:
+    def _refuse(self, error: Failure) -> None:
         """Send a refusal and end the connection."""
         self.close_connection = True
-        self.server.count_refused(failure)
-        send_refusal(self.socket, failure)
+        self.server.count_refused(error)
+        send_refusal(self.socket, error)
 
     def finalize_headers(self) -> None:
         """Announce the end of the connection while the entry drains."""
@@ -209,6 +221,15 @@
         except ReplyAbortedError:
             self.close_connection = True
 
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        """Report an error of ours; the request may have run."""
+        self._log_error(t, v, tb)
+        self.close_connection = True
+        if not self.headers_sent:
+            message = "the entry stopped before the request had its answer"
+            code = ErrorCode.ENDPOINT_FAILED
+            self._refuse(failure(Outcome.UNKNOWN, code, message, http_status=500))
+
     def log_request(self) -> None:
         """Write no line for each request: counters tell as much."""
 
@@ -217,9 +238,9 @@
     return value.isascii() and value.isdigit() and len(value) <= 18
 
 
-def send_refusal(sock: Any, failure: Failure) -> None:
+def send_refusal(sock: Any, error: Failure) -> None:
     """Send a refusal over a connection that ends with it."""
-    reply = raw_reply(failure_reply(failure, new_id()))
+    reply = raw_reply(failure_reply(error, new_id()))
     try:
         sock.sendall(reply)
         sock.shutdown(socket.SHUT_WR)
@@ -246,6 +267,8 @@
         super().__init__(
             (address.host, address.port),
             application,
+            # A pool lets `stop` end the connections that are still open.
+            spawn=Pool(),
             log=None,
             error_log=None,
             # A name here saves a lookup that a machine without resolver waits for.
@@ -275,15 +298,15 @@
 
     def _refuse_connection(self, sock: Any) -> None:
         message = "too many connections"
-        failure = refusal(ErrorCode.OVERLOADED, message, OVERLOAD_RETRY_MS)
-        self.count_refused(failure)
-        send_refusal(sock, failure)
+        error = refusal(ErrorCode.OVERLOADED, message, OVERLOAD_RETRY_MS)
+        self.count_refused(error)
+        send_refusal(sock, error)
         sock.close()
 
     def close_idle(self) -> None:
         """Accept no connection and close those on which no request has begun."""
         self.is_closing = True
-        self.stop_accepting()
+        self.close()
         for handler in tuple(self.idle):
             handler.end_idle()
 
--- a/wigeonwind/roles/metrics_sink.py
+++ b/wigeonwind/roles/metrics_sink.py
@@ -3,6 +3,23 @@
 from collections.abc import Mapping
 from typing import Protocol
 
+from prometheus_client import Counter
+
+from wigeonwind.roles.metrics import Latency, Metrics
+
+TEXT_BY_NAME = {
+    "entry_requests": "Admitted requests by service, class and outcome.",
+    "entry_refused": "Requests refused before admission, by code.",
+    "entry_dropped_messages": "Messages that matched no attempt on their link.",
+    "entry_cancelled": "Requests whose caller closed its connection.",
+    "entry_resent": "Attempts after the first of a request.",
+    "entry_moved": "Waiting attempts that were withdrawn and sent elsewhere.",
+    "entry_resumed": "Answers that went on at another endpoint.",
+    "entry_first_part": "Time to the first part of an answer.",
+    "entry_whole": "Time to the whole answer.",
+}
+"""Help text of each metric of the entry."""
+
 
 class MetricsSink(Protocol):
     """Counters and latency histograms of one process."""
@@ -15,6 +32,47 @@
         """Record one latency in milliseconds."""
         ...
 
+    def render(self) -> bytes:
+        """Return all metrics of the process as Prometheus text."""
+        ...
+
 
 NO_LABELS: Mapping[str, str] = {}
 """Labels of a metric that has none."""
+
+
+class PrometheusSink:
+    """Files the entry's metrics with those of its process."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._counter_by_key: dict[tuple[str, ...], Counter] = {}
+        self._latency_by_key: dict[tuple[str, ...], Latency] = {}
+
+    def count(self, name: str, labels: Mapping[str, str], n: int = 1) -> None:
+        """Add `n` to `wigeonwind_<name>_total`."""
+        key = (name, *labels.values())
+        counter = self._counter_by_key.get(key)
+        if counter is None:
+            counter = self._counter(name, labels)
+            self._counter_by_key[key] = counter
+        counter.inc(n)
+
+    def observe_ms(self, name: str, labels: Mapping[str, str], ms: float) -> None:
+        """Record a latency under `<name>_<class>`; latencies have no labels."""
+        key = (name, labels.get("class", ""))
+        latency = self._latency_by_key.get(key)
+        if latency is None:
+            full = "_".join(part for part in key if part).replace("-", "_")
+            latency = self._metrics.latency(full, TEXT_BY_NAME.get(name, name))
+            self._latency_by_key[key] = latency
+        latency.record(ms)
+
+    def render(self) -> bytes:
+        """Return all metrics of the process as Prometheus text."""
+        return self._metrics.render()
+
+    def _counter(self, name: str, labels: Mapping[str, str]) -> Counter:
+        text = TEXT_BY_NAME.get(name, name)
+        counter = self._metrics.counter(name, text, tuple(labels))
+        return counter.labels(**labels) if labels else counter
--- a/wigeonwind/roles/pending.py
+++ b/wigeonwind/roles/pending.py
@@ -6,27 +6,24 @@
 from gevent.event import Event
 
 from wigeonwind.clock import MS_PER_SECOND
-from wigeonwind.links.messages import Chunk, Hello
+from wigeonwind.links.link_types import Link
+from wigeonwind.links.messages import Chunk
 
 MAX_UNREAD_BYTES = 16_000_000
 """Answer bytes kept for a caller that reads too slowly; then the request fails."""
 
 
-class Link(Protocol):
-    """A link to a sidecar, as the entry uses it."""
+class AttemptMessage(Protocol):
+    """A message about one attempt."""
 
     @property
-    def hello(self) -> Hello:
-        """Return the peer's first message."""
+    def request_id(self) -> str:
+        """Return the request's id."""
         ...
 
     @property
-    def is_open(self) -> bool:
-        """Return whether messages can be sent."""
-        ...
-
-    def send(self, message: object) -> bool:
-        """Queue a message; False means that it certainly was not sent."""
+    def attempt(self) -> int:
+        """Return the attempt's number."""
         ...
 
 
@@ -80,7 +77,6 @@
     def __init__(self) -> None:
         self._entry_by_key: dict[tuple[str, int], tuple[Link, Mailbox]] = {}
         self._keys_by_link: dict[int, set[tuple[str, int]]] = {}
-        self.dropped = 0
 
     def __len__(self) -> int:
         """Return the number of attempts in flight."""
@@ -102,24 +98,21 @@
         if not keys:
             del self._keys_by_link[id(entry[0])]
 
-    def deliver(self, link: Link, key: tuple[str, int], item: object) -> bool:
+    def deliver(self, link: Link, message: AttemptMessage) -> bool:
         """Hand a message to its attempt; False if there is none on this link."""
-        entry = self._entry_by_key.get(key)
+        entry = self._entry_by_key.get((message.request_id, message.attempt))
         if entry is None or entry[0] is not link:
-            self.dropped += 1
             return False
-        entry[1].put(item)
+        entry[1].put(message)
         return True
 
-    def deliver_chunk(self, link: Link, key: tuple[str, int], chunk: Chunk) -> bool:
+    def deliver_chunk(self, link: Link, chunk: Chunk) -> bool:
         """Hand a chunk to its attempt and count its bytes as unread."""
-        entry = self._entry_by_key.get(key)
+        entry = self._entry_by_key.get((chunk.request_id, chunk.attempt))
         if entry is None or entry[0] is not link:
-            self.dropped += 1
             return False
-        mailbox = entry[1]
-        mailbox.unread_bytes += len(chunk.data)
-        mailbox.put(chunk)
+        entry[1].unread_bytes += len(chunk.data)
+        entry[1].put(chunk)
         return True
 
     def on_down(self, link: Link, reason: str) -> None:
--- a/wigeonwind/roles/run.py
+++ b/wigeonwind/roles/run.py
@@ -6,10 +6,11 @@
 from wigeonwind.outcomes import Failure
 from wigeonwind.roles.admission import Admission
 from wigeonwind.roles.answer import AnswerEnd, AnswerParts, CallerRequest
-from wigeonwind.roles.dispatch import Dispatcher, Event, Events
+from wigeonwind.roles.dispatch import Dispatcher
 from wigeonwind.roles.http_call import CallerWatch, HttpCall
 from wigeonwind.roles.metrics_sink import MetricsSink
 from wigeonwind.roles.pending import Mailbox
+from wigeonwind.roles.request_run import Event, Events
 from wigeonwind.roles.tracing import Span, Tracer
 
 
@@ -52,7 +53,7 @@
         metrics.count("entry_requests", {**self._labels, "outcome": self._outcome})
         if self._outcome == "whole":
             whole_ms = self._runner.clock.now_ms() - self._begun_ms
-            metrics.observe_ms("entry_whole_ms", self._labels, whole_ms)
+            metrics.observe_ms("entry_whole", self._labels, whole_ms)
 
     def set_outcome(self, outcome: str) -> None:
         """Record how a request ended whose events were not taken from `events`."""
@@ -69,7 +70,7 @@
                 self._has_part = True
                 wait_ms = self._runner.clock.now_ms() - self._begun_ms
                 metrics = self._runner.metrics
-                metrics.observe_ms("entry_first_part_ms", self._labels, wait_ms)
+                metrics.observe_ms("entry_first_part", self._labels, wait_ms)
         elif isinstance(event, AnswerEnd):
             self._outcome = "whole"
         elif isinstance(event, Failure):
