Add the sidecar: queue intake, attempts, claims, orders, reports and drain

Cause: one process must own each endpoint, so that an attempt is certain to run at most once and a confirmed withdrawal holds. Change: roles/side.py wires intake (Submit, Withdraw, ResolveClaim), the work table with its 10 minutes of memory, the claim memory, the runner with the clients of engines and plain services, the order gate (fencing), load reports and the drain. Links gain wait_writable for long bodies. ResolveClaim gains target_incarnation (default 0): a restarted side must not call a token forbidden that ran before its start. Requests to the endpoint use a connection of their own, as geventhttpclient repeats GET, PUT and DELETE by itself.

--- /dev/null
+++ b/tests/test_side_orders.py
@@ -0,0 +1,156 @@
+"""Fencing of orders, and the memories of a sidecar."""
+
+import pytest
+from side_fakes import Bed, FakeLink, FakeStore, wait_until
+
+from wigeonwind.clock import ManualClock
+from wigeonwind.links.messages import Order, OrderResult
+from wigeonwind.roles.claim_memory import (
+    MAX_ANSWER_BYTES,
+    BookingRecorder,
+    ClaimMemory,
+)
+from wigeonwind.roles.metrics import Metrics
+from wigeonwind.roles.orders import OrderGate
+from wigeonwind.roles.work_table import Known, WorkTable
+
+
+@pytest.fixture
+def bed():
+    bed = Bed(store=FakeStore(fence=5))
+    yield bed
+    bed.close()
+
+
+def load(fence, version="2", name="o1"):
+    return Order(name, fence, "load_model", "m", version, "")
+
+
+def give(bed, order, link=None):
+    link = link or bed.link
+    count = len(link.of_type(OrderResult))
+    bed.side.on_message(link, order)
+    return link.wait_for(OrderResult, count + 1)
+
+
+def test_orders_wait_for_the_lease_and_an_old_token_is_refused(bed):
+    assert not give(bed, load(9)).done
+    assert bed.side._orders.read_lease()
+    result = give(bed, load(4))
+    assert (result.done, result.fence, result.reason) == (False, 5, "old fencing token")
+    assert "/orders" not in bed.endpoint.paths()
+    result = give(bed, load(5))
+    assert (result.done, result.model, result.version) == (True, "m", "1")
+    assert bed.endpoint.paths().count("/orders") == 1
+
+
+def test_a_restarted_sidecar_refuses_a_paused_leader_while_the_store_is_down(bed):
+    # The new process has not seen the new leader's token; only the store knows it.
+    bed.store.is_down = True
+    assert not bed.side._orders.read_lease()
+    assert not give(bed, load(4)).done
+    bed.store.is_down = False
+    assert bed.side._orders.read_lease()
+    assert give(bed, load(4)).reason == "old fencing token"
+    assert "/orders" not in bed.endpoint.paths()
+
+
+def test_a_lease_object_that_cannot_be_read_keeps_all_orders_out(bed):
+    bed.store.fence = "not a number"
+    assert not bed.side._orders.read_lease()
+    assert not give(bed, load(9)).done
+
+
+def test_observe_announces_a_token_and_changes_nothing(bed):
+    bed.side._orders.read_lease()
+    result = give(bed, Order("o1", 8, "observe", "", "", ""))
+    assert (result.done, result.fence, result.version) == (True, 8, "1")
+    assert not give(bed, load(7)).done
+    assert "/orders" not in bed.endpoint.paths()
+
+
+def test_an_order_that_waits_is_refused_once_a_newer_leader_has_spoken():
+    class Target:
+        done = []
+
+        def order(self, order):
+            self.done.append(order.order_id)
+
+        def load(self):
+            from wigeonwind.roles.engine_client import EngineLoad
+
+            return EngineLoad(0, 0.0, 0.0, "m", "1", "")
+
+    target, link = Target(), FakeLink()
+    gate = OrderGate(FakeStore(fence=1), target, lambda: True)
+    gate.read_lease()
+    gate.on_order(link, load(1, name="old"))
+    gate.on_order(link, load(2, name="new"))
+    wait_until(lambda: len(link.sent) == 2)
+    assert target.done == ["new"]
+    assert [r.done for r in link.sent] == [False, True]
+
+
+def test_a_full_table_refuses_new_work_instead_of_forgetting_old():
+    clock = ManualClock()
+    table = WorkTable(clock, max_attempts=10)
+    keys = [(f"r{i}", 0) for i in range(20)]
+    assert [table.forbid(key) for key in keys] == [True] * 10 + [False] * 10
+    assert table.is_full
+    clock.advance(599_999.0)
+    assert all(table.known(key) is Known.WITHDRAWN for key in keys[:10])
+    clock.advance(60_001.0)
+    assert not table.is_full
+    assert table.known(keys[0]) is Known.NEW
+
+
+def test_refusals_do_not_fill_the_table():
+    table = WorkTable(ManualClock(), max_attempts=10)
+    for number in range(30_000):
+        table.note_refused((f"r{number}", 0))
+    assert not table.is_full
+    assert table.known(("r29999", 0)) is Known.WITHDRAWN
+
+
+def test_a_full_claim_memory_never_calls_a_token_forbidden():
+    claims = ClaimMemory(ManualClock(), max_tokens=2)
+    claims.add("a", ("r", 0))
+    assert claims.resolve("b").state == "forbidden"
+    assert claims.resolve("c").state == "unknown"
+    assert claims.is_full
+    claims.start("a")
+    claims.never_ran("a")
+    assert claims.resolve("a").state == "forbidden"
+
+
+def test_kept_answers_are_bounded():
+    claims = ClaimMemory(ManualClock())
+    for number in range(40):
+        name = f"t{number}"
+        claims.add(name, (name, 0))
+        claims.start(name)
+        recorder = BookingRecorder(200, [])
+        recorder.add(b"x" * MAX_ANSWER_BYTES)
+        claims.end(name, recorder.answer())
+    states = [claims.resolve(f"t{number}").state for number in range(40)]
+    assert states == ["unknown"] * 8 + ["done"] * 32
+    recorder.add(b"x")
+    assert recorder.answer() is None
+
+
+def test_latency_quantiles_forget_an_old_burst():
+    clock = ManualClock()
+    metrics = Metrics(clock)
+    latency = metrics.latency("wait", "Wait.")
+    for _ in range(100):
+        latency.record(500.0)
+    assert latency.quantile_ms(0.95) == pytest.approx(500.0, rel=0.01)
+    text = metrics.render().decode()
+    assert 'wigeonwind_wait_ms{quantile="0.95"}' in text
+    assert "wigeonwind_wait_ms_count 100.0" in text
+    clock.advance(61_000.0)
+    latency.record(1.0)
+    assert latency.quantile_ms(0.95) == pytest.approx(500.0, rel=0.01)
+    clock.advance(130_000.0)
+    latency.record(1.0)
+    assert latency.quantile_ms(0.95) == pytest.approx(1.0, rel=0.01)
--- a/wigeonwind/links/link_types.py
+++ b/wigeonwind/links/link_types.py
@@ -29,6 +29,13 @@
         """
         ...
 
+    def wait_writable(self) -> None:
+        """Block the calling greenlet while much is queued on an open link.
+
+        Only for senders of long bodies; never to be called by a LinkHandler.
+        """
+        ...
+
     def close(self, reason: str) -> None:
         """Send what is queued, then close; `on_down` follows."""
         ...
--- a/wigeonwind/links/messages.py
+++ b/wigeonwind/links/messages.py
@@ -276,9 +276,14 @@
 @message(20)
 @dataclass(frozen=True)
 class ResolveClaim:
-    """Ask a side what became of a claim token, and forbid it if it did not start."""
+    """Ask a side what became of a claim token, and forbid it if it did not start.
+
+    `target_incarnation` is the side's incarnation in the claim, 0 for any: a restarted
+    side knows nothing of what ran before, so it must not call the token forbidden.
+    """
 
     claim_token: str
+    target_incarnation: int = 0
 
 
 @message(21)
--- a/wigeonwind/links/websocket.py
+++ b/wigeonwind/links/websocket.py
@@ -62,6 +62,7 @@
         self._queue: list[bytes] = []
         self._queued_bytes = 0
         self._wake = Event()
+        self._written = Event()
         self._reason = ""
         self._last_received_ms = self._clock.now_ms()
         self._write_began_ms: float | None = None
@@ -115,6 +116,12 @@
         self._wake.set()
         return True
 
+    def wait_writable(self) -> None:
+        """Wait until little is queued or the link is closed; see `Link`."""
+        while self.is_open and self._queued_bytes > self._options.max_queue_bytes // 4:
+            self._written.clear()
+            self._written.wait()
+
     def close(self, reason: str) -> None:
         """Send what is queued, then close; see `Link.close`."""
         if self.is_open:
@@ -281,6 +288,7 @@
         self._counts.messages_sent += len(queue)
         self._counts.bytes_sent += len(data)
         self._counts.writes += 1
+        self._written.set()
 
     def _heartbeat_loop(self) -> None:
         while not self._done.wait(self._options.heartbeat_ms / MS_PER_SECOND):
@@ -303,6 +311,7 @@
         self.is_open = False
         self._queue = []
         self._wake.set()
+        self._written.set()
         self._shut_down(socket.SHUT_RDWR)
 
     def _shut_down(self, how: int) -> None:
--- /dev/null
+++ b/wigeonwind/roles/attempt_runner.py
@@ -0,0 +1,245 @@
+"""Runs started attempts at the endpoint and sends their answers to the entries."""
+
+from collections.abc import Callable
+
+from gevent import spawn
+
+from wigeonwind.clock import Clock
+from wigeonwind.decisions.interfaces import (
+    EndpointQueueDecisions,
+    PauseWork,
+    ResumeWork,
+    WorkItem,
+)
+from wigeonwind.links.messages import Chunk, Failed, Finished, Head, Started
+from wigeonwind.outcomes import ErrorCode
+from wigeonwind.roles.claim_memory import BookingRecorder, ClaimMemory
+from wigeonwind.roles.endpoint_http import HttpFailure, HttpHead
+from wigeonwind.roles.engine_client import (
+    EngineClient,
+    EngineFailure,
+    engine_body,
+    engine_request_id,
+)
+from wigeonwind.roles.plain_client import PlainClient, PlainEnd
+from wigeonwind.roles.side_metrics import SideMetrics
+from wigeonwind.roles.sse import StreamEnd, TokenBatch
+from wigeonwind.roles.work_table import Attempt, WorkTable
+
+RESUME = "resume"
+"""Control call that lets a paused answer go on; any other names the KV treatment."""
+
+MAX_REASON_CHARS = 500
+"""Bound of a reason that an endpoint gives."""
+
+
+class AttemptRunner:
+    """Runs attempts; `on_ended` is called after each."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        table: WorkTable,
+        claims: ClaimMemory,
+        queue: EndpointQueueDecisions,
+        client: EngineClient | PlainClient,
+        metrics: SideMetrics,
+        priority_of: Callable[[str], int],
+        on_ended: Callable[[Attempt], None],
+    ) -> None:
+        self._clock = clock
+        self._table = table
+        self._claims = claims
+        self._queue = queue
+        self._client = client
+        self._metrics = metrics
+        self._priority_of = priority_of
+        self._on_ended = on_ended
+
+    def start(self, item: WorkItem) -> None:
+        """Run an attempt that the queue has let through."""
+        attempt = self._table.start(item.key)
+        if attempt.is_booking:
+            self._claims.start(attempt.submit.claim_token)
+        self._metrics.on_start(attempt)
+        spawn(self._run, attempt)
+
+    def cancel(
+        self,
+        attempt: Attempt,
+        reason: str,
+        code: ErrorCode = ErrorCode.CANCELLED,
+    ) -> None:
+        """Stop a started attempt; what it has generated is wasted."""
+        if attempt.cancelled:
+            return
+        attempt.cancelled = reason
+        attempt.cancel_code = code
+        if attempt.exchange is not None:
+            attempt.exchange.abort()
+        if isinstance(self._client, EngineClient) and attempt.is_sent:
+            spawn(self._client.cancel, engine_request_id(attempt.submit))
+
+    def pause(self, action: PauseWork) -> None:
+        """Pause an answer at the engine."""
+        self._control(action.item, action.kv)
+
+    def resume(self, action: ResumeWork) -> None:
+        """Let a paused answer go on."""
+        self._control(action.item, RESUME)
+
+    def _run(self, attempt: Attempt) -> None:
+        try:
+            if isinstance(self._client, EngineClient):
+                self._run_model(attempt, self._client)
+            else:
+                self._run_plain(attempt, self._client)
+        finally:
+            self._table.end(attempt.item.key)
+            self._queue.on_done(attempt.item.key, self._clock.now_ms())
+            self._on_ended(attempt)
+
+    def _run_model(self, attempt: Attempt, client: EngineClient) -> None:
+        submit = attempt.submit
+        body = engine_body(submit, self._priority_of(submit.class_name))
+        if isinstance(body, EngineFailure):
+            self._fail(attempt, ErrorCode.BAD_REQUEST, body.reason)
+            return
+        stream = client.stream(submit.path, body)
+        attempt.exchange = stream
+        if attempt.cancelled:
+            self._fail(attempt, attempt.cancel_code, attempt.cancelled)
+            return
+        for item in stream.items(lambda: self._on_sent(attempt)):
+            if attempt.cancelled:
+                self._fail(attempt, attempt.cancel_code, attempt.cancelled)
+                return
+            if isinstance(item, TokenBatch):
+                self._send_tokens(attempt, item)
+            elif isinstance(item, StreamEnd):
+                self._finish(attempt, item)
+            else:
+                is_refusal = 400 <= item.status < 500 and item.status != 429
+                code = ErrorCode.ENDPOINT_FAILED
+                if is_refusal:
+                    code = ErrorCode.BAD_REQUEST
+                attempt.is_sent &= item.sent
+                self._fail(attempt, code, item.reason)
+
+    def _run_plain(self, attempt: Attempt, client: PlainClient) -> None:
+        call = client.call(attempt.submit)
+        attempt.exchange = call
+        recorder = BookingRecorder()
+        if attempt.cancelled:
+            self._fail(attempt, attempt.cancel_code, attempt.cancelled)
+            return
+        for item in call.items(lambda: self._on_sent(attempt)):
+            if isinstance(item, HttpHead):
+                recorder.status, recorder.headers = item.status, item.headers
+                self._send(attempt, Head, item.status, item.headers)
+            elif isinstance(item, bytes):
+                self._send_body(attempt, recorder, item)
+            elif isinstance(item, PlainEnd):
+                self._end_claim(attempt, recorder)
+                self._finish(attempt, StreamEnd("", 0, 0, 0))
+            elif attempt.cancelled:
+                self._fail(attempt, attempt.cancel_code, attempt.cancelled)
+            else:
+                assert isinstance(item, HttpFailure)
+                attempt.is_sent &= item.sent
+                self._fail(attempt, ErrorCode.ENDPOINT_FAILED, item.reason)
+
+    def _on_sent(self, attempt: Attempt) -> None:
+        attempt.is_sent = True
+        attempt.sent_or_ended.set()
+        self._send(attempt, Started)
+
+    def _send_tokens(self, attempt: Attempt, batch: TokenBatch) -> None:
+        now_ms = self._clock.now_ms()
+        if attempt.first_token_ms is None:
+            attempt.first_token_ms = now_ms
+            self._metrics.on_first_token(attempt)
+        self._metrics.tokens.inc(batch.tokens)
+        self._queue.on_tokens(attempt.item.key, batch.tokens, now_ms)
+        seq = attempt.chunks
+        attempt.chunks += 1
+        attempt.tokens += batch.tokens
+        self._send(attempt, Chunk, seq, batch.text.encode(), batch.tokens)
+
+    def _send_body(
+        self, attempt: Attempt, recorder: BookingRecorder, data: bytes
+    ) -> None:
+        if attempt.first_token_ms is None:
+            attempt.first_token_ms = self._clock.now_ms()
+        if attempt.is_booking:
+            recorder.add(data)
+        seq = attempt.chunks
+        attempt.chunks += 1
+        self._send(attempt, Chunk, seq, data, 0)
+        # A body may be far longer than the link's queue.
+        attempt.link.wait_writable()
+
+    def _finish(self, attempt: Attempt, end: StreamEnd) -> None:
+        self._metrics.on_end(attempt, "finished")
+        self._send(
+            attempt,
+            Finished,
+            attempt.chunks,
+            end.finish_reason,
+            end.prompt_tokens,
+            end.completion_tokens,
+            end.cached_tokens,
+        )
+
+    def _fail(self, attempt: Attempt, code: ErrorCode, reason: str) -> None:
+        """End an attempt without a whole answer; what has been sent stays sent."""
+        self._metrics.on_end(attempt, "failed")
+        if attempt.cancelled:
+            self._metrics.waste(attempt.tokens, "cancelled")
+        if attempt.is_booking:
+            self._fail_claim(attempt)
+        text = reason[:MAX_REASON_CHARS]
+        self._send(attempt, Failed, attempt.is_sent, code.value, text)
+
+    def _end_claim(self, attempt: Attempt, recorder: BookingRecorder) -> None:
+        if attempt.is_booking:
+            self._claims.end(attempt.submit.claim_token, recorder.answer())
+
+    def _fail_claim(self, attempt: Attempt) -> None:
+        if attempt.is_sent:
+            self._claims.end(attempt.submit.claim_token, None)
+        else:
+            self._claims.never_ran(attempt.submit.claim_token)
+
+    def _send(self, attempt: Attempt, message_type: Callable, *fields: object) -> None:
+        request_id, number = attempt.item.key
+        attempt.link.send(message_type(request_id, number, *fields))
+
+    def _control(self, item: WorkItem, call: str) -> None:
+        attempt = self._table.get(item.key)
+        if attempt is None or not isinstance(self._client, EngineClient):
+            return
+        attempt.pending_controls.append(call)
+        if len(attempt.pending_controls) == 1:
+            spawn(self._run_controls, attempt, self._client)
+
+    def _run_controls(self, attempt: Attempt, client: EngineClient) -> None:
+        """Carry out the control calls of one attempt in their order."""
+        attempt.sent_or_ended.wait()
+        while attempt.pending_controls and not attempt.is_ended:
+            self._run_control(attempt, client, attempt.pending_controls[0])
+            attempt.pending_controls.popleft()
+
+    def _run_control(self, attempt: Attempt, client: EngineClient, call: str) -> None:
+        engine_id = engine_request_id(attempt.submit)
+        if call == RESUME:
+            answer = client.resume(engine_id)
+        else:
+            answer = client.pause(engine_id, call)
+        if not isinstance(answer, EngineFailure):
+            self._metrics.waste(answer.dropped_tokens, "kv_dropped")
+            return
+        self._metrics.control_failures.inc()
+        if call == RESUME and not attempt.is_ended and attempt.exchange is not None:
+            # The stream would stay silent for ever; the entry can resume elsewhere.
+            attempt.exchange.abort()
--- /dev/null
+++ b/wigeonwind/roles/engine_client.py
@@ -0,0 +1,238 @@
+"""Client of a model engine (design 6.2): streams, control, load and orders."""
+
+import json
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from wigeonwind.links.messages import Order, Submit
+from wigeonwind.roles.endpoint_http import HttpExchange, HttpFailure
+from wigeonwind.roles.sse import StreamEnd, StreamError, TokenBatch, TokenStream
+from wigeonwind.settings import SocketAddress
+
+CONTROL_TIMEOUT_MS = 5_000.0
+"""Time for a control call or a load report."""
+
+ORDER_TIMEOUT_MS = 600_000.0
+"""Time for an order: weights are fetched from a store of limited rate."""
+
+MAX_REPLY_BYTES = 1_000_000
+"""Bound of an answer that is not a stream."""
+
+ENGINE_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
+"""Paths on which an engine generates text."""
+
+JSON_HEADERS = [["Content-Type", "application/json"]]
+"""Headers of every request to an engine."""
+
+
+@dataclass(frozen=True)
+class EngineFailure:
+    """The engine gave no whole answer.
+
+    `sent` False means that it certainly got nothing. `status` is its HTTP status, 0 if
+    there was none.
+    """
+
+    sent: bool
+    reason: str
+    status: int = 0
+
+
+@dataclass(frozen=True)
+class EngineLoad:
+    """The engine's own load report; `measured_at_ms` is a reading of its clock."""
+
+    running: int
+    tokens_per_s: float
+    measured_at_ms: float
+    model: str
+    version: str
+    role: str
+
+
+@dataclass(frozen=True)
+class ControlAnswer:
+    """Tokens generated so far, and those that the call dropped."""
+
+    tokens: int
+    dropped_tokens: int
+
+
+EngineItem = TokenBatch | StreamEnd | EngineFailure
+
+
+def engine_request_id(submit: Submit) -> str:
+    """Return the id by which the engine knows an attempt."""
+    return f"{submit.request_id}.{submit.attempt}"
+
+
+def engine_body(submit: Submit, priority: int) -> bytes | EngineFailure:
+    """Return the body for the engine: always streamed, with our identity added."""
+    try:
+        fields = json.loads(submit.body)
+    except ValueError:
+        fields = None
+    if not isinstance(fields, dict) or submit.path not in ENGINE_PATHS:
+        return EngineFailure(False, "not a request for a model", 400)
+    fields["stream"] = True
+    fields["request_id"] = engine_request_id(submit)
+    fields["priority"] = priority
+    if submit.resume_text:
+        fields["resume_text"] = submit.resume_text
+    return json.dumps(fields).encode()
+
+
+class EngineStream:
+    """One answer being generated."""
+
+    def __init__(self, exchange: HttpExchange, path: str, body: bytes) -> None:
+        self._exchange = exchange
+        self._path = path
+        self._body = body
+
+    def items(self, on_connected: Callable[[], None]) -> Iterator[EngineItem]:
+        """Yield batches of tokens, then one StreamEnd or EngineFailure.
+
+        `on_connected` is called when the request is about to be sent.
+        """
+        try:
+            yield from self._items(on_connected)
+        finally:
+            self._exchange.close()
+
+    def _items(self, on_connected: Callable[[], None]) -> Iterator[EngineItem]:
+        failure = self._exchange.connect()
+        if failure is not None:
+            yield EngineFailure(False, failure.reason)
+            return
+        on_connected()
+        head = self._exchange.request("POST", self._path, JSON_HEADERS, self._body)
+        if isinstance(head, HttpFailure):
+            yield EngineFailure(head.sent, head.reason)
+        elif head.status != 200:
+            text = self._exchange.read_all(MAX_REPLY_BYTES)
+            reason = text.decode("utf-8", "replace") if isinstance(text, bytes) else ""
+            yield EngineFailure(True, reason[:500], head.status)
+        else:
+            yield from self._stream_items()
+
+    def _stream_items(self) -> Iterator[EngineItem]:
+        stream = TokenStream()
+        while True:
+            data = self._exchange.read()
+            if isinstance(data, HttpFailure):
+                yield EngineFailure(True, data.reason)
+                return
+            if not data:
+                yield EngineFailure(True, "the engine ended the stream early")
+                return
+            for item in stream.feed(data):
+                if isinstance(item, StreamError):
+                    yield EngineFailure(True, item.reason)
+                    return
+                yield item
+                if isinstance(item, StreamEnd):
+                    return
+
+    def abort(self) -> None:
+        """Break the connection from another greenlet."""
+        self._exchange.abort()
+
+
+class EngineClient:
+    """All calls to one model engine; those that wait block their greenlet."""
+
+    def __init__(self, address: SocketAddress, stream_timeout_ms: float) -> None:
+        self._address = address
+        self._stream_timeout_ms = stream_timeout_ms
+
+    def stream(self, path: str, body: bytes) -> EngineStream:
+        """Return the stream of an answer; nothing is sent before `items` is run."""
+        exchange = HttpExchange(self._address, self._stream_timeout_ms)
+        return EngineStream(exchange, path, body)
+
+    def cancel(self, engine_id: str) -> ControlAnswer | EngineFailure:
+        """Stop an answer."""
+        return self._control("/control/cancel", {"request_id": engine_id})
+
+    def pause(self, engine_id: str, kv: str) -> ControlAnswer | EngineFailure:
+        """Pause an answer; `kv` is `keep`, `export` or `drop`."""
+        return self._control("/control/pause", {"request_id": engine_id, "kv": kv})
+
+    def resume(self, engine_id: str) -> ControlAnswer | EngineFailure:
+        """Go on with a paused answer."""
+        return self._control("/control/resume", {"request_id": engine_id})
+
+    def load(self) -> EngineLoad | EngineFailure:
+        """Read the engine's load report."""
+        fields = self._call("GET", "/load", None, CONTROL_TIMEOUT_MS)
+        if isinstance(fields, EngineFailure):
+            return fields
+        try:
+            return EngineLoad(
+                int(fields["running"]),
+                float(fields.get("tokens_per_s", 0.0)),
+                float(fields.get("measured_at_ms", 0.0)),
+                str(fields.get("model", "")),
+                str(fields.get("version", "")),
+                str(fields.get("role", "")),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            return EngineFailure(True, f"load report cannot be used: {error}")
+
+    def order(self, order: Order) -> EngineFailure | None:
+        """Carry out an order; None when the engine has done it."""
+        fields = {
+            "fence": order.fence,
+            "action": order.action,
+            "model": order.model,
+            "version": order.version,
+            "role": order.role,
+        }
+        answer = self._call("POST", "/orders", fields, ORDER_TIMEOUT_MS)
+        return answer if isinstance(answer, EngineFailure) else None
+
+    def _control(
+        self, path: str, fields: dict[str, Any]
+    ) -> ControlAnswer | EngineFailure:
+        answer = self._call("POST", path, fields, CONTROL_TIMEOUT_MS)
+        if isinstance(answer, EngineFailure):
+            return answer
+        try:
+            tokens = int(answer.get("tokens", 0))
+            return ControlAnswer(tokens, int(answer.get("dropped_tokens", 0)))
+        except (TypeError, ValueError) as error:
+            return EngineFailure(True, f"answer of {path} cannot be used: {error}")
+
+    def _call(
+        self, method: str, path: str, fields: dict | None, timeout_ms: float
+    ) -> dict[str, Any] | EngineFailure:
+        exchange = HttpExchange(self._address, timeout_ms)
+        try:
+            failure = exchange.connect()
+            if failure is not None:
+                return EngineFailure(False, failure.reason)
+            body = b"" if fields is None else json.dumps(fields).encode()
+            head = exchange.request(method, path, JSON_HEADERS, body)
+            if isinstance(head, HttpFailure):
+                return EngineFailure(head.sent, head.reason)
+            data = exchange.read_all(MAX_REPLY_BYTES)
+        finally:
+            exchange.close()
+        if isinstance(data, HttpFailure):
+            return EngineFailure(True, data.reason)
+        return _json_answer(path, head.status, data)
+
+
+def _json_answer(path: str, status: int, data: bytes) -> dict[str, Any] | EngineFailure:
+    if status != 200:
+        text = data.decode("utf-8", "replace")[:500]
+        return EngineFailure(True, f"{path}: {status} {text}", status)
+    try:
+        fields = json.loads(data or b"{}")
+    except ValueError:
+        return EngineFailure(True, f"{path}: answer is not JSON", status)
+    if not isinstance(fields, dict):
+        return EngineFailure(True, f"{path}: answer is not an object", status)
+    return fields
--- /dev/null
+++ b/wigeonwind/roles/load_reporter.py
@@ -0,0 +1,129 @@
+"""Watches the endpoint and reports its load to the linked entries."""
+
+from collections.abc import Callable
+
+from gevent import Greenlet, sleep, spawn
+
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.decisions.interfaces import EndpointQueueDecisions
+from wigeonwind.links.link_types import Link
+from wigeonwind.links.messages import LoadReport
+from wigeonwind.roles.endpoint_http import HttpExchange
+from wigeonwind.roles.engine_client import (
+    CONTROL_TIMEOUT_MS,
+    EngineClient,
+    EngineFailure,
+    EngineLoad,
+)
+from wigeonwind.settings import SocketAddress
+
+STALE_INTERVALS = 3
+"""Report intervals without an answer after which the endpoint is not ready."""
+
+LONGEST_CLOCK_AGE_MS = 60_000.0
+"""A larger difference to the engine's clock means that the clocks are unrelated."""
+
+
+class LoadReporter:
+    """The newest state of the endpoint, and the reports about it."""
+
+    def __init__(
+        self,
+        member_id: str,
+        clock: Clock,
+        queue: EndpointQueueDecisions,
+        client: EngineClient | None,
+        address: SocketAddress,
+        report_ms: float,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        self._member_id = member_id
+        self._clock = clock
+        self._queue = queue
+        self._client = client
+        self._address = address
+        self._report_ms = report_ms
+        self._is_draining = is_draining
+        self._links: list[Link] = []
+        self._load: EngineLoad | None = None
+        self._read_ms: float | None = None
+        self._greenlets: list[Greenlet] = []
+
+    def start(self) -> None:
+        """Start to watch and to report."""
+        self._greenlets = [spawn(self._watch_loop), spawn(self._report_loop)]
+
+    def stop(self) -> None:
+        """Stop to watch and to report."""
+        for greenlet in self._greenlets:
+            greenlet.kill(block=False)
+
+    def on_up(self, link: Link) -> None:
+        """Report to an entry from now on, at once for the first time."""
+        if link.hello.role == "entry":
+            self._links.append(link)
+            link.send(self.report())
+
+    def on_down(self, link: Link) -> None:
+        """Stop to report on a link."""
+        if link in self._links:
+            self._links.remove(link)
+
+    def is_ready(self) -> bool:
+        """Return whether new work may be sent here."""
+        if self._is_draining() or self._read_ms is None:
+            return False
+        age_ms = self._clock.now_ms() - self._read_ms
+        return age_ms <= STALE_INTERVALS * self._report_ms
+
+    def look(self) -> None:
+        """Ask the endpoint once: an engine for its load, a service for a connection."""
+        if self._client is not None:
+            load = self._client.load()
+            if not isinstance(load, EngineFailure):
+                self._load = load
+                self._read_ms = self._clock.now_ms()
+            return
+        probe = HttpExchange(self._address, CONTROL_TIMEOUT_MS)
+        if probe.connect() is None:
+            self._read_ms = self._clock.now_ms()
+        probe.close()
+
+    def report(self) -> LoadReport:
+        """Return the present report."""
+        now_ms = self._clock.now_ms()
+        queue = self._queue.report(now_ms)
+        return LoadReport(
+            self._member_id,
+            queue.running,
+            queue.slots,
+            [[name, count] for name, count in queue.waiting_by_class],
+            self._load.running if self._load else queue.running,
+            self._age_ms(now_ms),
+            queue.ms_per_token,
+            queue.ms_to_first_token,
+            queue.queued_tokens,
+            self.is_ready(),
+        )
+
+    def _age_ms(self, now_ms: float) -> float:
+        """Return the age of the engine's report; clocks of one VM agree."""
+        if self._read_ms is None:
+            return 0.0
+        measured_ms = self._load.measured_at_ms if self._load else self._read_ms
+        age_ms = now_ms - measured_ms
+        if 0.0 <= age_ms <= LONGEST_CLOCK_AGE_MS:
+            return age_ms
+        return now_ms - self._read_ms
+
+    def _watch_loop(self) -> None:
+        while True:
+            self.look()
+            sleep(self._report_ms / MS_PER_SECOND)
+
+    def _report_loop(self) -> None:
+        while True:
+            sleep(self._report_ms / MS_PER_SECOND)
+            report = self.report()
+            for link in self._links:
+                link.send(report)
--- /dev/null
+++ b/wigeonwind/roles/pause_detector.py
@@ -0,0 +1,46 @@
+"""Finds out how late a message may have been read after this process was paused."""
+
+from wigeonwind.clock import Clock
+
+TICK_MS = 50.0
+"""Interval between ticks."""
+
+NORMAL_LATENESS_MS = 4 * TICK_MS
+"""A tick that comes later than this shows a pause and not only a busy loop."""
+
+CATCH_UP_MS = 100.0
+"""Time after a pause in which messages that arrived during it are still read."""
+
+
+class PauseDetector:
+    """Bounds the time that a message may have waited in the socket.
+
+    A sender states the time left until a deadline, which counts from when it sent. A
+    message that is read after a pause may have been sent at any time during it.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._last_tick_ms: float | None = None
+        self._pause_ms = 0.0
+        self._paused_until_ms = 0.0
+
+    def tick(self) -> None:
+        """Note that the process is running; call it every TICK_MS."""
+        now_ms = self._clock.now_ms()
+        gap_ms = self._gap_ms(now_ms)
+        if gap_ms > NORMAL_LATENESS_MS:
+            self._pause_ms = gap_ms
+            self._paused_until_ms = now_ms + CATCH_UP_MS
+        self._last_tick_ms = now_ms
+
+    def lateness_ms(self) -> float:
+        """Return the longest time that a message read now may have waited."""
+        now_ms = self._clock.now_ms()
+        gap_ms = self._gap_ms(now_ms)
+        if gap_ms > NORMAL_LATENESS_MS:
+            return gap_ms
+        return self._pause_ms if now_ms < self._paused_until_ms else 0.0
+
+    def _gap_ms(self, now_ms: float) -> float:
+        return 0.0 if self._last_tick_ms is None else now_ms - self._last_tick_ms
--- /dev/null
+++ b/wigeonwind/roles/plain_client.py
@@ -0,0 +1,109 @@
+"""Client of a plain service: the call as the caller made it, once."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+
+from wigeonwind.links.messages import Submit
+from wigeonwind.roles.endpoint_http import HttpExchange, HttpFailure, HttpHead
+from wigeonwind.settings import SocketAddress
+
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that belong to one connection (RFC 9110 section 7.6.1)."""
+
+REQUEST_ONLY_HERE = frozenset({"host", "content-length", "expect"})
+"""Request headers that are written anew; the whole body is here already, so the
+service need not be asked whether it wants it."""
+
+
+@dataclass(frozen=True)
+class PlainEnd:
+    """The whole answer has arrived."""
+
+
+PlainItem = HttpHead | bytes | PlainEnd | HttpFailure
+
+
+def end_to_end_headers(headers: Iterable[list[str]]) -> list[list[str]]:
+    """Return the headers without those of one connection.
+
+    >>> end_to_end_headers([["Connection", "X-Hop"], ["X-Hop", "1"], ["Accept", "*"]])
+    [['Accept', '*']]
+    """
+    pairs = list(headers)
+    dropped = set(HOP_HEADERS)
+    for name, value in pairs:
+        if name.lower() == "connection":
+            dropped.update(part.strip().lower() for part in value.split(","))
+    return [[name, value] for name, value in pairs if name.lower() not in dropped]
+
+
+class PlainCall:
+    """One call of a plain service."""
+
+    def __init__(self, exchange: HttpExchange, submit: Submit) -> None:
+        self._exchange = exchange
+        self._submit = submit
+
+    def items(self, on_connected: Callable[[], None]) -> Iterator[PlainItem]:
+        """Yield the head, pieces of the body, then PlainEnd or HttpFailure."""
+        try:
+            yield from self._items(on_connected)
+        finally:
+            self._exchange.close()
+
+    def _items(self, on_connected: Callable[[], None]) -> Iterator[PlainItem]:
+        failure = self._exchange.connect()
+        if failure is not None:
+            yield failure
+            return
+        on_connected()
+        submit = self._submit
+        headers = [
+            pair
+            for pair in end_to_end_headers(submit.headers)
+            if pair[0].lower() not in REQUEST_ONLY_HERE
+        ]
+        head = self._exchange.request(submit.method, submit.path, headers, submit.body)
+        if isinstance(head, HttpFailure):
+            yield head
+            return
+        yield HttpHead(head.status, end_to_end_headers(head.headers))
+        yield from self._body_items()
+
+    def _body_items(self) -> Iterator[PlainItem]:
+        while True:
+            data = self._exchange.read()
+            if isinstance(data, bytes) and not data:
+                yield PlainEnd()
+                return
+            yield data
+            if isinstance(data, HttpFailure):
+                return
+
+    def abort(self) -> None:
+        """Break the connection from another greenlet."""
+        self._exchange.abort()
+
+
+class PlainClient:
+    """Calls of one plain service."""
+
+    def __init__(self, address: SocketAddress, read_timeout_ms: float) -> None:
+        self._address = address
+        self._read_timeout_ms = read_timeout_ms
+
+    def call(self, submit: Submit) -> PlainCall:
+        """Return a call; nothing is sent before `items` is run."""
+        return PlainCall(HttpExchange(self._address, self._read_timeout_ms), submit)
--- /dev/null
+++ b/wigeonwind/roles/side.py
@@ -0,0 +1,243 @@
+"""The sidecar: the only owner of its endpoint."""
+
+from collections.abc import Callable
+from typing import Any
+
+from gevent import Greenlet, sleep, spawn
+
+from wigeonwind.catalog import Catalog
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.decisions.interfaces import (
+    EndpointQueueDecisions,
+    ExpireWork,
+    PauseWork,
+    QueueAction,
+    ResumeWork,
+    StartWork,
+)
+from wigeonwind.ids import new_incarnation
+from wigeonwind.links.link_types import Link
+from wigeonwind.links.messages import (
+    Cancel,
+    Failed,
+    Leaving,
+    Order,
+    ResolveClaim,
+    Submit,
+    Withdraw,
+)
+from wigeonwind.outcomes import ErrorCode
+from wigeonwind.roles.attempt_runner import AttemptRunner
+from wigeonwind.roles.claim_memory import ClaimMemory
+from wigeonwind.roles.engine_client import EngineClient
+from wigeonwind.roles.intake import Intake
+from wigeonwind.roles.load_reporter import LoadReporter
+from wigeonwind.roles.metrics import Metrics
+from wigeonwind.roles.orders import OrderGate
+from wigeonwind.roles.pause_detector import TICK_MS, PauseDetector
+from wigeonwind.roles.plain_client import PlainClient
+from wigeonwind.roles.side_drain import SideDrain
+from wigeonwind.roles.side_metrics import SideMetrics
+from wigeonwind.roles.work_table import Attempt, WorkTable
+from wigeonwind.settings import Settings, parse_address
+from wigeonwind.state.store_types import Store
+
+LEAST_URGENT = 99
+"""Priority of a class that the present configuration does not have any more."""
+
+
+class SideRole:
+    """Connects links, queue, endpoint and orders; settings need an `[endpoint]`."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        clock: Clock,
+        store: Store,
+        queue: EndpointQueueDecisions,
+        metrics: Metrics,
+        incarnation: int | None = None,
+    ) -> None:
+        endpoint = settings.endpoint
+        if endpoint is None:
+            raise ValueError("a sidecar needs the section [endpoint]")
+        self.member_id = settings.node.id
+        self.incarnation = incarnation or new_incarnation()
+        self._service = endpoint.service
+        self._clock = clock
+        self._queue = queue
+        self._catalog = Catalog(0)
+        self._links: list[Link] = []
+        self._is_draining = False
+        self._ticker: Greenlet | None = None
+        self._pauses = PauseDetector(clock)
+        self._table = WorkTable(clock)
+        claims = ClaimMemory(clock)
+        address = parse_address(endpoint.address)
+        timeout_ms = settings.limits.request_timeout_ms
+        engine = EngineClient(address, timeout_ms) if endpoint.kind == "model" else None
+        client = engine or PlainClient(address, timeout_ms)
+        self._reporter = LoadReporter(
+            self.member_id,
+            clock,
+            queue,
+            engine,
+            address,
+            settings.links.report_ms,
+            lambda: self._is_draining,
+        )
+        self._orders = OrderGate(store, engine, self._reporter.is_ready)
+        self._metrics = SideMetrics(metrics, clock, self._orders.counts)
+        self._intake = Intake(
+            clock,
+            self._table,
+            claims,
+            queue,
+            self._metrics,
+            self._pauses,
+            self.incarnation,
+            endpoint.service,
+            engine is not None,
+            lambda: self._is_draining,
+        )
+        self._runner = AttemptRunner(
+            clock,
+            self._table,
+            claims,
+            queue,
+            client,
+            self._metrics,
+            self._priority_of,
+            self._on_ended,
+        )
+        self._drain = SideDrain(
+            clock,
+            self._table,
+            self._intake.give_back,
+            self._runner.cancel,
+            settings.drain.limit_ms,
+        )
+        self._handler_by_type: dict[type, Callable[[Link, Any], None]] = {
+            Submit: self._intake.on_submit,
+            Withdraw: self._intake.on_withdraw,
+            ResolveClaim: self._intake.on_resolve,
+            Cancel: self._on_cancel,
+            Order: self._orders.on_order,
+        }
+
+    def start(self) -> None:
+        """Start to watch the endpoint, to report, and to read the lease."""
+        self._reporter.start()
+        self._orders.start()
+        self._ticker = spawn(self._tick_loop)
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Use another version of the text for new work."""
+        self._catalog = catalog
+        self._metrics.set_catalog(catalog)
+        self._queue.set_catalog(catalog)
+        service = catalog.service_by_name.get(self._service)
+        if service is not None:
+            self._queue.set_slots(service.concurrency)
+        self._pump()
+
+    def on_up(self, link: Link) -> None:
+        """Take a link to a peer."""
+        self._links.append(link)
+        self._reporter.on_up(link)
+        if self._is_draining:
+            link.send(Leaving(self.member_id, self.incarnation))
+
+    def on_message(self, link: Link, message: Any) -> bool:
+        """Take a message; False if it is not for this role."""
+        handler = self._handler_by_type.get(type(message))
+        if handler is None:
+            return False
+        handler(link, message)
+        self._pump()
+        return True
+
+    def on_down(self, link: Link, reason: str) -> None:
+        """Stop the work of a link, but for bookings that have started."""
+        if link in self._links:
+            self._links.remove(link)
+        self._reporter.on_down(link)
+        for attempt in self._table.of_link(link):
+            self._stop_orphan(attempt)
+        self._pump()
+
+    def drain(self) -> None:
+        """Tell all peers, hand back what waits, finish what runs; block until done."""
+        if not self._is_draining:
+            self._is_draining = True
+            for link in self._links:
+                link.send(Leaving(self.member_id, self.incarnation))
+        self._drain.run()
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop at once; what runs is broken off."""
+        self._is_draining = True
+        self._reporter.stop()
+        self._orders.stop()
+        if self._ticker is not None:
+            self._ticker.kill(block=False)
+        for attempt in self._table.started():
+            self._runner.cancel(attempt, "the sidecar stops")
+
+    def tick(self) -> None:
+        """Look at deadlines, and at work whose link broke unnoticed."""
+        self._pauses.tick()
+        for attempt in self._table:
+            if not attempt.link.is_open:
+                self._stop_orphan(attempt)
+        self._pump()
+
+    def _tick_loop(self) -> None:
+        while True:
+            sleep(TICK_MS / MS_PER_SECOND)
+            self.tick()
+
+    def _on_cancel(self, link: Link, message: Cancel) -> None:
+        key = (message.request_id, message.attempt)
+        attempt = self._table.get(key)
+        if attempt is None:
+            self._table.forbid(key)
+        elif not attempt.is_started:
+            self._queue.withdraw(key)
+            self._intake.forget_waiting(attempt)
+            reason = "cancelled while it waited"
+            link.send(Failed(*key, False, ErrorCode.CANCELLED.value, reason))
+        elif not attempt.is_booking:
+            self._runner.cancel(attempt, "cancelled by the caller")
+
+    def _stop_orphan(self, attempt: Attempt) -> None:
+        if not attempt.is_started:
+            self._queue.withdraw(attempt.item.key)
+            self._intake.forget_waiting(attempt)
+        elif not attempt.is_booking:
+            self._runner.cancel(attempt, "the entry's link broke")
+
+    def _on_ended(self, attempt: Attempt) -> None:
+        self._drain.on_ended()
+        self._pump()
+
+    def _pump(self) -> None:
+        """Carry out what the queue decides; nothing in here may wait."""
+        for action in self._queue.actions(self._clock.now_ms()):
+            self._carry_out(action)
+
+    def _carry_out(self, action: QueueAction) -> None:
+        if isinstance(action, StartWork):
+            self._runner.start(action.item)
+        elif isinstance(action, PauseWork):
+            self._runner.pause(action)
+        elif isinstance(action, ResumeWork):
+            self._runner.resume(action)
+        else:
+            assert isinstance(action, ExpireWork)
+            self._intake.on_expired(action.item, action.rejection)
+
+    def _priority_of(self, class_name: str) -> int:
+        request_class = self._catalog.class_by_name.get(class_name)
+        return request_class.priority if request_class else LEAST_URGENT
--- /dev/null
+++ b/wigeonwind/roles/side_metrics.py
@@ -0,0 +1,77 @@
+"""Metrics of a sidecar."""
+
+from wigeonwind.catalog import Catalog, TargetKind
+from wigeonwind.clock import Clock
+from wigeonwind.roles.metrics import Metrics
+from wigeonwind.roles.orders import VersionCounts
+from wigeonwind.roles.work_table import Attempt
+
+
+class SideMetrics:
+    """Counters and latencies of the attempts at one endpoint."""
+
+    def __init__(self, metrics: Metrics, clock: Clock, counts: VersionCounts) -> None:
+        self._clock = clock
+        self._counts = counts
+        self._catalog = Catalog(0)
+        ends = "Attempts by how they ended."
+        self.attempts = metrics.counter("attempts", ends, ("outcome",))
+        text = "Tokens generated and then discarded, by reason."
+        self.wasted = metrics.counter("wasted_tokens", text, ("reason",))
+        self.tokens = metrics.counter("generated_tokens", "Tokens generated.")
+        text = "Submits of attempts that were known already."
+        self.duplicates = metrics.counter("duplicate_submits", text)
+        text = "Pause and resume calls that the engine did not carry out."
+        self.control_failures = metrics.counter("engine_control_failures", text)
+        text = "Time from arrival to leaving the queue."
+        self.queue_wait = metrics.latency("queue_wait", text)
+        text = "Time from arrival to the first token."
+        self.first_token = metrics.latency("first_token", text)
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Use the targets of another version of the text."""
+        self._catalog = catalog
+
+    def on_start(self, attempt: Attempt) -> None:
+        """Record that an attempt has left the queue."""
+        self.queue_wait.record(self._clock.now_ms() - attempt.item.arrived_ms)
+
+    def on_first_token(self, attempt: Attempt) -> None:
+        """Record the first token of an attempt."""
+        assert attempt.first_token_ms is not None
+        self.first_token.record(attempt.first_token_ms - attempt.item.arrived_ms)
+
+    def on_refused(self) -> None:
+        """Record an attempt that was refused."""
+        self.attempts.labels("refused").inc()
+
+    def on_end(self, attempt: Attempt, outcome: str) -> None:
+        """Record the end of a started attempt; `finished` or `failed`."""
+        if attempt.cancelled:
+            self.attempts.labels("cancelled").inc()
+            return
+        self.attempts.labels(outcome).inc()
+        self._counts.ended += 1
+        if outcome == "failed":
+            self._counts.failed += 1
+        elif self._attained(attempt):
+            self._counts.attained += 1
+
+    def waste(self, tokens: int, reason: str) -> None:
+        """Count tokens that were generated in vain."""
+        if tokens > 0:
+            self.wasted.labels(reason).inc(tokens)
+
+    def _attained(self, attempt: Attempt) -> bool:
+        request_class = self._catalog.class_by_name.get(attempt.item.class_name)
+        if request_class is None:
+            return True
+        now_ms = self._clock.now_ms()
+        first_ms = attempt.first_token_ms
+        first_ms = now_ms if first_ms is None else first_ms
+        target = request_class.target
+        if target.kind is TargetKind.FIRST_TOKEN:
+            return first_ms - attempt.item.arrived_ms <= target.limit_ms
+        if target.kind is TargetKind.WHOLE:
+            return now_ms - attempt.item.arrived_ms <= target.limit_ms
+        return (now_ms - first_ms) / max(attempt.tokens - 1, 1) <= target.limit_ms
--- /dev/null
+++ b/wigeonwind/roles/sse.py
@@ -0,0 +1,111 @@
+"""Server-sent events of a model engine, parsed as the bytes arrive."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+MAX_EVENT_BYTES = 1_000_000
+"""Bound of one unfinished event; an engine's event carries one token."""
+
+DONE = b"[DONE]"
+"""Payload of the last event of a stream."""
+
+
+@dataclass(frozen=True)
+class TokenBatch:
+    """Tokens that arrived together."""
+
+    text: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class StreamEnd:
+    """The engine's statement of how the answer ended."""
+
+    finish_reason: str
+    prompt_tokens: int
+    completion_tokens: int
+    cached_tokens: int
+
+
+@dataclass(frozen=True)
+class StreamError:
+    """The stream cannot be used any further."""
+
+    reason: str
+
+
+StreamItem = TokenBatch | StreamEnd | StreamError
+
+
+class TokenStream:
+    r"""Turns chunks of bytes into at most one TokenBatch each, and the end.
+
+    >>> stream = TokenStream()
+    >>> event = b'data: {"choices": [{"text": "a"}]}\n\n'
+    >>> list(stream.feed(event + event + event[:5]))
+    [TokenBatch(text='aa', tokens=2)]
+    """
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self._end: StreamEnd | None = None
+        self._finish_reason = ""
+        self.is_done = False
+
+    def feed(self, data: bytes) -> Iterator[StreamItem]:
+        """Take the next bytes and yield what they complete."""
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        if len(self._rest) > MAX_EVENT_BYTES:
+            yield StreamError("an event of the engine is too long")
+            return
+        texts: list[str] = []
+        error = self._take_lines(lines, texts)
+        if texts:
+            yield TokenBatch("".join(texts), len(texts))
+        if error:
+            yield StreamError(error)
+        elif self.is_done and self._finish_reason:
+            yield self._end or StreamEnd(self._finish_reason, 0, 0, 0)
+        elif self.is_done:
+            yield StreamError("the engine ended the stream without a finish reason")
+
+    def _take_lines(self, lines: list[bytes], texts: list[str]) -> str:
+        """Append token texts and return an error's reason, if any."""
+        for line in lines:
+            if not line.startswith(b"data:"):
+                continue
+            payload = line[5:].strip()
+            if payload == DONE:
+                self.is_done = True
+                return ""
+            try:
+                self._take_event(json.loads(payload), texts)
+            except _ENGINE_ERRORS as error:
+                return f"the engine sent an event that cannot be used: {error}"
+        return ""
+
+    def _take_event(self, event: dict[str, Any], texts: list[str]) -> None:
+        for choice in event.get("choices") or ():
+            text = (
+                choice["text"] if "text" in choice else choice["delta"].get("content")
+            )
+            if text:
+                texts.append(str(text))
+            if choice.get("finish_reason"):
+                self._finish_reason = str(choice["finish_reason"])
+        if event.get("error"):
+            raise ValueError(str(event["error"])[:200])
+        usage = event.get("usage")
+        if usage:
+            counts = [int(usage.get(name) or 0) for name in _USAGE_FIELDS]
+            self._end = StreamEnd(self._finish_reason, *counts)
+
+
+_USAGE_FIELDS = ("prompt_tokens", "completion_tokens", "cached_tokens")
+
+_ENGINE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+"""What an event of an unexpected shape raises."""
