Add the operators' interface and the first commands of wigeonctl

Cause: operators submit and read the text only through an entry.

Change: WSGI application for /admin/text, /admin/text/check and /admin/status with an optional key; wigeonctl text and settings commands with documented exit codes; changes described in sentences; example texts for both users.

--- /dev/null
+++ b/tests/test_text_operators_api.py
@@ -0,0 +1,123 @@
+"""The operators' interface: acceptance, conflicts, mistakes, outages, the key."""
+
+import io
+import json
+from typing import Any
+
+from test_text_parse import GOOD
+
+from wigeonwind.roles.operators_api import OperatorsApi
+from wigeonwind.state.memory_store import MemoryStore
+from wigeonwind.state.text_keeper import TextKeeper
+
+EDITED = GOOD.replace("weight = 2", "weight = 3")
+OTHER = GOOD.replace("min_share = 5%", "min_share = 10%")
+
+
+class Entry:
+    """One entry on a store, called without a socket."""
+
+    def __init__(self, store: MemoryStore, key: str = "") -> None:
+        self.store = store
+        self.keeper = TextKeeper(lambda message: None)
+        self.confirmed: list[int] = []
+        self.api = OperatorsApi(
+            self.keeper, store, self._confirm, dict, lambda ms: None, key
+        )
+
+    def _confirm(self, version: int, timeout_ms: float) -> list[str]:
+        assert self.keeper.version >= version
+        self.confirmed.append(version)
+        return ["tartu-a"]
+
+    def call(self, method: str, path: str, fields: Any = None, key: str = "") -> Any:
+        body = json.dumps(fields).encode() if fields is not None else b""
+        environ = {
+            "REQUEST_METHOD": method,
+            "PATH_INFO": path,
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+            "HTTP_AUTHORIZATION": f"Bearer {key}",
+        }
+        seen: list[str] = []
+        data = self.api(environ, lambda status, headers: seen.append(status))
+        return int(seen[0][:3]), json.loads(b"".join(data))
+
+    def submit(self, base: int, submission: str, source: str) -> Any:
+        fields = {"base_version": base, "submission_id": submission, "source": source}
+        return self.call("PUT", "/admin/text", fields)
+
+
+def test_an_accepted_text_is_in_force_and_confirmed_before_the_answer():
+    entry = Entry(MemoryStore())
+    answer = entry.submit(0, "s1", GOOD)
+    assert answer == (200, {"version": 1, "confirmed_zones": ["tartu-a"]})
+    assert entry.confirmed == [1]
+    status, shown = entry.call("GET", "/admin/text")
+    assert (shown["version"], shown["submission_id"]) == (1, "s1")
+    assert shown["source"] == GOOD
+
+
+def test_the_loser_of_two_operators_sees_what_the_other_changed():
+    store = MemoryStore()
+    first, second = Entry(store), Entry(store)
+    first.submit(0, "s1", GOOD)
+    second.keeper.offer(1, GOOD)
+    first.submit(1, "s2", OTHER)
+    status, fields = second.submit(1, "s3", EDITED)
+    assert (status, fields["version"], fields["source"]) == (409, 2, OTHER)
+    assert fields["changes"] == [
+        "Class chat of wigeon-llm: min_share changes from 5% to 10%."
+    ]
+    assert second.keeper.version == 2
+
+
+def test_mistakes_are_returned_and_nothing_is_written():
+    entry = Entry(MemoryStore())
+    status, fields = entry.submit(0, "s1", GOOD.replace("weight = 2", "weight = 0"))
+    assert status == 422
+    assert fields["problems"][0]["line"] == 37
+    assert entry.store.count_by_kind == {}
+
+
+def test_a_check_shows_for_whom_an_edit_changes_what():
+    entry = Entry(MemoryStore())
+    entry.submit(0, "s1", GOOD)
+    source = EDITED.replace("KEY", "b").replace("a" * 64, "b" * 64)
+    status, fields = entry.call("POST", "/admin/text/check", {"source": source})
+    assert (status, fields["problems"]) == (200, [])
+    assert fields["changes"] == [
+        "Customer tartu-maltsters: weight changes from 2 to 3.",
+        "Customer tartu-maltsters: 1 API key(s) added.",
+        "Customer tartu-maltsters: 1 API key(s) removed.",
+    ]
+    assert entry.keeper.version == 1
+
+
+def test_an_outage_tells_the_operator_to_submit_the_same_id_again():
+    entry = Entry(MemoryStore())
+    entry.store.faults.fail_before = 99
+    status, fields = entry.submit(0, "s1", GOOD)
+    assert (status, fields["maybe_accepted"], fields["submission_id"]) == (
+        503,
+        True,
+        "s1",
+    )
+    assert entry.keeper.version == 0
+    entry.store.faults.fail_before = 0
+    assert entry.submit(0, "s1", GOOD)[0] == 200
+
+
+def test_the_operators_key_is_needed_where_one_is_set():
+    entry = Entry(MemoryStore(), key="secret")
+    assert entry.call("GET", "/admin/text", key="wrong")[0] == 401
+    assert entry.call("GET", "/admin/text", key="secret")[0] == 200
+
+
+def test_a_body_that_cannot_be_read_is_refused_in_words():
+    entry = Entry(MemoryStore())
+    status, fields = entry.call("PUT", "/admin/text", {"source": GOOD})
+    assert status == 400
+    assert "base_version" in fields["error"]["message"]
+    assert entry.call("DELETE", "/admin/text")[0] == 405
+    assert entry.call("GET", "/admin/other")[0] == 404
--- /dev/null
+++ b/tests/test_tool_text.py
@@ -0,0 +1,114 @@
+"""The operators' tool: exit codes and messages, offline and against an entry."""
+
+import json
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from gevent.pywsgi import WSGIServer
+from test_text_operators_api import EDITED, Entry
+from test_text_parse import GOOD
+
+from wigeonwind.outcomes import Ok
+from wigeonwind.state.memory_store import MemoryStore
+from wigeonwind.state.text import parse_text
+from wigeonwind.tool.commands import ExitCode
+from wigeonwind.tool.main import run
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+
+
+class Desk:
+    """An operator with a file and an entry."""
+
+    def __init__(self, tmp_path: Path) -> None:
+        self.entry = Entry(MemoryStore())
+        self.server = WSGIServer(("127.0.0.1", 0), self.entry.api, log=None)
+        self.server.start()
+        self.flag = f"--entry=127.0.0.1:{self.server.server_port}"
+        self.path = tmp_path / "text.ini"
+
+    def run(self, command: str, source: str = GOOD) -> ExitCode:
+        self.path.write_text(source)
+        words = command.replace("FILE", str(self.path)).replace("ENTRY", self.flag)
+        return run(words.split())
+
+
+@pytest.fixture
+def desk(tmp_path: Path) -> Iterator[Desk]:
+    made = Desk(tmp_path)
+    yield made
+    made.server.stop(timeout=0.1)
+
+
+@pytest.mark.parametrize("name", ["polluvili", "guild"])
+def test_the_example_texts_pass_all_checks(name: str):
+    result = parse_text((EXAMPLES / name / "text.ini").read_text(), 1)
+    assert isinstance(result, Ok), result
+    assert len(result.value.customer_by_name) == 10
+
+
+def test_a_text_is_checked_without_an_entry(desk: Desk, capsys):
+    assert desk.run("text check FILE") == ExitCode.DONE
+    bad = GOOD.replace("weight = 2", "weight = 0")
+    assert desk.run("text check FILE --json", bad) == ExitCode.INVALID
+    out = capsys.readouterr().out.partition("\n")[2]
+    assert json.loads(out)["problems"][0]["line"] == 37
+
+
+def test_submit_check_show_and_status_against_an_entry(desk: Desk, capsys):
+    assert desk.run("text submit FILE --base-version=0 ENTRY") == ExitCode.DONE
+    assert "version 1; in force in zones: tartu-a" in capsys.readouterr().out
+    assert desk.run("text check FILE ENTRY", EDITED) == ExitCode.DONE
+    assert "weight changes from 2 to 3" in capsys.readouterr().out
+    assert desk.run("text show ENTRY") == ExitCode.DONE
+    assert capsys.readouterr().out == GOOD
+    assert desk.run("text status ENTRY") == ExitCode.DONE
+    assert capsys.readouterr().out.startswith("Version 1, digest ")
+
+
+def test_a_conflict_shows_the_change_and_the_version_to_edit(desk: Desk, capsys):
+    desk.run("text submit FILE --base-version=0 ENTRY")
+    desk.run("text submit FILE --base-version=1 ENTRY", EDITED)
+    code = desk.run("text submit FILE --base-version=1 ENTRY")
+    assert code == ExitCode.CONFLICT
+    error = capsys.readouterr().err
+    assert "--base-version=2" in error
+    assert "weight changes from 2 to 3" in error
+
+
+def test_an_unknown_outcome_names_the_id_to_submit_again(desk: Desk, capsys):
+    desk.entry.store.faults.fail_before = 99
+    code = desk.run("text submit FILE --base-version=0 ENTRY --submission-id=s9")
+    assert code == ExitCode.UNKNOWN
+    assert "--submission-id=s9" in capsys.readouterr().err
+
+
+def test_the_next_entry_is_tried_when_one_does_not_answer(desk: Desk, capsys):
+    desk.run("text submit FILE --base-version=0 ENTRY")
+    desk.flag = desk.flag.replace("=", "=127.0.0.1:1,")
+    assert desk.run("text show ENTRY") == ExitCode.DONE
+    assert desk.run("text show --entry=127.0.0.1:1") == ExitCode.UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    ("command", "words"),
+    [
+        ("text submit FILE ENTRY", "--base-version=N is missing"),
+        ("text submit", "expected: wigeonctl text submit FILE"),
+        ("text chek FILE", "no command 'text chek'"),
+        ("text show", "--entry = '': expected IP:PORT of an entry"),
+        ("text show --entri=1", "Unknown command line flag 'entri'"),
+        ("settings check /nonexistent", "cannot read /nonexistent"),
+    ],
+)
+def test_wrong_usage_says_what_was_expected(desk: Desk, capsys, command, words):
+    assert desk.run(command) == ExitCode.USAGE
+    assert words in capsys.readouterr().err
+
+
+def test_a_settings_file_is_checked(desk: Desk, capsys):
+    assert desk.run("settings check FILE", "[node]\nid = x\n") == ExitCode.INVALID
+    assert "[node] role" in capsys.readouterr().err
+    assert desk.run("settings reference") == ExitCode.DONE
+    assert "## [node]" in capsys.readouterr().out
--- a/wigeonwind/state/text_diff.py
+++ b/wigeonwind/state/text_diff.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from wigeonwind.state.text_describe import describe_changes
 from wigeonwind.state.text_sections import (
     Sections,
     Touched,
@@ -9,6 +10,15 @@
     replace_sections,
 )
 
+__all__ = [
+    "SectionChange",
+    "SectionEdit",
+    "apply_change",
+    "change_of",
+    "describe_changes",
+    "diff_sections",
+]
+
 FIRST = "\0"
 """Stands for the place before the first section."""
 
--- a/wigeonwind/state/text_keeper.py
+++ b/wigeonwind/state/text_keeper.py
@@ -1,7 +1,8 @@
 """The configuration text in force in this process, and its spread between peers."""
 
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from wigeonwind.catalog import Catalog
@@ -31,6 +32,14 @@
 """After this time another peer is asked for a version that was asked for before."""
 
 
+@dataclass(frozen=True)
+class _Step:
+    """From one version to the next: what it touched, and the replaced sources."""
+
+    touched: Touched
+    replaced_by_name: Mapping[str, str]
+
+
 class TextKeeper:
     """Keeps the newest valid text seen; a higher version wins and none reverts.
 
@@ -43,7 +52,7 @@
         self._clock = clock or SystemClock()
         self._text: Text | None = None
         self._subscribers: list[Callable[[Catalog], None]] = []
-        self._touched_by_base: OrderedDict[int, Touched] = OrderedDict()
+        self._step_by_base: OrderedDict[int, _Step] = OrderedDict()
         self._asked_version = 0
         self._asked_at_ms = 0.0
         self.refused_version = 0
@@ -178,15 +187,39 @@
     def _remember_change(self, old: Text | None, new: Text) -> None:
         if old is None:
             return
-        self._touched_by_base[old.version] = new.touched
-        while len(self._touched_by_base) > MAX_REMEMBERED_CHANGES:
-            self._touched_by_base.popitem(last=False)
+        sources = old.sections.source_by_name
+        names = [*new.touched.changed, *new.touched.removed]
+        undo = {name: sources[name] for name in names if name in sources}
+        self._step_by_base[old.version] = _Step(new.touched, undo)
+        while len(self._step_by_base) > MAX_REMEMBERED_CHANGES:
+            self._step_by_base.popitem(last=False)
+
+    def text_at(self, version: int) -> Text | None:
+        """Return an earlier text if it is still known; its sections may be reordered.
+
+        Only replaced sections are kept of earlier texts, not the texts.
+        """
+        if self._text is None or version == self._text.version:
+            return self._text
+        if version not in self._step_by_base:
+            return None
+        sources = dict(self._text.sections.source_by_name)
+        for base, step in reversed(self._step_by_base.items()):
+            if base < version:
+                break
+            for name in step.touched.added:
+                sources.pop(name, None)
+            sources.update(step.replaced_by_name)
+        sections = sections_of(sources, self._text.sections)
+        result = build_text(sections, version, self._text)
+        return result.value if isinstance(result, Ok) else None
 
     def _touched_since(self, version: int) -> Touched | None:
         """Return what changed since `version`, None if that is not known."""
-        if version not in self._touched_by_base or self._text is None:
+        if version not in self._step_by_base or self._text is None:
             return None
-        later = [t for base, t in self._touched_by_base.items() if base >= version]
+        steps = self._step_by_base.items()
+        later = [step.touched for base, step in steps if base >= version]
         return merge_touched(later, self._text.sections)
 
     def _count(self, event: str) -> None:
