Put the process together; add the daemon and the experiment bench

Cause: roles, node runtime and tool were separate parts. Change: roles/process.py builds a process from its settings, wigeonwindd runs it and drains on SIGTERM; experiments run the decision modules against the engine model in virtual time with three baselines.

--- /dev/null
+++ b/wigeonwind/daemon.py
@@ -0,0 +1,85 @@
+"""The daemon `wigeonwindd`: one process of the system, in the role of its settings."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import signal
+import sys
+from pathlib import Path
+
+import gevent
+from absl import app, flags
+from structlog import get_logger
+
+from wigeonwind.outcomes import Invalid, Ok
+from wigeonwind.roles.logs import configure_logs
+from wigeonwind.roles.process import Process, build_process
+from wigeonwind.settings import Settings, read_settings
+
+EXIT_OK = 0
+EXIT_BAD_SETTINGS = 2
+EXIT_ADDRESS_TAKEN = 3
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("settings", "", "Settings file (INI).")
+flags.DEFINE_bool("check", False, "Check the settings and exit.")
+
+log = get_logger("wigeonwind.daemon")
+
+
+def load_settings(path: str) -> Ok[Settings] | Invalid | str:
+    """Read and check a settings file; a string says why it cannot be read."""
+    if not path:
+        return "no settings file; start with --settings=FILE"
+    try:
+        source = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return f"cannot read the settings file {path}: {error}"
+    return read_settings(source)
+
+
+def run(process: Process) -> int:
+    """Serve until a signal drains the process; return the exit code."""
+    gevent.signal_handler(signal.SIGTERM, process.drain)
+    gevent.signal_handler(signal.SIGINT, process.drain)
+    try:
+        addresses = process.start()
+    except OSError as error:
+        print(f"cannot listen: {error}", file=sys.stderr)
+        return EXIT_ADDRESS_TAKEN
+    callers = f" callers {addresses.callers}" if addresses.callers else ""
+    operators = f" operators {addresses.operators}" if addresses.operators else ""
+    print(f"listening links {addresses.links}{callers}{operators}", flush=True)
+    process.stopped.wait()
+    return EXIT_OK
+
+
+def start(argv: list[str]) -> int:
+    """Check the settings and run the process they describe."""
+    if len(argv) > 1:
+        print(f"unexpected argument: {argv[1]}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    settings = load_settings(FLAGS.settings)
+    if isinstance(settings, str):
+        print(settings, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    built = settings if isinstance(settings, Invalid) else build_process(settings.value)
+    if isinstance(built, Invalid):
+        for problem in built.problems:
+            print(problem, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    if FLAGS.check:
+        print("the settings are valid")
+        return EXIT_OK
+    configure_logs()
+    return run(built.value)
+
+
+def main() -> None:
+    """Run the daemon."""
+    app.run(start)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wigeonwind/experiments/bench.py
@@ -0,0 +1,303 @@
+"""Runs a scenario with a policy in virtual time: entries, endpoints, engine models.
+
+Entries decide with the modules of `wigeonwind.decisions`, as the daemon does. There is
+no network but a delay for each hop.
+"""
+
+from collections.abc import Callable
+from functools import partial
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from wigeonwind.clock import ManualClock
+from wigeonwind.decisions.interfaces import (
+    Chosen,
+    EndpointChoice,
+    EndpointInfo,
+    Rejected,
+    Resend,
+    RouteRequest,
+    WorkItem,
+)
+from wigeonwind.decisions.retry import RetryPolicy
+from wigeonwind.experiments.endpoint_run import Attempt, EndpointRun
+from wigeonwind.experiments.policies import Policy
+from wigeonwind.experiments.results import Outcome
+from wigeonwind.experiments.scenario import Arrival, Fault, Scenario, arrivals
+from wigeonwind.standins.engine_model import EngineModel
+from wigeonwind.standins.engine_types import RequestDone, TokensProduced
+
+HOP_MS = 0.5
+"""Delay of one message between an entry and a sidecar."""
+
+DRAIN_LIMIT_MS = 900_000.0
+"""A run ends this long after its last arrival, finished or not."""
+
+CACHE_EVENT_MS = 500.0
+"""Interval at which sidecars pass cache events on to entries."""
+
+MAX_ATTEMPTS = 4
+"""Attempts of one request at different endpoints, as in the daemon."""
+
+RETRY_PAUSE_MS = 500.0
+"""Time after which a caller that gave up sends its request again."""
+
+Call = Callable[[float], None]
+
+
+class Entry:
+    """One entry: its choice of endpoints and its retry budget."""
+
+    def __init__(
+        self, name: str, zone: str, choice: EndpointChoice, retry: RetryPolicy
+    ) -> None:
+        self.name = name
+        self.zone = zone
+        self.choice = choice
+        self.retry = retry
+
+
+class Bench:
+    """One run. Create it, call `run` once, read `outcomes`."""
+
+    def __init__(self, scenario: Scenario, policy: Policy, seed: int) -> None:
+        self.scenario = scenario
+        self.policy = policy
+        self.clock = ManualClock()
+        self.outcomes: list[Outcome] = []
+        self._seed = seed
+        self._rng = Random(f"{seed}/bench")
+        self._heap: list[tuple[float, int, Call]] = []
+        self._numbers = count()
+        self._outcome_by_id: dict[str, Outcome] = {}
+        self._entry_by_request: dict[str, Entry] = {}
+        self._endpoint_by_key: dict[tuple[str, int], EndpointRun] = {}
+        self._open = 0
+        self.endpoints = [self._make_endpoint(n) for n in range(len(scenario.engines))]
+        self.entries = [self._make_entry(n) for n in range(scenario.entries)]
+        self._endpoint_by_id = {each.endpoint_id: each for each in self.endpoints}
+
+    def _make_endpoint(self, number: int) -> EndpointRun:
+        scenario = self.scenario
+        config = scenario.engines[number]
+        rng = Random(f"{self._seed}/queue/{number}")
+        queue = self.policy.make_queue(
+            scenario.catalog, config.slots, scenario.service, rng
+        )
+        zone = scenario.zones[number]
+        name = f"endpoint-{number}"
+        return EndpointRun(name, zone, EngineModel(config), queue, self, self._at)
+
+    def _make_entry(self, number: int) -> Entry:
+        zones = sorted(set(self.scenario.zones))
+        zone = zones[number % len(zones)]
+        rng = Random(f"{self._seed}/entry/{number}")
+        choice = self.policy.make_choice(zone, rng)
+        infos = tuple(
+            EndpointInfo(e.endpoint_id, e.zone, self.scenario.service, ("model-1",))
+            for e in self.endpoints
+        )
+        choice.set_endpoints(infos, 0.0)
+        return Entry(f"entry-{number}", zone, choice, RetryPolicy(rng))
+
+    def _at(self, at_ms: float, call: Call) -> None:
+        heappush(self._heap, (at_ms, next(self._numbers), call))
+
+    def run(self) -> list[Outcome]:
+        """Run to the end and return what became of each request."""
+        for arrival in arrivals(self.scenario, self._seed):
+            self._at(arrival.at_ms, partial(self._on_arrival, arrival))
+            self._open += 1
+        for fault in self.scenario.faults:
+            self._at(fault.at_ms, partial(self._on_fault, fault))
+        self._at(0.0, self._report)
+        self._at(0.0, self._pass_cache_events)
+        limit_ms = self.scenario.end_ms + DRAIN_LIMIT_MS
+        while self._heap and self._open and self._heap[0][0] <= limit_ms:
+            at_ms, _, call = heappop(self._heap)
+            self.clock.advance_to(at_ms)
+            call(at_ms)
+        return self.outcomes
+
+    def _report(self, now_ms: float) -> None:
+        for endpoint in self.endpoints:
+            load = endpoint.load(now_ms)
+            for entry in self.entries:
+                entry.choice.on_load(endpoint.endpoint_id, load, now_ms)
+        self._at(now_ms + self.scenario.report_interval_ms, self._report)
+
+    def _pass_cache_events(self, now_ms: float) -> None:
+        for endpoint in self.endpoints:
+            for event in endpoint.new_cache_events(now_ms):
+                for entry in self.entries:
+                    entry.choice.on_cache_event(
+                        endpoint.endpoint_id,
+                        event.prefix,
+                        event.kind == "stored",
+                        now_ms,
+                    )
+        self._at(now_ms + CACHE_EVENT_MS, self._pass_cache_events)
+
+    def _on_fault(self, fault: Fault, now_ms: float) -> None:
+        for number, endpoint in enumerate(self.endpoints):
+            if number != fault.engine and endpoint.zone != fault.zone:
+                continue
+            if fault.kind == "crash":
+                endpoint.crash(now_ms)
+            elif fault.kind == "restart":
+                endpoint.engine.restart(now_ms)
+            elif fault.kind == "straggle":
+                endpoint.engine.set_straggle(fault.value, now_ms)
+            elif fault.kind == "freeze":
+                endpoint.engine.freeze(now_ms)
+            elif fault.kind == "unfreeze":
+                endpoint.engine.unfreeze(now_ms)
+
+    def _on_arrival(self, arrival: Arrival, now_ms: float) -> None:
+        outcome = Outcome(arrival)
+        self.outcomes.append(outcome)
+        self._outcome_by_id[arrival.request_id] = outcome
+        entry = self._rng.choice(self.entries)
+        self._entry_by_request[arrival.request_id] = entry
+        entry.retry.on_request(now_ms)
+        self._send(arrival, frozenset(), now_ms)
+        self._watch_patience(arrival, now_ms)
+
+    def _watch_patience(self, arrival: Arrival, now_ms: float) -> None:
+        if self.scenario.patience_ms:
+            due_ms = now_ms + self.scenario.patience_ms
+            self._at(due_ms, partial(self._on_patience_over, arrival))
+
+    def _on_patience_over(self, arrival: Arrival, now_ms: float) -> None:
+        """Let the caller give up, and perhaps send its request again."""
+        outcome = self._outcome_by_id[arrival.request_id]
+        if outcome.first_ms is not None or outcome.refused:
+            return
+        if arrival.class_name != self.scenario.urgent_class:
+            return
+        key = (arrival.request_id, outcome.attempts - 1)
+        endpoint = self._endpoint_by_key.pop(key, None)
+        if endpoint is not None:
+            endpoint.cancel(key, now_ms)
+        if len(outcome.reasons) >= self.scenario.caller_retries:
+            self._end(outcome, refused=True)
+            return
+        outcome.reasons.append("caller gave up")
+        self._at(now_ms + RETRY_PAUSE_MS, partial(self._send, arrival, frozenset()))
+        self._watch_patience(arrival, now_ms + RETRY_PAUSE_MS)
+
+    def _send(self, arrival: Arrival, exclude: frozenset[str], now_ms: float) -> None:
+        outcome = self._outcome_by_id[arrival.request_id]
+        entry = self._entry_by_request[arrival.request_id]
+        request = self._route_request(arrival)
+        chosen = entry.choice.choose(request, now_ms, exclude)
+        if not isinstance(chosen, Chosen) and exclude:
+            chosen = entry.choice.choose(request, now_ms, frozenset())
+        if not isinstance(chosen, Chosen):
+            self._end(outcome, refused=True)
+            return
+        endpoint = self._endpoint_by_id[chosen.endpoint_id]
+        resume = outcome.delivered if self.policy.resumes else 0
+        item = WorkItem(
+            arrival.request_id,
+            outcome.attempts,
+            self.scenario.service,
+            arrival.class_name,
+            arrival.customer,
+            now_ms,
+            arrival.prompt_tokens,
+            resume_tokens=resume,
+        )
+        outcome.attempts += 1
+        entry.choice.on_sent(chosen.endpoint_id, request, now_ms)
+        attempt = Attempt(arrival, item, request.priority)
+        self._endpoint_by_key[item.key] = endpoint
+        self._at(now_ms + HOP_MS, partial(self._deliver, endpoint, attempt))
+
+    def _deliver(self, endpoint: EndpointRun, attempt: Attempt, at_ms: float) -> None:
+        if attempt.item.key in self._endpoint_by_key:
+            endpoint.offer(attempt, at_ms)
+
+    def _route_request(self, arrival: Arrival) -> RouteRequest:
+        return RouteRequest(
+            self.scenario.service,
+            arrival.class_name,
+            self.scenario.catalog.class_by_name[arrival.class_name].priority,
+            arrival.prompt_tokens,
+            "model-1",
+            tuple(key.key for key in arrival.prefix_keys),
+        )
+
+    def _end(self, outcome: Outcome, refused: bool) -> None:
+        outcome.refused = refused
+        self._open -= 1
+
+    def _ended(self, attempt: Attempt, ok: bool, at_ms: float) -> str:
+        """Note the end of an attempt at the entry; return the endpoint."""
+        endpoint = self._endpoint_by_key.pop(attempt.item.key)
+        entry = self._entry_by_request[attempt.arrival.request_id]
+        entry.choice.on_ended(endpoint.endpoint_id, ok, at_ms)
+        return endpoint.endpoint_id
+
+    def on_started(self, attempt: Attempt, at_ms: float) -> None:
+        """Note that the engine has the request."""
+        outcome = self._outcome_by_id[attempt.arrival.request_id]
+        if outcome.started_ms is None:
+            outcome.started_ms = at_ms
+
+    def on_tokens(self, attempt: Attempt, tokens: TokensProduced) -> None:
+        """Note tokens of the answer as the caller gets them."""
+        outcome = self._outcome_by_id[attempt.arrival.request_id]
+        entry = self._entry_by_request[attempt.arrival.request_id]
+        endpoint = self._endpoint_by_key[attempt.item.key]
+        outcome.computed_tokens += tokens.count
+        at_ms = tokens.last_ms + HOP_MS
+        if outcome.first_ms is None:
+            outcome.first_ms = tokens.first_ms + HOP_MS
+        if tokens.first:
+            wait_ms = tokens.first_ms - attempt.item.arrived_ms
+            entry.choice.on_first_token(endpoint.endpoint_id, wait_ms, at_ms)
+        entry.choice.on_tokens(endpoint.endpoint_id, tokens.count, at_ms)
+        outcome.delivered = max(outcome.delivered, tokens.index + tokens.count)
+        outcome.last_ms = at_ms
+
+    def on_done(self, attempt: Attempt, done: RequestDone) -> None:
+        """Note the whole answer."""
+        outcome = self._outcome_by_id[attempt.arrival.request_id]
+        outcome.done_ms = done.at_ms + HOP_MS
+        self._ended(attempt, True, outcome.done_ms)
+        self._end(outcome, refused=False)
+
+    def on_lost(self, attempt: Attempt, at_ms: float, started: bool) -> None:
+        """Send the request elsewhere if the retry policy allows."""
+        endpoint_id = self._ended(attempt, False, at_ms)
+        self._resend(attempt, not started, endpoint_id, at_ms)
+
+    def on_refused(self, attempt: Attempt, rejected: Rejected, at_ms: float) -> None:
+        """Try another endpoint once; a second refusal goes to the caller."""
+        endpoint_id = self._ended(attempt, True, at_ms)
+        outcome = self._outcome_by_id[attempt.arrival.request_id]
+        outcome.refusals += 1
+        if outcome.refusals > 1:
+            self._end(outcome, refused=True)
+        else:
+            self._resend(attempt, True, endpoint_id, at_ms)
+
+    def _resend(
+        self, attempt: Attempt, not_run: bool, endpoint_id: str, at_ms: float
+    ) -> None:
+        arrival = attempt.arrival
+        outcome = self._outcome_by_id[arrival.request_id]
+        entry = self._entry_by_request[arrival.request_id]
+        decision = entry.retry.decide(outcome.attempts - 1, not_run, True, None, at_ms)
+        if outcome.attempts >= MAX_ATTEMPTS or not isinstance(decision, Resend):
+            self._end(outcome, refused=not_run)
+            return
+        exclude = frozenset([endpoint_id])
+        self._at(at_ms + decision.delay_ms, partial(self._send, arrival, exclude))
+
+    def on_dropped(self, attempt: Attempt, tokens: int) -> None:
+        """Note cache contents discarded by a pause."""
+        outcome = self._outcome_by_id[attempt.arrival.request_id]
+        outcome.dropped_tokens += tokens
--- a/wigeonwind/roles/node.py
+++ b/wigeonwind/roles/node.py
@@ -168,6 +168,11 @@
         if consumer is not None:
             self.text.subscribe(lambda catalog: self.refresh_endpoints())
 
+    @property
+    def endpoint_ids(self) -> tuple[str, ...]:
+        """Return the endpoints that may get new work from this entry now."""
+        return self._endpoint_ids
+
     def start(self) -> SocketAddress:
         """Accept links and start to dial; return the link address in use."""
         bound = self._server.start()
--- /dev/null
+++ b/wigeonwind/roles/process.py
@@ -0,0 +1,246 @@
+"""One process of the system, put together from its settings."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from gevent import Greenlet, sleep, spawn
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+from structlog import get_logger
+
+from wigeonwind.clock import MS_PER_SECOND, SystemClock
+from wigeonwind.decisions.choice import EndpointChooser
+from wigeonwind.decisions.endpoint_queue import EndpointQueue
+from wigeonwind.decisions.limits import CustomerLimiter
+from wigeonwind.decisions.retry import RetryPolicy
+from wigeonwind.links.link import link_options
+from wigeonwind.outcomes import Invalid, Ok, Problem
+from wigeonwind.roles.entry import EntryRole
+from wigeonwind.roles.health_api import HealthApi
+from wigeonwind.roles.http_call import StartResponse, read_call
+from wigeonwind.roles.metrics import Metrics
+from wigeonwind.roles.metrics_sink import PrometheusSink
+from wigeonwind.roles.node import Node
+from wigeonwind.roles.node_status import node_status
+from wigeonwind.roles.operators_api import OperatorsApi
+from wigeonwind.roles.side import SideRole
+from wigeonwind.roles.tracing import make_tracer
+from wigeonwind.roles.vm_list_client import VmListClient
+from wigeonwind.settings import Settings, SocketAddress, parse_address
+from wigeonwind.state.store_client import StoreClient
+from wigeonwind.state.subset import is_store_watcher
+from wigeonwind.state.text_follower import TextFollower
+
+VM_LIST_MS = 5_000.0
+"""Mean interval between reads of the VM list; leaving VMs are learnt over links, so
+the list only finds new VMs and those that died."""
+
+WATCHERS_PER_ZONE = 2
+"""Processes of a zone that watch the store for a new text."""
+
+ROLE_CHECK_MS = 5_000.0
+"""Interval at which a process looks whether it is one of the watchers."""
+
+log = get_logger("wigeonwind.process")
+
+
+@dataclass(frozen=True)
+class ProcessAddresses:
+    """Where a process listens; None where it does not."""
+
+    links: SocketAddress
+    callers: SocketAddress | None
+    operators: SocketAddress | None
+
+
+class Process:
+    """A whole process; several may live in one program, as in the demo."""
+
+    def __init__(self, settings: Settings, node: Node, key: str) -> None:
+        self.settings = settings
+        self.node = node
+        self.metrics = Metrics(node.clock)
+        self.metrics.add_link_counts(node.options.counts)
+        self.stopped = Event()
+        self._greenlets: list[Greenlet] = []
+        self._drain: Greenlet | None = None
+        self._tracer = make_tracer(settings.trace, settings.node.id, settings.node.role)
+        self.entry: EntryRole | None = None
+        self.side: SideRole | None = None
+        self._attach_role()
+        self._follower = TextFollower(node.store, node.text, node.rng, _sleep_ms)
+        self._health = HealthApi(lambda: self.ready, self.metrics.render)
+        self._operators = OperatorsApi(
+            node.text,
+            node.store,
+            node.confirm,
+            self.status,
+            _sleep_ms,
+            key,
+            self._other,
+        )
+        self._operators_server: WSGIServer | None = None
+
+    def _attach_role(self) -> None:
+        node = self.node
+        settings = self.settings
+        if settings.node.role == "entry":
+            choice = EndpointChooser(settings.node.zone, node.rng)
+            self.entry = EntryRole(
+                settings,
+                node.clock,
+                node.store,
+                choice,
+                CustomerLimiter(node.text.catalog, settings.node.id),
+                RetryPolicy(node.rng),
+                PrometheusSink(self.metrics),
+                self._tracer,
+            )
+            node.attach(self.entry, self.entry)
+        else:
+            assert settings.endpoint is not None
+            queue = EndpointQueue(node.text.catalog, 1, node.rng)
+            self.side = SideRole(
+                settings, node.clock, node.store, queue, self.metrics, node.incarnation
+            )
+            node.attach(self.side)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the process may receive new requests."""
+        if self.entry is not None:
+            return self.entry.ready
+        return self.node.text.version > 0 and self._drain is None
+
+    def start(self) -> ProcessAddresses:
+        """Start all listeners and loops; raise OSError if an address is taken."""
+        links = self.node.start()
+        callers = self.entry.start() if self.entry else None
+        if self.side is not None:
+            self.side.start()
+        operators = self._start_operators()
+        loops = (self._watch_loop, self._poll_loop, self._vm_list_loop)
+        self._greenlets = [spawn(loop) for loop in loops]
+        log.info("started", id=self.settings.node.id, role=self.settings.node.role)
+        return ProcessAddresses(links, callers, operators)
+
+    def _start_operators(self) -> SocketAddress | None:
+        if not self.settings.listen.operators:
+            return None
+        address = parse_address(self.settings.listen.operators)
+        server = WSGIServer((address.host, address.port), self._operators, log=None)
+        server.start()
+        self._operators_server = server
+        return SocketAddress(server.server_host, server.server_port)
+
+    def _other(self, environ: Mapping[str, Any], start_response: StartResponse) -> Any:
+        """Answer health and metrics on the operators' listener."""
+        call = read_call(environ, start_response)
+        answer = self._health.answer(call)
+        if answer is not None:
+            return answer
+        start_response("404 Not Found", [("Content-Length", "0")])
+        return []
+
+    def status(self) -> dict[str, Any]:
+        """Return the fields of `/admin/status`."""
+        return node_status(self.node, self.ready)
+
+    def drain(self) -> None:
+        """Leave gracefully; a second call shortens the grace period. Does not block."""
+        if self._drain is None:
+            self._drain = spawn(self._drain_and_stop)
+        elif self.entry is not None:
+            spawn(self.entry.drain)
+
+    def _drain_and_stop(self) -> None:
+        self.node.drain()
+        self._close()
+
+    def stop(self) -> None:
+        """Stop at once, as if the process were killed."""
+        if self.entry is not None:
+            self.entry.stop()
+        if self.side is not None:
+            self.side.stop()
+        self.node.stop()
+        self._close()
+
+    def _close(self) -> None:
+        for greenlet in self._greenlets:
+            greenlet.kill(block=False)
+        if self.entry is not None:
+            self.entry.stop()
+        if self._operators_server is not None:
+            self._operators_server.stop(timeout=0)
+        self._tracer.shutdown()
+        log.info("stopped", id=self.settings.node.id)
+        self.stopped.set()
+
+    def _is_watcher(self) -> bool:
+        own = self.node.members.own
+        peers = self.node.members.live(own.role)
+        watches = is_store_watcher(own.member_id, own.zone, peers, WATCHERS_PER_ZONE)
+        return own.role == "entry" and watches
+
+    def _watch_loop(self) -> None:
+        while True:
+            if self._is_watcher():
+                _sleep_ms(self._follower.watch_step())
+            else:
+                _sleep_ms(ROLE_CHECK_MS)
+
+    def _poll_loop(self) -> None:
+        while True:
+            _sleep_ms(self._follower.poll_step())
+
+    def _vm_list_loop(self) -> None:
+        if not self.settings.platform.vm_list:
+            return
+        client = VmListClient(parse_address(self.settings.platform.vm_list))
+        while True:
+            answer = client.read()
+            if isinstance(answer, Ok):
+                node = self.node
+                node.peering.set_listed_addresses(answer.value.addresses)
+                rows = node.members.on_vm_list(
+                    answer.value.vms, answer.value.as_of_ms, node.clock.now_ms()
+                )
+                node.spread.announce(rows)
+            _sleep_ms(self.node.rng.uniform(0.5, 1.5) * VM_LIST_MS)
+
+
+def _sleep_ms(duration_ms: float) -> None:
+    sleep(duration_ms / MS_PER_SECOND)
+
+
+def build_process(settings: Settings, seed: int | None = None) -> Ok[Process] | Invalid:
+    """Return the process that the settings describe, or what is wrong with them."""
+    options = link_options(settings.links, settings.limits.max_body_bytes)
+    if isinstance(options, Invalid):
+        return options
+    rng = Random(seed)
+    store = StoreClient(parse_address(settings.platform.store))
+    node = Node(settings, SystemClock(), store, options.value, rng)
+    key = _operators_key(settings.listen.operators_key_file)
+    if isinstance(key, Invalid):
+        return key
+    return Ok(Process(settings, node, key))
+
+
+def _operators_key(path: str) -> str | Invalid:
+    """Return the operators' key; empty if none is set."""
+    if not path:
+        return ""
+    try:
+        key = Path(path).read_text(encoding="utf-8").strip()
+    except (OSError, UnicodeDecodeError):
+        key = ""
+    if key:
+        return key
+    # An empty or unreadable file must not open the interface to everybody.
+    expected = "a file that holds a key"
+    return Invalid((Problem("listen", "operators_key_file", path, expected),))
--- a/wigeonwind/roles/roller.py
+++ b/wigeonwind/roles/roller.py
@@ -74,6 +74,11 @@
         self._stopped = False
         self._fence_held: int | None = None
 
+    @property
+    def holds_lease(self) -> bool:
+        """Return whether this process certainly holds the lease now."""
+        return self._lease.fence() is not None
+
     def run(self) -> None:
         """Renew the lease and carry out rollouts until `stop`; blocks."""
         next_round_ms = 0.0
