Empty the endpoint before an order that stops it

Cause: an engine refuses requests while it loads a model or changes its role; a rollout would have dropped callers, and an announcement of a new leader would have waited behind the old leader's order. Change: EndpointPause tells entries at once (LoadReport with ready false), still takes what they sent before they could know, finishes what waits and runs, and then lets the order through; the fence is checked again just before that. The order is done when the engine reports what was ordered. observe is answered at once. Conclusion: no attempt meets a loading engine through its sidecar.

--- a/tests/side_fakes.py
+++ b/tests/side_fakes.py
@@ -138,11 +138,11 @@
 
     def __init__(self):
         self.requests = []
+        self.version = "1"
         self.script = ["a", " b", "end"]
         self.free = 1000
         self.gate = Event()
         self.reply = (b"200 OK", [(b"X-Own", b"1")], b"plain answer")
-        self.version = "1"
         self.server = StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
 
@@ -170,7 +170,10 @@
         elif path == "/load":
             fields = {"running": 1, "model": "m", "version": self.version, "role": ""}
             self._whole(sock, b"200 OK", [], json.dumps(fields).encode())
-        elif path.startswith(("/control", "/orders")):
+        elif path == "/orders":
+            self.version = json.loads(self.requests[-1][3])["version"]
+            self._whole(sock, b"200 OK", [], b"{}")
+        elif path.startswith("/control"):
             self._whole(sock, b"200 OK", [], b'{"tokens": 1, "dropped_tokens": 5}')
         else:
             self.free or self.gate.wait()
--- a/tests/test_side_orders.py
+++ b/tests/test_side_orders.py
@@ -1,17 +1,25 @@
 """Fencing of orders, and the memories of a sidecar."""
 
+import gevent
 import pytest
-from side_fakes import Bed, FakeLink, FakeStore, wait_until
+from side_fakes import Bed, FakeStore, wait_until
 
 from wigeonwind.clock import ManualClock
-from wigeonwind.links.messages import Order, OrderResult
+from wigeonwind.links.messages import (
+    Chunk,
+    Finished,
+    LoadReport,
+    Order,
+    OrderResult,
+    Refused,
+)
 from wigeonwind.roles.claim_memory import (
     MAX_ANSWER_BYTES,
     BookingRecorder,
     ClaimMemory,
 )
 from wigeonwind.roles.metrics import Metrics
-from wigeonwind.roles.orders import OrderGate
+from wigeonwind.roles.side_drain import GRACE_MS
 from wigeonwind.roles.work_table import Known, WorkTable
 
 
@@ -26,11 +34,12 @@
     return Order(name, fence, "load_model", "m", version, "")
 
 
-def give(bed, order, link=None):
-    link = link or bed.link
-    count = len(link.of_type(OrderResult))
-    bed.side.on_message(link, order)
-    return link.wait_for(OrderResult, count + 1)
+def give(bed, order):
+    count = len(bed.link.of_type(OrderResult))
+    bed.side.on_message(bed.link, order)
+    gevent.sleep(0)
+    bed.clock.advance(GRACE_MS)
+    return bed.link.wait_for(OrderResult, count + 1)
 
 
 def test_orders_wait_for_the_lease_and_an_old_token_is_refused(bed):
@@ -40,7 +49,7 @@
     assert (result.done, result.fence, result.reason) == (False, 5, "old fencing token")
     assert "/orders" not in bed.endpoint.paths()
     result = give(bed, load(5))
-    assert (result.done, result.model, result.version) == (True, "m", "1")
+    assert (result.done, result.model, result.version) == (True, "m", "2")
     assert bed.endpoint.paths().count("/orders") == 1
 
 
@@ -70,25 +79,48 @@
 
 
 def test_an_order_that_waits_is_refused_once_a_newer_leader_has_spoken():
-    class Target:
-        done = []
-
-        def order(self, order):
-            self.done.append(order.order_id)
-
-        def load(self):
-            from wigeonwind.roles.engine_client import EngineLoad
+    bed = Bed(store=FakeStore(fence=1))
+    bed.endpoint.free = 1
+    bed.side._orders.read_lease()
+    bed.submit()
+    bed.link.wait_for(Chunk)
+    bed.side.on_message(bed.link, load(1, name="old"))
+    bed.side.on_message(bed.link, load(2, name="waiting"))
+    # The newer leader is answered although the older one's order is under way.
+    assert give(bed, Order("new", 3, "observe", "", "", "")).version == "1"
+    bed.endpoint.gate.set()
+    bed.link.wait_for(OrderResult, 3)
+    results = {r.order_id: r.done for r in bed.link.of_type(OrderResult)}
+    assert results == {"new": True, "old": False, "waiting": False}
+    assert "/orders" not in bed.endpoint.paths()
+    bed.close()
 
-            return EngineLoad(0, 0.0, 0.0, "m", "1", "")
 
-    target, link = Target(), FakeLink()
-    gate = OrderGate(FakeStore(fence=1), target, lambda: True)
-    gate.read_lease()
-    gate.on_order(link, load(1, name="old"))
-    gate.on_order(link, load(2, name="new"))
-    wait_until(lambda: len(link.sent) == 2)
-    assert target.done == ["new"]
-    assert [r.done for r in link.sent] == [False, True]
+def test_a_change_of_the_endpoint_drops_nobody(bed):
+    # An engine refuses requests while it loads a model; nobody may meet that.
+    bed.side._orders.read_lease()
+    bed.side._reporter.look()
+    bed.queue.slots = 1
+    bed.endpoint.free = 1
+    bed.submit("r1")
+    bed.submit("r2")
+    bed.link.wait_for(Chunk)
+    bed.side.on_message(bed.link, load(5))
+    assert not bed.link.wait_for(LoadReport, 2).ready
+    bed.submit("r3")
+    bed.clock.advance(GRACE_MS)
+    bed.submit("r4")
+    refused = bed.link.wait_for(Refused)
+    assert (refused.request_id, refused.code) == ("r4", "no_endpoint")
+    bed.endpoint.gate.set()
+    assert bed.link.wait_for(OrderResult).done
+    paths = bed.endpoint.paths()
+    stream = "/v1/chat/completions"
+    assert paths[1 : paths.index("/orders")] == [stream] * 3
+    assert [f.request_id for f in bed.link.of_type(Finished)] == ["r1", "r2", "r3"]
+    wait_until(lambda: bed.link.of_type(LoadReport)[-1].ready)
+    bed.submit("r5")
+    bed.link.wait_for(Finished, 4)
 
 
 def test_a_full_table_refuses_new_work_instead_of_forgetting_old():
--- a/wigeonwind/roles/intake.py
+++ b/wigeonwind/roles/intake.py
@@ -46,7 +46,7 @@
         incarnation: int,
         service: str,
         may_pause: bool,
-        is_draining: Callable[[], bool],
+        refuse_new: Callable[[], Rejected | None],
     ) -> None:
         self._clock = clock
         self._table = table
@@ -57,7 +57,7 @@
         self._incarnation = incarnation
         self._service = service
         self._may_pause = may_pause
-        self._is_draining = is_draining
+        self._refuse_new = refuse_new
 
     def on_submit(self, link: Link, submit: Submit) -> None:
         """Queue an attempt, refuse it, or ignore a copy of one that is known."""
@@ -130,8 +130,9 @@
         if submit.service != self._service:
             reason = f"this endpoint serves {self._service}"
             return _rejected(ErrorCode.UNKNOWN_SERVICE, reason)
-        if self._is_draining():
-            return _rejected(ErrorCode.DRAINING, "the endpoint is leaving")
+        refused = self._refuse_new()
+        if refused is not None:
+            return refused
         if submit.budget_ms and submit.budget_ms <= self._pauses.lateness_ms():
             return _rejected(ErrorCode.DEADLINE, "the deadline passed on the way")
         if self._table.is_full:
--- a/wigeonwind/roles/load_reporter.py
+++ b/wigeonwind/roles/load_reporter.py
@@ -35,7 +35,7 @@
         client: EngineClient | None,
         address: SocketAddress,
         report_ms: float,
-        is_draining: Callable[[], bool],
+        takes_work: Callable[[], bool],
     ) -> None:
         self._member_id = member_id
         self._clock = clock
@@ -43,7 +43,7 @@
         self._client = client
         self._address = address
         self._report_ms = report_ms
-        self._is_draining = is_draining
+        self._takes_work = takes_work
         self._links: list[Link] = []
         self._load: EngineLoad | None = None
         self._read_ms: float | None = None
@@ -71,7 +71,7 @@
 
     def is_ready(self) -> bool:
         """Return whether new work may be sent here."""
-        if self._is_draining() or self._read_ms is None:
+        if not self._takes_work() or self._read_ms is None:
             return False
         age_ms = self._clock.now_ms() - self._read_ms
         return age_ms <= STALE_INTERVALS * self._report_ms
@@ -89,6 +89,12 @@
             self._read_ms = self._clock.now_ms()
         probe.close()
 
+    def send(self) -> None:
+        """Report to all linked entries now."""
+        report = self.report()
+        for link in self._links:
+            link.send(report)
+
     def report(self) -> LoadReport:
         """Return the present report."""
         now_ms = self._clock.now_ms()
@@ -124,6 +130,4 @@
     def _report_loop(self) -> None:
         while True:
             sleep(self._report_ms / MS_PER_SECOND)
-            report = self.report()
-            for link in self._links:
-                link.send(report)
+            self.send()
--- a/wigeonwind/roles/orders.py
+++ b/wigeonwind/roles/orders.py
@@ -8,20 +8,33 @@
 from gevent import Greenlet, sleep, spawn
 from structlog import get_logger
 
-from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import Order, OrderResult
 from wigeonwind.outcomes import Ok
-from wigeonwind.roles.engine_client import EngineFailure, EngineLoad
+from wigeonwind.roles.engine_client import (
+    ORDER_TIMEOUT_MS,
+    EngineFailure,
+    EngineLoad,
+)
 from wigeonwind.state.lease import LEASE_KEY, read_lease_value
 from wigeonwind.state.store_types import NotFound, Store
 
 OBSERVE = "observe"
 """Order of a leader that only announces its fencing token and asks for the state."""
 
+OLD_FENCE = "old fencing token"
+"""Reason given to a leader that has been replaced."""
+
 MAX_PENDING = 16
 """Orders that may wait; there is one leader, which waits for each answer."""
 
+STOPPING_ACTIONS = frozenset({"load_model", "change_role"})
+"""Orders during which an engine takes no request."""
+
+POLL_MS = 200.0
+"""Interval between looks at an engine that carries out an order."""
+
 READ_RETRY_MS = 1_000.0
 """Interval between attempts to read the lease after the start."""
 
@@ -40,6 +53,18 @@
         ...
 
 
+class WorkStop(Protocol):
+    """Keeps work away from the endpoint while it is changed."""
+
+    def begin(self) -> None:
+        """Let no new work in and block until none is left."""
+        ...
+
+    def end(self) -> None:
+        """Let work in again."""
+        ...
+
+
 @dataclass
 class VersionCounts:
     """Requests since the endpoint's version was loaded."""
@@ -58,11 +83,16 @@
 
     def __init__(
         self,
+        clock: Clock,
         store: Store,
         target: OrderTarget | None,
+        work_stop: WorkStop,
         is_ready: Callable[[], bool],
+        counts: VersionCounts,
     ) -> None:
-        self.counts = VersionCounts()
+        self._counts = counts
+        self._clock = clock
+        self._work_stop = work_stop
         self._store = store
         self._target = target
         self._is_ready = is_ready
@@ -92,14 +122,23 @@
         if not self._is_lease_read:
             self._refuse(link, order, "the lease has not been read since the start")
         elif order.fence < self._highest_fence:
-            self._refuse(link, order, "old fencing token")
+            self._refuse(link, order, OLD_FENCE)
         elif len(self._pending) >= MAX_PENDING:
             self._refuse(link, order, "too many orders wait")
         else:
             # From now on orders of an older leader are refused, waiting ones too.
             self._highest_fence = order.fence
+            self._take(link, order)
+
+    def _take(self, link: Link, order: Order) -> None:
+        if self._target is None:
+            self._refuse(link, order, "this endpoint takes no orders")
+        elif order.action == OBSERVE:
+            # A new leader must not wait for the order of an older one.
+            spawn(self._answer, self._target, link, order, "")
+        else:
             self._pending.append((link, order))
-            self._ensure_worker()
+            self._ensure_worker(self._target)
 
     def read_lease(self) -> bool:
         """Read the lease once; True when its fencing token is known.
@@ -120,26 +159,14 @@
         while not self.read_lease():
             sleep(READ_RETRY_MS / MS_PER_SECOND)
 
-    def _ensure_worker(self) -> None:
+    def _ensure_worker(self, target: OrderTarget) -> None:
         if self._worker is None or self._worker.ready():
-            self._worker = spawn(self._work)
+            self._worker = spawn(self._work, target)
 
-    def _work(self) -> None:
+    def _work(self, target: OrderTarget) -> None:
         while self._pending:
             link, order = self._pending.popleft()
-            if order.fence < self._highest_fence:
-                self._refuse(link, order, "old fencing token")
-            else:
-                self._carry_out(link, order)
-
-    def _carry_out(self, link: Link, order: Order) -> None:
-        if self._target is None:
-            self._refuse(link, order, "this endpoint takes no orders")
-            return
-        reason = ""
-        if order.action != OBSERVE:
-            failure = self._target.order(order)
-            reason = failure.reason if failure else ""
+            reason = self._carry_out(target, order)
             log.info(
                 "order",
                 action=order.action,
@@ -147,17 +174,52 @@
                 fence=order.fence,
                 reason=reason,
             )
-            if failure is None:
-                self.counts.reset()
-        link.send(self._result(order, reason))
+            self._answer(target, link, order, reason)
+
+    def _carry_out(self, target: OrderTarget, order: Order) -> str:
+        """Return why the order was not carried out, or an empty text."""
+        if order.action not in STOPPING_ACTIONS:
+            return self._give(target, order)
+        if order.fence < self._highest_fence:
+            return OLD_FENCE
+        self._work_stop.begin()
+        try:
+            return self._give(target, order) or self._wait_in_force(target, order)
+        finally:
+            self._work_stop.end()
+
+    def _give(self, target: OrderTarget, order: Order) -> str:
+        # Checked last: a newer leader may have spoken while the work ended.
+        if order.fence < self._highest_fence:
+            return OLD_FENCE
+        failure = target.order(order)
+        if failure is not None:
+            return failure.reason or "the endpoint refused the order"
+        if order.action == "load_model":
+            self._counts.reset()
+        return ""
+
+    def _wait_in_force(self, target: OrderTarget, order: Order) -> str:
+        """Wait until the endpoint reports what was ordered."""
+        began_ms = self._clock.now_ms()
+        while self._clock.now_ms() - began_ms < ORDER_TIMEOUT_MS:
+            load = target.load()
+            if not isinstance(load, EngineFailure) and _is_in_force(order, load):
+                return ""
+            sleep(POLL_MS / MS_PER_SECOND)
+        return "the endpoint did not report what was ordered in time"
+
+    def _answer(
+        self, target: OrderTarget, link: Link, order: Order, reason: str
+    ) -> None:
+        link.send(self._result(target, order, reason))
 
-    def _result(self, order: Order, reason: str) -> OrderResult:
-        assert self._target is not None
-        load = self._target.load()
+    def _result(self, target: OrderTarget, order: Order, reason: str) -> OrderResult:
+        load = target.load()
         if isinstance(load, EngineFailure):
             load = EngineLoad(0, 0.0, 0.0, "", "", "")
             reason = reason or "the endpoint does not report its state"
-        counts = self.counts
+        counts = self._counts
         return OrderResult(
             order.order_id,
             not reason,
@@ -185,3 +247,9 @@
                 self._is_ready(),
             )
         )
+
+
+def _is_in_force(order: Order, load: EngineLoad) -> bool:
+    if order.action == "change_role":
+        return load.role == order.role
+    return load.version == order.version and order.model in ("", load.model)
--- a/wigeonwind/roles/side.py
+++ b/wigeonwind/roles/side.py
@@ -12,6 +12,7 @@
     ExpireWork,
     PauseWork,
     QueueAction,
+    Rejected,
     ResumeWork,
     StartWork,
 )
@@ -33,10 +34,10 @@
 from wigeonwind.roles.intake import Intake
 from wigeonwind.roles.load_reporter import LoadReporter
 from wigeonwind.roles.metrics import Metrics
-from wigeonwind.roles.orders import OrderGate
+from wigeonwind.roles.orders import OrderGate, VersionCounts
 from wigeonwind.roles.pause_detector import TICK_MS, PauseDetector
 from wigeonwind.roles.plain_client import PlainClient
-from wigeonwind.roles.side_drain import SideDrain
+from wigeonwind.roles.side_drain import EndpointPause, WorkEnd
 from wigeonwind.roles.side_metrics import SideMetrics
 from wigeonwind.roles.work_table import Attempt, WorkTable
 from wigeonwind.settings import Settings, parse_address
@@ -84,10 +85,10 @@
             engine,
             address,
             settings.links.report_ms,
-            lambda: self._is_draining,
+            lambda: not self._is_draining and not self._pause.is_on,
         )
-        self._orders = OrderGate(store, engine, self._reporter.is_ready)
-        self._metrics = SideMetrics(metrics, clock, self._orders.counts)
+        counts = VersionCounts()
+        self._metrics = SideMetrics(metrics, clock, counts)
         self._intake = Intake(
             clock,
             self._table,
@@ -98,7 +99,7 @@
             self.incarnation,
             endpoint.service,
             engine is not None,
-            lambda: self._is_draining,
+            self._refuse_new,
         )
         self._runner = AttemptRunner(
             clock,
@@ -110,13 +111,16 @@
             self._priority_of,
             self._on_ended,
         )
-        self._drain = SideDrain(
+        self._work_end = WorkEnd(
             clock,
             self._table,
             self._intake.give_back,
             self._runner.cancel,
             settings.drain.limit_ms,
         )
+        self._pause = EndpointPause(clock, self._work_end, self._reporter.send)
+        is_ready = self._reporter.is_ready
+        self._orders = OrderGate(clock, store, engine, self._pause, is_ready, counts)
         self._handler_by_type: dict[type, Callable[[Link, Any], None]] = {
             Submit: self._intake.on_submit,
             Withdraw: self._intake.on_withdraw,
@@ -172,7 +176,9 @@
             self._is_draining = True
             for link in self._links:
                 link.send(Leaving(self.member_id, self.incarnation))
-        self._drain.run()
+        reason = "the endpoint is leaving"
+        self._work_end.hand_back(ErrorCode.DRAINING, reason)
+        self._work_end.finish(ErrorCode.DRAINING, reason)
         self.stop()
 
     def stop(self) -> None:
@@ -198,6 +204,16 @@
             sleep(TICK_MS / MS_PER_SECOND)
             self.tick()
 
+    def _refuse_new(self) -> Rejected | None:
+        """Return why no new work is taken now, if so."""
+        if self._is_draining:
+            code, reason = ErrorCode.DRAINING, "the endpoint is leaving"
+        elif self._pause.refuses:
+            code, reason = ErrorCode.NO_ENDPOINT, "the endpoint is being changed"
+        else:
+            return None
+        return Rejected(code.value, reason, 0.0)
+
     def _on_cancel(self, link: Link, message: Cancel) -> None:
         key = (message.request_id, message.attempt)
         attempt = self._table.get(key)
@@ -219,7 +235,7 @@
             self._runner.cancel(attempt, "the entry's link broke")
 
     def _on_ended(self, attempt: Attempt) -> None:
-        self._drain.on_ended()
+        self._work_end.on_ended()
         self._pump()
 
     def _pump(self) -> None:
--- a/wigeonwind/roles/side_drain.py
+++ b/wigeonwind/roles/side_drain.py
@@ -1,7 +1,8 @@
-"""Graceful shutdown of a sidecar: hand back what waits, finish what runs."""
+"""Emptying an endpoint without harm: for a planned stop, or for a change of it."""
 
 from collections.abc import Callable
 
+from gevent import sleep
 from gevent.event import Event
 
 from wigeonwind.clock import MS_PER_SECOND, Clock
@@ -12,12 +13,16 @@
 BREAK_OFF_MS = 1_000.0
 """Time for broken-off attempts to report their end."""
 
+GRACE_MS = 200.0
+"""Time in which work is still taken after entries were told to send none: many times
+the latency between zones."""
+
 POLL_MS = 20.0
 """Longest time between two looks at the clock while work is finished."""
 
 
-class SideDrain:
-    """One planned stop."""
+class WorkEnd:
+    """Waits for the end of all work, and breaks off what does not end in time."""
 
     def __init__(
         self,
@@ -35,30 +40,66 @@
         self._changed = Event()
 
     def on_ended(self) -> None:
-        """Look at once whether anything still runs."""
+        """Look at once whether anything is left."""
         self._changed.set()
 
-    def run(self) -> None:
-        """Block until nothing waits or runs, at most for the limit."""
-        began_ms = self._clock.now_ms()
-        self._hand_back()
-        while len(self._table) and self._clock.now_ms() - began_ms < self._limit_ms:
-            self._changed.clear()
-            self._changed.wait(POLL_MS / MS_PER_SECOND)
-        self._break_off()
-
-    def _hand_back(self) -> None:
-        reason = "the endpoint is leaving"
-        rejected = Rejected(ErrorCode.DRAINING.value, reason, 0.0)
+    def hand_back(self, code: ErrorCode, reason: str) -> None:
+        """Refuse what waits; its entries send it elsewhere."""
         for attempt in self._table.waiting():
-            self._give_back(attempt, rejected)
+            self._give_back(attempt, Rejected(code.value, reason, 0.0))
 
-    def _break_off(self) -> None:
-        """Stop what did not end in time; its entries are told by the runner."""
-        reason = "the endpoint left before the answer was whole"
+    def finish(self, code: ErrorCode, reason: str) -> None:
+        """Block until nothing is left; break off what is left after the limit."""
+        self._wait(self._limit_ms)
+        self.hand_back(code, reason)
         for attempt in self._table.started():
-            self._cancel(attempt, reason, ErrorCode.DRAINING)
+            self._cancel(attempt, reason, code)
+        self._wait(BREAK_OFF_MS)
+
+    def _wait(self, limit_ms: float) -> None:
         began_ms = self._clock.now_ms()
-        while len(self._table) and self._clock.now_ms() - began_ms < BREAK_OFF_MS:
+        while len(self._table) and self._clock.now_ms() - began_ms < limit_ms:
             self._changed.clear()
             self._changed.wait(POLL_MS / MS_PER_SECOND)
+
+
+class EndpointPause:
+    """Keeps work away while the endpoint is changed, see `orders.WorkStop`.
+
+    Waiting work is not handed back: it is finished here as it would have been. Entries
+    are told at once, and what they sent before they could know is still taken.
+    """
+
+    def __init__(
+        self, clock: Clock, work_end: WorkEnd, on_change: Callable[[], None]
+    ) -> None:
+        self._clock = clock
+        self._work_end = work_end
+        self._on_change = on_change
+        self._began_ms: float | None = None
+
+    @property
+    def is_on(self) -> bool:
+        """Return whether entries should send no new work."""
+        return self._began_ms is not None
+
+    @property
+    def refuses(self) -> bool:
+        """Return whether new work is refused."""
+        if self._began_ms is None:
+            return False
+        return self._clock.now_ms() - self._began_ms >= GRACE_MS
+
+    def begin(self) -> None:
+        """Let no new work in and block until none is left."""
+        self._began_ms = self._clock.now_ms()
+        self._on_change()
+        while not self.refuses:
+            sleep(POLL_MS / MS_PER_SECOND)
+        reason = "the endpoint is being changed"
+        self._work_end.finish(ErrorCode.NO_ENDPOINT, reason)
+
+    def end(self) -> None:
+        """Let work in again."""
+        self._began_ms = None
+        self._on_change()
