--- /dev/null
+++ b/tests/test_standins_engine_server.py
@@ -0,0 +1,303 @@
+"""The engine test double over HTTP: answers, streams, control, faults."""
+
+import json
+import socket
+from contextlib import contextmanager, suppress
+from http.client import HTTPConnection, IncompleteRead, RemoteDisconnected
+
+import gevent
+import pytest
+from xxhash import xxh64
+
+from wigeonwind.clock import ManualClock
+from wigeonwind.outcomes import Ok
+from wigeonwind.settings import SocketAddress
+from wigeonwind.standins.answer_text import (
+    AnswerFault,
+    answer_text,
+    check_partial_answer,
+    check_whole_answer,
+    prefix_keys,
+)
+from wigeonwind.standins.engine_server import EngineServer
+from wigeonwind.standins.engine_types import EngineConfig
+
+ANY_PORT = SocketAddress("127.0.0.1", 0)
+CONFIG = EngineConfig(slots=4, report_lag_ms=0.0, event_lag_ms=0.0)
+
+
+@contextmanager
+def running(speed=100.0, config=CONFIG, clock=None):
+    server = EngineServer(ANY_PORT, config, speed, clock=clock)
+    server.start()
+    try:
+        yield server
+    finally:
+        server.stop()
+
+
+def connect(server, timeout_s=5.0):
+    address = server.address
+    return HTTPConnection(address.host, address.port, timeout=timeout_s)
+
+
+def call(server, method, path, body=None):
+    connection = connect(server)
+    connection.request(method, path, json.dumps(body) if body is not None else None)
+    reply = connection.getresponse()
+    content = reply.read()
+    connection.close()
+    return reply.status, json.loads(content)
+
+
+def open_stream(server, prompt, **fields):
+    connection = connect(server)
+    body = {"prompt": prompt, "stream": True, **fields}
+    connection.request("POST", "/v1/completions", json.dumps(body))
+    return connection, connection.getresponse()
+
+
+def events_of(reply):
+    """Yield the data of each event of a stream."""
+    for line in reply:
+        if line.startswith(b"data: "):
+            yield line[6:].strip().decode()
+
+
+def streamed(server, prompt, **fields):
+    """Return (text, last event, events) of a whole stream."""
+    connection, reply = open_stream(server, prompt, **fields)
+    events = list(events_of(reply))
+    connection.close()
+    assert events.pop() == "[DONE]"
+    parsed = [json.loads(event) for event in events]
+    text = "".join(event["choices"][0]["text"] for event in parsed)
+    return text, parsed[-1], parsed
+
+
+def run_for(server, clock, duration_ms):
+    """Move the engine's time, which otherwise stands still."""
+    clock.advance(duration_ms)
+    server.wake()
+
+
+def wait_until(condition):
+    for _ in range(500):
+        if condition():
+            return
+        gevent.sleep(0.005)
+    raise AssertionError("the condition never became true")
+
+
+def test_the_answer_is_the_stated_function_of_the_prompt():
+    prompt = "brewing quality, ভুট্টা len=3"
+    digits = [xxh64(f"{prompt}:{i}".encode()).hexdigest()[:8] for i in range(3)]
+    assert answer_text(prompt) == " ".join(f"w{i}-{d}" for i, d in enumerate(digits))
+
+
+@pytest.mark.parametrize("damage", [
+    lambda words: words[:-1],
+    lambda words: words + words[-1:],
+    lambda words: [words[1], words[0], *words[2:]],
+    lambda words: words[:2] + words[3:],
+    lambda words: [words[0][:-1] + "x", *words[1:]],
+])  # fmt: skip
+def test_a_damaged_answer_is_detected(damage):
+    words = answer_text("p len=6").split(" ")
+    found = check_whole_answer("p len=6", " ".join(damage(words)))
+    assert isinstance(found, AnswerFault)
+
+
+def test_an_answer_to_another_prompt_is_not_a_beginning():
+    other = answer_text("q len=6", max_tokens=1)
+    assert isinstance(check_partial_answer("p len=6", other), AnswerFault)
+
+
+def test_a_stream_has_one_token_per_event_then_usage():
+    with running() as server:
+        text, last, events = streamed(server, "malt len=20")
+        assert check_whole_answer("malt len=20", text) == Ok(20)
+        assert [event["choices"][0]["text"].count("w") for event in events[:-1]] == [
+            1
+        ] * 20
+        assert last["choices"][0]["finish_reason"] == "stop"
+        assert last["usage"]["completion_tokens"] == 20
+
+
+def test_a_chat_is_answered_whole_and_capped():
+    messages = [{"role": "system", "content": "s"}, {"role": "user", "content": "u"}]
+    body = {"messages": messages, "max_tokens": 5}
+    with running() as server:
+        status, reply = call(server, "POST", "/v1/chat/completions", body)
+    choice = reply["choices"][0]
+    assert (status, choice["finish_reason"]) == (200, "length")
+    assert choice["message"]["content"] == answer_text("s\nu", 5)
+
+
+@pytest.mark.parametrize("delivered", [0, 1, 7, 11, 12])
+def test_a_resumed_answer_equals_the_uninterrupted_one(delivered):
+    prompt = "lot 17 len=12"
+    beginning = answer_text(prompt, max_tokens=delivered)
+    with running() as server:
+        rest, last, _ = streamed(server, prompt, resume_text=beginning)
+    assert beginning + rest == answer_text(prompt)
+    assert last["usage"]["completion_tokens"] == 12 - delivered
+
+
+def test_a_resume_text_of_another_answer_is_refused():
+    body = {"prompt": "a len=9", "resume_text": answer_text("b len=2")}
+    with running() as server:
+        status, reply = call(server, "POST", "/v1/completions", body)
+    assert (status, reply["error"]["code"]) == (400, "bad_request")
+
+
+@pytest.mark.parametrize("kv", ["keep", "export", "drop"])
+def test_a_paused_stream_stops_and_then_completes(kv):
+    prompt, clock = "dossier len=60", ManualClock()
+    with running(speed=1.0, clock=clock) as server:
+        connection, reply = open_stream(server, prompt, request_id="r1")
+        run_for(server, clock, 200.0)
+        events = events_of(reply)
+        texts = [json.loads(next(events))["choices"][0]["text"]]
+        body = {"request_id": "r1", "kv": kv}
+        _, stopped = call(server, "POST", "/control/pause", body)
+        assert 1 < stopped["tokens"] < 60
+        assert (stopped["dropped_tokens"] > 0) == (kv == "drop")
+        run_for(server, clock, 60_000.0)
+        assert call(server, "GET", "/load")[1]["paused"] == 1
+        call(server, "POST", "/control/resume", {"request_id": "r1"})
+        run_for(server, clock, 60_000.0)
+        for event in events:
+            if event != "[DONE]":
+                texts.append(json.loads(event)["choices"][0]["text"])
+        connection.close()
+    assert "".join(texts) == answer_text(prompt)
+
+
+def test_a_client_that_leaves_cancels_its_request():
+    with running(speed=1.0) as server:
+        connection, reply = open_stream(server, "long len=5000")
+        next(events_of(reply))
+        reply.close()
+        connection.close()
+        wait_until(lambda: server.model.current_load().running == 0)
+        assert server.model.counters().dropped_tokens > 0
+
+
+def test_a_client_that_leaves_while_its_request_waits_cancels_it():
+    config = EngineConfig(slots=1)
+    with running(speed=1.0, config=config) as server:
+        first, reply = open_stream(server, "long len=5000")
+        next(events_of(reply))
+        body = json.dumps({"prompt": "waits len=5"}).encode()
+        head = (
+            f"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}"
+        )
+        address = (server.address.host, server.address.port)
+        with socket.create_connection(address) as waiting:
+            waiting.sendall(head.encode() + b"\r\n\r\n" + body)
+            wait_until(lambda: server.model.current_load().waiting == 1)
+        wait_until(lambda: server.model.current_load().waiting == 0)
+        first.close()
+
+
+def test_a_crash_cuts_the_stream_after_correct_tokens_until_cleared():
+    prompt = "crash len=50"
+    with running(speed=20.0) as server:
+        fault = {"name": "crash", "after_tokens": 10}
+        call(server, "POST", "/faults", fault)
+        _, reply = open_stream(server, prompt)
+        events = []
+        # The end of a cut stream is an error only if it falls inside a chunk.
+        with suppress(IncompleteRead):
+            events.extend(events_of(reply))
+        texts = [json.loads(event)["choices"][0]["text"] for event in events]
+        text = "".join(texts)
+        assert check_partial_answer(prompt, text) == Ok(10)
+        with pytest.raises((RemoteDisconnected, ConnectionError)):
+            call(server, "GET", "/health")
+        call(server, "DELETE", "/faults")
+        assert streamed(server, prompt)[0] == answer_text(prompt)
+
+
+def test_orders_obey_fences_and_a_load_refuses_requests_meanwhile():
+    order = {"fence": 5, "action": "load_model", "model": "barley-7b", "version": "2"}
+    clock = ManualClock()
+    with running(speed=1.0, clock=clock) as server:
+        loading = gevent.spawn(call, server, "POST", "/orders", order)
+        wait_until(lambda: server.model.orders.blocks_requests)
+        status, reply = call(server, "POST", "/v1/completions", {"prompt": "x"})
+        assert (status, reply["error"]["code"]) == (503, "loading")
+        run_for(server, clock, CONFIG.load_model_ms)
+        assert loading.get(timeout=5)[1]["version"] == "2"
+        status, reply = call(server, "POST", "/orders", {**order, "fence": 4})
+        assert (status, reply["fence"]) == (409, 5)
+        call(server, "POST", "/faults", {"name": "ignore_fence"})
+        old = {"fence": 4, "action": "change_role", "role": "prefill"}
+        changing = gevent.spawn(call, server, "POST", "/orders", old)
+        wait_until(lambda: server.model.orders.blocks_requests)
+        run_for(server, clock, CONFIG.change_role_ms)
+        assert changing.get(timeout=5)[0] == 200
+        assert call(server, "GET", "/load")[1]["role"] == "prefill"
+
+
+def test_cache_events_name_the_prompts_prefixes():
+    prompt = "archive " * 100 + "len=2"
+    with running() as server:
+        streamed(server, prompt)
+        _, last, _ = streamed(server, prompt + " more")
+        assert last["usage"]["cached_tokens"] == 192
+        _, reply = call(server, "GET", "/cache/events?after=0")
+    found = [event["prefix"] for event in reply["events"]]
+    assert found == [key.key for key in prefix_keys(prompt)]
+
+
+def test_kv_cache_moves_to_another_engine():
+    prompt, clock = "report " * 400 + "len=40", ManualClock()
+    with running(1.0, clock=clock) as first, running() as second:
+        connection, reply = open_stream(first, prompt, request_id="r1")
+        run_for(first, clock, 300.0)
+        events = events_of(reply)
+        text = json.loads(next(events))["choices"][0]["text"]
+        _, exported = call(first, "POST", "/kv/export", {"request_id": "r1"})
+        call(second, "POST", "/kv/import", {"kv_id": exported["kv_id"]})
+        rest, _, _ = streamed(second, prompt, request_id="r1", resume_text=text)
+        connection.close()
+        assert text + rest == answer_text(prompt)
+        assert second.model.counters().prefill_tokens == 0
+
+
+def test_a_frozen_engine_answers_nothing_and_then_goes_on():
+    clock = ManualClock()
+    with running(speed=1.0, clock=clock) as server:
+        connection, reply = open_stream(server, "frozen len=30")
+        run_for(server, clock, 100.0)
+        events = events_of(reply)
+        next(events)
+        call(server, "POST", "/faults", {"name": "freeze"})
+        made = server.model.counters().decode_tokens
+        run_for(server, clock, 60_000.0)
+        asked = gevent.spawn(call, server, "GET", "/load")
+        gevent.sleep(0.02)
+        assert not asked.ready()
+        assert server.model.counters().decode_tokens == made
+        call(server, "DELETE", "/faults")
+        run_for(server, clock, 60_000.0)
+        assert asked.get(timeout=5)[0] == 200
+        assert list(events)[-1] == "[DONE]"
+        connection.close()
+
+
+@pytest.mark.parametrize("fault", [
+    {"name": "nonsense"},
+    {"name": "skip_watch"},
+    {"name": "straggle", "factor": "much"},
+    {"name": "straggle", "speed": 2},
+    {"name": "slow", "ms": -1},
+    [],
+])  # fmt: skip
+def test_a_wrong_fault_is_refused_with_the_reason(fault):
+    with running() as server:
+        status, reply = call(server, "POST", "/faults", fault)
+        assert (status, reply["error"]["code"]) == (400, "bad_request")
+        assert call(server, "GET", "/faults")[1] == {"faults": []}
--- a/wigeonwind/standins/engine_orders.py
+++ b/wigeonwind/standins/engine_orders.py
@@ -29,6 +29,7 @@
         self.model = config.model
         self.version = config.version
         self.role = config.role
+        self.adapter_versions: dict[str, str] = {}
         self.fence = 0
         self.pending: OrderTaken | None = None
         self.taken: list[EngineOrder] = []
@@ -43,16 +44,23 @@
         self, order: EngineOrder, now_ms: float
     ) -> OrderTaken | OrderFenced | OrderFailed:
         """Begin an order, or refuse it."""
+        refused = self.refusal(order)
+        if refused:
+            return refused
+        self.fence = max(self.fence, order.fence)
+        self.taken.append(order)
+        self.pending = OrderTaken(order, now_ms + self._duration_ms(order))
+        return self.pending
+
+    def refusal(self, order: EngineOrder) -> OrderFenced | OrderFailed | None:
+        """Return why the order would not be taken now, None if it would."""
         if order.action not in ACTIONS:
             return OrderFailed(f"unknown action {order.action!r}", may_retry=False)
         if self.obeys_fence and order.fence < self.fence:
             return OrderFenced(self.fence)
         if self.pending:
             return OrderFailed("another order is being carried out", may_retry=True)
-        self.fence = max(self.fence, order.fence)
-        self.taken.append(order)
-        self.pending = OrderTaken(order, now_ms + self._duration_ms(order))
-        return self.pending
+        return None
 
     def complete(self) -> None:
         """Let the order in progress take effect."""
@@ -62,6 +70,10 @@
         if order.action == CHANGE_ROLE:
             self.role = order.role
             return
+        if order.action == LOAD_ADAPTER:
+            self.adapter_versions[order.model] = order.version
+            return
+        self.adapter_versions.clear()
         self.model = order.model or self.model
         self.version = order.version or self.version
 
@@ -72,8 +84,9 @@
             self.pending = OrderTaken(self.pending.order, done_at_ms)
 
     def forget(self) -> None:
-        """Lose the order in progress and the fencing token, as a restart does."""
+        """Lose what a restart loses; the model is loaded again from its version."""
         self.pending = None
+        self.adapter_versions.clear()
         self.fence = 0
 
     def _duration_ms(self, order: EngineOrder) -> float:
--- /dev/null
+++ b/wigeonwind/standins/faults.py
@@ -0,0 +1,203 @@
+"""Faults that can be switched on in a test double, by name.
+
+Each fault is a frozen data class; its fields are the values of `POST /faults`.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, fields, replace
+from typing import Any, TypeVar
+
+from wigeonwind.outcomes import Invalid, Ok, Problem
+from wigeonwind.registry import Registry
+
+
+@dataclass(frozen=True)
+class Fault:
+    """Base of all faults."""
+
+
+@dataclass(frozen=True)
+class CountedFault(Fault):
+    """A fault that strikes `count` times."""
+
+    count: int = 1
+
+
+FAULTS: Registry[type[Fault]] = Registry("fault")
+
+
+@FAULTS.register("straggle")
+@dataclass(frozen=True)
+class Straggle(Fault):
+    """Each iteration of an engine takes `factor` times as long."""
+
+    factor: float = 3.0
+
+
+@FAULTS.register("crash")
+@dataclass(frozen=True)
+class Crash(Fault):
+    """The server closes all connections and answers nothing until the fault is cleared.
+
+    An engine crashes after `after_tokens` more tokens, a plain service before or after
+    it executes the next booking if `when` is `before` or `after`. With `exit_process`
+    the process ends.
+    """
+
+    after_tokens: int = 0
+    when: str = "now"
+    exit_process: bool = False
+
+    @property
+    def strikes_now(self) -> bool:
+        """Return whether the crash waits for nothing."""
+        return self.when == "now" and not self.after_tokens
+
+
+@FAULTS.register("freeze")
+@dataclass(frozen=True)
+class Freeze(Fault):
+    """Connections are accepted, but nothing is answered."""
+
+
+@FAULTS.register("outage")
+@dataclass(frozen=True)
+class Outage(Fault):
+    """Every call is answered 503."""
+
+
+@FAULTS.register("slow")
+@dataclass(frozen=True)
+class Slow(Fault):
+    """Every answer comes `ms` milliseconds later."""
+
+    ms: float = 1000.0
+
+
+@FAULTS.register("lose_answers")
+@dataclass(frozen=True)
+class LoseAnswers(CountedFault):
+    """The next `count` writes take effect, but their answers are lost."""
+
+
+@FAULTS.register("lag")
+@dataclass(frozen=True)
+class Lag(Fault):
+    """Reports, cache events or the VM list are `ms` milliseconds old."""
+
+    ms: float = 30_000.0
+
+
+@FAULTS.register("event_gap")
+@dataclass(frozen=True)
+class EventGap(Fault):
+    """This share (0 to 1) of cache events is never reported."""
+
+    share: float = 0.3
+
+
+@FAULTS.register("ignore_fence")
+@dataclass(frozen=True)
+class IgnoreFence(Fault):
+    """An engine takes orders with old fencing tokens."""
+
+
+@FAULTS.register("skip_watch")
+@dataclass(frozen=True)
+class SkipWatch(CountedFault):
+    """The next `count` answers to watches leave out their first event."""
+
+
+@FAULTS.register("repeat_watch")
+@dataclass(frozen=True)
+class RepeatWatch(CountedFault):
+    """The next `count` answers to watches repeat the latest earlier event."""
+
+
+F = TypeVar("F", bound=Fault)
+
+
+class ActiveFaults:
+    """The faults that are switched on in one test double.
+
+    >>> active = ActiveFaults()
+    >>> active.switch_on(LoseAnswers(count=1))
+    >>> active.strikes(LoseAnswers), active.strikes(LoseAnswers)
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self._fault_by_type: dict[type[Fault], Fault] = {}
+
+    def switch_on(self, fault: Fault) -> None:
+        """Add a fault, in place of one of the same name."""
+        self._fault_by_type[type(fault)] = fault
+
+    def switch_off(self, kind: type[Fault]) -> None:
+        """Remove a fault."""
+        self._fault_by_type.pop(kind, None)
+
+    def clear(self) -> None:
+        """Remove all faults."""
+        self._fault_by_type.clear()
+
+    def find(self, kind: type[F]) -> F | None:
+        """Return the fault of this kind if it is on."""
+        fault = self._fault_by_type.get(kind)
+        return fault if isinstance(fault, kind) else None
+
+    def strikes(self, kind: type[CountedFault]) -> bool:
+        """Return whether the counted fault strikes now, and count it down."""
+        fault = self.find(kind)
+        if fault is None or fault.count <= 0:
+            return False
+        self.switch_on(replace(fault, count=fault.count - 1))
+        return True
+
+    def names(self) -> list[str]:
+        """Return the names of the faults that are on."""
+        return [name for name, kind in FAULTS if kind in self._fault_by_type]
+
+
+def read_fault(body: Any, supported: frozenset[str]) -> Ok[Fault] | Invalid:
+    """Read the body of `POST /faults`; report all its mistakes.
+
+    >>> read_fault({"name": "slow", "ms": 20}, frozenset({"slow"}))
+    Ok(value=Slow(ms=20.0))
+    >>> read_fault({"name": "slow", "s": 1}, frozenset({"slow"})).problems[0].key
+    's'
+    """
+    if not isinstance(body, dict):
+        return Invalid((Problem("faults", "", str(body)[:80], "a JSON object"),))
+    name = body.get("name")
+    kind = FAULTS.get(name) if isinstance(name, str) and name in supported else None
+    if kind is None:
+        expected = f"one of {', '.join(sorted(supported))}"
+        return Invalid((Problem("faults", "name", str(name), expected),))
+    values = {key: value for key, value in body.items() if key != "name"}
+    problems = tuple(_problems(kind, values))
+    if problems:
+        return Invalid(problems)
+    type_by_key = {field.name: field.type for field in fields(kind)}
+    converted = {
+        key: float(value) if type_by_key[key] is float else value
+        for key, value in values.items()
+    }
+    return Ok(kind(**converted))
+
+
+def _problems(kind: type[Fault], values: Mapping[str, Any]) -> Iterator[Problem]:
+    type_by_key = {field.name: field.type for field in fields(kind)}
+    for key, value in values.items():
+        if key not in type_by_key:
+            known = ", ".join(type_by_key) or "no values"
+            yield Problem("faults", key, str(value), f"a known value: {known}")
+        elif not _fits(value, type_by_key[key]):
+            yield Problem("faults", key, str(value), f"{type_by_key[key]}, 0 or more")
+
+
+def _fits(value: Any, kind: Any) -> bool:
+    if kind in (bool, str) or isinstance(value, bool):
+        return isinstance(value, kind)
+    allowed = (int, float) if kind is float else (int,)
+    return isinstance(value, allowed) and value >= 0
