--- /dev/null
+++ b/wigeonwind/checking/explorer.py
@@ -0,0 +1,228 @@
+"""Explores all interleavings of small processes with faults, within bounds.
+
+A process is a generator that yields calls and is sent their results. At each step the
+explorer chooses which process goes on and which fault its call meets. It runs the
+model again from the start for each sequence of choices (depth first), so a model needs
+no copying, and the order of runs is always the same.
+"""
+
+from collections.abc import Callable, Generator, Iterator, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+Process = Generator[Any, Any, Any]
+
+
+class Fault(Enum):
+    """What can happen to one call of a process."""
+
+    NONE = "runs"
+    CRASH = "crashes"
+    """The process ends before its call."""
+    LOST_CALL = "loses its call"
+    """The call has no effect and no answer."""
+    LOST_ANSWER = "loses its answer"
+    """The call takes effect, and its answer is lost."""
+    LATE_CALL = "has its call delayed"
+    """No answer arrives, and the call takes effect at any later time."""
+
+
+class Model(Protocol):
+    """What the explorer needs to know of the system that it explores."""
+
+    def processes(self) -> Mapping[str, Process]:
+        """Return the processes, freshly started."""
+        ...
+
+    def perform(self, process: str, call: Any) -> Any:
+        """Let a call take effect and return its result."""
+        ...
+
+    def no_answer(self, call: Any) -> Any:
+        """Return what a process is sent when it gets no answer."""
+        ...
+
+    def faults_of(self, call: Any) -> tuple[Fault, ...]:
+        """Return the faults that this call can meet."""
+        ...
+
+    def ended(self, process: str, result: Any) -> None:
+        """Note the result of a process."""
+        ...
+
+    def check(self) -> str:
+        """Return which invariant is broken now, empty if none is."""
+        ...
+
+
+@dataclass(frozen=True)
+class Violation:
+    """A broken invariant and the steps that led to it."""
+
+    message: str
+    steps: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Exploration:
+    """How much was explored; `violation` is the first one met."""
+
+    runs: int
+    steps: int
+    is_complete: bool
+    violation: Violation | None = None
+
+
+@dataclass
+class _Chooser:
+    """Replays a sequence of choices and then takes the first option each time."""
+
+    prefix: list[int]
+    taken: list[int] = field(default_factory=list)
+    options: list[int] = field(default_factory=list)
+
+    def choose(self, count: int) -> int:
+        """Return the next choice out of `count`."""
+        place = len(self.taken)
+        choice = self.prefix[place] if place < len(self.prefix) else 0
+        self.taken.append(choice)
+        self.options.append(count)
+        return choice
+
+    def next_prefix(self) -> list[int] | None:
+        """Return the next sequence in depth-first order, None after the last."""
+        for place in range(len(self.taken) - 1, -1, -1):
+            if self.taken[place] + 1 < self.options[place]:
+                return [*self.taken[:place], self.taken[place] + 1]
+        return None
+
+
+@dataclass(frozen=True)
+class _Move:
+    """One possible step: a process meets a fault, or a delayed call takes effect."""
+
+    process: str
+    fault: Fault
+    late_call: int = -1
+
+
+class _Run:
+    """One run of the model under one sequence of choices."""
+
+    def __init__(self, model: Model, budget: Mapping[Fault, int]) -> None:
+        self._model = model
+        self._budget = dict(budget)
+        self._process_by_name = dict(model.processes())
+        self._call_by_name: dict[str, Any] = {}
+        self._late_calls: list[tuple[str, Any]] = []
+        self.steps: list[str] = []
+        for name in list(self._process_by_name):
+            self._send(name, None)
+
+    def moves(self) -> list[_Move]:
+        """Return all steps possible now, in a fixed order."""
+        return list(self._moves())
+
+    def _moves(self) -> Iterator[_Move]:
+        for name, call in self._call_by_name.items():
+            yield _Move(name, Fault.NONE)
+            for fault in self._model.faults_of(call):
+                if self._budget.get(fault, 0) > 0:
+                    yield _Move(name, fault)
+        for index, (name, _) in enumerate(self._late_calls):
+            yield _Move(name, Fault.NONE, index)
+
+    def take(self, move: _Move) -> None:
+        """Take one step."""
+        if move.late_call >= 0:
+            name, call = self._late_calls.pop(move.late_call)
+            self.steps.append(f"{name}: delayed {_short(call)} takes effect")
+            self._model.perform(name, call)
+            return
+        call = self._call_by_name.pop(move.process)
+        self.steps.append(f"{move.process}: {_short(call)} {move.fault.value}")
+        if move.fault is not Fault.NONE:
+            self._budget[move.fault] -= 1
+        self._meet(move.process, call, move.fault)
+
+    def _meet(self, name: str, call: Any, fault: Fault) -> None:
+        if fault is Fault.CRASH:
+            self._process_by_name.pop(name).close()
+            return
+        result = None
+        if fault in (Fault.NONE, Fault.LOST_ANSWER):
+            result = self._model.perform(name, call)
+        if fault is Fault.LATE_CALL:
+            self._late_calls.append((name, call))
+        if fault is not Fault.NONE:
+            result = self._model.no_answer(call)
+        self._send(name, result)
+
+    def _send(self, name: str, result: Any) -> None:
+        """Let a process go on to its next call or its end."""
+        try:
+            self._call_by_name[name] = self._process_by_name[name].send(result)
+        except StopIteration as stop:
+            del self._process_by_name[name]
+            self._model.ended(name, stop.value)
+
+    def check(self) -> str:
+        """Return which invariant is broken now, empty if none is."""
+        return self._model.check()
+
+    def close(self) -> None:
+        """End processes that are left."""
+        for process in self._process_by_name.values():
+            process.close()
+
+
+def explore(
+    make_model: Callable[[], Model],
+    budget: Mapping[Fault, int],
+    max_runs: int,
+    max_steps: int = 200,
+) -> Exploration:
+    """Run the model under all sequences of choices until an invariant breaks.
+
+    `budget` is how often each fault may happen in one run. `max_runs` and `max_steps`
+    of one run bound the search; the result says whether it was complete.
+    """
+    prefix: list[int] | None = []
+    runs = steps = 0
+    cut_off = False
+    while prefix is not None:
+        if runs >= max_runs:
+            return Exploration(runs, steps, is_complete=False)
+        chooser = _Chooser(prefix)
+        run = _Run(make_model(), budget)
+        message, ended = _run_once(run, chooser, max_steps)
+        runs += 1
+        steps += len(run.steps)
+        cut_off = cut_off or not ended
+        if message:
+            violation = Violation(message, tuple(run.steps))
+            return Exploration(runs, steps, False, violation)
+        prefix = chooser.next_prefix()
+    return Exploration(runs, steps, is_complete=not cut_off)
+
+
+def _run_once(run: _Run, chooser: _Chooser, max_steps: int) -> tuple[str, bool]:
+    """Run to the end; return the broken invariant and whether the end was reached."""
+    try:
+        while moves := run.moves():
+            if len(run.steps) >= max_steps:
+                return "", False
+            run.take(moves[chooser.choose(len(moves))])
+            message = run.check()
+            if message:
+                return message, True
+        return "", True
+    finally:
+        run.close()
+
+
+def _short(call: Any) -> str:
+    """Return a call in few words for the list of steps."""
+    key = getattr(call, "key", "")
+    return f"{type(call).__name__} {key}".strip()
