Add the object store, VM list, weight store and plain service doubles

Cause: the other parts need the platform of design 6.3 to 6.6 to test against. Change: a pure object store core (versions, conditional writes, watches, rates, outage, lost answers, skipped and repeated watch events) with an HTTP server and an in-process LocalStore; a lagging VM list, a weight store with bounded fetches, and a desk that counts executions by Idempotency-Key. Main runs any of them as a process. Conclusion: every test double of the design can be started in one process.

--- a/wigeonwind/standins/http_server.py
+++ b/wigeonwind/standins/http_server.py
@@ -166,6 +166,8 @@
     """
 
     kind = ""
+    refuses_in_outage = True
+    """False if the calls themselves check for an outage."""
     supported_faults = frozenset({"crash", "freeze", "outage", "slow", "lose_answers"})
 
     def __init__(self, address: SocketAddress, clock: Clock | None = None) -> None:
@@ -242,7 +244,7 @@
         self._wait_while_frozen(call)
         if self.is_down():
             self.lose_connection()
-        if self.faults.find(Outage):
+        if self.refuses_in_outage and self.faults.find(Outage):
             return error_reply(503, "outage", f"the {self.kind} is unavailable")
         slow = self.faults.find(Slow)
         if slow:
--- /dev/null
+++ b/wigeonwind/standins/local_store.py
@@ -0,0 +1,94 @@
+"""The object store test double without HTTP, for tests in virtual time."""
+
+from collections.abc import Callable
+
+from wigeonwind.clock import Clock
+from wigeonwind.outcomes import Ok
+from wigeonwind.standins.faults import Freeze, Slow
+from wigeonwind.standins.object_store import (
+    AnswerLost,
+    ObjectStore,
+    RateLimited,
+    StoreDown,
+    ValueTooLarge,
+)
+from wigeonwind.state.store_types import (
+    Conflict,
+    NotFound,
+    StoredObject,
+    StoreFailure,
+    WatchBatch,
+)
+
+
+class LocalStore:
+    """Implements `Store` by direct calls; faults are those of `store.faults`.
+
+    A slow store calls `wait_ms` before the call takes effect. A watch does not wait: it
+    returns what has changed.
+
+    >>> from wigeonwind.clock import ManualClock
+    >>> from wigeonwind.standins.faults import LoseAnswers
+    >>> core = ObjectStore()
+    >>> store = LocalStore(core, ManualClock())
+    >>> core.faults.switch_on(LoseAnswers(1))
+    >>> store.put("lease/roller", b"x", 0).maybe_written
+    True
+    >>> store.get("lease/roller").value.version
+    1
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        clock: Clock,
+        wait_ms: Callable[[float], None] | None = None,
+    ) -> None:
+        self.store = store
+        self._clock = clock
+        self._wait_ms = wait_ms
+
+    def get(self, key: str) -> Ok[StoredObject] | NotFound | StoreFailure:
+        """Read one object."""
+        result = self.store.get(key, self._now_ms())
+        return result if isinstance(result, Ok | NotFound) else _failure(result)
+
+    def put(
+        self, key: str, value: bytes, if_version: int
+    ) -> Ok[int] | Conflict | StoreFailure:
+        """Write if the object has `if_version` (0: must not exist)."""
+        result = self.store.put(key, value, if_version, self._now_ms())
+        return result if isinstance(result, Ok | Conflict) else _failure(result)
+
+    def delete(self, key: str, if_version: int) -> Ok[None] | Conflict | StoreFailure:
+        """Delete if the object has `if_version`."""
+        result = self.store.delete(key, if_version, self._now_ms())
+        if isinstance(result, NotFound):
+            return Conflict(key, 0)
+        return result if isinstance(result, Ok | Conflict) else _failure(result)
+
+    def watch(
+        self, prefix: str, after: int, timeout_ms: float
+    ) -> Ok[WatchBatch] | StoreFailure:
+        """Return the changes under `prefix` after revision `after`."""
+        result = self.store.watch(prefix, after, self._now_ms())
+        return result if isinstance(result, Ok) else _failure(result)
+
+    def _now_ms(self) -> float:
+        slow = self.store.faults.find(Slow)
+        if slow and self._wait_ms:
+            self._wait_ms(slow.ms)
+        assert not self.store.faults.find(Freeze), "a local store cannot freeze"
+        return self._clock.now_ms()
+
+
+def _failure(
+    result: RateLimited | StoreDown | AnswerLost | ValueTooLarge,
+) -> StoreFailure:
+    if isinstance(result, RateLimited):
+        return StoreFailure("rate limited", False, result.retry_after_ms)
+    if isinstance(result, AnswerLost):
+        return StoreFailure("answer lost", maybe_written=True)
+    if isinstance(result, ValueTooLarge):
+        return StoreFailure(f"over {result.limit_bytes} bytes", maybe_written=False)
+    return StoreFailure("outage", maybe_written=False)
--- /dev/null
+++ b/wigeonwind/standins/main.py
@@ -0,0 +1,117 @@
+"""Runs one test double as a process and prints `ready IP:PORT`.
+
+Example: python -m wigeonwind.standins.main --kind=engine --listen=127.0.0.1:0
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import json
+import signal
+from collections.abc import Callable
+from dataclasses import fields
+
+import gevent
+from absl import app, flags
+from gevent.event import Event
+
+from wigeonwind.outcomes import Invalid
+from wigeonwind.registry import Registry
+from wigeonwind.settings import SocketAddress, parse_address
+from wigeonwind.standins.engine_server import EngineServer
+from wigeonwind.standins.engine_types import EngineConfig
+from wigeonwind.standins.faults import read_fault
+from wigeonwind.standins.http_server import StandinServer
+from wigeonwind.standins.object_store import StoreLimits
+from wigeonwind.standins.object_store_server import ObjectStoreServer
+from wigeonwind.standins.plain_service import PlainServiceServer
+from wigeonwind.standins.vm_list import VmListServer
+from wigeonwind.standins.weight_store import WeightLimits, WeightStoreServer
+
+ServerMaker = Callable[[SocketAddress], StandinServer]
+
+SERVERS: Registry[ServerMaker] = Registry("test double")
+
+FLAGS = flags.FLAGS
+flags.DEFINE_string("kind", None, "Which test double: see --helpfull.", required=True)
+flags.DEFINE_string("listen", "127.0.0.1:0", "IP:PORT to listen on; port 0 is any.")
+flags.DEFINE_multi_string("fault", [], "Fault to start with, as the JSON of /faults.")
+flags.DEFINE_string("engine", "{}", "Engine: fields of EngineConfig as JSON.")
+flags.DEFINE_float("speed", 1.0, "Engine: its milliseconds in one millisecond.")
+flags.DEFINE_string("weight_store", "", "Engine: IP:PORT to fetch models from.")
+flags.DEFINE_float("writes_per_s", 400.0, "Object store: rate of writes.")
+flags.DEFINE_float("reads_per_s", 2000.0, "Object store: rate of reads and watches.")
+flags.DEFINE_float("lag_ms", 0.0, "VM list: its lag.")
+flags.DEFINE_float("fetch_ms", 2000.0, "Weight store: time of one fetch.")
+flags.DEFINE_integer("parallel", 2, "Weight store: fetches at a time.")
+flags.DEFINE_float("work_ms", 0.0, "Plain service: time of one booking.")
+flags.DEFINE_bool("checks_keys", False, "Plain service: refuse to book a key twice.")
+
+
+@SERVERS.register("engine")
+def make_engine(address: SocketAddress) -> StandinServer:
+    """Make an engine."""
+    values = json.loads(FLAGS.engine)
+    known = {field.name for field in fields(EngineConfig)}
+    unknown = sorted(set(values) - known)
+    if unknown:
+        raise app.UsageError(f"--engine: unknown fields {', '.join(unknown)}")
+    weights = parse_address(FLAGS.weight_store) if FLAGS.weight_store else None
+    return EngineServer(address, EngineConfig(**values), FLAGS.speed, weights)
+
+
+@SERVERS.register("object-store")
+def make_object_store(address: SocketAddress) -> StandinServer:
+    """Make an object store."""
+    return ObjectStoreServer(
+        address, StoreLimits(FLAGS.writes_per_s, FLAGS.reads_per_s)
+    )
+
+
+@SERVERS.register("vm-list")
+def make_vm_list(address: SocketAddress) -> StandinServer:
+    """Make a VM list."""
+    return VmListServer(address, FLAGS.lag_ms)
+
+
+@SERVERS.register("weight-store")
+def make_weight_store(address: SocketAddress) -> StandinServer:
+    """Make a weight store."""
+    return WeightStoreServer(address, WeightLimits(FLAGS.fetch_ms, FLAGS.parallel))
+
+
+@SERVERS.register("plain")
+def make_plain_service(address: SocketAddress) -> StandinServer:
+    """Make a plain service."""
+    return PlainServiceServer(address, FLAGS.work_ms, FLAGS.checks_keys)
+
+
+def start_server() -> StandinServer:
+    """Make the test double that the flags ask for, with its faults."""
+    make = SERVERS.get(FLAGS.kind)
+    if make is None:
+        raise app.UsageError(f"--kind must be one of {', '.join(SERVERS.names())}")
+    server = make(parse_address(FLAGS.listen))
+    for text in FLAGS.fault:
+        result = read_fault(json.loads(text), server.supported_faults)
+        if isinstance(result, Invalid):
+            raise app.UsageError(f"--fault: {result.problems[0]}")
+        server.inject(result.value)
+    server.start()
+    return server
+
+
+def main(_argv: list[str]) -> None:
+    """Serve until SIGTERM or SIGINT."""
+    server = start_server()
+    print(f"ready {server.address}", flush=True)
+    stopped = Event()
+    gevent.signal_handler(signal.SIGTERM, stopped.set)
+    gevent.signal_handler(signal.SIGINT, stopped.set)
+    stopped.wait()
+    server.stop()
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/wigeonwind/standins/object_store.py
@@ -0,0 +1,281 @@
+"""The core of the object store test double: no I/O, times are passed in."""
+
+from collections import deque
+from dataclasses import dataclass
+from itertools import islice
+
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.outcomes import Ok
+from wigeonwind.standins.faults import (
+    ActiveFaults,
+    LoseAnswers,
+    Outage,
+    RepeatWatch,
+    SkipWatch,
+)
+from wigeonwind.state.store_types import (
+    Conflict,
+    NotFound,
+    StoredObject,
+    WatchBatch,
+    WatchEvent,
+)
+
+EVENT_LOG_LENGTH = 20_000
+"""Changes kept for watches; an older watch gets the present state of each object."""
+
+
+class TokenBucket:
+    """A rate limit with a burst.
+
+    >>> bucket = TokenBucket(rate_per_s=10.0, burst=2.0)
+    >>> [bucket.take(0.0) for _ in range(3)]
+    [0.0, 0.0, 100.0]
+    >>> bucket.take(100.0)
+    0.0
+    """
+
+    def __init__(self, rate_per_s: float, burst: float) -> None:
+        self._rate_per_ms = rate_per_s / MS_PER_SECOND
+        self._burst = burst
+        self._level = burst
+        self._at_ms = 0.0
+
+    def take(self, now_ms: float) -> float:
+        """Take one token and return 0, or return the milliseconds to wait for one."""
+        elapsed_ms = max(0.0, now_ms - self._at_ms)
+        self._at_ms = max(self._at_ms, now_ms)
+        self._level = min(self._burst, self._level + elapsed_ms * self._rate_per_ms)
+        if self._level < 1.0:
+            return (1.0 - self._level) / self._rate_per_ms
+        self._level -= 1.0
+        return 0.0
+
+
+@dataclass(frozen=True)
+class StoreLimits:
+    """Rates of all clients together, and the largest value."""
+
+    writes_per_s: float = 400.0
+    reads_per_s: float = 2000.0
+    burst_s: float = 0.5
+    max_value_bytes: int = 1_000_000
+
+
+@dataclass(frozen=True)
+class RateLimited:
+    """Over the rate; the call had no effect."""
+
+    retry_after_ms: float
+
+
+@dataclass(frozen=True)
+class ValueTooLarge:
+    """The value is larger than `limit_bytes`; it was not written."""
+
+    limit_bytes: int
+
+
+@dataclass(frozen=True)
+class StoreDown:
+    """The store is in an outage; the call had no effect."""
+
+
+@dataclass(frozen=True)
+class AnswerLost:
+    """The write took effect if its condition held, but its answer is lost."""
+
+
+Refusal = RateLimited | StoreDown
+
+
+@dataclass(frozen=True)
+class ObjectVersion:
+    """One row of a listing."""
+
+    key: str
+    version: int
+
+
+@dataclass(frozen=True)
+class CallCounts:
+    """Calls received, refused ones included."""
+
+    reads: int
+    writes: int
+    rate_limited: int
+
+
+class ObjectStore:
+    """Objects with versions, conditional writes and watches.
+
+    The version of a key grows by one with each write, also over a delete. Every change
+    gets the next revision.
+
+    >>> store = ObjectStore()
+    >>> store.put("a", b"1", 0, now_ms=0.0)
+    Ok(value=1)
+    >>> store.put("a", b"2", 0, now_ms=0.0)
+    Conflict(key='a', version=1)
+    >>> store.watch("", 0, now_ms=0.0).value.revision
+    1
+    """
+
+    def __init__(
+        self, limits: StoreLimits | None = None, faults: ActiveFaults | None = None
+    ) -> None:
+        self.limits = limits or StoreLimits()
+        self.faults = faults or ActiveFaults()
+        burst_s = self.limits.burst_s
+        self._reads = TokenBucket(
+            self.limits.reads_per_s, self.limits.reads_per_s * burst_s
+        )
+        self._writes = TokenBucket(
+            self.limits.writes_per_s, self.limits.writes_per_s * burst_s
+        )
+        self._object_by_key: dict[str, StoredObject] = {}
+        self._last_version_by_key: dict[str, int] = {}
+        self._last_event_by_key: dict[str, WatchEvent] = {}
+        self._log: deque[WatchEvent] = deque(maxlen=EVENT_LOG_LENGTH)
+        self._revision = 0
+        self._read_count = 0
+        self._write_count = 0
+        self._limited_count = 0
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the latest change."""
+        return self._revision
+
+    def counts(self) -> CallCounts:
+        """Return the number of calls so far."""
+        return CallCounts(self._read_count, self._write_count, self._limited_count)
+
+    def peek(self, key: str) -> StoredObject | None:
+        """Return an object without a call, for checkers."""
+        return self._object_by_key.get(key)
+
+    def get(self, key: str, now_ms: float) -> Ok[StoredObject] | NotFound | Refusal:
+        """Read one object."""
+        refusal = self._admit_read(now_ms)
+        if refusal:
+            return refusal
+        found = self._object_by_key.get(key)
+        return Ok(found) if found else NotFound(key)
+
+    def list_versions(
+        self, prefix: str, now_ms: float
+    ) -> Ok[tuple[ObjectVersion, ...]] | Refusal:
+        """Return key and version of all objects under `prefix`, by key."""
+        refusal = self._admit_read(now_ms)
+        if refusal:
+            return refusal
+        keys = sorted(key for key in self._object_by_key if key.startswith(prefix))
+        rows = [ObjectVersion(key, self._object_by_key[key].version) for key in keys]
+        return Ok(tuple(rows))
+
+    def put(
+        self, key: str, value: bytes, if_version: int | None, now_ms: float
+    ) -> Ok[int] | Conflict | ValueTooLarge | AnswerLost | Refusal:
+        """Write if the object has `if_version` (0: none exists; None: in any case)."""
+        refusal = self._admit_write(now_ms)
+        if refusal:
+            return refusal
+        if len(value) > self.limits.max_value_bytes:
+            return ValueTooLarge(self.limits.max_value_bytes)
+        result = self._put(key, value, if_version)
+        return AnswerLost() if self.faults.strikes(LoseAnswers) else result
+
+    def delete(
+        self, key: str, if_version: int | None, now_ms: float
+    ) -> Ok[None] | Conflict | NotFound | AnswerLost | Refusal:
+        """Delete if the object has `if_version` (None: in any case)."""
+        refusal = self._admit_write(now_ms)
+        if refusal:
+            return refusal
+        result = self._delete(key, if_version)
+        return AnswerLost() if self.faults.strikes(LoseAnswers) else result
+
+    def watch(self, prefix: str, after: int, now_ms: float) -> Ok[WatchBatch] | Refusal:
+        """Count one call and return the changes under `prefix` after a revision."""
+        return self._admit_read(now_ms) or Ok(self.changes(prefix, after))
+
+    def changes(self, prefix: str, after: int) -> WatchBatch:
+        """Return the changes for a watch that has been counted already."""
+        events = [
+            event for event in self._events_after(after) if event.key.startswith(prefix)
+        ]
+        if events and self.faults.strikes(SkipWatch):
+            del events[0]
+        earlier = self._latest_event(prefix, after)
+        if earlier and self.faults.strikes(RepeatWatch):
+            events.insert(0, earlier)
+        return WatchBatch(self._revision, tuple(events))
+
+    def _events_after(self, after: int) -> list[WatchEvent]:
+        if after >= self._revision:
+            return []
+        if after < self._log[0].revision - 1:
+            latest = self._last_event_by_key.values()
+            found = [event for event in latest if event.revision > after]
+            return sorted(found, key=lambda event: event.revision)
+        # Revisions in the log have no gaps.
+        newest = islice(reversed(self._log), self._revision - after)
+        return list(newest)[::-1]
+
+    def _latest_event(self, prefix: str, until: int) -> WatchEvent | None:
+        for event in reversed(self._log):
+            if event.revision <= until and event.key.startswith(prefix):
+                return event
+        return None
+
+    def _admit_read(self, now_ms: float) -> Refusal | None:
+        self._read_count += 1
+        return self._admit(self._reads, now_ms)
+
+    def _admit_write(self, now_ms: float) -> Refusal | None:
+        self._write_count += 1
+        return self._admit(self._writes, now_ms)
+
+    def _admit(self, bucket: TokenBucket, now_ms: float) -> Refusal | None:
+        if self.faults.find(Outage):
+            return StoreDown()
+        wait_ms = bucket.take(now_ms)
+        if not wait_ms:
+            return None
+        self._limited_count += 1
+        return RateLimited(wait_ms)
+
+    def _put(
+        self, key: str, value: bytes, if_version: int | None
+    ) -> Ok[int] | Conflict:
+        present = self._present_version(key)
+        if if_version is not None and if_version != present:
+            return Conflict(key, present)
+        version = self._last_version_by_key.get(key, 0) + 1
+        self._last_version_by_key[key] = version
+        self._object_by_key[key] = StoredObject(key, version, value)
+        self._record(key, version, deleted=False)
+        return Ok(version)
+
+    def _delete(
+        self, key: str, if_version: int | None
+    ) -> Ok[None] | Conflict | NotFound:
+        present = self._present_version(key)
+        if if_version is not None and if_version != present:
+            return Conflict(key, present)
+        if not present:
+            return NotFound(key)
+        del self._object_by_key[key]
+        self._record(key, present, deleted=True)
+        return Ok(None)
+
+    def _present_version(self, key: str) -> int:
+        found = self._object_by_key.get(key)
+        return found.version if found else 0
+
+    def _record(self, key: str, version: int, deleted: bool) -> None:
+        self._revision += 1
+        event = WatchEvent(key, version, self._revision, deleted)
+        self._log.append(event)
+        self._last_event_by_key[key] = event
--- /dev/null
+++ b/wigeonwind/standins/plain_service.py
@@ -0,0 +1,149 @@
+"""The plain service test double: a desk with bookings and a stock.
+
+It counts how often it executed each `Idempotency-Key`, so that a booking made twice is
+seen.
+"""
+
+from collections import Counter
+from dataclasses import asdict, dataclass
+
+from gevent import sleep
+
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.settings import SocketAddress
+from wigeonwind.standins.faults import Crash
+from wigeonwind.standins.http_server import (
+    Call,
+    Reply,
+    StandinServer,
+    json_reply,
+)
+
+BOOKINGS_PATH = "/bookings"
+STOCK_PATH = "/stock"
+INITIAL_STOCK = 1_000_000
+MAX_EXECUTIONS = 100_000
+"""Executions kept for checkers; the counts by key go on."""
+
+
+@dataclass(frozen=True)
+class Execution:
+    """One booking that was carried out; header names are in lower case."""
+
+    number: int
+    key: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: str
+
+
+class Desk:
+    """Bookings that reduce a stock; it does not check for duplicates by itself.
+
+    >>> desk = Desk()
+    >>> for _ in range(2):
+    ...     _ = desk.execute("k1", "POST", "/bookings", {}, "{}")
+    >>> desk.count_by_key["k1"], desk.stock == INITIAL_STOCK - 2
+    (2, True)
+    """
+
+    def __init__(self, checks_keys: bool = False) -> None:
+        self.stock = INITIAL_STOCK
+        self.executions: list[Execution] = []
+        self.count_by_key: Counter[str] = Counter()
+        self._checks_keys = checks_keys
+        self._number = 0
+        self._execution_by_key: dict[str, Execution] = {}
+
+    def execute(
+        self, key: str, method: str, path: str, headers: dict[str, str], body: str
+    ) -> Execution:
+        """Carry out one booking; a desk that checks keys returns an earlier one."""
+        if self._checks_keys and key in self._execution_by_key:
+            return self._execution_by_key[key]
+        self._number += 1
+        self.stock -= 1
+        execution = Execution(self._number, key, method, path, headers, body)
+        if len(self.executions) < MAX_EXECUTIONS:
+            self.executions.append(execution)
+        if key:
+            self.count_by_key[key] += 1
+            self._execution_by_key[key] = execution
+        return execution
+
+
+class PlainServiceServer(StandinServer):
+    """Serves a `Desk`.
+
+    `POST /bookings…` and other writing methods book; `GET /stock…` reads.
+    `GET /executions?key=K` is for checkers. A booking takes `work_ms`.
+    """
+
+    kind = "plain service"
+
+    def __init__(
+        self,
+        address: SocketAddress,
+        work_ms: float = 0.0,
+        checks_keys: bool = False,
+        clock: Clock | None = None,
+    ) -> None:
+        super().__init__(address, clock)
+        self.desk = Desk(checks_keys)
+        self.in_progress = 0
+        self._work_ms = work_ms
+        for path in (BOOKINGS_PATH, f"{BOOKINGS_PATH}/"):
+            for method in ("POST", "PUT", "PATCH", "DELETE"):
+                self.routes[(method, path)] = self._book
+        for path in (STOCK_PATH, f"{STOCK_PATH}/"):
+            self.routes[("GET", path)] = self._stock
+        self.routes[("GET", "/executions")] = self._executions
+        self.routes[("GET", "/health")] = self._health
+
+    def _book(self, call: Call) -> Reply:
+        self._crash_if("before")
+        self.in_progress += 1
+        try:
+            if self._work_ms:
+                sleep(self._work_ms / MS_PER_SECOND)
+            if self.is_down():
+                self.lose_connection()
+            key = call.headers.get("idempotency-key", "")
+            headers = dict(call.headers)
+            body = call.body.decode("utf-8", "replace")
+            execution = self.desk.execute(key, call.method, call.path, headers, body)
+        finally:
+            self.in_progress -= 1
+        self._crash_if("after")
+        return json_reply(
+            {
+                "booking": execution.number,
+                "key": key,
+                "method": execution.method,
+                "path": execution.path,
+                "body": execution.body,
+            }
+        )
+
+    def _crash_if(self, when: str) -> None:
+        fault = self.faults.find(Crash)
+        if fault is None or fault.when != when:
+            return
+        self.crash_now(fault)
+        self.lose_connection()
+
+    def _stock(self, call: Call) -> Reply:
+        return json_reply({"stock": self.desk.stock, "path": call.path})
+
+    def _executions(self, call: Call) -> Reply:
+        key = call.query.get("key")
+        found = [
+            asdict(execution)
+            for execution in self.desk.executions
+            if key is None or execution.key == key
+        ]
+        return json_reply({"executions": found, "counts": self.desk.count_by_key})
+
+    def _health(self, call: Call) -> Reply:
+        return json_reply({"status": "ok"})
--- /dev/null
+++ b/wigeonwind/standins/weight_store.py
@@ -0,0 +1,99 @@
+"""The weight store test double: a bounded rate, shared by all fetches (design 6.5)."""
+
+from dataclasses import dataclass
+
+from gevent import sleep
+
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.settings import SocketAddress
+from wigeonwind.standins.http_server import (
+    Call,
+    Reply,
+    StandinServer,
+    error_reply,
+    json_reply,
+)
+
+
+@dataclass(frozen=True)
+class WeightLimits:
+    """One fetch takes `fetch_ms`; `parallel` run at a time and `queue` more wait."""
+
+    fetch_ms: float = 2000.0
+    parallel: int = 2
+    queue: int = 4
+
+
+@dataclass(frozen=True)
+class FetchStarted:
+    """The fetch ends at `done_at_ms`."""
+
+    done_at_ms: float
+
+
+@dataclass(frozen=True)
+class TooManyFetches:
+    """The fetch is refused; one may be taken at `retry_at_ms`."""
+
+    retry_at_ms: float
+
+
+class WeightStore:
+    """Plans fetches one after another on each of `parallel` channels.
+
+    >>> store = WeightStore(WeightLimits(fetch_ms=100.0, parallel=1, queue=1))
+    >>> store.fetch(0.0), store.fetch(0.0)
+    (FetchStarted(done_at_ms=100.0), FetchStarted(done_at_ms=200.0))
+    >>> store.fetch(10.0)
+    TooManyFetches(retry_at_ms=100.0)
+    """
+
+    def __init__(self, limits: WeightLimits) -> None:
+        self.limits = limits
+        self.fetches = 0
+        self._ends_ms: list[float] = []
+
+    def fetch(self, now_ms: float) -> FetchStarted | TooManyFetches:
+        """Start a fetch or refuse it."""
+        self._ends_ms = sorted(end for end in self._ends_ms if end > now_ms)
+        limits = self.limits
+        if len(self._ends_ms) >= limits.parallel + limits.queue:
+            return TooManyFetches(self._ends_ms[0])
+        start_ms = now_ms
+        if len(self._ends_ms) >= limits.parallel:
+            start_ms = self._ends_ms[-limits.parallel]
+        self._ends_ms.append(start_ms + limits.fetch_ms)
+        self.fetches += 1
+        return FetchStarted(start_ms + limits.fetch_ms)
+
+
+class WeightStoreServer(StandinServer):
+    """Serves a `WeightStore`; a fetch answers when the weights have arrived."""
+
+    kind = "weight store"
+
+    def __init__(
+        self,
+        address: SocketAddress,
+        limits: WeightLimits | None = None,
+        clock: Clock | None = None,
+    ) -> None:
+        super().__init__(address, clock)
+        self.store = WeightStore(limits or WeightLimits())
+        self.routes[("POST", "/v1/fetch")] = self._fetch
+
+    def _fetch(self, call: Call) -> Reply:
+        body = call.json_object()
+        model, version = body.get("model"), body.get("version")
+        if not isinstance(model, str) or not isinstance(version, str):
+            return error_reply(400, "bad_request", "expected model and version, texts")
+        now_ms = self.clock.now_ms()
+        result = self.store.fetch(now_ms)
+        if isinstance(result, TooManyFetches):
+            retry_after_ms = result.retry_at_ms - now_ms
+            message = "too many fetches at a time"
+            return error_reply(
+                429, "rate_limited", message, retry_after_ms=retry_after_ms
+            )
+        sleep(max(0.0, result.done_at_ms - now_ms) / MS_PER_SECOND)
+        return json_reply({"model": model, "version": version})
