Bound what one caller can hold, and fix HEAD and HTTP/1.0 replies

Cause: a caller that never reads could let an answer grow without bound; a reply to HEAD had a body; an HTTP/1.0 stream had no visible end; an attempt sent after its deadline would have carried budget 0, which means none; an endpoint that refused for load counted as failed.

Change: unread bytes are bounded where chunks arrive, the deadline is checked before each attempt, and the server frames those replies.

Conclusion: each of the faults has a test but the last two.

--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -35,7 +35,7 @@
 )
 from wigeonwind.outcomes import Ok
 from wigeonwind.roles.entry import EntryRole
-from wigeonwind.roles.tracing import PassingTracer
+from wigeonwind.roles.tracing import PassingTracer, Tracer
 from wigeonwind.settings import Settings, SocketAddress, read_settings
 from wigeonwind.state.store_types import Conflict, NotFound, StoredObject, StoreFailure
 
@@ -168,7 +168,9 @@
 class EntryUnderTest:
     """An entry that listens, with fake sidecars `a` and `b` as the test adds them."""
 
-    def __init__(self, catalog: Catalog | None = None) -> None:
+    def __init__(
+        self, catalog: Catalog | None = None, tracer: Tracer | None = None
+    ) -> None:
         parsed = read_settings(SETTINGS)
         assert isinstance(parsed, Ok), parsed
         settings: Settings = parsed.value
@@ -183,7 +185,7 @@
             CustomerLimiter(self.catalog, "entry-1"),
             RetryPolicy(Random(1)),
             self.metrics,
-            PassingTracer(),
+            tracer or PassingTracer(),
         )
         self.role.set_catalog(self.catalog)
         self.sides: list[FakeSide] = []
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -16,7 +16,7 @@
     answer_words,
 )
 
-from wigeonwind.links.messages import Chunk, Failed, Head, Leaving, Submit
+from wigeonwind.links.messages import Cancel, Chunk, Failed, Head, Leaving, Submit
 
 POST = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Customer: named\r\n"
 
@@ -265,3 +265,42 @@
     entry.role.stop()
     answer = calling.get(timeout=5)
     assert (answer.status, answer.outcome) == (500, "unknown")
+
+
+def test_head_has_no_body(entry: EntryUnderTest) -> None:
+    # Guards against a body after HEAD, which the next reply would begin with.
+    entry.add_side(answer_plain(200, b"", [["Content-Length", "7"]]), "spot-desk")
+    request = "HEAD {} HTTP/1.1\r\nX-Customer: named\r\n{}\r\n"
+    first = request.format("/svc/spot-desk/x", "") + request.format("/healthz", "")
+    reply = raw(entry, (first + request.format("/x", "Connection: close\r\n")).encode())
+    heads = reply.split(b"\r\n\r\n")
+    assert [head[9:12] for head in heads] == [b"200", b"200", b"404", b""]
+    assert b"Content-Length: 7" in heads[0]
+
+
+def test_old_http_version_gets_a_closed_stream(entry: EntryUnderTest) -> None:
+    # Guards against a stream without chunks whose end the caller cannot see.
+    entry.add_side(answer_words("x"))
+    body = json.dumps({**CHAT, "stream": True})
+    head = f"{POST.replace('1.1', '1.0')}Content-Length: {len(body)}\r\n"
+    reply = raw(entry, f"{head}Connection: keep-alive\r\n\r\n{body}".encode())
+    assert reply.endswith(b"data: [DONE]\n\n")
+
+
+def test_caller_that_never_reads_is_bounded(
+    entry: EntryUnderTest, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against memory that grows with what one caller does not read.
+    monkeypatch.setattr("wigeonwind.roles.pending.MAX_UNREAD_BYTES", 100_000)
+    side = entry.add_side(lambda side, submit: None)
+    body = json.dumps({**CHAT, "stream": True})
+    with connect(entry) as sock:
+        sock.sendall(f"{POST}Content-Length: {len(body)}\r\n\r\n{body}".encode())
+        while not side.submits:
+            gevent.sleep(0.001)
+        key = (side.submits[0].request_id, side.submits[0].attempt)
+        for seq in range(20):
+            side.reply(Chunk(*key, seq, b"x" * 10_000, 1))
+        while not any(isinstance(row, Cancel) for row in side.sent):
+            gevent.sleep(0.001)
+        assert entry.metrics.counts["entry_dropped_messages"] == 10
--- a/wigeonwind/roles/attempt.py
+++ b/wigeonwind/roles/attempt.py
@@ -26,7 +26,7 @@
     AnswerSoFar,
     CallerRequest,
 )
-from wigeonwind.roles.pending import MAX_UNREAD_BYTES, LinkLost, Mailbox
+from wigeonwind.roles.pending import LinkLost, Mailbox
 
 WITHDRAW_WAIT_MS = 500.0
 """Time a sidecar has to confirm a withdrawal when the deadline has passed."""
@@ -164,9 +164,6 @@
         """Handle all that has arrived; pieces that arrived together stay together."""
         events: list[AnswerEvent] = []
         items = self.mailbox.items
-        if self.mailbox.unread_bytes > MAX_UNREAD_BYTES:
-            self._end = Broken("the caller reads too slowly", self._ran())
-            return events
         while items and self._end is None:
             item = items.popleft()
             if type(item) is Chunk:
--- a/wigeonwind/roles/entry_http.py
+++ b/wigeonwind/roles/entry_http.py
@@ -1,6 +1,7 @@
 """The HTTP server towards callers: gevent's WSGI server with bounds on strangers."""
 
 import socket
+import struct
 from collections.abc import Callable, Iterable
 from email.message import Message
 from http.client import HTTPException
@@ -37,6 +38,9 @@
 Closing a socket with unread data resets it, and the caller would lose the refusal.
 """
 
+RESET_LINGER = struct.pack("ii", 1, 0)
+"""Socket option value with which `close` resets the connection."""
+
 BODY_READ_BYTES = 65_536
 OVERLOAD_RETRY_MS = 1000.0
 
@@ -135,6 +139,9 @@
             raise _refused("the request line is wrong", ErrorCode.BAD_REQUEST, 400)
         read = super().read_request(raw_requestline)
         self._check_framing(self.headers)
+        if self.request_version != "HTTP/1.1":
+            # Without chunks only the end of the connection ends a streamed reply.
+            self.close_connection = True
         return bool(read)
 
     def _check_framing(self, headers: Message) -> None:
@@ -235,6 +242,8 @@
         """Send the head and the first data in one packet where they fit."""
         self.headers_sent = True
         self.finalize_headers()
+        if self.command == "HEAD":
+            data = b""
         lines = [b"HTTP/1.1 " + self.status]
         lines += [name + b": " + value for name, value in self.response_headers]
         head = b"\r\n".join([*lines, b"", b""])
@@ -243,6 +252,11 @@
             data += b"\r\n"
         self._sendall(head + data)
 
+    def _write(self, data: bytes) -> None:
+        """Send more of the body; a reply to HEAD has none."""
+        if self.command != "HEAD":
+            super()._write(data)
+
     def _sendall(self, data: bytes) -> None:
         """Send at once what the socket's buffer takes, and wait only for the rest."""
         try:
@@ -262,6 +276,12 @@
             super().process_result()
         except ReplyAbortedError:
             self.close_connection = True
+            if not (self.response_use_chunked or self.provided_content_length):
+                self._reset_on_close()
+
+    def _reset_on_close(self) -> None:
+        """Make the end of a reply without any framing an error to the caller."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
 
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         """Report an error of ours; the request may have run."""
--- a/wigeonwind/roles/pending.py
+++ b/wigeonwind/roles/pending.py
@@ -12,7 +12,7 @@
 from wigeonwind.links.messages import Chunk
 
 MAX_UNREAD_BYTES = 16_000_000
-"""Answer bytes kept for a caller that reads too slowly; then the request fails."""
+"""Answer bytes kept for a slow caller; beyond that the caller counts as gone."""
 
 
 class AttemptMessage(Protocol):
@@ -156,8 +156,14 @@
         entry = self._entry_by_key.get((chunk.request_id, chunk.attempt))
         if entry is None or entry[0] is not link:
             return False
-        entry[1].unread_bytes += len(chunk.data)
-        entry[1].put(chunk)
+        mailbox = entry[1]
+        mailbox.unread_bytes += len(chunk.data)
+        if mailbox.unread_bytes > MAX_UNREAD_BYTES:
+            self.remove((chunk.request_id, chunk.attempt))
+            mailbox.clear()
+            mailbox.set_caller_gone()
+            return False
+        mailbox.put(chunk)
         return True
 
     def on_down(self, link: Link, reason: str) -> None:
--- a/wigeonwind/roles/request_run.py
+++ b/wigeonwind/roles/request_run.py
@@ -98,6 +98,9 @@
         """
         self.context.retry.on_request(self.clock.now_ms())
         while True:
+            if self.request.deadline_ms <= self.clock.now_ms():
+                yield self._deadline_passed()
+                return
             route = self.choose() if only is None else self._named_link(*only)
             if isinstance(route, Failure):
                 yield route
@@ -231,8 +234,7 @@
         self, attempt: Attempt, endpoint_id: str, end: AttemptEnd
     ) -> None:
         now_ms = self.clock.now_ms()
-        ok = isinstance(end, (AnswerEnd, Withdrawn, CallerGone))
-        self.context.choice.on_ended(endpoint_id, ok, now_ms)
+        self.context.choice.on_ended(endpoint_id, _speaks_well(end), now_ms)
         if isinstance(end, (CallerGone, TimedOut, Broken)):
             attempt.cancel()
         if isinstance(end, CallerGone):
@@ -295,6 +297,9 @@
         if not end.certain_not_run:
             self.may_have_run = True
             self.ran = self.ran or end.ran
+        return self._deadline_passed()
+
+    def _deadline_passed(self) -> Failure:
         message = "the request's time is over"
         return failure(self._outcome(), ErrorCode.DEADLINE, message)
 
@@ -348,3 +353,13 @@
 
     def _cut_outcome(self) -> Outcome:
         return Outcome.UNKNOWN if self.attempts else Outcome.NOT_RUN
+
+
+def _speaks_well(end: AttemptEnd) -> bool:
+    """Return whether an end says nothing against the endpoint's health.
+
+    An endpoint that refuses because it is full or leaving works as it should.
+    """
+    if isinstance(end, NotRun):
+        return failure_code(end.code) is not ErrorCode.ENDPOINT_FAILED
+    return not isinstance(end, (Broken, TimedOut))
