--- a/wigeonwind/roles/entry_http.py
+++ b/wigeonwind/roles/entry_http.py
@@ -1,14 +1,16 @@
 """The HTTP server towards callers: gevent's WSGI server with bounds on strangers."""
 
 import socket
+import struct
 from collections.abc import Callable, Iterable
 from email.message import Message
 from http.client import HTTPException
 from typing import Any
+from urllib.parse import unquote
 
 import gevent
 from gevent.pool import Pool
-from gevent.pywsgi import MAX_REQUEST_LINE, WSGIHandler, WSGIServer
+from gevent.pywsgi import MAX_REQUEST_LINE, Input, WSGIHandler, WSGIServer
 
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.ids import new_id
@@ -36,6 +38,9 @@
 Closing a socket with unread data resets it, and the caller would lose the refusal.
 """
 
+RESET_LINGER = struct.pack("ii", 1, 0)
+"""Socket option value with which `close` resets the connection."""
+
 BODY_READ_BYTES = 65_536
 OVERLOAD_RETRY_MS = 1000.0
 
@@ -134,6 +139,9 @@
             raise _refused("the request line is wrong", ErrorCode.BAD_REQUEST, 400)
         read = super().read_request(raw_requestline)
         self._check_framing(self.headers)
+        if self.request_version != "HTTP/1.1":
+            # Without chunks only the end of the connection ends a streamed reply.
+            self.close_connection = True
         return bool(read)
 
     def _check_framing(self, headers: Message) -> None:
@@ -154,10 +162,26 @@
         return _refused(message, ErrorCode.TOO_LARGE, 413)
 
     def get_environ(self) -> Any:
-        """Add what the interfaces towards callers need."""
-        environ = super().get_environ()
+        """Return what the interfaces towards callers use of the WSGI environment.
+
+        The usual environment costs as much as the rest of a short request.
+        """
+        headers = [list(pair) for pair in self.headers.items()]
+        expected = self.headers.get("expect", "").lower() == "100-continue"
+        chunked = self.headers.get("transfer-encoding") is not None
+        self.wsgi_input = Input(
+            self.rfile,
+            self.content_length,
+            socket=self.socket if expected else None,
+            chunked_input=chunked,
+        )
+        environ = self.server.get_environ()
+        environ["REQUEST_METHOD"] = self.command
+        environ["PATH_INFO"] = unquote(self.path.partition("?")[0])
+        environ["REMOTE_ADDR"] = self.client_address[0]
+        environ["wsgi.input"] = self.wsgi_input
         environ[TARGET_KEY] = self.path
-        environ[HEADERS_KEY] = [list(pair) for pair in self.headers.items()]
+        environ[HEADERS_KEY] = headers
         environ[SOCKET_KEY] = self.socket
         return environ
 
@@ -214,12 +238,50 @@
         if self.command == "HEAD":
             self.response_use_chunked = False
 
+    def _write_with_headers(self, data: bytes) -> None:
+        """Send the head and the first data in one packet where they fit."""
+        self.headers_sent = True
+        self.finalize_headers()
+        if self.command == "HEAD":
+            data = b""
+        lines = [b"HTTP/1.1 " + self.status]
+        lines += [name + b": " + value for name, value in self.response_headers]
+        head = b"\r\n".join([*lines, b"", b""])
+        if data and self.response_use_chunked:
+            head += b"%x\r\n" % len(data)
+            data += b"\r\n"
+        self._sendall(head + data)
+
+    def _write(self, data: bytes) -> None:
+        """Send more of the body; a reply to HEAD has none."""
+        if self.command != "HEAD":
+            super()._write(data)
+
+    def _sendall(self, data: bytes) -> None:
+        """Send at once what the socket's buffer takes, and wait only for the rest."""
+        try:
+            sent = self.socket._sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close_connection = True
+            raise
+        self.response_length += len(data)
+        if sent < len(data):
+            self.socket.sendall(memoryview(data)[sent:])
+
     def process_result(self) -> None:
         """Send the reply; an aborted one ends without its last chunk."""
         try:
             super().process_result()
         except ReplyAbortedError:
             self.close_connection = True
+            if not (self.response_use_chunked or self.provided_content_length):
+                self._reset_on_close()
+
+    def _reset_on_close(self) -> None:
+        """Make the end of a reply without any framing an error to the caller."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
 
     def handle_error(self, t: Any, v: Any, tb: Any) -> None:
         """Report an error of ours; the request may have run."""
