Serve the whole path in one process: make demo

Cause: a newcomer needs real answers through every process with one command. Change: roles/demo.py starts an entry, sidecars and test doubles on loopback with the text of examples/demo; wigeonctl experiment and its report.

--- a/wigeonwind/experiments/bench.py
+++ b/wigeonwind/experiments/bench.py
@@ -82,9 +82,7 @@
         scenario = self.scenario
         config = scenario.engines[number]
         rng = Random(f"{self._seed}/queue/{number}")
-        queue = self.policy.make_queue(
-            scenario.catalog, config.slots, scenario.service, rng
-        )
+        queue = self.policy.make_queue(scenario.catalog, config, scenario.service, rng)
         zone = scenario.zones[number]
         name = f"endpoint-{number}"
         return EndpointRun(name, zone, EngineModel(config), queue, self, self._at)
--- a/wigeonwind/experiments/policies.py
+++ b/wigeonwind/experiments/policies.py
@@ -29,6 +29,7 @@
     WorkKey,
 )
 from wigeonwind.registry import Registry
+from wigeonwind.standins.engine_types import EngineConfig
 
 
 @dataclass(frozen=True)
@@ -40,7 +41,7 @@
     """
 
     name: str
-    make_queue: Callable[[Catalog, int, str, Random], EndpointQueueDecisions]
+    make_queue: Callable[[Catalog, EngineConfig, str, Random], EndpointQueueDecisions]
     make_choice: Callable[[str, Random], EndpointChoice]
     resumes: bool
 
@@ -189,14 +190,16 @@
         return load.running + sum(count for _, count in load.waiting_by_class)
 
 
-def _fifo(catalog: Catalog, slots: int, service: str, rng: Random) -> FifoQueue:
-    return FifoQueue(slots)
+def _fifo(
+    catalog: Catalog, config: EngineConfig, service: str, rng: Random
+) -> FifoQueue:
+    return FifoQueue(config.slots)
 
 
 def _own_queue(
-    catalog: Catalog, slots: int, service: str, rng: Random
+    catalog: Catalog, config: EngineConfig, service: str, rng: Random
 ) -> EndpointQueueDecisions:
-    return EndpointQueue(catalog, slots, rng)
+    return EndpointQueue(catalog, config.slots, rng)
 
 
 POLICIES.register("fifo")(Policy("fifo", _fifo, LeastOutstanding, resumes=False))
--- /dev/null
+++ b/wigeonwind/roles/demo.py
@@ -0,0 +1,214 @@
+"""`make demo`: the whole path in one process, on loopback, with stand-ins.
+
+Three entries would change nothing for a single caller, so there is one entry, two model
+engines, two plain services with their sidecars, an object store, a VM list and a weight
+store. The text is that of `examples/demo`.
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import os
+import signal
+import sys
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+import gevent
+from gevent.event import Event
+
+from wigeonwind.ids import new_id
+from wigeonwind.outcomes import Invalid, Ok
+from wigeonwind.roles.logs import configure_logs
+from wigeonwind.roles.process import Process, build_process
+from wigeonwind.settings import SocketAddress, read_settings
+from wigeonwind.standins.engine_server import EngineServer
+from wigeonwind.standins.engine_types import EngineConfig
+from wigeonwind.standins.object_store_server import ObjectStoreServer
+from wigeonwind.standins.plain_service import PlainServiceServer
+from wigeonwind.state.store_steps import run_steps
+from wigeonwind.state.text import read_text
+from wigeonwind.state.text_store import Accepted, submit_steps
+
+TEXT_PATH = Path(__file__).parents[2] / "examples" / "demo" / "text.ini"
+
+DEMO_ENGINE = EngineConfig(
+    slots=128,
+    prefill_tokens_per_s=100_000.0,
+    decode_ms_base=8.0,
+    decode_ms_per_running=0.02,
+    kv_limit_tokens=500_000,
+)
+"""Fast enough that 200 callers at once see a first token in a moment."""
+
+LOOPBACK = "127.0.0.1"
+ANY_PORT = SocketAddress(LOOPBACK, 0)
+
+READY_POLL_S = 0.02
+READY_LIMIT_S = 30.0
+
+
+@dataclass
+class DemoFleet:
+    """The running parts of a demo or of an end-to-end test."""
+
+    store: ObjectStoreServer
+    store_address: SocketAddress
+    engines: list[EngineServer] = field(default_factory=list)
+    services: list[PlainServiceServer] = field(default_factory=list)
+    entries: list[Process] = field(default_factory=list)
+    sides: list[Process] = field(default_factory=list)
+    callers: list[SocketAddress] = field(default_factory=list)
+    operators: list[SocketAddress] = field(default_factory=list)
+    seed_address: str = ""
+
+    def stop(self) -> None:
+        """Stop everything at once."""
+        for process in [*self.entries, *self.sides]:
+            process.stop()
+        for server in [*self.engines, *self.services, self.store]:
+            server.stop()
+
+
+def settings_source(
+    name: str, role: str, zone: str, store: str, seeds: str, port: int = 0
+) -> str:
+    """Return the settings file of one process on loopback."""
+    callers = f"callers = {LOOPBACK}:{port}" if role == "entry" else ""
+    return f"""
+[node]
+id = {name}
+role = {role}
+zone = {zone}
+region = ee-south
+[listen]
+{callers}
+links = {LOOPBACK}:0
+operators = {LOOPBACK}:0
+metrics_for_callers = yes
+[platform]
+store = {store}
+seeds = {seeds}
+[drain]
+grace_ms = 500
+"""
+
+
+def endpoint_source(service: str, kind: str, address: SocketAddress) -> str:
+    """Return the section of a sidecar's endpoint."""
+    return f"[endpoint]\nservice = {service}\nkind = {kind}\naddress = {address}\n"
+
+
+def make_process(source: str) -> Process:
+    """Return a process; the settings are ours, so a mistake is a broken invariant."""
+    settings = read_settings(source)
+    assert isinstance(settings, Ok), settings
+    built = build_process(settings.value)
+    assert isinstance(built, Ok), built
+    return built.value
+
+
+def submit_text(fleet: DemoFleet, source: str) -> None:
+    """Put the text into the store, as an operator's submission would."""
+    checked = read_text(source, 1, None)
+    if isinstance(checked, Invalid):
+        raise AssertionError("; ".join(str(each) for each in checked.problems))
+    process = fleet.entries[0]
+    steps = submit_steps(0, new_id(), checked.value.sections)
+    result = run_steps(steps, process.node.store, lambda ms: gevent.sleep(ms / 1000))
+    assert isinstance(result, Accepted), result
+    process.node.text.offer(result.version, source)
+
+
+def add_entry(fleet: DemoFleet, name: str, zone: str, port: int = 0) -> Process:
+    """Start one more entry."""
+    store = str(fleet.store_address)
+    process = make_process(
+        settings_source(name, "entry", zone, store, fleet.seed_address, port)
+    )
+    addresses = process.start()
+    fleet.entries.append(process)
+    assert addresses.callers is not None
+    assert addresses.operators is not None
+    fleet.callers.append(addresses.callers)
+    fleet.operators.append(addresses.operators)
+    fleet.seed_address = fleet.seed_address or str(addresses.links)
+    return process
+
+
+def add_side(
+    fleet: DemoFleet, name: str, zone: str, service: str, kind: str, at: SocketAddress
+) -> Process:
+    """Start the sidecar of an endpoint."""
+    store = str(fleet.store_address)
+    source = settings_source(name, "side", zone, store, fleet.seed_address)
+    process = make_process(source + endpoint_source(service, kind, at))
+    process.start()
+    fleet.sides.append(process)
+    return process
+
+
+def start_fleet(
+    text: str,
+    engines: int = 2,
+    services: int = 2,
+    entries: int = 1,
+    port: int = 0,
+    config: EngineConfig = DEMO_ENGINE,
+) -> DemoFleet:
+    """Start stand-ins, entries and sidecars, and wait until callers are served."""
+    zones = ("tartu-a", "viljandi-b", "voru-c")
+    store = ObjectStoreServer(ANY_PORT)
+    fleet = DemoFleet(store, store.start())
+    for number in range(entries):
+        add_entry(
+            fleet, f"entry-{number}", zones[number % 3], port if not number else 0
+        )
+    submit_text(fleet, text)
+    for number in range(engines):
+        engine = EngineServer(ANY_PORT, replace(config, seed=number))
+        fleet.engines.append(engine)
+        zone, name = zones[number % 3], f"llm-side-{number}"
+        add_side(fleet, name, zone, "wigeon-llm", "model", engine.start())
+    for number in range(services):
+        service = PlainServiceServer(ANY_PORT)
+        fleet.services.append(service)
+        zone, name = zones[number % 3], f"desk-side-{number}"
+        add_side(fleet, name, zone, "spot-desk", "plain", service.start())
+    wait_until_ready(fleet, engines + services)
+    return fleet
+
+
+def wait_until_ready(fleet: DemoFleet, sides: int) -> None:
+    """Wait until every entry is ready and linked to every sidecar."""
+    with gevent.Timeout(READY_LIMIT_S):
+        for process in fleet.entries:
+            while not process.ready or len(process.node.endpoint_ids) < sides:
+                gevent.sleep(READY_POLL_S)
+
+
+def main() -> None:
+    """Serve until a signal comes."""
+    configure_logs()
+    try:
+        port = int(os.environ.get("PORT", "8080"))
+    except ValueError:
+        sys.exit(f"PORT = {os.environ['PORT']!r}: expected a number")
+    stop = Event()
+    gevent.signal_handler(signal.SIGTERM, stop.set)
+    gevent.signal_handler(signal.SIGINT, stop.set)
+    text = TEXT_PATH.read_text(encoding="utf-8")
+    try:
+        fleet = start_fleet(text, port=port)
+    except OSError as error:
+        sys.exit(f"cannot serve on port {port}: {error}")
+    operators = fleet.operators[0]
+    print(f"operators {operators}  (wigeonctl text show --entry={operators})")
+    print(f"ready http://{fleet.callers[0]}", flush=True)
+    stop.wait()
+    fleet.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -76,7 +76,9 @@
         self._bookings = BookingCalls(store, self.dispatcher)
         self._openai = OpenAiApi(self._admission, runner)
         self._plain = PlainApi(self._admission, runner, self._bookings.answer)
-        for_callers = None if settings.listen.operators else metrics.render
+        listen = settings.listen
+        is_public = listen.metrics_for_callers or not listen.operators
+        for_callers = metrics.render if is_public else None
         self._health = HealthApi(lambda: self.ready, for_callers)
         self._server = CallerServer(
             parse_address(settings.listen.callers),
--- a/wigeonwind/roles/node_status.py
+++ b/wigeonwind/roles/node_status.py
@@ -34,7 +34,7 @@
     version = node.spread.text_version_of(record.member_id)
     suspect = node.members.is_suspect(record.member_id)
     return {
-        "id": record.member_id,
+        "member": record.member_id,
         "role": record.role,
         "zone": record.zone,
         "service": record.service,
--- a/wigeonwind/settings.py
+++ b/wigeonwind/settings.py
@@ -44,6 +44,9 @@
     operators: OptionalAddress = Field(
         "", description="HTTP for wigeonctl, health and metrics."
     )
+    metrics_for_callers: bool = Field(
+        False, description="Serve /metrics on the callers' address too."
+    )
     operators_key_file: str = Field(
         "", description="File with the key that wigeonctl must present."
     )
--- /dev/null
+++ b/wigeonwind/tool/experiment_command.py
@@ -0,0 +1,120 @@
+"""`wigeonctl experiment`: run an experiment in virtual time and compare policies."""
+
+import json
+import sys
+from collections.abc import Sequence
+
+from absl import flags
+
+from wigeonwind.experiments.policies import DEFAULT_POLICIES, POLICIES
+from wigeonwind.experiments.runs import RunResult, Summary, run_one, summarise
+from wigeonwind.experiments.workloads import SCENARIOS
+from wigeonwind.tool.commands import ExitCode, command, format_table, print_error
+
+
+def _define(values: flags.FlagValues) -> None:
+    flags.DEFINE_integer("seed", 1, "First seed.", flag_values=values)
+    flags.DEFINE_integer(
+        "seeds", 1, "Number of seeds, counted up from --seed.", 1, flag_values=values
+    )
+    flags.DEFINE_list(
+        "policy", list(DEFAULT_POLICIES), "Policies to compare.", flag_values=values
+    )
+    flags.DEFINE_string("json", "", "File for the rows.", flag_values=values)
+    flags.DEFINE_string("plot", "", "PNG file for the plots.", flag_values=values)
+
+
+@command("experiment", "NAME", "Compare policies in virtual time.", _define)
+def experiment(arguments: Sequence[str], values: flags.FlagValues) -> ExitCode:
+    """Run one experiment with every policy on the same arrivals."""
+    name = arguments[0]
+    policies: list[str] = values["policy"].value or []
+    if not _is_known(name, policies):
+        return ExitCode.USAGE
+    first: int = values["seed"].value or 0
+    seeds = range(first, first + (values["seeds"].value or 1))
+    results: list[RunResult] = []
+    for seed in seeds:
+        for policy in policies:
+            results.append(run_one(name, policy, seed))
+            print(f"seed {seed}, {policy}: done", file=sys.stderr)
+    return _write(name, policies, results, values)
+
+
+def _is_known(name: str, policies: Sequence[str]) -> bool:
+    if SCENARIOS.get(name) is None:
+        known = ", ".join(SCENARIOS.names())
+        print_error(f"no experiment {name!r}; known: {known}")
+        return False
+    for policy in policies:
+        if POLICIES.get(policy) is None:
+            known = ", ".join(POLICIES.names())
+            print_error(f"no policy {policy!r}; known: {known}")
+            return False
+    return True
+
+
+def _write(
+    name: str,
+    policies: Sequence[str],
+    results: Sequence[RunResult],
+    values: flags.FlagValues,
+) -> ExitCode:
+    rows = [row for result in results for row in result.rows]
+    recovery = {policy: _recovery_times(policy, results) for policy in policies}
+    summaries = summarise(rows)
+    try:
+        if values["json"].value:
+            with open(values["json"].value, "w", encoding="utf-8") as file:
+                json.dump([row.to_json() for row in rows], file, indent=1)
+        if values["plot"].value:
+            _plot(values["plot"].value, name, summaries, recovery)
+    except OSError as error:
+        print_error(f"cannot write the results: {error}")
+        return ExitCode.USAGE
+    _print_table(summaries, recovery)
+    return ExitCode.DONE
+
+
+def _plot(
+    path: str,
+    name: str,
+    summaries: Sequence[Summary],
+    recovery: dict[str, list[float]],
+) -> None:
+    # Drawing is imported only here: it takes longer than a run of a short experiment.
+    from wigeonwind.experiments.report import write_report
+
+    write_report(path, name, summaries, recovery)
+
+
+def _recovery_times(policy: str, results: Sequence[RunResult]) -> list[float]:
+    return [
+        result.recovery_ms
+        for result in results
+        if result.rows[0].policy == policy and result.recovery_ms is not None
+    ]
+
+
+def _print_table(
+    summaries: Sequence[Summary], recovery: dict[str, list[float]]
+) -> None:
+    titles = ("policy", "class", "attainment", "goodput", "wasted", "refused", "ttft95")
+    rows = [
+        (
+            each.policy,
+            each.class_name,
+            each.attainment,
+            each.goodput_tokens,
+            each.wasted_tokens,
+            each.refused,
+            each.ttft_p95_ms,
+        )
+        for each in summaries
+    ]
+    print(format_table(titles, rows))
+    for policy, times in recovery.items():
+        if times:
+            print(
+                f"{policy}: last late answer {max(times) / 1000:.1f} s after the burst"
+            )
