Add shares, admission and preemption to the endpoint queue

The thin queue served strict priority without bounds. Now lower classes earn turns in proportion to their minimum share, customers of a class share it by weight, long answers give way to short ones, urgent work pauses lower work with hysteresis, and work that would start too late is refused. Admission models the endpoint without lower classes, so lower work cannot cause an urgent refusal (P1).

QueueReport gains pauses and dropped_tokens with defaults.

--- /dev/null
+++ b/tests/decisions_engine.py
@@ -0,0 +1,81 @@
+"""A batching engine in virtual time that drives an EndpointQueue."""
+
+from random import Random
+
+from wigeonwind.catalog import Catalog, LatencyTarget, RequestClass, TargetKind
+from wigeonwind.decisions.endpoint_queue import EndpointQueue
+from wigeonwind.decisions.interfaces import (
+    Admitted,
+    ExpireWork,
+    PauseWork,
+    Rejected,
+    WorkItem,
+)
+
+STEP_MS = 20.0
+"""One token of every running answer; equals the initial estimate of the queue."""
+
+
+def request_class(name, priority, kind, limit_ms, max_wait_ms, **options):
+    target = LatencyTarget(TargetKind(kind), limit_ms)
+    return RequestClass(name, priority, target, max_wait_ms, **options)
+
+
+CLASSES = (
+    request_class("chat", 0, "first-token", 1500.0, 4000.0),
+    request_class("tagging", 1, "whole", 20_000.0, 60_000.0),
+    request_class("dossier", 2, "whole", 300_000.0, 600_000.0),
+)
+CATALOG = Catalog(1, class_by_name={part.name: part for part in CLASSES})
+
+
+def item(name, class_name, at_ms=0.0, customer="c", **options):
+    return WorkItem(name, 0, "llm", class_name, customer, at_ms, 100, **options)
+
+
+class Engine:
+    """Runs what the queue starts; a WorkItem is done after its number of tokens."""
+
+    def __init__(self, slots, seed=1, catalog=CATALOG, **options):
+        self.queue = EndpointQueue(catalog, slots, Random(seed), **options)
+        self.now_ms = 0.0
+        self.tokens_left = {}
+        self.running = {}
+        self.started_ms = {}
+        self.finished_ms = {}
+        self.rejected = {}
+        self.expired = {}
+        self.actions = []
+
+    def offer(self, work, tokens):
+        result = self.queue.offer(work, self.now_ms)
+        if isinstance(result, Rejected):
+            self.rejected[work.request_id] = result
+        else:
+            assert isinstance(result, Admitted)
+            self.tokens_left[work.key] = tokens
+        return result
+
+    def act(self):
+        for action in self.queue.actions(self.now_ms):
+            self.actions.append(action)
+            work = action.item
+            if isinstance(action, ExpireWork):
+                self.expired[work.request_id] = action.rejection
+            elif isinstance(action, PauseWork):
+                del self.running[work.key]
+            else:
+                self.running[work.key] = work
+                self.started_ms.setdefault(work.request_id, self.now_ms)
+
+    def step(self):
+        """Act, then let one token of time pass."""
+        self.act()
+        self.now_ms += STEP_MS
+        for key, work in list(self.running.items()):
+            self.queue.on_tokens(key, 1, self.now_ms)
+            self.tokens_left[key] -= 1
+            if self.tokens_left[key] <= 0:
+                del self.running[key]
+                self.queue.on_done(key, self.now_ms)
+                self.finished_ms[work.request_id] = self.now_ms
--- /dev/null
+++ b/wigeonwind/decisions/admission.py
@@ -0,0 +1,213 @@
+"""Early refusal: whether an attempt can still start in time at this endpoint."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from heapq import heapify, heapreplace
+from random import Random
+
+from wigeonwind.catalog import LatencyTarget, RequestClass, TargetKind
+from wigeonwind.decisions.estimates import ServiceEstimates
+from wigeonwind.decisions.interfaces import Rejected, WorkItem
+from wigeonwind.outcomes import ErrorCode
+
+MIN_RETRY_AFTER_MS = 200.0
+"""Shortest Retry-After; less than a round trip and a start would be of no use."""
+
+RETRY_JITTER = 0.5
+"""Largest random addition to Retry-After, as a share of it."""
+
+
+TARGET_MARGIN = 0.9
+"""Share of the time before a target that an estimated wait may fill.
+
+The rest covers the time between looks at the queue and errors of the estimate; work at
+the very edge of its target would start too late half of the time.
+"""
+
+
+class Backlog:
+    """The endpoint as it would be with work of one priority and above only.
+
+    It holds the time at which each slot would become free if work were served first
+    come first served. Lower classes have no part in it, whatever they do to the real
+    slots: that makes promise P1 a property of the structure. O(log slots) per attempt.
+    """
+
+    def __init__(self, slots: int) -> None:
+        self._free_at_ms = [0.0] * slots
+
+    def wait_ms(self, now_ms: float) -> float:
+        """Return the time until a new attempt would start; infinite without slots."""
+        if not self._free_at_ms:
+            return float("inf")
+        return max(0.0, self._free_at_ms[0] - now_ms)
+
+    def add(self, hold_ms: float, now_ms: float) -> None:
+        """Add an attempt that holds a slot for `hold_ms`."""
+        if self._free_at_ms:
+            start_ms = max(now_ms, self._free_at_ms[0])
+            heapreplace(self._free_at_ms, start_ms + hold_ms)
+
+    def correct(self, delta_ms: float, now_ms: float) -> None:
+        """Correct the total after an attempt took longer or shorter than expected."""
+        if not self._free_at_ms:
+            return
+        if delta_ms > 0.0:
+            self.add(delta_ms, now_ms)
+            return
+        index = max(range(len(self._free_at_ms)), key=self._free_at_ms.__getitem__)
+        shorter_ms = max(now_ms, self._free_at_ms[index] + delta_ms)
+        self._free_at_ms[index] = min(self._free_at_ms[index], shorter_ms)
+        heapify(self._free_at_ms)
+
+    def clear(self) -> None:
+        """Forget everything: the endpoint has none of this work left."""
+        self._free_at_ms = [0.0] * len(self._free_at_ms)
+
+
+class ShareBacklog:
+    """The work of one class, served at no more than its guaranteed share.
+
+    It admits lower work at the rate of its share while higher classes fill the
+    endpoint; otherwise the share would be of no use in a long overload.
+    """
+
+    def __init__(self) -> None:
+        self._work_ms = 0.0
+        self._updated_ms = 0.0
+
+    def wait_ms(self, rate: float, saving_ms: float, now_ms: float) -> float:
+        """Return the time until a new attempt starts.
+
+        The class has `rate` slots, and waits `saving_ms` for its first one.
+        """
+        elapsed_ms = max(0.0, now_ms - self._updated_ms)
+        self._work_ms = max(0.0, self._work_ms - elapsed_ms * rate)
+        self._updated_ms = max(now_ms, self._updated_ms)
+        if rate <= 0.0:
+            return float("inf")
+        return self._work_ms / rate + saving_ms
+
+    def add(self, hold_ms: float) -> None:
+        """Add slot time, or take it back if `hold_ms` is negative."""
+        self._work_ms = max(0.0, self._work_ms + hold_ms)
+
+    def clear(self) -> None:
+        """Forget everything: the class has no work left."""
+        self._work_ms = 0.0
+
+
+@dataclass(frozen=True)
+class StartLimits:
+    """Latest useful start of an attempt, as clock readings in milliseconds.
+
+    After `target_ms` the latency target is lost; after `expire_ms` the attempt is given
+    back; `deadline_ms` is the part of `expire_ms` that comes from the caller.
+    """
+
+    target_ms: float
+    expire_ms: float
+    deadline_ms: float
+
+
+class Admission:
+    """Refuses an attempt whose estimated start is too late, lowest classes first.
+
+    The estimate for priority p counts work of priority p and above only. A lower class
+    counts more work, so at equal targets it is refused first. Nothing of a burst is
+    remembered beyond the work itself.
+    """
+
+    def __init__(self, estimates: ServiceEstimates, slots: int, rng: Random) -> None:
+        self._estimates = estimates
+        self._slots = slots
+        self._rng = rng
+        self._backlog_by_priority: dict[int, Backlog] = {}
+
+    def rebuild(
+        self,
+        priorities: Iterable[int],
+        slots: int,
+        work: Iterable[tuple[int, float]],
+        now_ms: float,
+    ) -> None:
+        """Start again for other priorities or slots.
+
+        `work` gives priority and remaining milliseconds of every admitted attempt.
+        """
+        self._slots = slots
+        levels = sorted(set(priorities))
+        self._backlog_by_priority = {level: Backlog(slots) for level in levels}
+        for priority, remaining_ms in work:
+            self.add(priority, remaining_ms, now_ms)
+
+    def limits(self, item: WorkItem, request_class: RequestClass) -> StartLimits:
+        """Return the latest useful start of an attempt."""
+        deadline_ms = float("inf")
+        if item.deadline_ms is not None:
+            deadline_ms = item.deadline_ms - self._estimates.prefill_ms(item)
+        expire_ms = min(deadline_ms, item.arrived_ms + request_class.max_wait_ms)
+        has_begun = item.resume_tokens > 0
+        if has_begun and request_class.finish_late:
+            return StartLimits(expire_ms, expire_ms, deadline_ms)
+        allowed_ms = self._target_ms(item, request_class.target)
+        target_ms = min(expire_ms, item.arrived_ms + allowed_ms)
+        return StartLimits(target_ms, expire_ms, deadline_ms)
+
+    def _target_ms(self, item: WorkItem, target: LatencyTarget) -> float:
+        if target.kind is TargetKind.FIRST_TOKEN:
+            return target.limit_ms - self._estimates.prefill_ms(item)
+        if target.kind is TargetKind.WHOLE:
+            return target.limit_ms - self._estimates.hold_ms(item)
+        return float("inf")
+
+    def decide(
+        self,
+        priority: int,
+        limits: StartLimits,
+        share_wait_ms: float,
+        now_ms: float,
+    ) -> Rejected | None:
+        """Return the refusal, or None to admit.
+
+        `share_wait_ms` is the wait if the class had only its guaranteed share.
+        """
+        if limits.deadline_ms <= now_ms:
+            reason = "the deadline comes before the work could start"
+            return Rejected(ErrorCode.DEADLINE.value, reason, 0.0)
+        wait_ms = self._backlog_by_priority[priority].wait_ms(now_ms)
+        wait_ms = min(wait_ms, share_wait_ms)
+        excess_ms = wait_ms - TARGET_MARGIN * max(0.0, limits.target_ms - now_ms)
+        if excess_ms <= 0.0:
+            return None
+        return self.overloaded(excess_ms, "work would start too late for its target")
+
+    def overloaded(self, excess_ms: float, reason: str) -> Rejected:
+        """Return a refusal whose Retry-After grows with `excess_ms`."""
+        retry_ms = min(max(MIN_RETRY_AFTER_MS, excess_ms), 60_000.0)
+        retry_ms *= 1.0 + RETRY_JITTER * self._rng.random()
+        return Rejected(ErrorCode.OVERLOADED.value, reason, retry_ms)
+
+    def add(self, priority: int, hold_ms: float, now_ms: float) -> None:
+        """Count an admitted attempt."""
+        for level, backlog in self._backlog_by_priority.items():
+            if level >= priority:
+                backlog.add(hold_ms, now_ms)
+
+    def correct(self, priority: int, delta_ms: float, now_ms: float) -> None:
+        """Count that an admitted attempt takes `delta_ms` more than expected."""
+        for level, backlog in self._backlog_by_priority.items():
+            if level >= priority:
+                backlog.correct(delta_ms, now_ms)
+
+    def clear_from(self, count_by_priority: dict[int, int]) -> None:
+        """Clear every backlog for which no work is left.
+
+        `count_by_priority` counts all admitted attempts by priority.
+        """
+        total = 0
+        for level in sorted(self._backlog_by_priority):
+            total += count_by_priority.get(level, 0)
+            if total:
+                return
+            self._backlog_by_priority[level].clear()
--- a/wigeonwind/decisions/endpoint_queue.py
+++ b/wigeonwind/decisions/endpoint_queue.py
@@ -1,96 +1,391 @@
-"""The queue of one endpoint: order, admission and slots."""
+"""The queue of one endpoint: order, admission, shares and preemption together."""
 
-from collections import deque
 from collections.abc import Iterator
+from heapq import heappop, heappush
+from itertools import count
 from random import Random
 
-from wigeonwind.catalog import Catalog
+from wigeonwind.catalog import Catalog, RequestClass
+from wigeonwind.decisions.admission import Admission
+from wigeonwind.decisions.class_turns import ClassTurns
+from wigeonwind.decisions.estimates import ServiceEstimates
+from wigeonwind.decisions.fair_share import rank_ms
 from wigeonwind.decisions.interfaces import (
     Admitted,
     ExpireWork,
+    PauseWork,
     QueueAction,
     QueueReport,
     Rejected,
+    ResumeWork,
     StartWork,
     WorkItem,
     WorkKey,
 )
+from wigeonwind.decisions.preemption import (
+    KvCosts,
+    PausedCache,
+    has_run_enough,
+    is_worth_same_class,
+)
+from wigeonwind.decisions.work import ClassWork, Work, WorkState
 from wigeonwind.outcomes import ErrorCode
 
+RECHECK_MS = 50.0
+"""Interval at which waiting work is looked at again without an event."""
+
+MAX_WAITING = 10_000
+"""Waiting attempts of one class; bounds memory if targets do not."""
+
+OVERRUN_FACTOR = 1.1
+"""Excess over the expected slot time from which an attempt counts as longer."""
+
+DEFAULT_KV_COSTS = KvCosts()
+
 
 class EndpointQueue:
-    """Strict priority by class, first come first served within a class."""
+    """Strict priority by class with minimum shares, pauses and early refusal.
 
-    def __init__(self, catalog: Catalog, slots: int, rng: Random) -> None:
-        self._catalog = catalog
+    Bounds, with L the longest time for which running work holds its slot and k the
+    number of classes:
+
+    - The most urgent class that has work waits for no lower class longer than the
+      minimum run of pausable work, or L for work that cannot be paused, apart from
+      the slots that minimum shares take.
+    - Every other class gets a slot within `ClassTurns.bound_ms`: its share m of S slots
+      has a fraction f after whole slots, and the bound is
+      TURN_MS * (1 - f) / f + L + (k - 1) * (MAX_CREDIT_MS + L), without the first term
+      if it has a whole slot.
+    - An attempt refused by `offer` would also be refused with no lower work present
+      (P1): `Admission` counts the same and higher priorities only. A minimum share can
+      delay urgent work. If a lower class held a slot while it waited, it is given back
+      at the caller's deadline only, not at its max_wait.
+
+    `service` limits the shares to the classes of that service.
+    """
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        slots: int,
+        rng: Random,
+        kv_costs: KvCosts = DEFAULT_KV_COSTS,
+        service: str = "",
+    ) -> None:
+        self._service = service
         self._slots = slots
-        self._rng = rng
-        self._waiting_by_class: dict[str, deque[WorkItem]] = {}
-        self._waiting_by_key: dict[WorkKey, WorkItem] = {}
-        self._running_by_key: dict[WorkKey, WorkItem] = {}
+        self._cache = PausedCache(kv_costs)
+        self._now_ms = 0.0
+        self._estimates = ServiceEstimates()
+        self._admission = Admission(self._estimates, slots, rng)
+        self._turns = ClassTurns()
+        self._class_by_name: dict[str, ClassWork] = {}
+        self._work_by_key: dict[WorkKey, Work] = {}
+        self._timers: list[tuple[float, int, WorkKey]] = []
+        self._timer_numbers = count()
+        self._running = 0
+        self._queued_tokens = 0
+        self.set_catalog(catalog)
 
     def set_catalog(self, catalog: Catalog) -> None:
         """Use another version of the text for new work."""
         self._catalog = catalog
+        for name, request_class in self._own_classes().items():
+            known = self._class_by_name.get(name)
+            if known is None or not known.work_count:
+                self._class_by_name[name] = ClassWork(request_class)
+            else:
+                known.request_class = request_class
+        for name in set(self._class_by_name) - set(self._own_classes()):
+            if not self._class_by_name[name].work_count:
+                del self._class_by_name[name]
+        self._rebuild()
+
+    def _own_classes(self) -> dict[str, RequestClass]:
+        service = self._catalog.service_by_name.get(self._service)
+        names = service.classes if service and service.classes else None
+        return {
+            name: request_class
+            for name, request_class in self._catalog.class_by_name.items()
+            if names is None or name in names
+        }
 
     def set_slots(self, slots: int) -> None:
         """Change the number of attempts the endpoint runs at a time."""
-        self._slots = slots
+        if slots != self._slots:
+            self._slots = slots
+            self._rebuild()
+
+    def set_kv_costs(self, kv_costs: KvCosts) -> None:
+        """Use other costs of moving KV cache and another room for it."""
+        self._cache.costs = kv_costs
+
+    def _rebuild(self) -> None:
+        """Recompute what depends on classes and slots from the present work."""
+        own = self._own_classes()
+        shares = {name: own[name].min_share for name in own}
+        self._turns.configure(shares, self._slots)
+        priorities = {part.priority for part in self._class_by_name.values()}
+        priorities.update(work.priority for work in self._work_by_key.values())
+        remaining = [
+            (work.priority, max(0.0, work.expected_ms - work.held_until(self._now_ms)))
+            for work in self._work_by_key.values()
+        ]
+        self._admission.rebuild(priorities, self._slots, remaining, self._now_ms)
 
     def offer(self, item: WorkItem, now_ms: float) -> Admitted | Rejected:
-        """Admit one attempt, or refuse one of a class that is not known."""
-        if item.class_name not in self._catalog.class_by_name:
+        """Admit or refuse one attempt; a known one is not admitted twice."""
+        self._advance(now_ms)
+        own = self._class_by_name.get(item.class_name)
+        if own is None or item.class_name not in self._catalog.class_by_name:
             reason = f"class {item.class_name} is not configured"
             return Rejected(ErrorCode.UNKNOWN_CLASS.value, reason, 0.0)
-        position = len(self._waiting_by_key)
-        self._waiting_by_class.setdefault(item.class_name, deque()).append(item)
-        self._waiting_by_key[item.key] = item
+        position = self._position(own)
+        if item.key in self._work_by_key:
+            return Admitted(position)
+        limits = self._admission.limits(item, own.request_class)
+        share_wait_ms = self._share_wait_ms(own, now_ms)
+        rejected = self._admission.decide(own.priority, limits, share_wait_ms, now_ms)
+        if rejected is None and own.waiting_count >= MAX_WAITING:
+            rejected = self._admission.overloaded(0.0, "too much work is waiting")
+        if rejected is not None:
+            return rejected
+        expected_ms = self._estimates.hold_ms(item)
+        rank = rank_ms(item.arrived_ms, item.resume_tokens)
+        work = Work(item, own.priority, limits, expected_ms, rank, now_ms)
+        self._admit(own, work, now_ms)
         return Admitted(position)
 
+    def _share_wait_ms(self, own: ClassWork, now_ms: float) -> float:
+        rate = self._turns.rate(own.name)
+        saving_ms = self._turns.saving_ms(own.name)
+        return own.share_backlog.wait_ms(rate, saving_ms, now_ms)
+
+    def _position(self, own: ClassWork) -> int:
+        return sum(
+            part.ready_count
+            for part in self._class_by_name.values()
+            if part is own or part.priority < own.priority
+        )
+
+    def _admit(self, own: ClassWork, work: Work, now_ms: float) -> None:
+        customer = self._catalog.customer_by_name.get(work.item.customer)
+        own.admit(work, customer.weight if customer else 1.0)
+        self._work_by_key[work.item.key] = work
+        self._queued_tokens += work.item.prompt_tokens
+        self._admission.add(work.priority, work.expected_ms, now_ms)
+        own.share_backlog.add(work.expected_ms)
+        if work.limits.target_ms < work.limits.expire_ms:
+            self._set_timer(work.limits.target_ms, work)
+        if work.limits.expire_ms < float("inf"):
+            self._set_timer(work.limits.expire_ms, work)
+
+    def _set_timer(self, at_ms: float, work: Work) -> None:
+        heappush(self._timers, (at_ms, next(self._timer_numbers), work.item.key))
+
     def actions(self, now_ms: float) -> Iterator[QueueAction]:
         """Yield what to do now; each yielded action counts as carried out."""
+        self._advance(now_ms)
         yield from self._expire(now_ms)
-        while len(self._running_by_key) < self._slots and self._waiting_by_key:
-            item = self._pop_most_urgent()
-            self._running_by_key[item.key] = item
-            yield StartWork(item)
+        while self._running < self._slots:
+            work = self._next()
+            if work is None:
+                return
+            yield self._run(work, now_ms)
+        yield from self._preempt(now_ms)
+
+    def next_wake_ms(self, now_ms: float) -> float | None:
+        """Return when `actions` should be called if no event comes before."""
+        if any(part.ready_count for part in self._class_by_name.values()):
+            return now_ms + RECHECK_MS
+        return None
+
+    def _advance(self, now_ms: float) -> None:
+        self._now_ms = max(self._now_ms, now_ms)
+        parts = self._class_by_name.values()
+        rows = [(p.name, p.running_count, p.work_count > 0) for p in parts]
+        self._turns.advance(now_ms, rows)
 
     def _expire(self, now_ms: float) -> Iterator[ExpireWork]:
-        for item in list(self._waiting_by_key.values()):
-            if item.deadline_ms is not None and item.deadline_ms <= now_ms:
-                self.withdraw(item.key)
-                reason = "the deadline passed before the work could start"
-                yield ExpireWork(item, Rejected(ErrorCode.DEADLINE.value, reason, 0.0))
-
-    def _pop_most_urgent(self) -> WorkItem:
-        names = [name for name, items in self._waiting_by_class.items() if items]
-        item = self._waiting_by_class[min(names, key=self._priority)].popleft()
-        del self._waiting_by_key[item.key]
-        return item
-
-    def _priority(self, class_name: str) -> int:
-        request_class = self._catalog.class_by_name.get(class_name)
-        return request_class.priority if request_class else 0
+        while self._timers and self._timers[0][0] <= now_ms:
+            _, _, key = heappop(self._timers)
+            work = self._work_by_key.get(key)
+            if work is None or work.state in (WorkState.RUNNING, WorkState.PAUSED):
+                continue
+            if now_ms < work.limits.expire_ms:
+                self._part(work).make_late(work)
+            elif now_ms < work.limits.deadline_ms and self._lower_ran(work):
+                self._set_timer(now_ms + RECHECK_MS, work)
+            else:
+                self._remove(work, now_ms)
+                yield ExpireWork(work.item, self._expiry(work, now_ms))
+
+    def _lower_ran(self, work: Work) -> bool:
+        """Return whether a lower class has held a slot while the work waited."""
+        return any(
+            part.held_slot_since(work.admitted_ms)
+            for part in self._class_by_name.values()
+            if part.priority > work.priority
+        )
+
+    def _expiry(self, work: Work, now_ms: float) -> Rejected:
+        if now_ms >= work.limits.deadline_ms:
+            reason = "the deadline comes before the work could start"
+            return Rejected(ErrorCode.DEADLINE.value, reason, 0.0)
+        waited_ms = now_ms - work.item.arrived_ms
+        reason = "the work did not start within the longest wait of its class"
+        return self._admission.overloaded(waited_ms, reason)
+
+    def _part(self, work: Work) -> ClassWork:
+        return self._class_by_name[work.item.class_name]
+
+    def _next(self) -> Work | None:
+        """Return the ready attempt that gets the next free slot."""
+        parts = [part for part in self._class_by_name.values() if part.ready_count]
+        if not parts:
+            return None
+        top = min(p.priority for p in self._class_by_name.values() if p.work_count)
+        entitled = [part for part in parts if self._is_entitled(part, top)]
+        if entitled:
+            earned_ms = self._turns.earned_ms
+            return min(entitled, key=lambda part: earned_ms(part.name)).first()
+        urgent = min(part.priority for part in parts)
+        heads = [part.first() for part in parts if part.priority == urgent]
+        return min((head for head in heads if head), key=lambda head: head.rank)
+
+    def _is_entitled(self, part: ClassWork, top: int) -> bool:
+        below_share = part.running_count < self._turns.entitled(part.name)
+        return below_share and part.priority > top
+
+    def _run(self, work: Work, now_ms: float) -> StartWork | ResumeWork:
+        was_paused = work.state is WorkState.PAUSED
+        self._cache.on_leave(work)
+        self._part(work).run(work, now_ms)
+        self._running += 1
+        if was_paused:
+            return ResumeWork(work.item)
+        self._queued_tokens -= work.item.prompt_tokens
+        return StartWork(work.item)
+
+    def _preempt(self, now_ms: float) -> Iterator[QueueAction]:
+        """Give slots of lower or longer work to more urgent work."""
+        parts = [part for part in self._class_by_name.values() if part.ready_count]
+        for part in sorted(parts, key=lambda part: part.priority):
+            head = part.first()
+            victim = self._victim(part, head, now_ms) if head else None
+            while head is not None and victim is not None:
+                yield self._pause(victim, now_ms)
+                yield self._run(head, now_ms)
+                head = part.first()
+                victim = self._victim(part, head, now_ms) if head else None
+
+    def _victim(self, part: ClassWork, head: Work, now_ms: float) -> Work | None:
+        """Return running work that gives way to `head`, of the lowest class first."""
+        lower = [p for p in self._class_by_name.values() if p.priority > part.priority]
+        slack_ms = head.limits.target_ms - now_ms
+        prefill_ms = self._estimates.prefill_ms_per_token
+        for other in sorted(lower, key=lambda p: p.priority, reverse=True):
+            if other.running_count <= self._turns.entitled(other.name):
+                continue
+            for work in other.pausable():
+                cost_ms = self._cache.cost_ms(work.context_tokens, prefill_ms)
+                if has_run_enough(work, cost_ms, slack_ms, now_ms):
+                    return work
+        return self._same_class_victim(part, head, now_ms)
+
+    def _same_class_victim(
+        self, part: ClassWork, head: Work, now_ms: float
+    ) -> Work | None:
+        """Return the longest running work of the class if `head` should overtake it."""
+        work = next(part.pausable(), None)
+        if work is None or not is_worth_same_class(work, head, now_ms):
+            return None
+        prefill_ms = self._estimates.prefill_ms_per_token
+        kv = self._cache.choose(work.context_tokens, prefill_ms)
+        return work if kv == "keep" else None
+
+    def _pause(self, work: Work, now_ms: float) -> PauseWork:
+        kv = self._cache.on_pause(work, self._estimates.prefill_ms_per_token)
+        self._part(work).pause(work, now_ms)
+        self._running -= 1
+        return PauseWork(work.item, kv)
 
     def on_tokens(self, key: WorkKey, tokens: int, now_ms: float) -> None:
         """Record that running work has produced `tokens` more tokens."""
+        work = self._work_by_key.get(key)
+        if work is None or tokens <= 0:
+            return
+        if work.state is WorkState.RUNNING:
+            self._measure(work, tokens, now_ms)
+        self._part(work).add_tokens(work, tokens, now_ms)
+        if work.held_until(now_ms) > work.expected_ms * OVERRUN_FACTOR:
+            self._correct(work, work.expected_ms, now_ms)
+            work.expected_ms *= 2.0
+
+    def _measure(self, work: Work, tokens: int, now_ms: float) -> None:
+        if work.last_token_ms is not None:
+            self._estimates.on_tokens(tokens, now_ms - work.last_token_ms)
+        elif not work.tokens:
+            elapsed_ms = now_ms - work.running_since_ms
+            self._estimates.on_first_token(work.item, elapsed_ms)
+        work.last_token_ms = now_ms
 
     def on_done(self, key: WorkKey, now_ms: float) -> None:
         """Record that started work has ended, whole, failed or cancelled."""
-        self._running_by_key.pop(key, None)
+        work = self._work_by_key.get(key)
+        if work is None or work.state in (WorkState.WAITING, WorkState.LATE):
+            return
+        self._advance(now_ms)
+        held_ms = work.held_until(now_ms)
+        self._estimates.on_done(work.item, work.tokens, held_ms)
+        self._part(work).settle(work, now_ms)
+        self._correct(work, held_ms - work.expected_ms, now_ms)
+        self._remove(work, now_ms)
+
+    def _correct(self, work: Work, delta_ms: float, now_ms: float) -> None:
+        self._admission.correct(work.priority, delta_ms, now_ms)
+        self._part(work).share_backlog.add(delta_ms)
 
     def withdraw(self, key: WorkKey) -> bool:
         """Give waiting work back; True if it was waiting and now never starts."""
-        item = self._waiting_by_key.pop(key, None)
-        if item is None:
+        work = self._work_by_key.get(key)
+        if work is None or work.state in (WorkState.RUNNING, WorkState.PAUSED):
             return False
-        self._waiting_by_class[item.class_name].remove(item)
+        self._correct(work, -work.expected_ms, self._now_ms)
+        self._remove(work, self._now_ms)
         return True
 
+    def _remove(self, work: Work, now_ms: float) -> None:
+        if work.state is WorkState.RUNNING:
+            self._running -= 1
+        elif work.state is WorkState.PAUSED:
+            self._cache.on_leave(work)
+        else:
+            self._queued_tokens -= work.item.prompt_tokens
+        self._part(work).remove(work, now_ms)
+        del self._work_by_key[work.item.key]
+        counts: dict[int, int] = {}
+        for part in self._class_by_name.values():
+            counts[part.priority] = counts.get(part.priority, 0) + part.work_count
+        self._admission.clear_from(counts)
+
     def report(self, now_ms: float) -> QueueReport:
         """Return the present state."""
-        waiting = tuple(
-            (name, len(items)) for name, items in self._waiting_by_class.items()
+        parts = self._class_by_name.values()
+        waiting = tuple((p.name, p.waiting_count) for p in parts if p.waiting_count)
+        paused = sum(p.work_count - p.waiting_count - p.running_count for p in parts)
+        return QueueReport(
+            running=self._running,
+            paused=paused,
+            slots=self._slots,
+            waiting_by_class=waiting,
+            ms_per_token=self._estimates.ms_per_token,
+            ms_to_first_token=self._estimates.first_token_ms,
+            queued_tokens=self._queued_tokens,
+            pauses=self._cache.pauses,
+            dropped_tokens=self._cache.dropped_tokens,
         )
-        running = len(self._running_by_key)
-        return QueueReport(running, 0, self._slots, waiting, 0.0, 0.0, 0)
+
+    def bound_ms(self, class_name: str, longest_free_ms: float) -> float:
+        """Return the bound on the wait of a class for a slot; see the docstring."""
+        return self._turns.bound_ms(class_name, longest_free_ms)
--- a/wigeonwind/decisions/interfaces.py
+++ b/wigeonwind/decisions/interfaces.py
@@ -96,6 +96,10 @@
     ms_per_token: float
     ms_to_first_token: float
     queued_tokens: int
+    pauses: int = 0
+    """Pauses since the start."""
+    dropped_tokens: int = 0
+    """Tokens of KV cache dropped by pauses since the start; computed again later."""
 
 
 class EndpointQueueDecisions(Protocol):
--- /dev/null
+++ b/wigeonwind/decisions/work.py
@@ -0,0 +1,187 @@
+"""One admitted attempt and the work of one class at an endpoint."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
+from sortedcontainers import SortedList
+
+from wigeonwind.catalog import RequestClass
+from wigeonwind.decisions.admission import ShareBacklog, StartLimits
+from wigeonwind.decisions.fair_share import CustomerShares, rank_ms
+from wigeonwind.decisions.interfaces import WorkItem, WorkKey
+
+
+class WorkState(Enum):
+    """Where an attempt is; LATE is waiting with its target lost."""
+
+    WAITING = "waiting"
+    LATE = "late"
+    RUNNING = "running"
+    PAUSED = "paused"
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """One admitted attempt; times are clock readings in milliseconds."""
+
+    item: WorkItem
+    priority: int
+    limits: StartLimits
+    expected_ms: float
+    """Slot time it is expected to need; doubled when it is exceeded."""
+    rank: float
+    admitted_ms: float
+    charged_ms: float = 0.0
+    """Slot time its customer has been charged for it."""
+    state: WorkState = WorkState.WAITING
+    tokens: int = 0
+    """Tokens generated in this attempt."""
+    held_ms: float = 0.0
+    """Time for which it held a slot in earlier runs."""
+    running_since_ms: float = 0.0
+    last_token_ms: float | None = None
+    """Time of the last token of this run, None before the first."""
+    kept_tokens: int = 0
+    """Tokens of KV cache kept in the engine while paused."""
+
+    @property
+    def context_tokens(self) -> int:
+        """Return the number of tokens of its KV cache."""
+        return self.item.prompt_tokens + self.item.resume_tokens + self.tokens
+
+    def held_until(self, now_ms: float) -> float:
+        """Return for how long it has held a slot in all."""
+        if self.state is not WorkState.RUNNING:
+            return self.held_ms
+        return self.held_ms + now_ms - self.running_since_ms
+
+
+class ClassWork:
+    """The work of one class: ready (waiting or paused), late and running."""
+
+    def __init__(self, request_class: RequestClass) -> None:
+        self.request_class = request_class
+        self._shares = CustomerShares()
+        self._late: SortedList = SortedList()
+        self._running: SortedList = SortedList()
+        self._work_by_key: dict[WorkKey, Work] = {}
+        self._slot_left_ms = float("-inf")
+        self.share_backlog = ShareBacklog()
+        self.waiting_count = 0
+
+    @property
+    def name(self) -> str:
+        """Return the name of the class."""
+        return self.request_class.name
+
+    @property
+    def priority(self) -> int:
+        """Return the priority; 0 is the most urgent."""
+        return self.request_class.priority
+
+    @property
+    def running_count(self) -> int:
+        """Return the number of attempts that hold a slot."""
+        return len(self._running)
+
+    @property
+    def ready_count(self) -> int:
+        """Return the number of attempts that want a slot."""
+        return self._shares.ready_count + len(self._late)
+
+    @property
+    def work_count(self) -> int:
+        """Return the number of admitted attempts."""
+        return len(self._work_by_key)
+
+    def held_slot_since(self, since_ms: float) -> bool:
+        """Return whether work of the class has held a slot at or after `since_ms`."""
+        return bool(self._running) or self._slot_left_ms >= since_ms
+
+    def admit(self, work: Work, weight: float) -> None:
+        """Add a new attempt, waiting."""
+        self._work_by_key[work.item.key] = work
+        self._shares.enter(work.item.customer, weight)
+        self._shares.add(work.item.customer, work.rank, work.item.key)
+        self.waiting_count += 1
+
+    def remove(self, work: Work, now_ms: float) -> None:
+        """Take out an attempt in any state."""
+        if work.state is WorkState.RUNNING:
+            self._slot_left_ms = now_ms
+        self._take_out(work)
+        del self._work_by_key[work.item.key]
+        if not self._work_by_key:
+            self.share_backlog.clear()
+        self._shares.leave(work.item.customer)
+
+    def _take_out(self, work: Work) -> None:
+        key = work.item.key
+        if work.state is WorkState.RUNNING:
+            self._running.remove((work.rank, key))
+        elif work.state is WorkState.LATE:
+            self._late.remove((work.rank, key))
+        else:
+            self._shares.remove(work.item.customer, work.rank, key)
+        if work.state in (WorkState.WAITING, WorkState.LATE):
+            self.waiting_count -= 1
+
+    def first(self) -> Work | None:
+        """Return the ready attempt to run next: late ones come last."""
+        first = self._shares.first()
+        if first is None and self._late:
+            first = self._late[0]
+        return self._work_by_key[first[1]] if first else None
+
+    def make_late(self, work: Work) -> None:
+        """Move a waiting attempt behind those that can still meet their target."""
+        self._shares.remove(work.item.customer, work.rank, work.item.key)
+        self._late.add((work.rank, work.item.key))
+        work.state = WorkState.LATE
+
+    def run(self, work: Work, now_ms: float) -> None:
+        """Give a ready attempt a slot; its first start charges the expected time."""
+        self._take_out(work)
+        self._shares.on_start(work.item.customer)
+        if not work.charged_ms:
+            self._charge(work, work.expected_ms)
+        work.state = WorkState.RUNNING
+        work.running_since_ms = now_ms
+        work.last_token_ms = None
+        self._running.add((work.rank, work.item.key))
+
+    def pause(self, work: Work, now_ms: float) -> None:
+        """Take the slot of a running attempt."""
+        self._running.remove((work.rank, work.item.key))
+        self._slot_left_ms = now_ms
+        work.held_ms += now_ms - work.running_since_ms
+        work.state = WorkState.PAUSED
+        self._shares.add(work.item.customer, work.rank, work.item.key)
+
+    def add_tokens(self, work: Work, tokens: int, now_ms: float) -> None:
+        """Count generated tokens and move the attempt to its level."""
+        work.tokens += tokens
+        generated = work.item.resume_tokens + work.tokens
+        rank = rank_ms(work.item.arrived_ms, generated)
+        if rank != work.rank and work.state is WorkState.RUNNING:
+            self._running.remove((work.rank, work.item.key))
+            work.rank = rank
+            self._running.add((work.rank, work.item.key))
+        self._charge(work, max(0.0, work.held_until(now_ms) - work.charged_ms))
+
+    def settle(self, work: Work, now_ms: float) -> None:
+        """Replace the expected charge of an attempt that has ended by its slot time."""
+        self._charge(work, work.held_until(now_ms) - work.charged_ms)
+
+    def _charge(self, work: Work, held_ms: float) -> None:
+        if held_ms:
+            work.charged_ms += held_ms
+            self._shares.charge(work.item.customer, held_ms)
+
+    def pausable(self) -> Iterator[Work]:
+        """Yield running attempts that can be paused, the most served first."""
+        for _, key in reversed(self._running):
+            work = self._work_by_key[key]
+            if work.item.may_pause:
+                yield work
