--- a/wigeonwind/links/messages.py
+++ b/wigeonwind/links/messages.py
@@ -276,9 +276,14 @@
 @message(20)
 @dataclass(frozen=True)
 class ResolveClaim:
-    """Ask a side what became of a claim token, and forbid it if it did not start."""
+    """Ask a side what became of a claim token, and forbid it if it did not start.
+
+    `target_incarnation` is the side's incarnation in the claim, 0 for any: a restarted
+    side knows nothing of what ran before, so it must not call the token forbidden.
+    """
 
     claim_token: str
+    target_incarnation: int = 0
 
 
 @message(21)
@@ -300,7 +305,11 @@
 @message(22)
 @dataclass(frozen=True)
 class Order:
-    """An order of the leader to the endpoint, with its fencing number."""
+    """An order of the leader to the endpoint, with its fencing token.
+
+    `action` is `load_model`, `load_adapter`, `change_role`, or `observe`, which only
+    announces the token and asks for the present state.
+    """
 
     order_id: str
     fence: int
@@ -313,7 +322,11 @@
 @message(23)
 @dataclass(frozen=True)
 class OrderResult:
-    """What became of an order; `fence` is the highest fencing number seen."""
+    """What became of an order; `fence` is the highest fencing token seen.
+
+    The rest describes the endpoint as it is now, also after the action `observe`;
+    the counts are requests since the version was loaded.
+    """
 
     order_id: str
     done: bool
@@ -322,6 +335,10 @@
     version: str
     role: str
     reason: str
+    ready: bool = True
+    ended: int = 0
+    failed: int = 0
+    attained: int = 0
 
 
 @message(24)
@@ -358,3 +375,13 @@
     """Answer to a heartbeat, with its time."""
 
     sent_ms: float
+
+
+@message(28)
+@dataclass(frozen=True)
+class MembersBuckets:
+    """Digests of the sender's member records by bucket, after a digest differed."""
+
+    digests: list[int]
+    reply: bool
+    """Whether the receiver shall send its own digests back."""
