Count the tokens that an engine had under way when it was cancelled

Cause: tokens generated but not yet read were not counted as wasted. Change: the engine is told to cancel first and its answer is counted; the stream is broken off after that, at the latest after 200 ms. Conclusion: wasted tokens are those that the engine generated.

--- a/tests/test_links_link.py
+++ b/tests/test_links_link.py
@@ -262,3 +262,14 @@
     Event().wait(0.01)
     assert client.downs.empty()
     assert pair.recorder.downs.empty()
+
+
+def test_a_long_body_waits_for_the_peer_instead_of_breaking_the_link(make_pair):
+    pair = make_pair(max_queue_bytes=2_000_000)
+    _, client = pair.connect()
+    served = pair.recorder.links.get(timeout=LIMIT_S)
+    for seq in range(40):
+        assert served.send(Chunk("r", 0, seq, b"x" * 500_000, 0))
+        served.wait_writable()
+    got = [client.messages.get(timeout=LIMIT_S)[1].seq for _ in range(40)]
+    assert got == list(range(40))
--- a/wigeonwind/roles/attempt_runner.py
+++ b/wigeonwind/roles/attempt_runner.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable
 
-from gevent import spawn
+from gevent import spawn, spawn_later
 
-from wigeonwind.clock import Clock
+from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.interfaces import (
     EndpointQueueDecisions,
     PauseWork,
@@ -29,6 +29,9 @@
 RESUME = "resume"
 """Control call that lets a paused answer go on; any other names the KV treatment."""
 
+CANCEL_GRACE_MS = 200.0
+"""Time in which an engine may answer a cancel before its stream is broken off."""
+
 MAX_REASON_CHARS = 500
 """Bound of a reason that an endpoint gives."""
 
@@ -75,10 +78,23 @@
             return
         attempt.cancelled = reason
         attempt.cancel_code = code
-        if attempt.exchange is not None:
-            attempt.exchange.abort()
         if isinstance(self._client, EngineClient) and attempt.is_sent:
-            spawn(self._client.cancel, engine_request_id(attempt.submit))
+            spawn(self._cancel_at_engine, attempt, self._client)
+            spawn_later(CANCEL_GRACE_MS / MS_PER_SECOND, self._abort, attempt)
+        else:
+            self._abort(attempt)
+
+    def _cancel_at_engine(self, attempt: Attempt, client: EngineClient) -> None:
+        """Stop the engine first: its answer tells the tokens that are under way."""
+        answer = client.cancel(engine_request_id(attempt.submit))
+        if not isinstance(answer, EngineFailure):
+            generated = answer.tokens - attempt.item.resume_tokens
+            self._metrics.waste(generated - attempt.tokens, "cancelled")
+        self._abort(attempt)
+
+    def _abort(self, attempt: Attempt) -> None:
+        if attempt.exchange is not None and not attempt.is_ended:
+            attempt.exchange.abort()
 
     def pause(self, action: PauseWork) -> None:
         """Pause an answer at the engine."""
