--- a/wigeonwind/roles/side.py
+++ b/wigeonwind/roles/side.py
@@ -40,7 +40,7 @@
 from wigeonwind.roles.side_drain import EndpointPause, WorkEnd
 from wigeonwind.roles.side_metrics import SideMetrics
 from wigeonwind.roles.work_table import Attempt, WorkTable
-from wigeonwind.settings import Settings, parse_address
+from wigeonwind.settings import Settings, SocketAddress, parse_address
 from wigeonwind.state.store_types import Store
 
 LEAST_URGENT = 99
@@ -64,7 +64,8 @@
             raise ValueError("a sidecar needs the section [endpoint]")
         self.member_id = settings.node.id
         self.incarnation = incarnation or new_incarnation()
-        self._service = endpoint.service
+        self._settings = settings
+        self._endpoint = endpoint
         self._clock = clock
         self._queue = queue
         self._catalog = Catalog(0)
@@ -73,44 +74,17 @@
         self._ticker: Greenlet | None = None
         self._pauses = PauseDetector(clock)
         self._table = WorkTable(clock)
-        claims = ClaimMemory(clock)
+        self._claims = ClaimMemory(clock)
         address = parse_address(endpoint.address)
-        timeout_ms = settings.limits.request_timeout_ms
-        engine = EngineClient(address, timeout_ms) if endpoint.kind == "model" else None
-        client = engine or PlainClient(address, timeout_ms)
-        self._reporter = LoadReporter(
-            self.member_id,
-            clock,
-            queue,
-            engine,
-            address,
-            settings.links.report_ms,
-            lambda: not self._is_draining and not self._pause.is_on,
-        )
+        limit_ms = settings.limits.request_timeout_ms
+        self._engine: EngineClient | None = None
+        if endpoint.kind == "model":
+            self._engine = EngineClient(address, limit_ms)
         counts = VersionCounts()
         self._metrics = SideMetrics(metrics, clock, counts)
-        self._intake = Intake(
-            clock,
-            self._table,
-            claims,
-            queue,
-            self._metrics,
-            self._pauses,
-            self.incarnation,
-            endpoint.service,
-            engine is not None,
-            self._refuse_new,
-        )
-        self._runner = AttemptRunner(
-            clock,
-            self._table,
-            claims,
-            queue,
-            client,
-            self._metrics,
-            self._priority_of,
-            self._on_ended,
-        )
+        self._reporter = self._make_reporter(address)
+        self._intake = self._make_intake()
+        self._runner = self._make_runner(self._engine or PlainClient(address, limit_ms))
         self._work_end = WorkEnd(
             clock,
             self._table,
@@ -120,7 +94,9 @@
         )
         self._pause = EndpointPause(clock, self._work_end, self._reporter.send)
         is_ready = self._reporter.is_ready
-        self._orders = OrderGate(clock, store, engine, self._pause, is_ready, counts)
+        self._orders = OrderGate(
+            clock, store, self._engine, self._pause, is_ready, counts
+        )
         self._handler_by_type: dict[type, Callable[[Link, Any], None]] = {
             Submit: self._intake.on_submit,
             Withdraw: self._intake.on_withdraw,
@@ -129,6 +105,43 @@
             Order: self._orders.on_order,
         }
 
+    def _make_reporter(self, address: SocketAddress) -> LoadReporter:
+        return LoadReporter(
+            self.member_id,
+            self._clock,
+            self._queue,
+            self._engine,
+            address,
+            self._settings.links.report_ms,
+            lambda: not self._is_draining and not self._pause.is_on,
+        )
+
+    def _make_intake(self) -> Intake:
+        return Intake(
+            self._clock,
+            self._table,
+            self._claims,
+            self._queue,
+            self._metrics,
+            self._pauses,
+            self.incarnation,
+            self._endpoint.service,
+            self._engine is not None,
+            self._refuse_new,
+        )
+
+    def _make_runner(self, client: EngineClient | PlainClient) -> AttemptRunner:
+        return AttemptRunner(
+            self._clock,
+            self._table,
+            self._claims,
+            self._queue,
+            client,
+            self._metrics,
+            self._priority_of,
+            self._on_ended,
+        )
+
     def start(self) -> None:
         """Start to watch the endpoint, to report, and to read the lease."""
         self._reporter.start()
@@ -140,7 +153,7 @@
         self._catalog = catalog
         self._metrics.set_catalog(catalog)
         self._queue.set_catalog(catalog)
-        service = catalog.service_by_name.get(self._service)
+        service = catalog.service_by_name.get(self._endpoint.service)
         if service is not None:
             self._queue.set_slots(service.concurrency)
         self._pump()
