Add fleet-wide limits, endpoint health, prefix affinity and the retry window

Limits of requests/s, tokens/s and concurrency held at one entry only. Now each limited customer or class has a home entry by rendezvous hash; entries use its grants of one second, and before the first grant a credit that later grants repay. Rows of GrantRequest and Grant carry two more elements for concurrency; rows of four are read.

The chooser ignored reports, slow endpoints and caches. It now weighs own outstanding work and aged reports, ejects stragglers and silent endpoints by comparison with their peers, starts new ones slowly and follows cached prefixes within a load bound. The retry budget counts a sliding window of ten seconds, which gives an exact invariant.

--- /dev/null
+++ b/tests/test_decisions_limits.py
@@ -0,0 +1,192 @@
+"""Fleet-wide limits: several entries, lost messages, changes of home."""
+
+from random import Random
+
+import pytest
+
+from wigeonwind.catalog import (
+    Catalog,
+    Customer,
+    LatencyTarget,
+    Limit,
+    RequestClass,
+    TargetKind,
+)
+from wigeonwind.decisions.grants import BUCKET_S, GRANT_VALID_MS, home_of
+from wigeonwind.decisions.interfaces import Allowed, Limited
+from wigeonwind.decisions.limits import CustomerLimiter
+
+TARGET = LatencyTarget(TargetKind.FIRST_TOKEN, 1000.0)
+STEP_MS = 10.0
+
+
+def catalog_with(limit, version=1):
+    return Catalog(version, customer_by_name={"c": Customer("c", limit=limit)})
+
+
+class Fleet:
+    """Entries whose grant messages take one step and may be lost."""
+
+    def __init__(self, names, catalog, loss=0.0, seed=1):
+        self.rng = Random(seed)
+        self.loss = loss
+        self.now_ms = 0.0
+        self.entries = {name: CustomerLimiter(catalog, name) for name in names}
+        self.live = tuple(names)
+        self.messages = []
+        self.admitted = []
+        for entry in self.entries.values():
+            entry.set_entries(self.live)
+
+    def step(self, offers):
+        """Offer (entry, customer) pairs and carry one step of messages."""
+        for name in offers:
+            result = self.entries[name].check("c", "chat", 1, self.now_ms)
+            if isinstance(result, Allowed):
+                self.admitted.append((self.now_ms, name))
+        delivered, self.messages = self.messages, []
+        for message in delivered:
+            if self.rng.random() >= self.loss:
+                self.deliver(*message)
+        for name in self.live:
+            requests = self.entries[name].requests(self.now_ms)
+            for home, rows in requests.items():
+                self.messages.append(("ask", name, home, rows))
+        self.now_ms += STEP_MS
+
+    def deliver(self, kind, sender, receiver, rows):
+        if receiver not in self.live:
+            return
+        entry = self.entries[receiver]
+        if kind == "ask":
+            answer = entry.on_request(sender, rows, self.now_ms)
+            self.messages.append(("grant", receiver, sender, answer))
+        else:
+            entry.on_grant(rows, GRANT_VALID_MS, self.now_ms)
+
+    def largest_window(self, window_ms):
+        """Return the most requests admitted in any window."""
+        times = [at_ms for at_ms, _ in self.admitted]
+        worst = first = 0
+        for last, at_ms in enumerate(times):
+            while at_ms - times[first] > window_ms:
+                first += 1
+            worst = max(worst, last - first + 1)
+        return worst
+
+
+def run(fleet, seconds, offers_per_step, change_at_s=None):
+    for step in range(int(seconds * 1000 / STEP_MS)):
+        if change_at_s is not None and fleet.now_ms == change_at_s * 1000:
+            home = home_of(("c", ""), fleet.live)
+            fleet.live = tuple(name for name in fleet.live if name != home)
+            for entry in fleet.entries.values():
+                entry.set_entries(fleet.live)
+        names = [fleet.live[(step + n) % len(fleet.live)] for n in range(20)]
+        fleet.step(names[:offers_per_step])
+
+
+@pytest.mark.parametrize(
+    ("entries", "loss", "change_at_s"),
+    [(1, 0.0, None), (5, 0.0, None), (5, 0.3, None), (5, 0.0, 3), (5, 0.3, 3)],
+)
+@pytest.mark.parametrize("rate", [2.0, 40.0])
+def test_overshoot_stays_within_its_bound(entries, loss, change_at_s, rate):
+    # Guards the fleet against ten times a customer's limit at every entry.
+    names = [f"e{number}" for number in range(entries)]
+    fleet = Fleet(names, catalog_with(Limit(requests_per_s=rate)), loss)
+    run(fleet, 10.0, 8, change_at_s)
+    changes = 1 if change_at_s else 0
+    credit = entries * max(1.0, rate / entries)
+    for window_s in (1.0, 3.0, 10.0):
+        bound = rate * (window_s + 1 + BUCKET_S) + credit
+        bound += changes * rate * (1 + BUCKET_S)
+        assert fleet.largest_window(window_s * 1000) <= bound
+    if not loss and not change_at_s:
+        assert len(fleet.admitted) >= 0.85 * rate * 10
+
+
+def test_entries_without_an_answer_use_their_equal_part():
+    names = [f"e{number}" for number in range(4)]
+    fleet = Fleet(names, catalog_with(Limit(requests_per_s=40.0)), loss=1.0)
+    home = home_of(("c", ""), fleet.live)
+    away = [name for name in names if name != home]
+    for _ in range(1000):
+        fleet.step(away)
+    count = len(fleet.admitted)
+    assert 0.7 * 30 * 10 < count <= 30 * (10 + 1)
+
+
+def test_load_below_the_limit_is_never_refused():
+    names = [f"e{number}" for number in range(4)]
+    fleet = Fleet(names, catalog_with(Limit(requests_per_s=40.0)))
+    for step in range(1000):
+        fleet.step([names[step // 4 % 4]] if step % 4 == 0 else [])
+    assert len(fleet.admitted) == 250
+
+
+def test_concurrency_holds_over_all_entries():
+    names = [f"e{number}" for number in range(4)]
+    fleet = Fleet(names, catalog_with(Limit(concurrency=8)))
+    running = []
+    worst = 0
+    for step in range(1000):
+        before = len(fleet.admitted)
+        fleet.step([names[step % 4]])
+        running += fleet.admitted[before:]
+        if len(running) > 6 and step % 5 == 0:
+            _, name = running.pop(0)
+            fleet.entries[name].on_ended("c", "chat", fleet.now_ms)
+        if step > 100:
+            worst = max(worst, len(running))
+    assert 7 <= worst <= 8
+    assert len(fleet.admitted) > 100
+
+
+def test_generated_tokens_count_against_new_work():
+    entry = CustomerLimiter(catalog_with(Limit(tokens_per_s=100.0)), "e1")
+    assert entry.check("c", "chat", 1, 0.0) == Allowed()
+    entry.on_tokens("c", "chat", 500, 10.0)
+    refused = entry.check("c", "chat", 1, 20.0)
+    assert isinstance(refused, Limited)
+    assert refused.limit == "tokens_per_s of customer c"
+    now_ms = 20.0
+    while isinstance(entry.check("c", "chat", 0, now_ms), Limited):
+        now_ms += 100.0
+    assert 3500.0 < now_ms < 7500.0
+
+
+def test_an_edited_limit_applies_to_new_work_and_drops_nothing():
+    entry = CustomerLimiter(catalog_with(Limit(concurrency=4)), "e1")
+    for _ in range(4):
+        assert entry.check("c", "chat", 1, 0.0) == Allowed()
+    entry.set_catalog(catalog_with(Limit(concurrency=2), 2))
+    assert isinstance(entry.check("c", "chat", 1, 1.0), Limited)
+    for _ in range(3):
+        entry.on_ended("c", "chat", 2.0)
+    now_ms = 1200.0
+    assert entry.check("c", "chat", 1, now_ms) == Allowed()
+    assert isinstance(entry.check("c", "chat", 1, now_ms), Limited)
+    entry.set_catalog(catalog_with(Limit(concurrency=9), 3))
+    assert entry.check("c", "chat", 1, now_ms) == Allowed()
+
+
+def test_a_class_limit_counts_all_customers_and_idle_state_is_dropped():
+    chat = RequestClass("chat", 0, TARGET, 1000.0, limit=Limit(requests_per_s=4.0))
+    catalog = Catalog(
+        1,
+        class_by_name={"chat": chat},
+        default_limit=Limit(requests_per_s=100.0),
+    )
+    entry = CustomerLimiter(catalog, "e1")
+    results = [entry.check(f"c{n}", "chat", 1, 0.0) for n in range(50)]
+    assert 2 <= results.count(Allowed()) <= 6
+    assert entry.scope_count() > 50
+    for number, result in enumerate(results):
+        if result == Allowed():
+            entry.on_ended(f"c{number}", "chat", 0.0)
+    for step in range(200):
+        if entry.check("last", "chat", 1, 60_000.0 + 100.0 * step) == Allowed():
+            entry.on_ended("last", "chat", 60_000.0 + 100.0 * step)
+        entry.requests(60_000.0 + 100.0 * step)
+    assert entry.scope_count() <= 4
--- a/wigeonwind/decisions/choice.py
+++ b/wigeonwind/decisions/choice.py
@@ -1,7 +1,10 @@
 """Choice of an endpoint for a request."""
 
+from dataclasses import dataclass
 from random import Random
 
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.decisions.health import EndpointHealth, PeerComparison
 from wigeonwind.decisions.interfaces import (
     Chosen,
     EndpointInfo,
@@ -9,68 +12,246 @@
     NoEndpoint,
     RouteRequest,
 )
+from wigeonwind.decisions.prefix_index import PrefixIndex
+
+CHECK_INTERVAL_MS = 250.0
+"""Interval between comparisons of the peers of a service."""
+
+SPILL_LOAD = 1.0
+"""Load per slot of the own zone from which another zone is considered."""
+
+SPILL_MARGIN = 0.25
+"""Load per slot by which an endpoint of another zone must be better."""
+
+AFFINITY_FACTOR = 1.25
+"""Load, relative to the alternative, up to which a cached prefix decides."""
+
+AFFINITY_MARGIN = 0.25
+"""Load per slot beyond that, so that idle endpoints do not differ by one request."""
+
+LOAD_HALF_LIFE_MS = MS_PER_SECOND
+"""Age at which a load report counts half."""
+
+RETRY_AFTER_MS = 1000.0
+"""Retry-After when no endpoint is usable; members change within seconds."""
+
+DEFAULT_SLOTS = 8
+"""Slots of an endpoint that has not reported yet."""
+
+
+@dataclass(slots=True)
+class _Report:
+    """A load report and our outstanding work there when it was measured."""
+
+    load: EndpointLoad
+    measured_ms: float
+    own: int
+
+
+class _Endpoint:
+    """What this entry knows of one endpoint."""
+
+    __slots__ = ("health", "info", "report")
+
+    def __init__(self, info: EndpointInfo, health: EndpointHealth) -> None:
+        self.info = info
+        self.health = health
+        self.report: _Report | None = None
 
 
 class EndpointChooser:
-    """Power of two choices by own outstanding work, own zone first."""
+    """Power of two choices over the subset, own zone first, prefix with bounded load.
+
+    The load of an endpoint is our own outstanding work there plus what its last report
+    shows of others, at a weight that halves with each second of its age, divided by
+    slots and by the weight of its slow start. One choice takes O(subset).
+    """
 
     def __init__(self, own_zone: str, rng: Random) -> None:
         self._own_zone = own_zone
         self._rng = rng
-        self._endpoint_by_id: dict[str, EndpointInfo] = {}
-        self._load_by_id: dict[str, EndpointLoad] = {}
-        self._outstanding_by_id: dict[str, int] = {}
+        self._endpoint_by_id: dict[str, _Endpoint] = {}
+        self._ids_by_service: dict[str, list[str]] = {}
+        self._priority_by_class: dict[str, int] = {}
+        self._prefixes = PrefixIndex()
+        self._comparison = PeerComparison()
+        self._checked_ms = float("-inf")
 
     def set_endpoints(self, endpoints: tuple[EndpointInfo, ...], now_ms: float) -> None:
-        """Replace the set of endpoints."""
-        self._endpoint_by_id = {info.endpoint_id: info for info in endpoints}
+        """Replace the set of endpoints; new ones start slowly, but not all at once."""
+        old_by_id = self._endpoint_by_id
+        self._endpoint_by_id = {}
+        self._ids_by_service = {}
+        for info in endpoints:
+            known = old_by_id.get(info.endpoint_id)
+            if known is None:
+                known = _Endpoint(info, EndpointHealth(now_ms, bool(old_by_id)))
+            known.info = info
+            self._endpoint_by_id[info.endpoint_id] = known
+            ids = self._ids_by_service.setdefault(info.service, [])
+            ids.append(info.endpoint_id)
 
     def on_load(self, endpoint_id: str, load: EndpointLoad, now_ms: float) -> None:
         """Record a load report."""
-        self._load_by_id[endpoint_id] = load
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            own = endpoint.health.outstanding
+            endpoint.report = _Report(load, now_ms - load.age_ms, own)
 
     def choose(
         self, request: RouteRequest, now_ms: float, exclude: frozenset[str]
     ) -> Chosen | NoEndpoint:
         """Choose an endpoint that is not in `exclude`."""
-        usable = [
-            info
-            for info in self._endpoint_by_id.values()
-            if info.endpoint_id not in exclude and self._may_take(info, request)
-        ]
-        near = [info for info in usable if info.zone == self._own_zone]
-        pool = near or usable
+        self._check_health(now_ms)
+        ids = self._ids_by_service.get(request.service, [])
+        known = [self._endpoint_by_id[name] for name in ids if name not in exclude]
+        able = [endpoint for endpoint in known if _is_able(endpoint, request)]
+        well = [item for item in able if not item.health.is_ejected(now_ms)]
+        # An ejected endpoint is better than none.
+        pool = well or able
         if not pool:
-            return NoEndpoint(f"no endpoint of {request.service} is ready", 1000.0)
-        pair = self._rng.sample(pool, min(2, len(pool)))
-        return Chosen(min(pair, key=self._outstanding).endpoint_id)
+            reason = f"no endpoint of {request.service} is ready"
+            return NoEndpoint(reason, RETRY_AFTER_MS * (1.0 + self._rng.random()))
+        load, best = self._best(pool, request.priority, now_ms)
+        cached = self._cached(pool, request, now_ms)
+        if cached is not None:
+            bound = AFFINITY_FACTOR * load + AFFINITY_MARGIN
+            if self._load(cached, request.priority, now_ms) <= bound:
+                best = cached
+        return Chosen(best.info.endpoint_id)
+
+    def _best(
+        self, pool: list[_Endpoint], priority: int, now_ms: float
+    ) -> tuple[float, _Endpoint]:
+        """Return load and endpoint: own zone, or another one if that is full."""
+        near = [item for item in pool if item.info.zone == self._own_zone]
+        if not near:
+            return self._better_of_two(pool, priority, now_ms)
+        load, best = self._better_of_two(near, priority, now_ms)
+        if load < SPILL_LOAD or len(near) == len(pool):
+            return load, best
+        far = [item for item in pool if item.info.zone != self._own_zone]
+        far_load, far_best = self._better_of_two(far, priority, now_ms)
+        if far_load + SPILL_MARGIN < load:
+            return far_load, far_best
+        return load, best
+
+    def _better_of_two(
+        self, pool: list[_Endpoint], priority: int, now_ms: float
+    ) -> tuple[float, _Endpoint]:
+        first = pool[int(self._rng.random() * len(pool))]
+        load = self._load(first, priority, now_ms)
+        if len(pool) == 1:
+            return load, first
+        second = pool[int(self._rng.random() * len(pool))]
+        if second is first:
+            second = pool[(pool.index(first) + 1) % len(pool)]
+        other_load = self._load(second, priority, now_ms)
+        return (load, first) if load <= other_load else (other_load, second)
+
+    def _load(self, endpoint: _Endpoint, priority: int, now_ms: float) -> float:
+        """Return the work per slot ahead of a request of this priority."""
+        count = float(endpoint.health.outstanding)
+        slots = DEFAULT_SLOTS
+        report = endpoint.report
+        if report is not None:
+            slots = max(1, report.load.slots)
+            age_ms = max(0.0, now_ms - report.measured_ms)
+            others = max(0, self._reported(report.load, priority) - report.own)
+            count += others * 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
+        weight = endpoint.health.weight(now_ms)
+        # One is added so that the weight counts for idle endpoints, too.
+        return ((count + 1.0) / weight - 1.0) / slots
 
-    def _may_take(self, info: EndpointInfo, request: RouteRequest) -> bool:
-        load = self._load_by_id.get(info.endpoint_id)
-        ready = load is None or load.ready
-        has_model = not request.model or not info.models or request.model in info.models
-        return ready and has_model and info.service == request.service
+    def _reported(self, load: EndpointLoad, priority: int) -> int:
+        """Return the reported work that a request of this priority waits for."""
+        priority_by_class = self._priority_by_class
+        waiting = sum(
+            number
+            for name, number in load.waiting_by_class
+            if priority_by_class.get(name, priority) <= priority
+        )
+        return load.running + waiting
 
-    def _outstanding(self, info: EndpointInfo) -> int:
-        return self._outstanding_by_id.get(info.endpoint_id, 0)
+    def _cached(
+        self, pool: list[_Endpoint], request: RouteRequest, now_ms: float
+    ) -> _Endpoint | None:
+        """Return the usable endpoint that holds the longest prefix."""
+        if not request.prefix_keys:
+            return None
+        ids = {endpoint.info.endpoint_id for endpoint in pool}
+        found = None
+        for index, name in self._prefixes.holders(request.prefix_keys, now_ms):
+            if found is not None and index < found[0]:
+                break
+            if name in ids:
+                endpoint = self._endpoint_by_id[name]
+                load = self._load(endpoint, request.priority, now_ms)
+                if found is None or load < found[1]:
+                    found = (index, load, endpoint)
+        return found[2] if found else None
+
+    def _check_health(self, now_ms: float) -> None:
+        if now_ms - self._checked_ms < CHECK_INTERVAL_MS:
+            return
+        self._checked_ms = now_ms
+        for ids in self._ids_by_service.values():
+            peers = [self._endpoint_by_id[name].health for name in ids]
+            self._comparison.eject_outliers(peers, now_ms)
 
     def on_sent(self, endpoint_id: str, request: RouteRequest, now_ms: float) -> None:
         """Record that a request was sent."""
-        count = self._outstanding_by_id.get(endpoint_id, 0)
-        self._outstanding_by_id[endpoint_id] = count + 1
+        self._priority_by_class[request.class_name] = request.priority
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.health.on_sent(now_ms)
+            for prefix_key in request.prefix_keys:
+                self._prefixes.add(prefix_key, endpoint_id, now_ms)
 
     def on_first_token(self, endpoint_id: str, wait_ms: float, now_ms: float) -> None:
         """Record the time to the first token of a request."""
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.health.on_first_token(now_ms)
 
     def on_tokens(self, endpoint_id: str, tokens: int, now_ms: float) -> None:
         """Record tokens received, for the comparison of peers."""
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.health.on_tokens(tokens, now_ms)
 
     def on_ended(self, endpoint_id: str, ok: bool, now_ms: float) -> None:
-        """Record that a request sent there has ended."""
-        count = self._outstanding_by_id.get(endpoint_id, 0)
-        self._outstanding_by_id[endpoint_id] = max(0, count - 1)
+        """Record that a request sent there has ended; `ok` False is a failure there.
+
+        A refusal by the sidecar is no failure: pass `ok` True for it.
+        """
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            endpoint.health.on_ended(ok, now_ms)
 
     def on_cache_event(
         self, endpoint_id: str, prefix_key: int, stored: bool, now_ms: float
     ) -> None:
         """Record that a prefix was stored or evicted at an endpoint."""
+        if stored:
+            self._prefixes.add(prefix_key, endpoint_id, now_ms)
+        else:
+            self._prefixes.remove(prefix_key, endpoint_id)
+
+    def is_ejected(self, endpoint_id: str, now_ms: float) -> bool:
+        """Return whether an endpoint gets no new work; its queued work may be moved."""
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        return endpoint is not None and endpoint.health.is_ejected(now_ms)
+
+    def load_of(self, endpoint_id: str, priority: int, now_ms: float) -> float:
+        """Return the estimated work per slot of a known endpoint."""
+        return self._load(self._endpoint_by_id[endpoint_id], priority, now_ms)
+
+
+def _is_able(endpoint: _Endpoint, request: RouteRequest) -> bool:
+    """Return whether the endpoint is ready and serves the model."""
+    report = endpoint.report
+    if report is not None and not report.load.ready:
+        return False
+    models = endpoint.info.models
+    return not request.model or not models or request.model in models
--- /dev/null
+++ b/wigeonwind/decisions/grants.py
@@ -0,0 +1,213 @@
+"""Fleet-wide limits without a write per request: grants of one second.
+
+Each limited scope (a customer, or a class) has one home entry. `GrantLedger` is the
+home's side: it gives out each second's limit once. `ClientScope` (module
+`grant_client`) is the side of an entry that serves requests: it uses grants, and
+without one a small credit that later grants repay.
+
+Bound on overshoot. With a limit of R per second and N live entries, the units admitted
+fleet-wide in any T seconds are at most R * (T + 1 + BUCKET_S), plus a credit of
+N * max(1, R / N) units that later grants repay, plus R * BUCKET_S and the grants of
+one second for each change of home within the T seconds. An entry that gets no answers
+admits at most R / N a second beyond its credit; the home holds that part back for
+every entry it is told it cannot reach. Concurrency C is exceeded by at most
+N * max(1, C / N), by entries that have no grant yet. Tokens of running answers are
+counted after the fact, so work that is already running can exceed a token limit; the
+excess is debt that blocks new work, up to MAX_DEBT_S seconds of the limit.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from xxhash import xxh64_intdigest
+
+from wigeonwind.catalog import Limit
+from wigeonwind.clock import MS_PER_SECOND
+
+GRANT_VALID_MS = 1000.0
+"""Life of a grant; unused units expire with it."""
+
+FORGET_MS = 3000.0
+"""Time after which the home forgets what an entry has asked for and holds."""
+
+BUCKET_S = 0.5
+"""Seconds of a limit that the home may give out at once after a pause."""
+
+IDLE_MS = 10_000.0
+"""Time without requests after which the state of a scope is dropped."""
+
+Scope = tuple[str, str]
+"""Customer and class; one of them is empty."""
+
+
+@dataclass(frozen=True)
+class GrantRow:
+    """Units asked for or granted in one scope.
+
+    In a request `held` is the number of concurrent requests that run and `more` how
+    many the entry may need beside them. In a grant `held` is the number that may run.
+    """
+
+    scope: Scope
+    requests: float
+    tokens: float
+    held: float = 0.0
+    more: float = 0.0
+
+    def to_list(self) -> list:
+        """Return the row as sent in GrantRequest and Grant."""
+        return [*self.scope, self.requests, self.tokens, self.held, self.more]
+
+    @staticmethod
+    def from_list(row: list) -> "GrantRow":
+        """Read a row; one without concurrency has four elements."""
+        customer, class_name, requests, tokens, held, more = [*row, 0.0, 0.0][:6]
+        return GrantRow((customer, class_name), requests, tokens, held, more)
+
+
+def home_weight(scope: Scope, entry_id: str) -> int:
+    """Return the rendezvous weight of an entry for a scope; the highest is home."""
+    return xxh64_intdigest(f"{scope[0]}\0{scope[1]}\0{entry_id}".encode())
+
+
+def home_of(scope: Scope, entry_ids: Iterable[str]) -> str:
+    """Return the home entry of a scope; `entry_ids` must not be empty.
+
+    >>> home_of(("a", ""), ["e1", "e2", "e3"]) in ("e1", "e2", "e3")
+    True
+    """
+    return max(entry_ids, key=lambda entry_id: home_weight(scope, entry_id))
+
+
+class _Bucket:
+    """Units of one kind that the home may still give out."""
+
+    __slots__ = ("level", "updated_ms")
+
+    def __init__(self, rate: float | None, now_ms: float) -> None:
+        self.level = max(1.0, (rate or 0.0) * BUCKET_S)
+        self.updated_ms = now_ms
+
+    def take(
+        self, wanted: float, all_wanted: float, rate: float | None, now_ms: float
+    ) -> float:
+        """Take the part of one entry, in proportion to what all entries want."""
+        if rate is None:
+            return wanted
+        elapsed_s = max(0.0, now_ms - self.updated_ms) / MS_PER_SECOND
+        size = max(1.0, rate * BUCKET_S)
+        self.level = min(size, self.level + rate * elapsed_s)
+        self.updated_ms = max(now_ms, self.updated_ms)
+        part = wanted * min(1.0, rate / all_wanted) if all_wanted > 0.0 else 0.0
+        granted = min(part, self.level)
+        self.level -= granted
+        return granted
+
+
+@dataclass(slots=True)
+class _Asked:
+    """The last request of one entry, and the concurrency granted for it."""
+
+    at_ms: float
+    row: GrantRow
+    granted: float
+
+
+class _HomeScope:
+    """What the home knows of one scope: buckets and each entry's last request."""
+
+    __slots__ = ("asked_by_entry", "requests", "tokens", "used_ms")
+
+    def __init__(self, limit: Limit, now_ms: float) -> None:
+        self.requests = _Bucket(limit.requests_per_s, now_ms)
+        self.tokens = _Bucket(limit.tokens_per_s, now_ms)
+        self.asked_by_entry: dict[str, _Asked] = {}
+        self.used_ms = now_ms
+
+    def drop_old(self, now_ms: float) -> None:
+        """Forget entries that no longer ask."""
+        asked = self.asked_by_entry
+        for name in [n for n, a in asked.items() if now_ms - a.at_ms > FORGET_MS]:
+            del asked[name]
+
+    def free_running(self, entry_id: str, limit: float) -> float:
+        """Return the concurrency that the other entries do not hold."""
+        others = sum(
+            max(asked.granted, asked.row.held)
+            for name, asked in self.asked_by_entry.items()
+            if name != entry_id
+        )
+        return max(0.0, limit - others)
+
+
+class GrantLedger:
+    """The home's side of the scopes that hash to this entry."""
+
+    def __init__(self) -> None:
+        self._scope_by_name: OrderedDict[Scope, _HomeScope] = OrderedDict()
+        self._reachable_share = 1.0
+
+    def set_reachable_share(self, share: float) -> None:
+        """Hold back 1 - `share` of each limit, used by entries out of reach."""
+        self._reachable_share = share
+
+    def grant(
+        self, entry_id: str, row: GrantRow, limit: Limit, now_ms: float
+    ) -> GrantRow:
+        """Answer one row of a request."""
+        home = self._scope(row.scope, limit, now_ms)
+        home.drop_old(now_ms)
+        asked = _Asked(now_ms, row, 0.0)
+        home.asked_by_entry[entry_id] = asked
+        rows = [other.row for other in home.asked_by_entry.values()]
+        requests = home.requests.take(
+            row.requests,
+            sum(other.requests for other in rows),
+            self._reachable(limit.requests_per_s),
+            now_ms,
+        )
+        tokens = home.tokens.take(
+            row.tokens,
+            sum(other.tokens for other in rows),
+            self._reachable(limit.tokens_per_s),
+            now_ms,
+        )
+        asked.granted = self._running(home, entry_id, row, limit)
+        return GrantRow(row.scope, requests, tokens, asked.granted)
+
+    def _reachable(self, rate: float | None) -> float | None:
+        return None if rate is None else rate * self._reachable_share
+
+    def _running(
+        self, home: _HomeScope, entry_id: str, row: GrantRow, limit: Limit
+    ) -> float:
+        wanted = row.held + row.more
+        total = self._reachable(limit.concurrency)
+        if total is None:
+            return wanted
+        rows = [asked.row for asked in home.asked_by_entry.values()]
+        all_wanted = sum(other.held + other.more for other in rows)
+        fair = max(1, round(total * wanted / max(1.0, all_wanted)))
+        free = home.free_running(entry_id, total)
+        return float(int(min(wanted, fair, free) + 1e-9))
+
+    def _scope(self, scope: Scope, limit: Limit, now_ms: float) -> _HomeScope:
+        home = self._scope_by_name.get(scope)
+        if home is None:
+            home = self._scope_by_name[scope] = _HomeScope(limit, now_ms)
+        home.used_ms = now_ms
+        self._scope_by_name.move_to_end(scope)
+        return home
+
+    def evict(self, now_ms: float) -> None:
+        """Drop scopes for which no entry has asked for a while."""
+        while self._scope_by_name:
+            oldest = next(iter(self._scope_by_name))
+            if now_ms - self._scope_by_name[oldest].used_ms <= IDLE_MS:
+                return
+            del self._scope_by_name[oldest]
+
+    def scope_count(self) -> int:
+        """Return the number of scopes remembered."""
+        return len(self._scope_by_name)
--- a/wigeonwind/decisions/retry.py
+++ b/wigeonwind/decisions/retry.py
@@ -1,5 +1,7 @@
-"""Whether and when a failed attempt is followed by another."""
+"""Whether and when a failed attempt is followed by another, or queued work is moved."""
 
+from collections import deque
+from dataclasses import dataclass
 from random import Random
 
 from wigeonwind.clock import MS_PER_SECOND
@@ -11,8 +13,8 @@
 BUDGET_FLOOR_PER_S = 1.0
 """Retries a second that are allowed however little traffic there is."""
 
-BUDGET_CAP_S = 10.0
-"""Seconds of recent traffic whose unused budget is kept."""
+WINDOW_S = 10
+"""Seconds of traffic that count as recent."""
 
 MAX_RETRIES = 3
 """Retries of one request."""
@@ -23,33 +25,54 @@
 MAX_DELAY_MS = 2000.0
 """Upper bound of any delay."""
 
+MAX_WITHDRAWALS = 2
+"""Times that one request is moved from queue to queue."""
+
+MIN_QUEUED_MS = 200.0
+"""Wait before work is moved; a load report is up to a second old anyway."""
+
+WITHDRAW_FACTOR = 2.0
+"""Remaining wait, relative to that elsewhere, from which moving pays."""
+
+
+@dataclass(slots=True)
+class _Second:
+    """Counts of one second of the window."""
+
+    number: int
+    requests: int = 0
+    retries: int = 0
+
 
 class RetryPolicy:
-    """Retry budget with exponential delay and full jitter.
+    """Retry budget over a sliding window, exponential delay with full jitter.
 
-    The budget is a leaky sum of first attempts with a time constant of
-    BUDGET_CAP_S, so in any window retries stay below a tenth of the requests of about
-    that time plus one a second.
+    Invariant: in any WINDOW_S whole seconds, retries are at most the larger of
+    BUDGET_SHARE of the first attempts and BUDGET_FLOOR_PER_S a second. Only the entry
+    retries, so the budgets of several hops never multiply.
     """
 
     def __init__(self, rng: Random) -> None:
         self._rng = rng
-        self._budget = BUDGET_FLOOR_PER_S
-        self._updated_ms: float | None = None
+        self._seconds: deque[_Second] = deque()
+        self._requests = 0
+        self._retries = 0
 
     def on_request(self, now_ms: float) -> None:
         """Count a first attempt; it feeds the budget."""
-        self._refill(now_ms)
-        self._budget += BUDGET_SHARE
-
-    def _refill(self, now_ms: float) -> None:
-        if self._updated_ms is None:
-            self._updated_ms = now_ms
-        elapsed_s = max(0.0, now_ms - self._updated_ms) / MS_PER_SECOND
-        self._updated_ms = max(now_ms, self._updated_ms)
-        self._budget *= max(0.0, 1.0 - elapsed_s / BUDGET_CAP_S)
-        self._budget += BUDGET_FLOOR_PER_S * elapsed_s
-        self._budget = max(self._budget, min(1.0, self._budget))
+        self._second(now_ms).requests += 1
+        self._requests += 1
+
+    def _second(self, now_ms: float) -> _Second:
+        number = int(now_ms // MS_PER_SECOND)
+        seconds = self._seconds
+        while seconds and seconds[0].number <= number - WINDOW_S:
+            old = seconds.popleft()
+            self._requests -= old.requests
+            self._retries -= old.retries
+        if not seconds or seconds[-1].number < number:
+            seconds.append(_Second(number))
+        return seconds[-1]
 
     def decide(
         self,
@@ -67,12 +90,46 @@
         delay_ms = self._delay_ms(attempt)
         if remaining_ms is not None and delay_ms >= remaining_ms:
             return GiveUp("the deadline comes before the next attempt")
-        self._refill(now_ms)
-        if self._budget < 1.0:
+        second = self._second(now_ms)
+        budget = max(BUDGET_SHARE * self._requests, BUDGET_FLOOR_PER_S * WINDOW_S)
+        if self._retries + 1 > budget:
             return GiveUp("the retry budget is used up")
-        self._budget -= 1.0
+        second.retries += 1
+        self._retries += 1
         return Resend(delay_ms)
 
     def _delay_ms(self, attempt: int) -> float:
         bound_ms = min(MAX_DELAY_MS, BASE_DELAY_MS * 2.0**attempt)
         return self._rng.uniform(0.0, bound_ms)
+
+
+def should_withdraw(
+    queued_ms: float,
+    remaining_wait_ms: float,
+    alternative_wait_ms: float | None,
+    withdrawals: int = 0,
+    is_ejected: bool = False,
+) -> bool:
+    """Return whether to ask a slow endpoint for its queued work back.
+
+    `queued_ms` is how long the work has waited there, `remaining_wait_ms` the estimate
+    of what is left, `alternative_wait_ms` that of the best other endpoint (None without
+    one). Work moves only after a confirmed withdrawal, which needs no retry budget:
+    the attempt certainly did not run.
+
+    >>> should_withdraw(500.0, 3000.0, 400.0)
+    True
+    >>> should_withdraw(500.0, 500.0, 400.0)
+    False
+    >>> should_withdraw(500.0, 3000.0, 400.0, withdrawals=2)
+    False
+    """
+    if alternative_wait_ms is None or withdrawals >= MAX_WITHDRAWALS:
+        return False
+    if is_ejected:
+        return True
+    if queued_ms < MIN_QUEUED_MS:
+        return False
+    gain_ms = remaining_wait_ms - alternative_wait_ms
+    is_far_better = remaining_wait_ms > WITHDRAW_FACTOR * alternative_wait_ms
+    return is_far_better and gain_ms > MIN_QUEUED_MS
