Resume all answers of a dead engine; report readiness at once

Cause: end-to-end runs showed two faults. The retry budget (10 in 10 s) refused most resumes after an engine died with its answers, so callers got error events. A sidecar whose endpoint became ready said so only at its next report, so one engine got all work of the first second. Ruled out: the engine double's crash itself, which loses only its own streams. Change: retries carry a cause; work handed back or interrupted needs no budget, at most 3 retries a request still hold. A change of readiness is reported at once. Conclusion: the budget guards against storms of refusals only.

--- a/tests/test_decisions_choice.py
+++ b/tests/test_decisions_choice.py
@@ -14,6 +14,7 @@
     GiveUp,
     NoEndpoint,
     Resend,
+    RetryCause,
     RouteRequest,
 )
 from wigeonwind.decisions.prefix_index import ENTRY_LIFE_MS, PrefixIndex
@@ -167,3 +168,20 @@
     assert isinstance(policy.decide(0, True, False, None, 0.0), Resend)
     assert isinstance(policy.decide(0, True, True, 0.0, 0.0), GiveUp)
     assert isinstance(policy.decide(3, True, True, None, 0.0), GiveUp)
+
+
+def test_answers_of_a_dead_engine_need_no_retry_budget():
+    # With a budget, an engine that died with 16 answers cut six of them off.
+    policy = RetryPolicy(Random(1))
+    policy.on_request(0.0)
+    interrupted = [
+        policy.decide(0, False, True, None, 1.0, RetryCause.INTERRUPTED)
+        for _ in range(64)
+    ]
+    assert all(isinstance(each, Resend) for each in interrupted)
+    refused = [
+        policy.decide(0, True, True, None, 2.0, RetryCause.REFUSED) for _ in range(64)
+    ]
+    assert sum(isinstance(each, Resend) for each in refused) <= 10
+    last = policy.decide(3, False, True, None, 3.0, RetryCause.INTERRUPTED)
+    assert isinstance(last, GiveUp)
--- a/wigeonwind/decisions/interfaces.py
+++ b/wigeonwind/decisions/interfaces.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from wigeonwind.catalog import Catalog
@@ -283,6 +284,19 @@
     reason: str
 
 
+class RetryCause(Enum):
+    """Why another attempt is needed."""
+
+    REFUSED = "refused"
+    """The endpoint had no room; retries of these can feed an overload."""
+    FAILED = "failed"
+    """The endpoint failed before anything of the answer was delivered."""
+    HANDED_BACK = "handed-back"
+    """The endpoint leaves or was lost before the attempt began; nothing was spent."""
+    INTERRUPTED = "interrupted"
+    """The endpoint died in the middle of an answer, which goes on elsewhere."""
+
+
 class RetryDecisions(Protocol):
     """Whether a failed attempt is followed by another."""
 
@@ -297,6 +311,7 @@
         repeatable: bool,
         remaining_ms: float | None,
         now_ms: float,
+        cause: RetryCause = RetryCause.FAILED,
     ) -> Resend | GiveUp:
         """Decide after attempt number `attempt` (from 0) has failed."""
         ...
--- a/wigeonwind/decisions/retry.py
+++ b/wigeonwind/decisions/retry.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from wigeonwind.clock import MS_PER_SECOND
-from wigeonwind.decisions.interfaces import GiveUp, Resend
+from wigeonwind.decisions.interfaces import GiveUp, Resend, RetryCause
 
 BUDGET_SHARE = 0.1
 """Retries allowed per recent first attempt; a tenth keeps an overload from growing."""
@@ -25,6 +25,10 @@
 MAX_DELAY_MS = 2000.0
 """Upper bound of any delay."""
 
+UNBUDGETED = frozenset({RetryCause.HANDED_BACK, RetryCause.INTERRUPTED})
+"""Causes that need no budget. They are bounded by what one endpoint held when it left
+or died, and by MAX_RETRIES; with a budget, most answers of a dead engine were lost."""
+
 MAX_WITHDRAWALS = 2
 """Times that one request is moved from queue to queue."""
 
@@ -47,7 +51,7 @@
 class RetryPolicy:
     """Retry budget over a sliding window, exponential delay with full jitter.
 
-    Invariant: in any WINDOW_S whole seconds, retries are at most the larger of
+    Invariant: in any WINDOW_S whole seconds, budgeted retries are at most the larger of
     BUDGET_SHARE of the first attempts and BUDGET_FLOOR_PER_S a second. Only the entry
     retries, so the budgets of several hops never multiply.
     """
@@ -81,6 +85,7 @@
         repeatable: bool,
         remaining_ms: float | None,
         now_ms: float,
+        cause: RetryCause = RetryCause.FAILED,
     ) -> Resend | GiveUp:
         """Decide after attempt number `attempt` (from 0) has failed."""
         if not (certain_not_run or repeatable):
@@ -90,6 +95,8 @@
         delay_ms = self._delay_ms(attempt)
         if remaining_ms is not None and delay_ms >= remaining_ms:
             return GiveUp("the deadline comes before the next attempt")
+        if cause in UNBUDGETED:
+            return Resend(delay_ms)
         second = self._second(now_ms)
         budget = max(BUDGET_SHARE * self._requests, BUDGET_FLOOR_PER_S * WINDOW_S)
         if self._retries + 1 > budget:
--- a/wigeonwind/experiments/bench.py
+++ b/wigeonwind/experiments/bench.py
@@ -17,6 +17,7 @@
     EndpointInfo,
     Rejected,
     Resend,
+    RetryCause,
     RouteRequest,
     WorkItem,
 )
@@ -270,7 +271,11 @@
     def on_lost(self, attempt: Attempt, at_ms: float, started: bool) -> None:
         """Send the request elsewhere if the retry policy allows."""
         endpoint_id = self._ended(attempt, False, at_ms)
-        self._resend(attempt, not started, endpoint_id, at_ms)
+        outcome = self._outcome_by_id[attempt.arrival.request_id]
+        cause = RetryCause.FAILED if started else RetryCause.HANDED_BACK
+        if outcome.delivered:
+            cause = RetryCause.INTERRUPTED
+        self._resend(attempt, cause, endpoint_id, at_ms)
 
     def on_refused(self, attempt: Attempt, rejected: Rejected, at_ms: float) -> None:
         """Try another endpoint once; a second refusal goes to the caller."""
@@ -280,15 +285,18 @@
         if outcome.refusals > 1:
             self._end(outcome, refused=True)
         else:
-            self._resend(attempt, True, endpoint_id, at_ms)
+            self._resend(attempt, RetryCause.REFUSED, endpoint_id, at_ms)
 
     def _resend(
-        self, attempt: Attempt, not_run: bool, endpoint_id: str, at_ms: float
+        self, attempt: Attempt, cause: RetryCause, endpoint_id: str, at_ms: float
     ) -> None:
         arrival = attempt.arrival
         outcome = self._outcome_by_id[arrival.request_id]
         entry = self._entry_by_request[arrival.request_id]
-        decision = entry.retry.decide(outcome.attempts - 1, not_run, True, None, at_ms)
+        not_run = cause in (RetryCause.REFUSED, RetryCause.HANDED_BACK)
+        decision = entry.retry.decide(
+            outcome.attempts - 1, not_run, True, None, at_ms, cause
+        )
         if outcome.attempts >= MAX_ATTEMPTS or not isinstance(decision, Resend):
             self._end(outcome, refused=not_run)
             return
--- a/wigeonwind/experiments/policies.py
+++ b/wigeonwind/experiments/policies.py
@@ -10,6 +10,7 @@
 from random import Random
 
 from wigeonwind.catalog import Catalog
+from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.decisions.choice import EndpointChooser
 from wigeonwind.decisions.endpoint_queue import EndpointQueue
 from wigeonwind.decisions.interfaces import (
@@ -28,6 +29,7 @@
     WorkItem,
     WorkKey,
 )
+from wigeonwind.decisions.preemption import KvCosts
 from wigeonwind.registry import Registry
 from wigeonwind.standins.engine_types import EngineConfig
 
@@ -46,6 +48,10 @@
     resumes: bool
 
 
+PAUSED_KV_SHARE = 0.25
+"""Share of an engine's KV memory that paused work may keep; more would leave running
+work without memory, which stalls the batch."""
+
 POLICIES: Registry[Policy] = Registry("policy")
 """Policies by name."""
 
@@ -199,7 +205,10 @@
 def _own_queue(
     catalog: Catalog, config: EngineConfig, service: str, rng: Random
 ) -> EndpointQueueDecisions:
-    return EndpointQueue(catalog, config.slots, rng)
+    transfer_ms = MS_PER_SECOND / config.kv_transfer_tokens_per_s
+    room = int(config.kv_limit_tokens * PAUSED_KV_SHARE)
+    costs = KvCosts(transfer_ms, transfer_ms, room)
+    return EndpointQueue(catalog, config.slots, rng, costs, service)
 
 
 POLICIES.register("fifo")(Policy("fifo", _fifo, LeastOutstanding, resumes=False))
--- a/wigeonwind/roles/load_reporter.py
+++ b/wigeonwind/roles/load_reporter.py
@@ -47,6 +47,7 @@
         self._links: list[Link] = []
         self._load: EngineLoad | None = None
         self._read_ms: float | None = None
+        self._reported_ready = False
         self._greenlets: list[Greenlet] = []
 
     def start(self) -> None:
@@ -92,6 +93,7 @@
     def send(self) -> None:
         """Report to all linked entries now."""
         report = self.report()
+        self._reported_ready = report.ready
         for link in self._links:
             link.send(report)
 
@@ -125,6 +127,10 @@
     def _watch_loop(self) -> None:
         while True:
             self.look()
+            # A change of readiness does not wait for the next report: entries would
+            # send to a dead endpoint, or leave a new one idle, for its interval.
+            if self.is_ready() != self._reported_ready:
+                self.send()
             sleep(self._report_ms / MS_PER_SECOND)
 
     def _report_loop(self) -> None:
--- a/wigeonwind/roles/process.py
+++ b/wigeonwind/roles/process.py
@@ -102,7 +102,9 @@
             node.attach(self.entry, self.entry)
         else:
             assert settings.endpoint is not None
-            queue = EndpointQueue(node.text.catalog, 1, node.rng)
+            service = settings.endpoint.service
+            catalog = node.text.catalog
+            queue = EndpointQueue(catalog, 1, node.rng, service=service)
             self.side = SideRole(
                 settings, node.clock, node.store, queue, self.metrics, node.incarnation
             )
--- a/wigeonwind/roles/request_run.py
+++ b/wigeonwind/roles/request_run.py
@@ -9,6 +9,7 @@
     GiveUp,
     LimitDecisions,
     NoEndpoint,
+    RetryCause,
     RetryDecisions,
     RouteRequest,
 )
@@ -304,7 +305,7 @@
         return failure(self._outcome(), ErrorCode.DEADLINE, message)
 
     def _on_not_run(self, end: NotRun, may_retry: bool) -> Failure | None:
-        if may_retry and self._may_resend(True):
+        if may_retry and self._may_resend(True, _cause_of(end)):
             return None
         return self._not_run_failure(end)
 
@@ -314,7 +315,10 @@
 
     def _on_broken(self, end: Broken, may_retry: bool) -> Failure | None:
         has_plain_part = self.answer.has_head
-        if may_retry and not has_plain_part and self._may_resend(False):
+        cause = RetryCause.FAILED
+        if self.answer.pieces:
+            cause = RetryCause.INTERRUPTED
+        if may_retry and not has_plain_part and self._may_resend(False, cause):
             return None
         message = f"the endpoint failed: {end.reason}"
         retry_ms = 1000.0 if self.request.repeatable else None
@@ -323,9 +327,11 @@
 
     def may_resend_not_run(self) -> bool:
         """Return whether a certain not-run may be followed by another attempt."""
-        return self._may_resend(True)
+        last = self._last_not_run
+        cause = _cause_of(last) if last else RetryCause.FAILED
+        return self._may_resend(True, cause)
 
-    def _may_resend(self, certain_not_run: bool) -> bool:
+    def _may_resend(self, certain_not_run: bool, cause: RetryCause) -> bool:
         """Ask the retry decisions, and wait as long as they say."""
         request = self.request
         repeatable = request.repeatable
@@ -334,7 +340,7 @@
         now_ms = self.clock.now_ms()
         left_ms = request.deadline_ms - now_ms
         decision = self.context.retry.decide(
-            self.attempts - 1, certain_not_run, repeatable, left_ms, now_ms
+            self.attempts - 1, certain_not_run, repeatable, left_ms, now_ms, cause
         )
         if isinstance(decision, GiveUp) or decision.delay_ms >= left_ms:
             return False
@@ -355,6 +361,13 @@
         return Outcome.UNKNOWN if self.attempts else Outcome.NOT_RUN
 
 
+def _cause_of(end: NotRun) -> RetryCause:
+    """Return why an attempt that never ran is followed by another."""
+    if end.code in (ErrorCode.OVERLOADED.value, ErrorCode.RATE_LIMITED.value):
+        return RetryCause.REFUSED
+    return RetryCause.HANDED_BACK
+
+
 def _speaks_well(end: AttemptEnd) -> bool:
     """Return whether an end says nothing against the endpoint's health.
 
