--- a/tests/test_decisions_queue.py
+++ b/tests/test_decisions_queue.py
@@ -1,5 +1,6 @@
 """Order, shares, admission and pauses of an endpoint's queue."""
 
+from copy import deepcopy
 from random import Random
 
 from decisions_engine import CATALOG, STEP_MS, Engine, item
@@ -66,6 +67,40 @@
     assert refused(both) <= refused(alone)
 
 
+def without_lower_work(queue, admitted, now_ms):
+    """Return a copy of the queue from which all work but chat is gone."""
+    # The catalog is frozen and shared: its mappings cannot be copied.
+    copy = deepcopy(queue, {id(CATALOG): CATALOG})
+    for name, attempt in admitted:
+        if not name.startswith("chat") and not copy.withdraw((name, attempt)):
+            copy.on_done((name, attempt), now_ms)
+    return copy
+
+
+@settings(max_examples=15)
+@given(st.integers(0, 10_000), st.sampled_from([1, 4, 8]))
+def test_a_refusal_stands_when_lower_work_is_taken_away(seed, slots):
+    # Guards P1 with answers of any length, at the moment of the refusal.
+    rng = Random(seed)
+    engine = Engine(slots, seed)
+    refused = 0
+    for step in range(400):
+        if rng.random() < 0.1:
+            name = rng.choice(("tagging", "dossier"))
+            engine.offer(item(f"{name}-{step}", name, engine.now_ms), 300)
+        if rng.random() < 0.1 * slots:
+            work = item(f"chat-{step}", "chat", engine.now_ms)
+            rejected = engine.offer(work, rng.randint(1, 400))
+            if isinstance(rejected, Rejected) and refused < 5:
+                refused += 1
+                alone = without_lower_work(
+                    engine.queue, engine.tokens_left, engine.now_ms
+                )
+                assert isinstance(alone.offer(work, engine.now_ms), Rejected)
+        engine.step()
+    assert refused
+
+
 @settings(max_examples=12)
 @given(st.integers(0, 10_000), st.sampled_from([1, 2, 8, 20]), st.integers(20, 150))
 def test_every_class_gets_a_slot_within_its_bound_in_a_flood(seed, slots, tokens):
--- a/wigeonwind/decisions/admission.py
+++ b/wigeonwind/decisions/admission.py
@@ -1,5 +1,6 @@
 """Early refusal: whether an attempt can still start in time at this endpoint."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from heapq import heapify, heapreplace
@@ -25,6 +26,15 @@
 """
 
 
+LOAD_HALF_LIFE_MS = 3000.0
+"""Half-life of the recent load of higher classes; short, so that a burst is forgotten
+soon after it ends."""
+
+BURST_HORIZON_MS = 60_000.0
+"""Time for which higher classes are assumed to go on at their recent rate. A class with
+a target of minutes need not be refused for a burst that ends before."""
+
+
 class Backlog:
     """The endpoint as it would be with work of one priority and above only.
 
@@ -65,6 +75,26 @@
         self._free_at_ms = [0.0] * len(self._free_at_ms)
 
 
+class RecentLoad:
+    """Slot time admitted per millisecond over the last few seconds."""
+
+    def __init__(self) -> None:
+        self._work_ms = 0.0
+        self._updated_ms = 0.0
+
+    def rate(self, now_ms: float) -> float:
+        """Return the number of slots that the recent work fills."""
+        elapsed_ms = max(0.0, now_ms - self._updated_ms)
+        self._work_ms *= 2.0 ** (-elapsed_ms / LOAD_HALF_LIFE_MS)
+        self._updated_ms = max(now_ms, self._updated_ms)
+        return self._work_ms * math.log(2.0) / LOAD_HALF_LIFE_MS
+
+    def add(self, hold_ms: float, now_ms: float) -> None:
+        """Add the slot time of an admitted attempt."""
+        self.rate(now_ms)
+        self._work_ms += hold_ms
+
+
 class ShareBacklog:
     """The work of one class, served at no more than its guaranteed share.
 
@@ -114,8 +144,9 @@
     """Refuses an attempt whose estimated start is too late, lowest classes first.
 
     The estimate for priority p counts work of priority p and above only. A lower class
-    counts more work, so at equal targets it is refused first. Nothing of a burst is
-    remembered beyond the work itself.
+    counts more work, and waits for what arrives meanwhile in higher classes, so it is
+    refused first at equal targets. Without work of priority p and above the wait is
+    zero, whatever happened before.
     """
 
     def __init__(self, estimates: ServiceEstimates, slots: int, rng: Random) -> None:
@@ -123,6 +154,7 @@
         self._slots = slots
         self._rng = rng
         self._backlog_by_priority: dict[int, Backlog] = {}
+        self._load_by_priority: dict[int, RecentLoad] = {}
 
     def rebuild(
         self,
@@ -138,8 +170,12 @@
         self._slots = slots
         levels = sorted(set(priorities))
         self._backlog_by_priority = {level: Backlog(slots) for level in levels}
+        old_load = self._load_by_priority
+        self._load_by_priority = {
+            level: old_load.get(level) or RecentLoad() for level in levels
+        }
         for priority, remaining_ms in work:
-            self.add(priority, remaining_ms, now_ms)
+            self._add_backlog(priority, remaining_ms, now_ms)
 
     def limits(self, item: WorkItem, request_class: RequestClass) -> StartLimits:
         """Return the latest useful start of an attempt."""
@@ -175,13 +211,25 @@
         if limits.deadline_ms <= now_ms:
             reason = "the deadline comes before the work could start"
             return Rejected(ErrorCode.DEADLINE.value, reason, 0.0)
-        wait_ms = self._backlog_by_priority[priority].wait_ms(now_ms)
-        wait_ms = min(wait_ms, share_wait_ms)
+        wait_ms = min(self._wait_ms(priority, now_ms), share_wait_ms)
         excess_ms = wait_ms - TARGET_MARGIN * max(0.0, limits.target_ms - now_ms)
         if excess_ms <= 0.0:
             return None
         return self.overloaded(excess_ms, "work would start too late for its target")
 
+    def _wait_ms(self, priority: int, now_ms: float) -> float:
+        """Return the wait behind present work, stretched by higher work to come."""
+        wait_ms = self._backlog_by_priority[priority].wait_ms(now_ms)
+        if not wait_ms or not self._slots:
+            return wait_ms
+        higher = sum(
+            load.rate(now_ms)
+            for level, load in self._load_by_priority.items()
+            if level < priority
+        )
+        stretched_ms = wait_ms / max(1e-3, 1.0 - higher / self._slots)
+        return min(stretched_ms, wait_ms + BURST_HORIZON_MS)
+
     def overloaded(self, excess_ms: float, reason: str) -> Rejected:
         """Return a refusal whose Retry-After grows with `excess_ms`."""
         retry_ms = min(max(MIN_RETRY_AFTER_MS, excess_ms), 60_000.0)
@@ -190,6 +238,10 @@
 
     def add(self, priority: int, hold_ms: float, now_ms: float) -> None:
         """Count an admitted attempt."""
+        self._load_by_priority[priority].add(hold_ms, now_ms)
+        self._add_backlog(priority, hold_ms, now_ms)
+
+    def _add_backlog(self, priority: int, hold_ms: float, now_ms: float) -> None:
         for level, backlog in self._backlog_by_priority.items():
             if level >= priority:
                 backlog.add(hold_ms, now_ms)
--- a/wigeonwind/decisions/fair_share.py
+++ b/wigeonwind/decisions/fair_share.py
@@ -1,5 +1,7 @@
 """Weighted fairness between the customers of one class, then least service first."""
 
+from bisect import bisect_right
+
 from sortedcontainers import SortedList
 
 from wigeonwind.decisions.interfaces import WorkKey
@@ -24,8 +26,7 @@
     >>> rank_ms(1000.0, 0), rank_ms(1000.0, 300)
     (1000.0, 21000.0)
     """
-    level = sum(generated_tokens >= bound for bound in LEVEL_TOKENS)
-    return arrived_ms + LEVEL_DELAY_MS[level]
+    return arrived_ms + LEVEL_DELAY_MS[bisect_right(LEVEL_TOKENS, generated_tokens)]
 
 
 class _Customer:
