Bound large bodies together and use the engines' prefix keys

Cause: many callers could each send a body within its own bound and fill the memory together; the prefix keys did not match those of cache events; health on the operators' listener met a usual WSGI environment and failed; a sidecar now keeps claim tokens for 25 hours, so an old `forbidden` can be believed.

Change: a bound for all large bodies together, xxh64 of whole 256-character blocks as prefix keys, a fallback when the environment is not ours, 24 hours as the trusted age of a claim, Retry-After where an endpoint was out of reach, and the checks of heads in their own module.

--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -17,6 +17,10 @@
 )
 
 from wigeonwind.links.messages import Cancel, Chunk, Failed, Head, Leaving, Submit
+from wigeonwind.roles.health_api import HealthApi
+from wigeonwind.roles.http_call import read_call
+from wigeonwind.roles.openai_request import prefix_keys
+from wigeonwind.standins.answer_text import prefix_keys as engine_prefix_keys
 
 POST = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Customer: named\r\n"
 
@@ -304,3 +308,31 @@
         while not any(isinstance(row, Cancel) for row in side.sent):
             gevent.sleep(0.001)
         assert entry.metrics.counts["entry_dropped_messages"] == 10
+
+
+def test_health_from_a_usual_wsgi_server() -> None:
+    # Guards against the operators' listener, which has no bounded server, failing.
+    environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/healthz", "HTTP_X_A": "b"}
+    began: list[str] = []
+    call = read_call(environ, lambda status, headers: began.append(status))
+    assert HealthApi(lambda: True, None).answer(call) == [b"alive\n"]
+    assert began == ["200 OK"] and call.header_by_name == {"x-a": "b"}
+
+
+def test_prefix_keys_are_those_of_the_engines() -> None:
+    # Guards against keys that never meet the engines' cache events.
+    prompt = "a\ud800é" * 300
+    keys = [row.key for row in engine_prefix_keys(prompt)]
+    assert list(prefix_keys(prompt)) == keys and len(keys) == 3
+
+
+def test_large_bodies_are_bounded_together(
+    entry: EntryUnderTest, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards against bodies within their own bound that fill the memory together.
+    monkeypatch.setattr("wigeonwind.roles.entry_http.MAX_LARGE_BODIES_BYTES", 20_000)
+    entry.add_side(answer_words("x"))
+    for _ in range(2):
+        refused = entry.chat(padding="x" * 90_000)
+        assert (refused.status, refused.outcome) == (503, "not-run")
+        assert entry.chat(padding="x" * 60_000).status == 200
--- a/wigeonwind/roles/attempt.py
+++ b/wigeonwind/roles/attempt.py
@@ -32,6 +32,12 @@
 """Time a sidecar has to confirm a withdrawal when the deadline has passed."""
 
 
+FAILED_RETRY_MS = 1000.0
+"""Retry-After of a request whose endpoint could not be reached: by then the comparison
+with other endpoints has marked it.
+"""
+
+
 @dataclass(frozen=True)
 class NotRun:
     """The attempt certainly never ran; `code` is an ErrorCode value."""
@@ -217,7 +223,7 @@
             case Refused(code=code, reason=reason, retry_after_ms=retry_after_ms):
                 self._end = self._not_run(code, reason, retry_after_ms)
             case Failed(started=False, code=code, reason=reason):
-                self._end = self._not_run(code, reason, None)
+                self._end = self._not_run(code, reason, FAILED_RETRY_MS)
             case Failed(reason=reason):
                 self._end = Broken(reason, self._is_model)
             case WithdrawResult(withdrawn=True):
--- a/wigeonwind/roles/entry_http.py
+++ b/wigeonwind/roles/entry_http.py
@@ -3,7 +3,6 @@
 import socket
 import struct
 from collections.abc import Callable, Iterable
-from email.message import Message
 from http.client import HTTPException
 from typing import Any
 from urllib.parse import unquote
@@ -13,8 +12,15 @@
 from gevent.pywsgi import MAX_REQUEST_LINE, Input, WSGIHandler, WSGIServer
 
 from wigeonwind.clock import MS_PER_SECOND
-from wigeonwind.ids import new_id
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
+from wigeonwind.roles.http_bounds import (
+    BoundedHead,
+    RequestRefusedError,
+    body_too_large,
+    check_framing,
+    refused,
+    send_refusal,
+)
 from wigeonwind.roles.http_call import (
     BODY_KEY,
     HEADERS_KEY,
@@ -22,7 +28,7 @@
     TARGET_KEY,
     ReplyAbortedError,
 )
-from wigeonwind.roles.replies import failure, failure_reply, raw_reply, refusal
+from wigeonwind.roles.replies import failure, refusal
 from wigeonwind.settings import LimitSettings, SocketAddress
 
 IDLE_TIMEOUT_S = 60.0
@@ -31,51 +37,21 @@
 Load balancers commonly drop idle connections after a minute.
 """
 
-LINGER_S = 0.5
-LINGER_BYTES = 1_000_000
-"""What is read and dropped after a refusal.
-
-Closing a socket with unread data resets it, and the caller would lose the refusal.
-"""
-
 RESET_LINGER = struct.pack("ii", 1, 0)
 """Socket option value with which `close` resets the connection."""
 
 BODY_READ_BYTES = 65_536
+SMALL_BODY_BYTES = 65_536
+MAX_LARGE_BODIES_BYTES = 96_000_000
+"""Bound of all bodies above SMALL_BODY_BYTES together, under half of a node's memory.
+Small bodies always pass, so that a few large ones that arrive slowly harm nobody else.
+"""
+
 OVERLOAD_RETRY_MS = 1000.0
 
 Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 
-class RequestRefusedError(ValueError):
-    """Raised inside the server where a request breaks a bound; never leaves it."""
-
-    def __init__(self, error: Failure) -> None:
-        super().__init__(error.message)
-        self.failure = error
-
-
-def _refused(message: str, code: ErrorCode, status: int) -> RequestRefusedError:
-    return RequestRefusedError(refusal(code, message, http_status=status))
-
-
-class BoundedHead:
-    """Reads header lines up to a number of bytes."""
-
-    def __init__(self, rfile: Any, limit: int) -> None:
-        self._rfile = rfile
-        self._left = limit
-
-    def readline(self, size: int) -> bytes:
-        """Read one line; raise RequestRefusedError where the head grows too large."""
-        line: bytes = self._rfile.readline(min(size, self._left + 1))
-        self._left -= len(line)
-        if self._left < 0:
-            message = "the request's head is too large"
-            raise _refused(message, ErrorCode.TOO_LARGE, 431)
-        return line
-
-
 class CallerHandler(WSGIHandler):
     """One connection of a caller."""
 
@@ -125,7 +101,7 @@
         line = str(super().read_requestline())
         if len(line) >= MAX_REQUEST_LINE:
             message = "the request line is too long"
-            raise _refused(message, ErrorCode.TOO_LARGE, 414)
+            raise refused(message, ErrorCode.TOO_LARGE, 414)
         return line
 
     def MessageClass(self, rfile: Any, *args: Any) -> Any:  # noqa: N802
@@ -136,31 +112,14 @@
     def read_request(self, raw_requestline: str) -> bool:
         """Parse the head; raise ValueError where it is not plain HTTP/1.x."""
         if len(raw_requestline.split()) != 3:
-            raise _refused("the request line is wrong", ErrorCode.BAD_REQUEST, 400)
+            raise refused("the request line is wrong", ErrorCode.BAD_REQUEST, 400)
         read = super().read_request(raw_requestline)
-        self._check_framing(self.headers)
+        check_framing(self.headers, self.server.limits.max_body_bytes)
         if self.request_version != "HTTP/1.1":
             # Without chunks only the end of the connection ends a streamed reply.
             self.close_connection = True
         return bool(read)
 
-    def _check_framing(self, headers: Message) -> None:
-        """Refuse heads that two servers could frame in different ways."""
-        encodings = headers.get_all("transfer-encoding", [])
-        if encodings and [value.lower().strip() for value in encodings] != ["chunked"]:
-            message = "the transfer encoding is not supported"
-            raise _refused(message, ErrorCode.BAD_REQUEST, 501)
-        lengths = headers.get_all("content-length", [])
-        if len(lengths) > 1 or not all(_is_length(value) for value in lengths):
-            raise _refused("wrong Content-Length", ErrorCode.BAD_REQUEST, 400)
-        if lengths and int(lengths[0]) > self.server.limits.max_body_bytes:
-            raise self._too_large()
-
-    def _too_large(self) -> RequestRefusedError:
-        limit = self.server.limits.max_body_bytes
-        message = f"the body is larger than {limit} bytes"
-        return _refused(message, ErrorCode.TOO_LARGE, 413)
-
     def get_environ(self) -> Any:
         """Return what the interfaces towards callers use of the WSGI environment.
 
@@ -187,21 +146,30 @@
 
     def handle_one_response(self) -> None:
         """Read the body within its bounds, then let the application answer."""
+        self._held_bytes = 0
+        try:
+            if self._take_body():
+                self._read_timer.close()
+                self.server.in_flight += 1
+                try:
+                    super().handle_one_response()
+                finally:
+                    self.server.in_flight -= 1
+        finally:
+            self.server.large_bodies_bytes -= self._held_bytes
+
+    def _take_body(self) -> bool:
+        """Read the body; False if the request has been refused."""
         try:
             self.environ[BODY_KEY] = self._read_body()
         except RequestRefusedError as error:
             self._refuse(error.failure)
-            return
+            return False
         except OSError:
             message = "the body is not complete or its chunks are malformed"
             self._refuse(refusal(ErrorCode.BAD_REQUEST, message))
-            return
-        self._read_timer.close()
-        self.server.in_flight += 1
-        try:
-            super().handle_one_response()
-        finally:
-            self.server.in_flight -= 1
+            return False
+        return True
 
     def _read_body(self) -> bytes:
         pieces = []
@@ -209,10 +177,21 @@
         while piece := self.wsgi_input.read(BODY_READ_BYTES):
             size += len(piece)
             if size > self.server.limits.max_body_bytes:
-                raise self._too_large()
+                raise body_too_large(self.server.limits.max_body_bytes)
+            if size > SMALL_BODY_BYTES:
+                self._hold(len(piece))
             pieces.append(piece)
         return b"".join(pieces)
 
+    def _hold(self, size: int) -> None:
+        """Count a part of a large body; refuse where all together grow too large."""
+        self._held_bytes += size
+        self.server.large_bodies_bytes += size
+        if self.server.large_bodies_bytes > MAX_LARGE_BODIES_BYTES:
+            message = "too many large requests at a time"
+            error = refusal(ErrorCode.OVERLOADED, message, OVERLOAD_RETRY_MS)
+            raise RequestRefusedError(error)
+
     def _handle_client_error(self, ex: Exception) -> None:
         if isinstance(ex, RequestRefusedError):
             self._refuse(ex.failure)
@@ -296,24 +275,6 @@
         """Write no line for each request: counters tell as much."""
 
 
-def _is_length(value: str) -> bool:
-    return value.isascii() and value.isdigit() and len(value) <= 18
-
-
-def send_refusal(sock: Any, error: Failure) -> None:
-    """Send a refusal over a connection that ends with it."""
-    reply = raw_reply(failure_reply(error, new_id()))
-    try:
-        sock.sendall(reply)
-        sock.shutdown(socket.SHUT_WR)
-        with gevent.Timeout(LINGER_S, False):
-            dropped = 0
-            while dropped < LINGER_BYTES and (data := sock.recv(BODY_READ_BYTES)):
-                dropped += len(data)
-    except OSError:
-        pass
-
-
 class CallerServer(WSGIServer):
     """Accepts callers' connections."""
 
@@ -342,6 +303,7 @@
         self.idle: set[CallerHandler] = set()
         self.in_flight = 0
         self.connections = 0
+        self.large_bodies_bytes = 0
         self.is_draining = False
         self.is_closing = False
 
--- /dev/null
+++ b/wigeonwind/roles/http_bounds.py
@@ -0,0 +1,87 @@
+"""Checks of request heads, and refusals that reach callers who still send."""
+
+import socket
+from email.message import Message
+from typing import Any
+
+import gevent
+
+from wigeonwind.ids import new_id
+from wigeonwind.outcomes import ErrorCode, Failure
+from wigeonwind.roles.replies import failure_reply, raw_reply, refusal
+
+LINGER_S = 0.5
+LINGER_BYTES = 1_000_000
+"""What is read and dropped after a refusal.
+
+Closing a socket with unread data resets it, and the caller would lose the refusal.
+"""
+
+LINGER_READ_BYTES = 65_536
+
+
+class RequestRefusedError(ValueError):
+    """Raised inside the server where a request breaks a bound; never leaves it."""
+
+    def __init__(self, error: Failure) -> None:
+        super().__init__(error.message)
+        self.failure = error
+
+
+def refused(message: str, code: ErrorCode, status: int) -> RequestRefusedError:
+    """Return the refusal of one request."""
+    return RequestRefusedError(refusal(code, message, http_status=status))
+
+
+class BoundedHead:
+    """Reads header lines up to a number of bytes."""
+
+    def __init__(self, rfile: Any, limit: int) -> None:
+        self._rfile = rfile
+        self._left = limit
+
+    def readline(self, size: int) -> bytes:
+        """Read one line; raise RequestRefusedError where the head grows too large."""
+        line: bytes = self._rfile.readline(min(size, self._left + 1))
+        self._left -= len(line)
+        if self._left < 0:
+            message = "the request's head is too large"
+            raise refused(message, ErrorCode.TOO_LARGE, 431)
+        return line
+
+
+def check_framing(headers: Message, max_body_bytes: int) -> None:
+    """Refuse heads that two servers could frame in different ways."""
+    encodings = headers.get_all("transfer-encoding", [])
+    if encodings and [value.lower().strip() for value in encodings] != ["chunked"]:
+        message = "the transfer encoding is not supported"
+        raise refused(message, ErrorCode.BAD_REQUEST, 501)
+    lengths = headers.get_all("content-length", [])
+    if len(lengths) > 1 or not all(_is_length(value) for value in lengths):
+        raise refused("wrong Content-Length", ErrorCode.BAD_REQUEST, 400)
+    if lengths and int(lengths[0]) > max_body_bytes:
+        raise body_too_large(max_body_bytes)
+
+
+def body_too_large(limit: int) -> RequestRefusedError:
+    """Return the refusal of a body above `limit` bytes."""
+    message = f"the body is larger than {limit} bytes"
+    return refused(message, ErrorCode.TOO_LARGE, 413)
+
+
+def _is_length(value: str) -> bool:
+    return value.isascii() and value.isdigit() and len(value) <= 18
+
+
+def send_refusal(sock: Any, error: Failure) -> None:
+    """Send a refusal over a connection that ends with it."""
+    reply = raw_reply(failure_reply(error, new_id()))
+    try:
+        sock.sendall(reply)
+        sock.shutdown(socket.SHUT_WR)
+        with gevent.Timeout(LINGER_S, False):
+            dropped = 0
+            while dropped < LINGER_BYTES and (data := sock.recv(LINGER_READ_BYTES)):
+                dropped += len(data)
+    except OSError:
+        pass
--- a/wigeonwind/roles/http_call.py
+++ b/wigeonwind/roles/http_call.py
@@ -88,17 +88,28 @@
 
 
 def read_call(environ: Mapping[str, Any], start_response: StartResponse) -> HttpCall:
-    """Return the request that the server has read."""
-    headers = environ[HEADERS_KEY]
+    """Return the request that the server has read.
+
+    A usual WSGI environment will do too, for calls that need neither the headers as
+    sent nor the body.
+    """
+    headers = environ.get(HEADERS_KEY)
+    if headers is None:
+        headers = _environ_headers(environ)
     sock = environ.get(SOCKET_KEY)
     return HttpCall(
         new_id(),
         environ["REQUEST_METHOD"],
         environ["PATH_INFO"],
-        environ[TARGET_KEY],
+        environ.get(TARGET_KEY, environ["PATH_INFO"]),
         {name.lower(): value for name, value in headers},
         headers,
-        environ[BODY_KEY],
+        environ.get(BODY_KEY, b""),
         start_response,
         None if sock is None else CallerWatch(sock),
     )
+
+
+def _environ_headers(environ: Mapping[str, Any]) -> list[list[str]]:
+    names = [name for name in environ if name.startswith("HTTP_")]
+    return [[name[5:].replace("_", "-"), environ[name]] for name in names]
--- a/wigeonwind/roles/openai_request.py
+++ b/wigeonwind/roles/openai_request.py
@@ -12,11 +12,13 @@
 CHARACTERS_PER_TOKEN = 4
 """Usual length of a token in English text; only estimates depend on it."""
 
-PREFIX_STEP_CHARACTERS = 256
-"""Shortest prompt prefix whose place in a cache is worth knowing."""
+PREFIX_BLOCK_CHARACTERS = 256
+"""Engines cache prompts in blocks of 64 tokens and name a prefix by the xxh64 of its
+whole blocks.
+"""
 
-MAX_PREFIX_KEYS = 12
-"""Prefixes double in length, so 12 reach half a million characters."""
+MAX_PREFIX_KEYS = 512
+"""Longer prefixes are not told apart."""
 
 
 @dataclass(frozen=True)
@@ -55,16 +57,21 @@
 
 
 def prefix_keys(prompt: str) -> tuple[int, ...]:
-    """Return hashes of prefixes of doubling length, shortest first.
+    """Return the keys of the prompt's growing prefixes, shortest first.
+
+    They are those of the engines' cache events.
 
     >>> len(prefix_keys("a" * 255)), len(prefix_keys("a" * 1024))
-    (0, 3)
+    (0, 4)
     """
+    state = xxhash.xxh64()
     keys: list[int] = []
-    length = PREFIX_STEP_CHARACTERS
-    while length <= len(prompt) and len(keys) < MAX_PREFIX_KEYS:
-        keys.append(xxhash.xxh64_intdigest(prompt[:length].encode("utf-8", "replace")))
-        length *= 2
+    blocks = min(len(prompt) // PREFIX_BLOCK_CHARACTERS, MAX_PREFIX_KEYS)
+    for number in range(blocks):
+        start = number * PREFIX_BLOCK_CHARACTERS
+        block = prompt[start : start + PREFIX_BLOCK_CHARACTERS]
+        state.update(block.encode("utf-8", "surrogatepass"))
+        keys.append(state.intdigest())
     return tuple(keys)
 
 
--- a/wigeonwind/state/bookings.py
+++ b/wigeonwind/state/bookings.py
@@ -56,11 +56,11 @@
 sidecar keeps it for retries in the next minutes.
 """
 
-TRUSTED_CLAIM_AGE_MS = 8 * 60_000.0
+TRUSTED_CLAIM_AGE_MS = 24 * 3_600_000.0
 """Age of a claim up to which a sidecar's `forbidden` is believed.
 
-A sidecar remembers claim tokens for 10 minutes. One that has forgotten a claim cannot
-tell it from one it never saw; two minutes are left for differences of clocks.
+A sidecar keeps the tokens it has started for 25 hours. One that has forgotten a token
+cannot tell it from one it never saw; an hour is left for differences of clocks.
 """
 
 UNKNOWN_RETRY_MS = 5000.0
