Index API keys over successive catalogs

Cause: building the index of 29,000 customers at each change of the text stopped all streams for longer than the time between two tokens.

Change: one index for all catalogs, which takes only customers that are new objects; a key found is compared with the catalog of its request. Engines get no callers' headers, and whole answers do not encode the start of events.

--- a/wigeonwind/roles/admission.py
+++ b/wigeonwind/roles/admission.py
@@ -10,6 +10,7 @@
 from wigeonwind.roles.caller_identity import (
     Caller,
     CustomerDirectory,
+    KeyIndex,
     choose_class,
     identify,
 )
@@ -60,6 +61,7 @@
         self._limits = limits
         self._request_timeout_ms = request_timeout_ms
         self._directory: CustomerDirectory | None = None
+        self._key_index = KeyIndex()
 
     @property
     def has_catalog(self) -> bool:
@@ -70,7 +72,8 @@
         """Use another version for new requests; version 0 is no text at all."""
         if catalog.version == 0:
             return
-        self._directory = CustomerDirectory(catalog)
+        self._key_index.update(catalog.customer_by_name)
+        self._directory = CustomerDirectory(catalog, self._key_index)
         self._limits.set_catalog(catalog)
 
     def identify(self, call: HttpCall) -> Ok[Known] | Failure:
--- a/wigeonwind/roles/caller_identity.py
+++ b/wigeonwind/roles/caller_identity.py
@@ -22,27 +22,74 @@
 """
 
 
+REBUILD_FACTOR = 8
+REBUILD_MARGIN = 1000
+"""The index is built anew when it has taken 8 keys for each customer and 1,000 more,
+which at 3,300 changes a day takes months.
+"""
+
+NO_NAMES: frozenset[str] = frozenset()
+
+
+class KeyIndex:
+    """Names of the customers that may have a key, over successive catalogs.
+
+    It is shared by all catalogs of an entry, because building one for 29,000 customers
+    takes longer than the time between two tokens. Names whose keys have changed stay in
+    it: whoever looks a key up compares it with the catalog of the request.
+    """
+
+    def __init__(self) -> None:
+        self._names_by_prefix: dict[str, frozenset[str]] = {}
+        self._customer_by_name: Mapping[str, Customer] = {}
+        self.added = 0
+
+    def update(self, customer_by_name: Mapping[str, Customer]) -> None:
+        """Add the keys of customers that are not the same objects as before."""
+        before = self._customer_by_name
+        self._customer_by_name = customer_by_name
+        for name, customer in customer_by_name.items():
+            if before.get(name) is not customer:
+                self._add(customer)
+        if self.added > REBUILD_FACTOR * len(customer_by_name) + REBUILD_MARGIN:
+            self._rebuild()
+
+    def names(self, digest: str) -> frozenset[str]:
+        """Return the customers whose keys may have this digest."""
+        return self._names_by_prefix.get(digest[:DIGEST_PREFIX_LENGTH], NO_NAMES)
+
+    def _add(self, customer: Customer) -> None:
+        for digest in customer.keys:
+            prefix = digest.lower()[:DIGEST_PREFIX_LENGTH]
+            names = self._names_by_prefix.get(prefix, NO_NAMES)
+            self._names_by_prefix[prefix] = names | {customer.name}
+            self.added += 1
+
+    def _rebuild(self) -> None:
+        """Forget names that only older catalogs need; their requests are admitted."""
+        self._names_by_prefix = {}
+        self.added = 0
+        for customer in self._customer_by_name.values():
+            self._add(customer)
+
+
 class CustomerDirectory:
     """Customers of one catalog, found by key without a scan."""
 
-    def __init__(self, catalog: Catalog) -> None:
+    def __init__(self, catalog: Catalog, index: KeyIndex) -> None:
         self.catalog = catalog
         self.service_by_model = _service_by_model(catalog)
-        self._keys_by_prefix: dict[str, list[tuple[str, Customer]]] = {}
-        for customer in catalog.customer_by_name.values():
-            for digest in customer.keys:
-                prefix = digest.lower()[:DIGEST_PREFIX_LENGTH]
-                entries = self._keys_by_prefix.setdefault(prefix, [])
-                entries.append((digest.lower(), customer))
+        self._index = index
 
     def customer_of_key(self, key: str) -> Customer | None:
         """Return the customer whose API key this is."""
         digest = hashlib.sha256(key.encode("latin-1", "replace")).hexdigest()
         found = None
-        candidates = self._keys_by_prefix.get(digest[:DIGEST_PREFIX_LENGTH], [])
-        for known, customer in candidates:
-            if hmac.compare_digest(known, digest):
-                found = customer
+        for name in self._index.names(digest):
+            customer = self.catalog.customer_by_name.get(name)
+            for known in customer.keys if customer else ():
+                if hmac.compare_digest(known.lower(), digest):
+                    found = customer
         return found
 
 
--- a/wigeonwind/roles/openai_api.py
+++ b/wigeonwind/roles/openai_api.py
@@ -15,7 +15,6 @@
     error_event,
 )
 from wigeonwind.roles.openai_request import ModelRequest, read_model_request
-from wigeonwind.roles.plain_headers import request_headers
 from wigeonwind.roles.replies import Headers, failure_reply, json_reply, refusal
 from wigeonwind.roles.run import Runner, Running
 
@@ -102,7 +101,7 @@
         read = read_model_request(call.body, call.path == CHAT_PATH)
         if isinstance(read, Failure):
             return read
-        work = _work(call, known.value, read.value)
+        work = _work(call.path, known.value, read.value)
         if isinstance(work, Failure):
             return work
         admitted = self._admission.admit(call, known.value, work.value, traceparent)
@@ -148,15 +147,15 @@
                     yield error_event(event, call.request_id)
 
 
-def _work(call: HttpCall, known: Known, read: ModelRequest) -> Ok[Work] | Failure:
+def _work(path: str, known: Known, read: ModelRequest) -> Ok[Work] | Failure:
     service = known.directory.service_by_model.get(read.model)
     if service is None:
         return _unknown_model(read.model)
-    headers = request_headers(call.headers)
+    # Engines are sent the body alone; the caller's headers would only load the links.
     work = Work(
         service,
-        call.path,
-        headers,
+        path,
+        [],
         read.stream,
         read.prompt_tokens,
         read.model,
--- a/wigeonwind/roles/openai_format.py
+++ b/wigeonwind/roles/openai_format.py
@@ -3,6 +3,7 @@
 import json
 import time
 from collections.abc import Sequence
+from functools import cached_property
 from json.encoder import encode_basestring_ascii
 
 from wigeonwind.outcomes import Failure
@@ -23,15 +24,20 @@
         self._id = f"{self.id_prefix}-{request_id}"
         self._model = model
         self._created = int(time.time())
-        start = json.dumps(self._fields(self.chunk_object))[:-1]
-        self._chunk_start = f"data: {start}, "
-        self._before, self._after = self._around_text()
         self._has_begun = False
 
+    @cached_property
+    def _chunk_start(self) -> str:
+        start = json.dumps(self._fields(self.chunk_object))[:-1]
+        return f"data: {start}, "
+
+    @cached_property
+    def _around(self) -> tuple[str, str]:
+        return self._around_text()
+
     def events(self, pieces: Sequence[bytes]) -> bytes:
         """Return one event for each piece of text."""
-        before = self._before
-        after = self._after
+        before, after = self._around
         events = [
             f"{before}{encode_basestring_ascii(piece.decode())}{after}"
             for piece in pieces
