Keep transferred KV cache out of the engine's memory until it is used

Change: such KV cache waits on the host until the request enters the batch. A completion may name imported KV cache by kv_id, as another attempt has another request id.

--- a/tests/test_standins_engine_model.py
+++ b/tests/test_standins_engine_model.py
@@ -1,6 +1,7 @@
 """The engine model: token times, memory, preemption, orders and faults."""
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -304,3 +305,44 @@
         assert calls < 1000
     assert model.counters().finished == 30
     assert model.current_load().kv_used_tokens == 0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_any_mix_of_calls_loses_no_token_slot_or_memory(seed):
+    random = Random(seed)
+    model = EngineModel(replace(CONFIG, prefix_cache_tokens=200))
+    events, ids, cancelled, now_ms = [], [], set(), 0.0
+    for number in range(300):
+        now_ms += random.choice([0.0, 1.0, 13.0, 90.0])
+        name = random.choice(ids) if ids else ""
+        action = random.choice(["submit", "submit", "pause", "resume", "cancel", "run"])
+        if action == "submit":
+            ids.append(f"r{number}")
+            sizes = (random.randint(1, 300), random.randint(1, 60))
+            keys = (PrefixKey(number % 7, 10), PrefixKey(100 + number % 3, 40))
+            priority = random.randint(0, 2)
+            model.submit(EngineRequest(ids[-1], *sizes, priority, keys), now_ms)
+        elif action == "pause":
+            model.pause(name, random.choice(["keep", "export", "drop"]), now_ms)
+        elif action == "resume":
+            model.resume(name, now_ms)
+        elif action == "cancel":
+            if isinstance(model.cancel(name, now_ms), RequestStopped):
+                cancelled.add(name)
+        else:
+            model.set_straggle(random.choice([1.0, 2.5]), now_ms)
+        events += model.advance(now_ms, partial=random.random() < 0.5)
+        load = model.current_load()
+        assert load.running <= CONFIG.slots
+        assert load.kv_used_tokens <= CONFIG.kv_limit_tokens
+    for name in ids:
+        model.resume(name, now_ms)
+    events += run(model, now_ms + 1e6)
+    done = {e.request_id: e.tokens for e in events if isinstance(e, RequestDone)}
+    assert set(done) | cancelled == set(ids)
+    for name, times in token_times(events).items():
+        indexes = [index for index, _ in times]
+        assert indexes == list(range(len(indexes)))
+        assert all(a[1] < b[1] for a, b in zip(times, times[1:], strict=False))
+        assert name in cancelled or len(indexes) == done[name]
+    assert model.current_load().kv_used_tokens == 0
--- a/tests/test_standins_engine_server.py
+++ b/tests/test_standins_engine_server.py
@@ -269,8 +269,10 @@
         events = events_of(reply)
         text = json.loads(next(events))["choices"][0]["text"]
         _, exported = call(first, "POST", "/kv/export", {"request_id": "r1"})
-        call(second, "POST", "/kv/import", {"kv_id": exported["kv_id"]})
-        rest, _, _ = streamed(second, prompt, request_id="r1", resume_text=text)
+        kv_id = exported["kv_id"]
+        call(second, "POST", "/kv/import", {"kv_id": kv_id})
+        fields = {"request_id": "r1.2", "kv_id": kv_id, "resume_text": text}
+        rest, _, _ = streamed(second, prompt, **fields)
         connection.close()
         assert text + rest == answer_text(prompt)
         assert second.model.counters().prefill_tokens == 0
--- a/wigeonwind/standins/completion.py
+++ b/wigeonwind/standins/completion.py
@@ -37,6 +37,7 @@
     priority: int
     stream: bool
     chat: bool
+    kv_id: str
 
     def engine_request(self) -> EngineRequest:
         """Return what the engine model needs to know."""
@@ -47,6 +48,7 @@
             self.priority,
             prefix_keys(self.prompt),
             self.resume_tokens,
+            self.kv_id,
         )
 
 
@@ -84,6 +86,7 @@
             priority=priority,
             stream=body.get("stream") is True,
             chat=chat,
+            kv_id=str(body.get("kv_id") or ""),
         )
     )
 
--- a/wigeonwind/standins/engine_batch.py
+++ b/wigeonwind/standins/engine_batch.py
@@ -130,6 +130,7 @@
         self.kv_used -= state.kv_tokens
         state.reserved = 0
         state.kv_tokens = 0
+        state.host_tokens = 0
 
     def drop(self, state: RequestState) -> int:
         """Discard what was computed for the request; return the tokens wasted."""
@@ -210,6 +211,8 @@
             heappop(self._waiting)
 
     def _enter(self, state: RequestState) -> None:
+        self.hold(state, state.host_tokens)
+        state.host_tokens = 0
         if not state.kv_tokens:
             # The last prompt token is always computed: it gives the first answer token.
             most = max(0, state.request.prompt_tokens - 1)
--- a/wigeonwind/standins/engine_decode.py
+++ b/wigeonwind/standins/engine_decode.py
@@ -34,13 +34,15 @@
     """One request inside the engine.
 
     While it decodes, `produced`, `computed` and `kv_tokens` lag behind until the
-    decode set settles them.
+    decode set settles them. `host_tokens` of KV cache wait outside the engine's memory
+    until the request enters the batch.
     """
 
     __slots__ = (
         "cached",
         "computed",
         "finish_entry",
+        "host_tokens",
         "kv_tokens",
         "log_index",
         "output",
@@ -62,6 +64,7 @@
         self.produced = min(request.resume_tokens, request.output_tokens)
         self.prefill_left = 0
         self.kv_tokens = 0
+        self.host_tokens = 0
         self.computed = 0
         self.cached = 0
         self.reserved = 0
--- a/wigeonwind/standins/engine_model.py
+++ b/wigeonwind/standins/engine_model.py
@@ -181,11 +181,12 @@
         if reason:
             self._batch.refused += 1
             return RequestRefused(request.request_id, reason)
-        kv_tokens, ready_ms = self._kv_by_request.pop(request.request_id, (0, now_ms))
+        owner = request.kv_id.rpartition(":")[0] or request.request_id
+        kv_tokens, ready_ms = self._kv_by_request.pop(owner, (0, now_ms))
         self._seq += 1
         context = request.prompt_tokens + request.resume_tokens
         state = RequestState(request, self._seq)
-        self._batch.hold(state, min(kv_tokens, context))
+        state.host_tokens = min(kv_tokens, context)
         self._batch.enqueue(state, ready_ms, now_ms)
         self._replan(now_ms)
         return RequestAccepted(request.request_id)
@@ -219,7 +220,8 @@
         if kv == KV_DROP:
             dropped = self._batch.drop(state)
         if kv == KV_EXPORT:
-            self._kv_by_request[request_id] = (state.kv_tokens, now_ms)
+            tokens = state.kv_tokens + state.host_tokens
+            self._kv_by_request[request_id] = (tokens, now_ms)
             self._batch.release(state)
         self._replan(now_ms)
         return RequestStopped(request_id, state.produced, dropped)
@@ -232,9 +234,8 @@
             return RequestUnknown(request_id)
         ready_ms = now_ms
         if request_id in self._kv_by_request:
-            tokens, _ = self._kv_by_request.pop(request_id)
-            self._batch.hold(state, tokens)
-            ready_ms += self._transfer_ms(state.kv_tokens)
+            state.host_tokens, _ = self._kv_by_request.pop(request_id)
+            ready_ms += self._transfer_ms(state.host_tokens)
         self._batch.enqueue(state, ready_ms, now_ms)
         self._replan(now_ms)
         return RequestStopped(request_id, state.produced, 0)
@@ -257,7 +258,8 @@
         state = self._batch.settled(request_id)
         if state is None:
             return RequestUnknown(request_id)
-        tokens, _ = self._kv_by_request.get(request_id, (state.kv_tokens, 0.0))
+        held = state.kv_tokens + state.host_tokens
+        tokens, _ = self._kv_by_request.get(request_id, (held, 0.0))
         return KvExported(f"{request_id}:{tokens}", tokens)
 
     def import_kv(self, kv_id: str, now_ms: float) -> KvImported | KvRefused:
--- a/wigeonwind/standins/engine_types.py
+++ b/wigeonwind/standins/engine_types.py
@@ -56,6 +56,7 @@
 
     `resume_tokens` tokens of it are already delivered: their text is prefilled with the
     prompt and generation continues after them. `prefix_keys` are in growing order.
+    `kv_id` names imported KV cache; without it, that of `request_id` is used.
     """
 
     request_id: str
@@ -64,6 +65,7 @@
     priority: int = 0
     prefix_keys: tuple[PrefixKey, ...] = ()
     resume_tokens: int = 0
+    kv_id: str = ""
 
 
 class RefusalReason(Enum):
