--- a/tests/test_standins_engine_server.py
+++ b/tests/test_standins_engine_server.py
@@ -305,6 +305,10 @@
     {"name": "straggle", "factor": "much"},
     {"name": "straggle", "speed": 2},
     {"name": "slow", "ms": -1},
+    {"name": "straggle", "factor": 0},
+    {"name": "event_gap", "share": 1.5},
+    {"name": "crash", "when": "later"},
+    {"name": "crash", "after_tokens": 1.5},
     [],
 ])  # fmt: skip
 def test_a_wrong_fault_is_refused_with_the_reason(fault):
--- a/wigeonwind/standins/faults.py
+++ b/wigeonwind/standins/faults.py
@@ -4,7 +4,8 @@
 """
 
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, fields, replace
+from dataclasses import Field, dataclass, field, fields, replace
+from math import inf
 from typing import Any, TypeVar
 
 from wigeonwind.outcomes import Invalid, Ok, Problem
@@ -31,7 +32,7 @@
 class Straggle(Fault):
     """Each iteration of an engine takes `factor` times as long."""
 
-    factor: float = 3.0
+    factor: float = field(default=3.0, metadata={"at_least": 0.01})
 
 
 @FAULTS.register("crash")
@@ -45,7 +46,7 @@
     """
 
     after_tokens: int = 0
-    when: str = "now"
+    when: str = field(default="now", metadata={"choices": ("now", "before", "after")})
     exit_process: bool = False
 
     @property
@@ -93,7 +94,7 @@
 class EventGap(Fault):
     """This share (0 to 1) of cache events is never reported."""
 
-    share: float = 0.3
+    share: float = field(default=0.3, metadata={"at_most": 1.0})
 
 
 @FAULTS.register("ignore_fence")
@@ -187,17 +188,31 @@
 
 
 def _problems(kind: type[Fault], values: Mapping[str, Any]) -> Iterator[Problem]:
-    type_by_key = {field.name: field.type for field in fields(kind)}
+    field_by_key = {field.name: field for field in fields(kind)}
     for key, value in values.items():
-        if key not in type_by_key:
-            known = ", ".join(type_by_key) or "no values"
+        if key not in field_by_key:
+            known = ", ".join(field_by_key) or "no values"
             yield Problem("faults", key, str(value), f"a known value: {known}")
-        elif not _fits(value, type_by_key[key]):
-            yield Problem("faults", key, str(value), f"{type_by_key[key]}, 0 or more")
-
-
-def _fits(value: Any, kind: Any) -> bool:
-    if kind in (bool, str) or isinstance(value, bool):
-        return isinstance(value, kind)
-    allowed = (int, float) if kind is float else (int,)
-    return isinstance(value, allowed) and value >= 0
+        elif not _fits(value, field_by_key[key]):
+            expected = _expected(field_by_key[key])
+            yield Problem("faults", key, str(value), expected)
+
+
+def _fits(value: Any, field: Field) -> bool:
+    if field.type is str:
+        return value in field.metadata["choices"]
+    if field.type is bool or isinstance(value, bool):
+        return isinstance(value, bool) and field.type is bool
+    allowed = (int, float) if field.type is float else (int,)
+    least, most = field.metadata.get("at_least", 0), field.metadata.get("at_most", inf)
+    return isinstance(value, allowed) and least <= value <= most and value != inf
+
+
+def _expected(field: Field) -> str:
+    if field.type is str:
+        return f"one of {', '.join(field.metadata['choices'])}"
+    if field.type is bool:
+        return "true or false"
+    least, most = field.metadata.get("at_least", 0), field.metadata.get("at_most", "")
+    kind = "a number" if field.type is float else "a whole number"
+    return f"{kind}, {least} or more" + (f", at most {most}" if most else "")
