--- a/wigeonwind/state/bookings.py
+++ b/wigeonwind/state/bookings.py
@@ -32,6 +32,7 @@
     NoTarget,
     NotBooked,
     OtherBody,
+    Pause,
     RanWhole,
     ReadRecord,
     RunAttempt,
@@ -56,11 +57,14 @@
 sidecar keeps it for retries in the next minutes.
 """
 
-TRUSTED_CLAIM_AGE_MS = 8 * 60_000.0
+MAX_DONE_PAUSE_MS = 200.0
+"""Longest wait between those tries; the caller waits for its answer meanwhile."""
+
+TRUSTED_CLAIM_AGE_MS = 24 * 3_600_000.0
 """Age of a claim up to which a sidecar's `forbidden` is believed.
 
-A sidecar remembers claim tokens for 10 minutes. One that has forgotten a claim cannot
-tell it from one it never saw; two minutes are left for differences of clocks.
+A sidecar keeps the tokens it has started for 25 hours. One that has forgotten a token
+cannot tell it from one it never saw; an hour is left for differences of clocks.
 """
 
 UNKNOWN_RETRY_MS = 5000.0
@@ -271,6 +275,7 @@
             written = yield self._write(done, version)
             if not isinstance(written, StoreFailure):
                 return
+            yield Pause(min(written.retry_after_ms, MAX_DONE_PAUSE_MS))
 
     def _give_up(
         self, reason: str, none: NoTarget | None = None
