Send Ping only on links that carry nothing else, with a plain timer

Cause: idle links cost more CPU than anything else of the control traffic. Change: a side that has sent any message within the interval sends no Ping, and the heartbeat sleeps instead of waiting for an event with a time limit, which raised an exception at each beat.

--- a/wigeonwind/links/websocket.py
+++ b/wigeonwind/links/websocket.py
@@ -2,7 +2,8 @@
 
 A reader greenlet decodes and hands over messages; a writer greenlet sends everything
 that is queued when it runs in one write, and waits for nothing; a heartbeat greenlet
-sends Ping and closes a link whose peer is silent or does not read.
+closes a link whose peer is silent or does not read, and sends Ping unless another
+message has been sent within the interval.
 """
 
 import socket
@@ -10,7 +11,7 @@
 from dataclasses import replace
 from typing import Any
 
-from gevent import Greenlet, Timeout, spawn
+from gevent import Greenlet, Timeout, sleep, spawn
 from gevent.event import Event
 from websockets.client import ClientProtocol
 from websockets.exceptions import WebSocketException
@@ -56,7 +57,7 @@
         self.hello = Hello("", 0, "", "", "", 0)
         self.is_open = False
         self.round_trip_ms: float | None = None
-        """Time of the newest heartbeat and its answer."""
+        """Time of the newest heartbeat that was answered by a Pong."""
         self._sock = sock
         self._protocol = protocol
         self._handler = handler
@@ -65,13 +66,13 @@
         self._counts = options.counts
         self._queue: list[bytes] = []
         self._queued_bytes = 0
+        self._has_sent = False
         self._wake = Event()
         self._written = Event()
         self._reason = ""
         self._last_received_ms = self._clock.now_ms()
         self._write_began_ms: float | None = None
         self._close_began_ms: float | None = None
-        self._done = Event()
         self._helpers: list[Greenlet] = []
 
     def open(self, own_hello: Callable[[], Hello]) -> None:
@@ -116,6 +117,7 @@
             self._fail("send queue full: the peer does not read")
             return False
         self._queue.append(data)
+        self._has_sent = True
         self._queued_bytes += len(data)
         self._wake.set()
         return True
@@ -182,7 +184,6 @@
             self._read_loop()
         finally:
             self.is_open = False
-            self._done.set()
             self._counts.closed += 1
             for helper in self._helpers:
                 helper.kill(block=False)
@@ -297,7 +298,8 @@
         self._written.set()
 
     def _heartbeat_loop(self) -> None:
-        while not self._done.wait(self._options.heartbeat_ms / MS_PER_SECOND):
+        while True:
+            sleep(self._options.heartbeat_ms / MS_PER_SECOND)
             now_ms = self._clock.now_ms()
             marks = (
                 self._last_received_ms,
@@ -308,8 +310,9 @@
             if now_ms - oldest_ms > self._options.timeout_ms:
                 self._counts.silences += 1
                 self._fail("silence")
-            else:
+            elif not self._has_sent:
                 self.send(Ping(now_ms))
+            self._has_sent = False
 
     def _fail(self, reason: str) -> None:
         """Close at once, without sending what is queued."""
