Count work by class when an endpoint is chosen

Change: own and reported work count fully for the same or higher classes and a quarter for lower ones; load reports carry running work by class.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -119,7 +119,7 @@
         chooser.on_sent(chosen.endpoint_id, request, now_ms)
         sent.append(chosen.endpoint_id)
         if len(sent) > 60:
-            chooser.on_ended(sent.popleft(), True, now_ms)
+            chooser.on_ended(sent.popleft(), request, True, now_ms)
 
     return per_second(cycle, CHOICES)
 
--- a/tests/test_decisions_choice.py
+++ b/tests/test_decisions_choice.py
@@ -120,7 +120,7 @@
     made = chooser(3)
     for _ in range(5):
         made.on_sent("e0", CHAT, 0.0)
-        made.on_ended("e0", False, 0.0)
+        made.on_ended("e0", CHAT, False, 0.0)
     assert {send(made, 300.0) for _ in range(20)} == {"e1", "e2"}
 
 
--- a/wigeonwind/decisions/choice.py
+++ b/wigeonwind/decisions/choice.py
@@ -1,5 +1,6 @@
 """Choice of an endpoint for a request."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from random import Random
 
@@ -39,24 +40,47 @@
 """Slots of an endpoint that has not reported yet."""
 
 
+LOWER_WORK_WEIGHT = 0.25
+"""Weight of lower classes' work: it gives way, but shares the batch until it does."""
+
+
 @dataclass(slots=True)
 class _Report:
     """A load report and our outstanding work there when it was measured."""
 
     load: EndpointLoad
     measured_ms: float
-    own: int
+    own_by_priority: dict[int, int]
 
 
 class _Endpoint:
     """What this entry knows of one endpoint."""
 
-    __slots__ = ("health", "info", "report")
+    __slots__ = ("health", "info", "own_by_priority", "report")
 
     def __init__(self, info: EndpointInfo, health: EndpointHealth) -> None:
         self.info = info
         self.health = health
         self.report: _Report | None = None
+        self.own_by_priority: dict[int, int] = {}
+
+    def own_work(self, priority: int) -> float:
+        """Return our outstanding work that a request of this priority waits for."""
+        return weigh_work(self.own_by_priority.items(), priority)
+
+
+def weigh_work(counts: Iterable[tuple[int, int]], priority: int) -> float:
+    """Return how much of (priority, count) pairs stands in a request's way.
+
+    >>> weigh_work([(0, 4), (1, 8)], 0)
+    6.0
+    >>> weigh_work([(0, 4), (1, 8)], 1)
+    12
+    """
+    return sum(
+        count if other <= priority else LOWER_WORK_WEIGHT * count
+        for other, count in counts
+    )
 
 
 class EndpointChooser:
@@ -95,7 +119,7 @@
         """Record a load report."""
         endpoint = self._endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
-            own = endpoint.health.outstanding
+            own = dict(endpoint.own_by_priority)
             endpoint.report = _Report(load, now_ms - load.age_ms, own)
 
     def choose(
@@ -151,27 +175,27 @@
 
     def _load(self, endpoint: _Endpoint, priority: int, now_ms: float) -> float:
         """Return the work per slot ahead of a request of this priority."""
-        count = float(endpoint.health.outstanding)
+        count = endpoint.own_work(priority)
         slots = DEFAULT_SLOTS
         report = endpoint.report
         if report is not None:
             slots = max(1, report.load.slots)
             age_ms = max(0.0, now_ms - report.measured_ms)
-            others = max(0, self._reported(report.load, priority) - report.own)
+            own = weigh_work(report.own_by_priority.items(), priority)
+            others = max(0.0, self._reported(report.load, priority) - own)
             count += others * 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
         weight = endpoint.health.weight(now_ms)
         # One is added so that the weight counts for idle endpoints, too.
         return ((count + 1.0) / weight - 1.0) / slots
 
-    def _reported(self, load: EndpointLoad, priority: int) -> int:
+    def _reported(self, load: EndpointLoad, priority: int) -> float:
         """Return the reported work that a request of this priority waits for."""
-        priority_by_class = self._priority_by_class
-        waiting = sum(
-            number
-            for name, number in load.waiting_by_class
-            if priority_by_class.get(name, priority) <= priority
-        )
-        return load.running + waiting
+        priority_of = self._priority_by_class.get
+        rows = [*load.waiting_by_class, *load.running_by_class]
+        counts = [(priority_of(name, priority), count) for name, count in rows]
+        if not load.running_by_class:
+            counts.append((priority, load.running))
+        return weigh_work(counts, priority)
 
     def _cached(
         self, pool: list[_Endpoint], request: RouteRequest, now_ms: float
@@ -205,6 +229,8 @@
         endpoint = self._endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
             endpoint.health.on_sent(now_ms)
+            own = endpoint.own_by_priority
+            own[request.priority] = own.get(request.priority, 0) + 1
             for prefix_key in request.prefix_keys:
                 self._prefixes.add(prefix_key, endpoint_id, now_ms)
 
@@ -220,7 +246,9 @@
         if endpoint is not None:
             endpoint.health.on_tokens(tokens, now_ms)
 
-    def on_ended(self, endpoint_id: str, ok: bool, now_ms: float) -> None:
+    def on_ended(
+        self, endpoint_id: str, request: RouteRequest, ok: bool, now_ms: float
+    ) -> None:
         """Record that a request sent there has ended; `ok` False is a failure there.
 
         A refusal by the sidecar is no failure: pass `ok` True for it.
@@ -228,6 +256,8 @@
         endpoint = self._endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
             endpoint.health.on_ended(ok, now_ms)
+            own = endpoint.own_by_priority
+            own[request.priority] = max(0, own.get(request.priority, 0) - 1)
 
     def on_cache_event(
         self, endpoint_id: str, prefix_key: int, stored: bool, now_ms: float
--- a/wigeonwind/decisions/endpoint_queue.py
+++ b/wigeonwind/decisions/endpoint_queue.py
@@ -373,6 +373,7 @@
         """Return the present state."""
         parts = self._class_by_name.values()
         waiting = tuple((p.name, p.waiting_count) for p in parts if p.waiting_count)
+        running = tuple((p.name, p.running_count) for p in parts if p.running_count)
         paused = sum(p.work_count - p.waiting_count - p.running_count for p in parts)
         return QueueReport(
             running=self._running,
@@ -384,6 +385,7 @@
             queued_tokens=self._queued_tokens,
             pauses=self._cache.pauses,
             dropped_tokens=self._cache.dropped_tokens,
+            running_by_class=running,
         )
 
     def bound_ms(self, class_name: str, longest_free_ms: float) -> float:
--- a/wigeonwind/decisions/interfaces.py
+++ b/wigeonwind/decisions/interfaces.py
@@ -101,6 +101,7 @@
     """Pauses since the start."""
     dropped_tokens: int = 0
     """Tokens of KV cache dropped by pauses since the start; computed again later."""
+    running_by_class: tuple[tuple[str, int], ...] = ()
 
 
 class EndpointQueueDecisions(Protocol):
@@ -191,6 +192,8 @@
     ms_to_first_token: float
     queued_tokens: int
     ready: bool = True
+    running_by_class: tuple[tuple[str, int], ...] = ()
+    """Empty if the sender is of a release that does not report it."""
 
 
 class EndpointChoice(Protocol):
@@ -222,7 +225,9 @@
         """Record tokens received, for the comparison of peers."""
         ...
 
-    def on_ended(self, endpoint_id: str, ok: bool, now_ms: float) -> None:
+    def on_ended(
+        self, endpoint_id: str, request: RouteRequest, ok: bool, now_ms: float
+    ) -> None:
         """Record that a request sent there has ended."""
         ...
 
--- a/wigeonwind/experiments/bench.py
+++ b/wigeonwind/experiments/bench.py
@@ -236,7 +236,8 @@
         """Note the end of an attempt at the entry; return the endpoint."""
         endpoint = self._endpoint_by_key.pop(attempt.item.key)
         entry = self._entry_by_request[attempt.arrival.request_id]
-        entry.choice.on_ended(endpoint.endpoint_id, ok, at_ms)
+        request = self._route_request(attempt.arrival)
+        entry.choice.on_ended(endpoint.endpoint_id, request, ok, at_ms)
         return endpoint.endpoint_id
 
     def on_started(self, attempt: Attempt, at_ms: float) -> None:
--- a/wigeonwind/experiments/endpoint_run.py
+++ b/wigeonwind/experiments/endpoint_run.py
@@ -143,6 +143,7 @@
             queue.ms_to_first_token,
             queue.queued_tokens,
             ready,
+            queue.running_by_class,
         )
 
     def new_cache_events(self, now_ms: float) -> tuple[CacheEvent, ...]:
--- a/wigeonwind/experiments/policies.py
+++ b/wigeonwind/experiments/policies.py
@@ -157,7 +157,9 @@
     def on_tokens(self, endpoint_id: str, tokens: int, now_ms: float) -> None:
         """Ignore them."""
 
-    def on_ended(self, endpoint_id: str, ok: bool, now_ms: float) -> None:
+    def on_ended(
+        self, endpoint_id: str, request: RouteRequest, ok: bool, now_ms: float
+    ) -> None:
         """Count outstanding work."""
         self._outstanding_by_id[endpoint_id] -= 1
 
--- a/wigeonwind/links/codec.py
+++ b/wigeonwind/links/codec.py
@@ -41,6 +41,7 @@
 
 ROW_TYPES_BY_FIELD: dict[tuple[type, str], tuple[type, ...]] = {
     (LoadReport, "waiting_by_class"): (str, int),
+    (LoadReport, "running_by_class"): (str, int),
     (Members, "records"): (str, int, int, str, str, str, str),
     (GrantRequest, "rows"): (str, str, float, float),
     (Grant, "rows"): (str, str, float, float),
--- a/wigeonwind/links/messages.py
+++ b/wigeonwind/links/messages.py
@@ -198,8 +198,9 @@
 class LoadReport:
     """The state of a side's queue and engine, sent at most once a second.
 
-    `waiting_by_class` pairs class name and count. `engine_age_ms` is the age of the
-    engine's own report. `ms_per_token` is the recent median.
+    `waiting_by_class` and `running_by_class` pair class name and count.
+    `engine_age_ms` is the age of the engine's own report. `ms_per_token` is the recent
+    median.
     """
 
     member_id: str
@@ -212,6 +213,7 @@
     ms_to_first_token: float
     queued_tokens: int
     ready: bool
+    running_by_class: list[list] | None = None
 
 
 @message(14)
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -145,6 +145,7 @@
             report.ms_to_first_token,
             report.queued_tokens,
             report.ready,
+            tuple((str(row[0]), int(row[1])) for row in report.running_by_class or ()),
         )
         self._choice.on_load(link.hello.member_id, load, self._clock.now_ms())
 
--- a/wigeonwind/roles/load_reporter.py
+++ b/wigeonwind/roles/load_reporter.py
@@ -112,6 +112,7 @@
             queue.ms_to_first_token,
             queue.queued_tokens,
             self.is_ready(),
+            [[name, count] for name, count in queue.running_by_class],
         )
 
     def _age_ms(self, now_ms: float) -> float:
--- a/wigeonwind/roles/request_run.py
+++ b/wigeonwind/roles/request_run.py
@@ -235,7 +235,8 @@
         self, attempt: Attempt, endpoint_id: str, end: AttemptEnd
     ) -> None:
         now_ms = self.clock.now_ms()
-        self.context.choice.on_ended(endpoint_id, _speaks_well(end), now_ms)
+        ok = _speaks_well(end)
+        self.context.choice.on_ended(endpoint_id, self._route(), ok, now_ms)
         if isinstance(end, (CallerGone, TimedOut, Broken)):
             attempt.cancel()
         if isinstance(end, CallerGone):
