Send a whole text in parts that the receiver asks for

Cause: the whole text for 29,000 customers was one message of 5.3 MB, above the queue bound of a link, which would have closed the link.

Change: TextRequest and TextChange get part numbers (fields with defaults); a part holds at most 200,000 characters. The store client and the submit protocol are tested against the object store test double.

Conclusion: a new process can get a text of any allowed size from a peer.

--- a/bench/text.py
+++ b/bench/text.py
@@ -27,6 +27,7 @@
 from wigeonwind.state.text import Text, read_text
 from wigeonwind.state.text_head import Head, StoredText, store_text
 from wigeonwind.state.text_keeper import TextKeeper
+from wigeonwind.state.text_messages import whole_message
 from wigeonwind.tool.commands import format_table
 
 FLAGS = flags.FLAGS
@@ -135,7 +136,6 @@
     source = make_text(customers, random)
     parse_ms = min(timed_ms(lambda: parsed(source, 1))[0] for _ in range(3))
     entry_ms, peer_ms, change = _measure_edits(source, customers, random, edits)
-    whole = _answer(_keeper(source), 0)
     peer_median = statistics.median(peer_ms)
     edits_ms = peer_median * EDITS_PER_DAY
     return Row(
@@ -150,7 +150,7 @@
         day_core=edits_ms / 86_400_000.0,
         version_bytes=encoded_size(TextVersion(2, "0" * 32)),
         change_bytes=encoded_size(change),
-        whole_bytes=encoded_size(whole),
+        whole_bytes=_whole_bytes(source),
         store_bytes=_store_bytes(source, customers, random),
     )
 
@@ -167,6 +167,16 @@
     return sent[0]
 
 
+def _whole_bytes(source: str) -> int:
+    """Return the bytes of all parts of a whole text."""
+    text = parsed(source, 1)
+    total = part = 0
+    while (message := whole_message(text, part)) is not None:
+        total += encoded_size(message)
+        part += 1
+    return total
+
+
 def _measure_edits(
     source: str, customers: int, random: Random, edits: int
 ) -> tuple[list[float], list[float], TextChange]:
--- /dev/null
+++ b/tests/test_store_standin.py
@@ -0,0 +1,72 @@
+"""The client and the submit protocol against the test double of the object store."""
+
+from collections.abc import Iterator
+from random import Random
+from typing import Any
+
+import pytest
+from test_text_parse import GOOD
+from test_text_store import EDITED, large_text
+
+from wigeonwind.links.codec import decode, encode
+from wigeonwind.links.messages import TextChange
+from wigeonwind.outcomes import Ok
+from wigeonwind.settings import SocketAddress
+from wigeonwind.standins.faults import LoseAnswers, Outage
+from wigeonwind.standins.object_store_server import ObjectStoreServer
+from wigeonwind.state.store_client import StoreClient
+from wigeonwind.state.store_steps import run_steps
+from wigeonwind.state.store_types import Conflict, StoreFailure
+from wigeonwind.state.text_follower import TextFollower
+from wigeonwind.state.text_keeper import TextKeeper
+from wigeonwind.state.text_sections import split_text
+from wigeonwind.state.text_store import Accepted, SubmitConflict, submit_steps
+
+
+@pytest.fixture
+def server() -> Iterator[ObjectStoreServer]:
+    made = ObjectStoreServer(SocketAddress("127.0.0.1", 0))
+    made.start()
+    yield made
+    made.stop()
+
+
+def submit(client: StoreClient, base: int, submission: str, source: str) -> Any:
+    steps = submit_steps(base, submission, split_text(source).sections)
+    return run_steps(steps, client, lambda ms: None)
+
+
+def test_a_lost_answer_of_the_store_is_resolved(server: ObjectStoreServer):
+    client = StoreClient(server.address, random=Random(1))
+    assert submit(client, 0, "s1", GOOD) == Accepted(1)
+    server.faults.switch_on(LoseAnswers(count=1))
+    assert submit(client, 1, "s2", EDITED) == Accepted(2)
+    assert submit(client, 1, "s3", GOOD) == SubmitConflict(2, EDITED)
+    stored = server.store.peek("text/head")
+    assert stored is not None
+    assert stored.version == 2
+
+
+def test_a_follower_gets_a_text_in_parts(server: ObjectStoreServer):
+    client = StoreClient(server.address, random=Random(1))
+    submit(client, 0, "s1", large_text(600))
+    keeper = TextKeeper(lambda message: None)
+    follower = TextFollower(client, keeper, Random(1), lambda ms: None)
+    follower.watch_step()
+    assert keeper.source == large_text(600)
+
+
+def test_an_outage_is_no_conflict_and_no_missing_object(server: ObjectStoreServer):
+    client = StoreClient(server.address, random=Random(1))
+    server.faults.switch_on(Outage())
+    assert isinstance(client.put("k", b"v", 0), StoreFailure)
+    server.faults.clear()
+    assert client.put("k", b"v", 0) == Ok(1)
+    assert client.delete("k", 5) == Conflict("k", 1)
+    assert client.list_versions("k") == Ok({"k": 1})
+
+
+def test_an_added_section_keeps_its_place_over_the_wire():
+    # A codec that dropped the third item of a row would lose the place.
+    change = TextChange(1, 2, [["b", "[b]\n", "a"]], [], "d", 1, 2)
+    assert decode(encode(change)) == change
--- a/tests/test_text_keeper.py
+++ b/tests/test_text_keeper.py
@@ -7,6 +7,7 @@
 
 from wigeonwind.clock import ManualClock
 from wigeonwind.links.messages import TextChange, TextRequest, TextVersion
+from wigeonwind.state import text_messages
 from wigeonwind.state.text_keeper import TextKeeper
 
 EDITED = GOOD.replace("weight = 2", "weight = 3")
@@ -28,8 +29,9 @@
         others = [i for i in range(size) if i != sender]
         return lambda m: self.waiting.extend((sender, i, m) for i in others)
 
-    def run(self) -> None:
-        while self.waiting:
+    def run(self, messages: int = 10_000) -> None:
+        while self.waiting and messages:
+            messages -= 1
             sender, to, message = self.waiting.popleft()
             self.sent.append(message)
             keeper = self.keepers[to]
@@ -121,3 +123,24 @@
     fleet.keepers[0].offer(2, EDITED)
     fleet.run()
     assert seen == [1, 2]
+
+
+def test_a_large_text_travels_in_bounded_parts(monkeypatch):
+    monkeypatch.setattr(text_messages, "MAX_PART_CHARS", 300)
+    fleet = spread(GOOD)
+    assert fleet.sources() == {GOOD}
+    sizes = [sum(len(row[1]) for row in m.sections) for m in fleet.changes()]
+    assert max(sizes) <= 300
+    # Three peers get three parts each, once.
+    assert len(sizes) == 9
+
+
+def test_a_text_that_changes_while_its_parts_travel_arrives_in_the_end(monkeypatch):
+    monkeypatch.setattr(text_messages, "MAX_PART_CHARS", 300)
+    fleet = Fleet(2)
+    fleet.keepers[0].offer(1, GOOD)
+    fleet.run(messages=4)
+    assert fleet.keepers[1].version == 0
+    fleet.keepers[0].offer(2, EDITED)
+    fleet.run()
+    assert fleet.sources() == {EDITED}
--- a/wigeonwind/links/messages.py
+++ b/wigeonwind/links/messages.py
@@ -235,9 +235,13 @@
 @message(16)
 @dataclass(frozen=True)
 class TextRequest:
-    """Ask for the text, as changes against `have_version` where that is possible."""
+    """Ask for the text, as changes against `have_version` where that is possible.
+
+    `part` above 0 asks for a further part of the whole text.
+    """
 
     have_version: int
+    part: int = 0
 
 
 @message(17)
@@ -245,8 +249,9 @@
 class TextChange:
     """Sections that differ between two versions; `base_version` 0 is the whole text.
 
-    `sections` pairs section name and section source; `removed` names sections that are
-    gone; `digest` is that of the whole new text.
+    `sections` pairs section name and section source, followed by the name of the
+    section before it if it is added; `removed` names sections that are gone; `digest`
+    is that of the whole new text.
     """
 
     base_version: int
@@ -254,6 +259,9 @@
     sections: list[list[str]]
     removed: list[str]
     digest: str
+    part: int = 0
+    parts: int = 1
+    """A whole text may come in several parts, which are numbered from 0."""
 
 
 @message(18)
--- a/wigeonwind/state/text_keeper.py
+++ b/wigeonwind/state/text_keeper.py
@@ -11,11 +11,15 @@
 from wigeonwind.outcomes import Invalid, Ok, Problem
 from wigeonwind.state.text import Text, build_text, read_text
 from wigeonwind.state.text_diff import (
-    SectionChange,
-    SectionEdit,
     apply_change,
     change_of,
 )
+from wigeonwind.state.text_messages import (
+    PartialText,
+    change_message,
+    change_of_message,
+    whole_message,
+)
 from wigeonwind.state.text_sections import (
     NO_SECTIONS,
     Touched,
@@ -54,6 +58,7 @@
         self._text: Text | None = None
         self._subscribers: list[Callable[[Catalog], None]] = []
         self._step_by_base: OrderedDict[int, _Step] = OrderedDict()
+        self._partial = PartialText()
         self._asked_version = 0
         self._asked_at_ms = 0.0
         self.refused_version = 0
@@ -129,20 +134,23 @@
         """Send the changes since the peer's version, or the whole text."""
         if self._text is None or message.have_version >= self._text.version:
             return
-        base = message.have_version
-        touched = self._touched_since(base)
-        if touched is None or touched.is_reordered:
-            reply(_whole_message(self._text))
-            self._count("whole_sent")
+        change = None if message.part else self._change_since(message.have_version)
+        if change is not None:
+            reply(change)
+            self._count("change_sent")
             return
-        change = change_of(self._text.sections, touched)
-        reply(_change_message(change, base, self._text.version))
-        self._count("change_sent")
+        whole = whole_message(self._text, message.part)
+        if whole is not None:
+            reply(whole)
+            self._count("whole_part_sent")
 
     def on_text_change(self, message: TextChange, reply: Reply) -> None:
         """Apply changes to the text in force; ask for the whole if they do not fit."""
         if message.version <= self.version:
             return
+        if message.parts > 1:
+            self._add_part(message, reply)
+            return
         if message.base_version not in (0, self.version):
             self._ask_again(message.version, reply, self.version)
             return
@@ -154,11 +162,22 @@
             return
         self._adopt(message.version, result)
 
+    def _add_part(self, message: TextChange, reply: Reply) -> None:
+        """Collect the parts of a whole text and put it in force after the last."""
+        result = self._partial.add(message)
+        self._asked_at_ms = self._clock.now_ms()
+        if isinstance(result, TextRequest):
+            reply(result)
+        elif result is not None:
+            self.on_text_change(result, reply)
+            # Announcements of newer versions were passed over until now.
+            reply(TextRequest(self.version))
+
     def _may_ask(self, version: int) -> bool:
         """Whether to ask for `version` now; the same version is asked for once."""
         now_ms = self._clock.now_ms()
         waiting = now_ms - self._asked_at_ms < REQUEST_TIMEOUT_MS
-        if version <= self._asked_version and waiting:
+        if waiting and (version <= self._asked_version or self._partial.is_open):
             return False
         self._asked_version = version
         self._asked_at_ms = now_ms
@@ -215,6 +234,14 @@
         result = build_text(sections, version, self._text, touched)
         return result.value if isinstance(result, Ok) else None
 
+    def _change_since(self, version: int) -> TextChange | None:
+        """Return the change from `version`, None if only the whole text will do."""
+        touched = self._touched_since(version)
+        if self._text is None or touched is None or touched.is_reordered:
+            return None
+        change = change_of(self._text.sections, touched)
+        return change_message(change, version, self._text.version)
+
     def _touched_since(self, version: int) -> Touched | None:
         """Return what changed since `version`, None if that is not known."""
         if version not in self._step_by_base or self._text is None:
@@ -227,11 +254,6 @@
         self.count_by_event[event] = self.count_by_event.get(event, 0) + 1
 
 
-def _whole_message(text: Text) -> TextChange:
-    pairs = [[name, source] for name, source in text.sections.source_by_name.items()]
-    return TextChange(0, text.version, pairs, [], text.digest)
-
-
 def _apply(base: Text | None, message: TextChange) -> Ok[Text] | Invalid | None:
     """Return the checked result of a change, None if its digest does not match."""
     old = base.sections if base else NO_SECTIONS
@@ -241,24 +263,8 @@
         if sections.digest != message.digest:
             return None
         return build_text(sections, message.version, base, touched)
-    applied = apply_change(old, _change(message))
+    applied = apply_change(old, change_of_message(message))
     if applied is None:
         return None
     sections, touched = applied
     return build_text(sections, message.version, base, touched)
-
-
-def _change_message(change: SectionChange, base: int, version: int) -> TextChange:
-    rows = [
-        [edit.name, edit.source, *([] if edit.after is None else [edit.after])]
-        for edit in change.edits
-    ]
-    return TextChange(base, version, rows, list(change.removed), change.digest)
-
-
-def _change(message: TextChange) -> SectionChange:
-    edits = [
-        SectionEdit(row[0], row[1], row[2] if len(row) > 2 else None)
-        for row in message.sections
-    ]
-    return SectionChange(tuple(edits), tuple(message.removed), message.digest)
