Delete parts of old texts from the store

Change: the head lists retired parts for 32 versions; the process whose head write drops one deletes it, under the version it had before that write. A part that is used again is written anew first, so that its version changes and a late deletion fails.

Conclusion: the store keeps at most the parts of 32 versions beside the text, apart from those a crashed process leaves.

--- a/tests/test_text_interleavings.py
+++ b/tests/test_text_interleavings.py
@@ -19,7 +19,7 @@
     Steps,
     perform,
 )
-from wigeonwind.state.store_types import StoreFailure
+from wigeonwind.state.store_types import Conflict, StoreFailure
 from wigeonwind.state.text_head import (
     HEAD_KEY,
     PART_PREFIX,
@@ -207,6 +207,59 @@
     assert result.is_complete
 
 
+class Restoring(Acceptance):
+    """One operator retires a part at once, the other restores it at that moment."""
+
+    def _operator(self, name: str) -> Steps[Any]:
+        if name == "anna":
+            sections = split_text(TEXT_BY_OPERATOR["anna"]).sections
+            return (yield from without_pauses(submit_steps(1, name, sections)))
+        head = yield GetCall(HEAD_KEY)
+        if not isinstance(head, Ok) or head.value.version != 2:
+            return None
+        sections = split_text(BASE).sections
+        return (yield from without_pauses(self.submit(2, name, sections)))
+
+    def _check_results(self, ids: list[str]) -> str:
+        return ""
+
+    def check(self) -> str:
+        stored = self.store.object_by_key[HEAD_KEY]
+        head = decode_head(stored.value, stored.version)
+        assert head is not None
+        gone = [p for p in head.parts if self.store.version_of(PART_PREFIX + p) == 0]
+        return "a head names a part that is missing" if gone else ""
+
+    def faults_of(self, call: Any) -> tuple[Fault, ...]:
+        return (Fault.CRASH, Fault.LOST_ANSWER, Fault.LATE_CALL)
+
+
+def untouched(base: int, submission: str, sections: Any) -> Steps[Any]:
+    """Take a part that exists for safe, without writing it anew."""
+    steps = submit_steps(base, submission, sections)
+    result: Any = None
+    while True:
+        try:
+            call = steps.send(result)
+        except StopIteration as stop:
+            return stop.value
+        result = yield call
+        if isinstance(result, Conflict) and call.key != HEAD_KEY:
+            result = Ok(result.version)
+
+
+def test_a_part_in_use_is_never_deleted(monkeypatch):
+    monkeypatch.setattr(text_head, "INLINE_LIMIT_BYTES", 10)
+    monkeypatch.setattr(text_head, "SECTIONS_PER_PART", 1)
+    monkeypatch.setattr(text_head, "KEPT_VERSIONS", 0)
+    for fault in (Fault.CRASH, Fault.LOST_ANSWER, Fault.LATE_CALL):
+        result = explored(Restoring, {fault: 1})
+        assert result.violation is None, fault
+        assert result.is_complete
+    broken = explored(lambda: Restoring(untouched), {})
+    assert broken.violation is not None
+
+
 def test_a_process_that_follows_never_goes_back():
     result = explored(lambda: Acceptance(reads=2), {Fault.CRASH: 1})
     assert result.violation is None
--- a/tests/test_text_store.py
+++ b/tests/test_text_store.py
@@ -7,6 +7,7 @@
 from test_text_parse import GOOD
 
 from wigeonwind.outcomes import Invalid
+from wigeonwind.state import text_head
 from wigeonwind.state.memory_store import MemoryStore
 from wigeonwind.state.store_steps import run_steps
 from wigeonwind.state.text_follower import TextFollower
@@ -104,6 +105,19 @@
     assert fetch(store) == FetchedText(2, edited, "s2")
 
 
+def test_parts_of_old_versions_are_deleted_after_a_time(monkeypatch):
+    monkeypatch.setattr(text_head, "KEPT_VERSIONS", 3)
+    store = MemoryStore()
+    source = large_text(2000)
+    for version in range(10):
+        text = source.replace("weight = 999", f"weight = {2000 + version}")
+        assert submit(store, version, f"s{version}", text) == Accepted(version + 1)
+        if version == 0:
+            size = len(store.object_by_key)
+    assert len(store.object_by_key) == size + 3
+    assert fetch(store).source == text
+
+
 def test_a_damaged_or_missing_part_is_never_offered():
     store = MemoryStore()
     submit(store, 0, "s1", large_text(2000))
--- a/wigeonwind/state/text_head.py
+++ b/wigeonwind/state/text_head.py
@@ -31,6 +31,13 @@
 
 PART_DIGEST_DIGITS = 32
 
+KEPT_VERSIONS = 32
+"""Versions for which a retired part is kept, so that a slow reader of an earlier head
+finds its parts. At 3,300 edits a day, parts would else add 60 MB a day."""
+
+MAX_DELETIONS = 8
+"""Parts deleted after one submission; the rest follows after later ones."""
+
 REMEMBERED_SUBMISSIONS = 32
 """Accepted submissions listed in a head; within this many versions, a repeated
 submission is recognised."""
@@ -46,8 +53,20 @@
     digest: str
 
 
+class RetiredPart(BaseModel):
+    """A part that no longer belongs to the text since `version`."""
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    digest: str
+    version: int
+
+
 class Head(BaseModel):
-    """The value of `text/head`; `source` is set if `parts` is empty."""
+    """The value of `text/head`; `source` is set if `parts` is empty.
+
+    `retired` lists parts of earlier texts that still exist.
+    """
 
     model_config = ConfigDict(frozen=True, extra="ignore")
 
@@ -57,6 +76,7 @@
     parts: tuple[str, ...] = ()
     source: str = ""
     recent: tuple[AcceptedSubmission, ...] = ()
+    retired: tuple[RetiredPart, ...] = ()
 
     def encode(self) -> bytes:
         """Return the head as JSON."""
@@ -81,10 +101,15 @@
 
 @dataclass(frozen=True)
 class StoredText:
-    """A text as it is written: its head, and the sources of its parts by digest."""
+    """A text as it is written: its head, and the sources of its parts by digest.
+
+    `dropped` are the digests of parts that the head lists no more and that may be
+    deleted once it is written.
+    """
 
     head: Head
     part_by_digest: Mapping[str, str]
+    dropped: tuple[str, ...] = ()
 
 
 def store_text(sections: Sections, base: Head, submission_id: str) -> StoredText:
@@ -101,10 +126,26 @@
         "recent": recent,
     }
     source = sections.source
-    if len(source.encode()) <= INLINE_LIMIT_BYTES:
-        return StoredText(Head(source=source, **fields), {})
-    part_by_digest = dict(cut_parts(sections))
-    return StoredText(Head(parts=tuple(part_by_digest), **fields), part_by_digest)
+    part_by_digest: dict[str, str] = {}
+    if len(source.encode()) > INLINE_LIMIT_BYTES:
+        part_by_digest = dict(cut_parts(sections))
+        source = ""
+    kept, dropped = _retire(base, part_by_digest, version)
+    parts = tuple(part_by_digest)
+    head = Head(parts=parts, source=source, retired=kept, **fields)
+    return StoredText(head, part_by_digest, dropped)
+
+
+def _retire(
+    base: Head, part_by_digest: Mapping[str, str], version: int
+) -> tuple[tuple[RetiredPart, ...], tuple[str, ...]]:
+    """Return the retired parts to list and the digests of those to delete."""
+    gone = [RetiredPart(digest=digest, version=version) for digest in base.parts]
+    rows = [row for row in (*base.retired, *gone) if row.digest not in part_by_digest]
+    old = [row for row in rows if row.version <= version - KEPT_VERSIONS]
+    old = old[:MAX_DELETIONS]
+    kept = tuple(row for row in rows if row not in old)
+    return kept, tuple(row.digest for row in old)
 
 
 def cut_parts(sections: Sections) -> Iterable[tuple[str, str]]:
--- a/wigeonwind/state/text_store.py
+++ b/wigeonwind/state/text_store.py
@@ -1,11 +1,17 @@
 """Submission of a configuration text to the store, and reading it back."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from wigeonwind.outcomes import Invalid, Ok, Problem
-from wigeonwind.state.store_steps import GetCall, PauseCall, PutCall, Steps
-from wigeonwind.state.store_types import NotFound, StoreFailure
+from wigeonwind.state.store_steps import (
+    DeleteCall,
+    GetCall,
+    PauseCall,
+    PutCall,
+    Steps,
+)
+from wigeonwind.state.store_types import Conflict, NotFound, StoreFailure
 from wigeonwind.state.text_head import (
     HEAD_KEY,
     PART_PREFIX,
@@ -101,7 +107,8 @@
     failure = yield from _write_parts(stored, base)
     if failure is not None:
         return _unavailable(failure, maybe_accepted=False)
-    return (yield from _write_head(stored.head, base_version, sections))
+    dropped = yield from _versions_of(stored.dropped)
+    return (yield from _write_head(stored.head, base_version, sections, dropped))
 
 
 def _empty_head(version: int) -> Head:
@@ -166,8 +173,12 @@
 
 
 def _write_parts(stored: StoredText, base: Head) -> Steps[StoreFailure | None]:
-    """Write the parts that the base does not have; they must precede the head."""
-    known = set(base.parts)
+    """Write the parts that the base does not list; they must precede the head.
+
+    A part that the base lists cannot be deleted unless another head replaces the base,
+    and then the write of our head fails.
+    """
+    known = {*base.parts, *(row.digest for row in base.retired)}
     for digest, source in stored.part_by_digest.items():
         if digest in known:
             continue
@@ -178,22 +189,48 @@
 
 
 def _write_part(digest: str, source: str) -> Steps[StoreFailure | None]:
-    """Create a part; one that exists already has the same content."""
-    failure = None
+    """Create a part, or write it anew if it exists.
+
+    The new version of an existing part keeps it from being deleted by an operator
+    who retired it: a deletion names the version that was there before.
+    """
+    failure = StoreFailure("the part changes too often", maybe_written=False)
+    version = 0
     for attempt in range(ATTEMPTS):
-        if attempt:
-            yield PauseCall(RETRY_PAUSE_MS * 2**attempt)
-        result = yield PutCall(PART_PREFIX + digest, source.encode(), 0)
-        if not isinstance(result, StoreFailure):
+        result = yield PutCall(PART_PREFIX + digest, source.encode(), version)
+        if isinstance(result, Ok):
             return None
-        failure = result
+        if isinstance(result, Conflict):
+            version = result.version
+        else:
+            failure = result
+            yield PauseCall(RETRY_PAUSE_MS * 2**attempt)
     return failure
 
 
+def _versions_of(digests: Iterable[str]) -> Steps[dict[str, int]]:
+    """Return the object versions of parts; those that cannot be read are left out."""
+    version_by_key: dict[str, int] = {}
+    for digest in digests:
+        result = yield GetCall(PART_PREFIX + digest)
+        if isinstance(result, Ok):
+            version_by_key[result.value.key] = result.value.version
+    return version_by_key
+
+
+def _delete_parts(version_by_key: Mapping[str, int]) -> Steps[None]:
+    """Delete retired parts, once each; a part that is left over does no harm."""
+    for key, version in version_by_key.items():
+        yield DeleteCall(key, version)
+
+
 def _write_head(
-    head: Head, base_version: int, sections: Sections
+    head: Head, base_version: int, sections: Sections, dropped: Mapping[str, int]
 ) -> Steps[SubmitResult]:
-    """Write the head if it still has `base_version`, and resolve lost answers."""
+    """Write the head if it still has `base_version`, and resolve lost answers.
+
+    `dropped` are the parts to delete after that, with their versions from before.
+    """
     failure = StoreFailure("not tried", maybe_written=False)
     maybe_accepted = False
     for attempt in range(ATTEMPTS):
@@ -201,6 +238,11 @@
             yield PauseCall(RETRY_PAUSE_MS * 2**attempt)
         result = yield PutCall(HEAD_KEY, head.encode(), base_version)
         if isinstance(result, Ok):
+            if result.value != head.version:
+                # The head had been deleted and the store goes on counting.
+                return SubmitConflict(result.value, "")
+            # Only one process gets this answer, so only one deletes the parts.
+            yield from _delete_parts(dropped)
             return Accepted(result.value)
         if isinstance(result, StoreFailure):
             failure = result
