Make a submission of a large text cheaper at its entry

Cause: the entry cut and hashed all 230 parts of a text and split it twice.

Change: parts of the previous cut are reused; what was checked is put in force without a second split. A property test found that a part at the end of a text was kept open ended when sections were appended; fixed. A section over 200,000 characters is refused, as its part could never be written.

--- a/bench/text.py
+++ b/bench/text.py
@@ -5,6 +5,8 @@
 """
 
 import gc
+import io
+import json
 import statistics
 import time
 import tracemalloc
@@ -24,6 +26,8 @@
     TextVersion,
 )
 from wigeonwind.outcomes import Ok
+from wigeonwind.roles.operators_api import OperatorsApi
+from wigeonwind.state.memory_store import MemoryStore
 from wigeonwind.state.text import Text, read_text
 from wigeonwind.state.text_head import Head, StoredText, store_text
 from wigeonwind.state.text_keeper import TextKeeper
@@ -69,6 +73,7 @@
     parse_ms: float
     memory_mb: float
     entry_ms: float
+    submit_ms: float
     peer_ms: float
     ratio: float
     burst_core: float
@@ -144,6 +149,7 @@
         parse_ms=parse_ms,
         memory_mb=_memory_mb(source),
         entry_ms=statistics.median(entry_ms),
+        submit_ms=_submit_ms(source, customers, random, edits),
         peer_ms=peer_median,
         ratio=parse_ms / peer_median,
         burst_core=peer_median * BURST_EDITS_PER_MINUTE / 60_000.0,
@@ -196,6 +202,28 @@
     return entry_ms, peer_ms, change
 
 
+def _submit_ms(source: str, customers: int, random: Random, edits: int) -> float:
+    """Return the time of a submission at the entry, from the body to the answer."""
+    keeper = TextKeeper(lambda message: None)
+    api = OperatorsApi(
+        keeper, MemoryStore(), lambda v, t: [], dict, lambda ms: None, ""
+    )
+    texts = edited_texts(source, customers, random)
+    took = []
+    for version in range(edits):
+        fields = {"base_version": version, "submission_id": str(version)}
+        body = json.dumps({**fields, "source": next(texts)}).encode()
+        environ = {
+            "REQUEST_METHOD": "PUT",
+            "PATH_INFO": "/admin/text",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body),
+        }
+        took.append(timed_ms(lambda e=environ: api(e, lambda status, headers: None))[0])
+        assert keeper.version == version + 1
+    return statistics.median(took)
+
+
 def _store_bytes(source: str, customers: int, random: Random) -> int:
     """Return the bytes of the head and the parts that one edit writes."""
     first = parsed(source, 1)
@@ -204,8 +232,8 @@
     edited = parsed(next(edited_texts(source, customers, random)), 2, first)
     new: StoredText = store_text(edited.sections, old.head, "b" * 32)
     parts = [
-        source
-        for digest, source in new.part_by_digest.items()
+        part.source
+        for digest, part in new.part_by_digest.items()
         if digest not in old.part_by_digest
     ]
     return len(new.head.encode()) + sum(len(part.encode()) for part in parts)
--- a/tests/test_text_interleavings.py
+++ b/tests/test_text_interleavings.py
@@ -10,7 +10,7 @@
 
 from wigeonwind.checking.explorer import Exploration, Fault, explore
 from wigeonwind.outcomes import Ok
-from wigeonwind.state import text_head
+from wigeonwind.state import text_head, text_parts
 from wigeonwind.state.memory_store import MemoryStore
 from wigeonwind.state.store_steps import (
     GetCall,
@@ -87,8 +87,8 @@
         first = store_text(
             split_text(BASE).sections, Head(version=0, submission_id="", digest=""), "0"
         )
-        for digest, source in first.part_by_digest.items():
-            self.store.put(PART_PREFIX + digest, source.encode(), 0)
+        for digest, part in first.part_by_digest.items():
+            self.store.put(PART_PREFIX + digest, part.source.encode(), 0)
         self.store.put(HEAD_KEY, first.head.encode(), 0)
         self.keeper.offer(1, BASE)
 
@@ -250,7 +250,7 @@
 
 def test_a_part_in_use_is_never_deleted(monkeypatch):
     monkeypatch.setattr(text_head, "INLINE_LIMIT_BYTES", 10)
-    monkeypatch.setattr(text_head, "SECTIONS_PER_PART", 1)
+    monkeypatch.setattr(text_parts, "SECTIONS_PER_PART", 1)
     monkeypatch.setattr(text_head, "KEPT_VERSIONS", 0)
     for fault in (Fault.CRASH, Fault.LOST_ANSWER, Fault.LATE_CALL):
         result = explored(Restoring, {fault: 1})
--- a/tests/test_text_parse.py
+++ b/tests/test_text_parse.py
@@ -100,3 +100,10 @@
     assert old in GOOD
     found = problems_of(GOOD.replace(old, new, 1))
     assert any(f"line {line}: " in text and words in text for text in found), found
+
+
+def test_a_section_too_large_for_the_store_is_refused():
+    # A part over the value limit could never be written, and the submission would
+    # look like an outage for ever.
+    large = GOOD.replace("weight = 2", "weight = 2\n;" + "x" * 200_000)
+    assert any("at most 200000" in text for text in problems_of(large))
--- a/tests/test_text_sections.py
+++ b/tests/test_text_sections.py
@@ -4,8 +4,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wigeonwind.state import text_sections
+from wigeonwind.state import text_parts, text_sections
 from wigeonwind.state.text_diff import apply_change, change_of
+from wigeonwind.state.text_parts import cut_parts
 from wigeonwind.state.text_sections import (
     PREAMBLE,
     merge_touched,
@@ -81,3 +82,13 @@
     text = split_text("\ufeff; x\r\n[a]\r\nk = 1").sections
     assert text.digest == split_text("; x\n[a]\nk = 1\n").sections.digest
     assert text.source_by_name[PREAMBLE] == "; x\n"
+
+
+@given(edits())
+def test_parts_reused_from_an_earlier_cut_are_those_of_a_new_cut(pair):
+    old, new = (split_text(text).sections for text in pair)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(text_parts, "SECTIONS_PER_PART", 2)
+        again = cut_parts(new, cut_parts(old))
+        assert [p.source for p in again] == [p.source for p in cut_parts(new)]
+    assert "".join(part.source for part in again) == new.source
--- a/wigeonwind/roles/operators_api.py
+++ b/wigeonwind/roles/operators_api.py
@@ -11,10 +11,11 @@
 from wigeonwind.outcomes import Invalid, Ok, Problem
 from wigeonwind.state.store_steps import run_steps
 from wigeonwind.state.store_types import Store
-from wigeonwind.state.text import MAX_TEXT_BYTES
+from wigeonwind.state.text import MAX_TEXT_CHARS, Text
 from wigeonwind.state.text_describe import describe_changes
-from wigeonwind.state.text_head import HEAD_KEY, decode_head
+from wigeonwind.state.text_head import HEAD_KEY, decode_head, is_small
 from wigeonwind.state.text_keeper import TextKeeper
+from wigeonwind.state.text_parts import Part, cut_parts
 from wigeonwind.state.text_store import (
     Accepted,
     SubmitConflict,
@@ -26,7 +27,7 @@
 StartResponse = Callable[..., Any]
 WsgiApp = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
 
-MAX_BODY_BYTES = 2 * MAX_TEXT_BYTES
+MAX_BODY_BYTES = 2 * MAX_TEXT_CHARS
 """A text in JSON has an escape for each line end."""
 
 CONFIRM_TIMEOUT_MS = 5_000.0
@@ -99,6 +100,7 @@
         self._sleep_ms = sleep_ms
         self._key = key
         self._fallback = fallback
+        self._parts: list[Part] = []
         self._handler_by_route: dict[tuple[str, str], Callable[[bytes], Answer]] = {
             ("GET", "/admin/text"): self._show,
             ("PUT", "/admin/text"): self._submit,
@@ -187,24 +189,30 @@
             request = SubmitBody.model_validate_json(body)
         except ValidationError as error:
             return _bad_body(error)
+        base = self._keeper.text
         checked = self._keeper.check(request.source)
         if isinstance(checked, Invalid):
             return Answer(422, {"problems": _rows(checked.problems)})
-        sections = checked.value.sections
-        steps = submit_steps(request.base_version, request.submission_id, sections)
-        result: SubmitResult = run_steps(steps, self._store, self._sleep_ms)
+        result = self._write(request, checked.value)
         if isinstance(result, Accepted):
-            return self._accepted(result, sections.source)
+            self._keeper.offer_checked(result.version, checked.value, base)
+            zones = self._confirm(result.version, CONFIRM_TIMEOUT_MS)
+            fields = {"version": result.version, "confirmed_zones": zones}
+            return Answer(200, fields)
         if isinstance(result, SubmitConflict):
             return self._conflict(result, request.base_version)
         if isinstance(result, SubmitUnavailable):
             return _unavailable(result, request.submission_id)
         return Answer(422, {"problems": _rows(result.problems)})
 
-    def _accepted(self, result: Accepted, source: str) -> Answer:
-        self._keeper.offer(result.version, source)
-        zones = self._confirm(result.version, CONFIRM_TIMEOUT_MS)
-        return Answer(200, {"version": result.version, "confirmed_zones": zones})
+    def _write(self, request: SubmitBody, text: Text) -> SubmitResult:
+        """Submit a checked text to the store."""
+        sections = text.sections
+        self._parts = [] if is_small(sections) else cut_parts(sections, self._parts)
+        steps = submit_steps(
+            request.base_version, request.submission_id, sections, self._parts
+        )
+        return run_steps(steps, self._store, self._sleep_ms)
 
     def _conflict(self, result: SubmitConflict, base_version: int) -> Answer:
         """Show the text that won, and what it changed since the edited version."""
--- a/wigeonwind/state/text.py
+++ b/wigeonwind/state/text.py
@@ -13,6 +13,7 @@
     check_services,
     index_keys,
 )
+from wigeonwind.state.text_parts import MAX_PART_CHARS
 from wigeonwind.state.text_schema import (
     Defaults,
     SectionReader,
@@ -30,7 +31,7 @@
 
 T = TypeVar("T")
 
-MAX_TEXT_BYTES = 16_000_000
+MAX_TEXT_CHARS = 16_000_000
 """Bound on what a process parses; a text for 29,000 customers has about 6 MB."""
 
 
@@ -74,9 +75,9 @@
     source: str, version: int, base: Text | None = None
 ) -> Ok[Text] | Invalid:
     """Check a whole text; sections that `base` has too are not parsed again."""
-    if len(source) > MAX_TEXT_BYTES:
+    if len(source) > MAX_TEXT_CHARS:
         size = f"{len(source)} characters"
-        return Invalid((Problem("", "", size, f"at most {MAX_TEXT_BYTES}"),))
+        return Invalid((Problem("", "", size, f"at most {MAX_TEXT_CHARS}"),))
     split = split_text(source, base.sections if base else NO_SECTIONS)
     result = build_text(split.sections, version, base, split.touched)
     return _with_duplicates(split, result) if split.duplicates else result
@@ -124,6 +125,10 @@
     reader = SectionReader()
     for name in names:
         source = sections.source_by_name[name]
+        if len(source) > MAX_PART_CHARS:
+            size = f"{len(source)} characters"
+            problems.append(Problem(name, "", size, f"at most {MAX_PART_CHARS}", 1))
+            continue
         if name == PREAMBLE:
             problems += _preamble_problems(source)
             continue
--- a/wigeonwind/state/text_follower.py
+++ b/wigeonwind/state/text_follower.py
@@ -5,8 +5,9 @@
 
 from wigeonwind.state.store_steps import run_steps
 from wigeonwind.state.store_types import Store, StoreFailure, WatchBatch
-from wigeonwind.state.text_head import HEAD_KEY, cut_parts
+from wigeonwind.state.text_head import HEAD_KEY
 from wigeonwind.state.text_keeper import TextKeeper
+from wigeonwind.state.text_parts import cut_parts
 from wigeonwind.state.text_store import FetchedText, NothingNewer, fetch_steps
 
 WATCH_TIMEOUT_MS = 60_000.0
@@ -94,7 +95,9 @@
     def _known_parts(self) -> dict[str, str]:
         """Return the parts of the text in force, which need not be read."""
         text = self._keeper.text
-        return dict(cut_parts(text.sections)) if text else {}
+        if text is None:
+            return {}
+        return {part.digest: part.source for part in cut_parts(text.sections)}
 
     def _offer(self, fetched: FetchedText) -> None:
         self._count("fetched")
--- a/wigeonwind/state/text_head.py
+++ b/wigeonwind/state/text_head.py
@@ -6,14 +6,13 @@
 """
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from hashlib import sha256
 from typing import Any
-from zlib import crc32
 
 from pydantic import BaseModel, ConfigDict, ValidationError
 
+from wigeonwind.state.text_parts import Part, cut_parts
 from wigeonwind.state.text_sections import Sections
 
 HEAD_KEY = "text/head"
@@ -22,15 +21,6 @@
 INLINE_LIMIT_BYTES = 32_000
 """Texts up to this size are kept in the head itself."""
 
-SECTIONS_PER_PART = 128
-"""Average sections of one part. At 29,000 customers this gives some 230 parts of
-18 KB and a head of 9 KB, so an edit costs about 27 KB in the store."""
-
-MAX_PART_BYTES = 500_000
-"""Bound on a part, half the value limit of the store."""
-
-PART_DIGEST_DIGITS = 32
-
 KEPT_VERSIONS = 32
 """Versions for which a retired part is kept, so that a slow reader of an earlier head
 finds its parts. At 3,300 edits a day, parts would else add 60 MB a day."""
@@ -101,19 +91,28 @@
 
 @dataclass(frozen=True)
 class StoredText:
-    """A text as it is written: its head, and the sources of its parts by digest.
+    """A text as it is written: its head, and its parts by digest.
 
     `dropped` are the digests of parts that the head lists no more and that may be
     deleted once it is written.
     """
 
     head: Head
-    part_by_digest: Mapping[str, str]
+    part_by_digest: Mapping[str, Part]
     dropped: tuple[str, ...] = ()
 
 
-def store_text(sections: Sections, base: Head, submission_id: str) -> StoredText:
-    """Return what to write for a text that follows `base`."""
+def is_small(sections: Sections) -> bool:
+    """Return whether a text is kept in the head itself."""
+    chars = sum(map(len, sections.source_by_name.values()))
+    limit = INLINE_LIMIT_BYTES
+    return chars <= limit and len(sections.source.encode()) <= limit
+
+
+def store_text(
+    sections: Sections, base: Head, submission_id: str, parts: Sequence[Part] = ()
+) -> StoredText:
+    """Return what to write for a text that follows `base`; `parts` saves the cut."""
     version = base.version + 1
     row = AcceptedSubmission(
         version=version, submission_id=submission_id, digest=sections.digest
@@ -125,55 +124,25 @@
         "digest": sections.digest,
         "recent": recent,
     }
-    source = sections.source
-    part_by_digest: dict[str, str] = {}
-    if len(source.encode()) > INLINE_LIMIT_BYTES:
-        part_by_digest = dict(cut_parts(sections))
-        source = ""
+    source = ""
+    part_by_digest: dict[str, Part] = {}
+    if not parts and is_small(sections):
+        source = sections.source
+    else:
+        part_by_digest = {part.digest: part for part in parts or cut_parts(sections)}
     kept, dropped = _retire(base, part_by_digest, version)
-    parts = tuple(part_by_digest)
-    head = Head(parts=parts, source=source, retired=kept, **fields)
+    head = Head(parts=tuple(part_by_digest), source=source, retired=kept, **fields)
     return StoredText(head, part_by_digest, dropped)
 
 
 def _retire(
-    base: Head, part_by_digest: Mapping[str, str], version: int
+    base: Head, part_by_digest: Mapping[str, Part], version: int
 ) -> tuple[tuple[RetiredPart, ...], tuple[str, ...]]:
     """Return the retired parts to list and the digests of those to delete."""
-    gone = [RetiredPart(digest=digest, version=version) for digest in base.parts]
-    rows = [row for row in (*base.retired, *gone) if row.digest not in part_by_digest]
+    rows = [row for row in base.retired if row.digest not in part_by_digest]
+    gone = [digest for digest in base.parts if digest not in part_by_digest]
+    rows += [RetiredPart(digest=digest, version=version) for digest in gone]
     old = [row for row in rows if row.version <= version - KEPT_VERSIONS]
     old = old[:MAX_DELETIONS]
     kept = tuple(row for row in rows if row not in old)
     return kept, tuple(row.digest for row in old)
-
-
-def cut_parts(sections: Sections) -> Iterable[tuple[str, str]]:
-    """Yield digest and source of each part of a text, in order.
-
-    The name of a section decides whether a part ends behind it, so an added or removed
-    section changes one part only.
-    """
-    piece: list[str] = []
-    size = 0
-    for name, source in sections.source_by_name.items():
-        if piece and size + len(source) > MAX_PART_BYTES:
-            yield _part(piece)
-            piece, size = [], 0
-        piece.append(source)
-        size += len(source)
-        if crc32(name.encode()) % SECTIONS_PER_PART == 0:
-            yield _part(piece)
-            piece, size = [], 0
-    if piece:
-        yield _part(piece)
-
-
-def _part(piece: Iterable[str]) -> tuple[str, str]:
-    source = "".join(piece)
-    return part_digest(source), source
-
-
-def part_digest(source: str) -> str:
-    """Return the digest under which a part is kept."""
-    return sha256(source.encode()).hexdigest()[:PART_DIGEST_DIGITS]
--- a/wigeonwind/state/text_keeper.py
+++ b/wigeonwind/state/text_keeper.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from wigeonwind.catalog import Catalog
@@ -112,6 +112,13 @@
             return False
         return self._adopt(version, read_text(source, version, self._text))
 
+    def offer_checked(self, version: int, text: Text, base: Text | None) -> bool:
+        """Put in force what `check` returned while `base` was in force."""
+        if base is not self._text or version <= self.version:
+            return self.offer(version, text.source)
+        catalog = replace(text.catalog, version=version)
+        return self._adopt(version, Ok(replace(text, version=version, catalog=catalog)))
+
     def announce(self, reply: Reply) -> None:
         """Tell a peer, whose link has come up, the version in force."""
         reply(TextVersion(self.version, self.digest))
--- a/wigeonwind/state/text_store.py
+++ b/wigeonwind/state/text_store.py
@@ -1,6 +1,6 @@
 """Submission of a configuration text to the store, and reading it back."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from wigeonwind.outcomes import Invalid, Ok, Problem
@@ -19,9 +19,9 @@
     Head,
     StoredText,
     decode_head,
-    part_digest,
     store_text,
 )
+from wigeonwind.state.text_parts import Part, part_digest
 from wigeonwind.state.text_sections import Sections, normalise, split_text
 
 ATTEMPTS = 4
@@ -87,10 +87,15 @@
 
 
 def submit_steps(
-    base_version: int, submission_id: str, sections: Sections
+    base_version: int,
+    submission_id: str,
+    sections: Sections,
+    parts: Sequence[Part] = (),
 ) -> Steps[SubmitResult]:
     """Submit checked sections as the successor of `base_version`.
 
+    `parts` are the parts of the text if they are known already.
+
     The head is written only if it still has `base_version`. After a lost answer the
     head is read back: it lists the submission if it was accepted, and otherwise the
     same conditional write is repeated, which cannot take effect twice.
@@ -103,7 +108,7 @@
         return early
     # A missing or damaged head is replaced, under its own version.
     base = read if isinstance(read, Head) else _empty_head(base_version)
-    stored = store_text(sections, base, submission_id)
+    stored = store_text(sections, base, submission_id, parts)
     failure = yield from _write_parts(stored, base)
     if failure is not None:
         return _unavailable(failure, maybe_accepted=False)
@@ -179,10 +184,10 @@
     and then the write of our head fails.
     """
     known = {*base.parts, *(row.digest for row in base.retired)}
-    for digest, source in stored.part_by_digest.items():
+    for digest, part in stored.part_by_digest.items():
         if digest in known:
             continue
-        failure = yield from _write_part(digest, source)
+        failure = yield from _write_part(digest, part.source)
         if failure is not None:
             return failure
     return None
