Describe the configuration text and its commands for operators

Cause: the keys, defaults and exit codes were only in the code. Change: docs/configuration.md; a test fails when a key or exit code is missing there. Conclusion: the page stays in step with the checks.

--- a/tests/test_tool_text.py
+++ b/tests/test_tool_text.py
@@ -12,6 +12,7 @@
 from wigeonwind.outcomes import Ok
 from wigeonwind.state.memory_store import MemoryStore
 from wigeonwind.state.text import parse_text
+from wigeonwind.state.text_schema import SECTION_BY_KIND
 from wigeonwind.tool.commands import ExitCode
 from wigeonwind.tool.main import run
 
@@ -112,3 +113,10 @@
     assert "[node] role" in capsys.readouterr().err
     assert desk.run("settings reference") == ExitCode.DONE
     assert "## [node]" in capsys.readouterr().out
+
+
+def test_the_page_on_the_text_lists_every_key_and_exit_code():
+    page = (EXAMPLES.parent / "docs" / "configuration.md").read_text()
+    keys = {key for kind in SECTION_BY_KIND.values() for key in kind.model_fields}
+    assert [key for key in sorted(keys) if f"`{key}`" not in page] == []
+    assert [code for code in ExitCode if f"| {code.value} |" not in page] == []
