--- a/tests/test_decisions_limits.py
+++ b/tests/test_decisions_limits.py
@@ -100,7 +100,7 @@
     credit = entries * max(1.0, rate / entries)
     for window_s in (1.0, 3.0, 10.0):
         bound = rate * (window_s + 1 + BUCKET_S) + credit
-        bound += changes * rate * (1 + BUCKET_S)
+        bound += changes * rate
         assert fleet.largest_window(window_s * 1000) <= bound
     if not loss and not change_at_s:
         assert len(fleet.admitted) >= 0.85 * rate * 10
--- a/wigeonwind/decisions/grant_client.py
+++ b/wigeonwind/decisions/grant_client.py
@@ -60,10 +60,9 @@
 def _credit(rate: float, entries: int) -> float:
     """Return the units an entry may use before it has a grant.
 
-    `entries` is 0 at the home itself, which has its grants at once. One unit lets
-    limits below one a second work: later grants repay it in parts.
+    One unit lets limits below one a second work: later grants repay it in parts.
     """
-    return max(1.0, rate / entries) if entries else 1.0
+    return max(1.0, rate / entries)
 
 
 class ClientScope:
@@ -112,7 +111,7 @@
             self.running_granted = 0.0
         elapsed_s = max(0.0, now_ms - self.settled_ms) / MS_PER_SECOND
         self.settled_ms = max(now_ms, self.settled_ms)
-        if entries and self.is_silent(now_ms):
+        if self.is_silent(now_ms):
             part = elapsed_s / entries
             for account, rate in self._rates():
                 account.debt = max(0.0, account.debt - rate * part)
@@ -150,7 +149,7 @@
     def _running_allowed(self, entries: int, now_ms: float) -> float:
         if self.limit.concurrency is None:
             return float("inf")
-        if now_ms < self.granted_until_ms or not entries:
+        if self.has_grant(now_ms):
             return self.running_granted
         return max(1.0, float(self.limit.concurrency // entries))
 
@@ -178,6 +177,10 @@
         interval_ms = URGENT_INTERVAL_MS if self.refused else ASK_INTERVAL_MS
         return now_ms - self.asked_ms >= interval_ms
 
+    def has_grant(self, now_ms: float) -> bool:
+        """Return whether the last grant is still valid."""
+        return now_ms < self.granted_until_ms
+
     def needs_home(self) -> bool:
         """Return whether to ask again although nothing new was requested."""
         has_debt = any(account.debt > 0.0 for account, _ in self._rates())
--- a/wigeonwind/decisions/grants.py
+++ b/wigeonwind/decisions/grants.py
@@ -7,8 +7,8 @@
 
 Bound on overshoot. With a limit of R per second and N live entries, the units admitted
 fleet-wide in any T seconds are at most R * (T + 1 + BUCKET_S), plus a credit of
-N * max(1, R / N) units that later grants repay, plus R * BUCKET_S and the grants of
-one second for each change of home within the T seconds. An entry that gets no answers
+N * max(1, R / N) units that later grants repay, plus R, the grants of one second, for
+each change of home within the T seconds. An entry that gets no answers
 admits at most R / N a second beyond its credit; the home holds that part back for
 every entry it is told it cannot reach. Concurrency C is exceeded by at most
 N * max(1, C / N), by entries that have no grant yet. Tokens of running answers are
@@ -85,8 +85,9 @@
 
     __slots__ = ("level", "updated_ms")
 
-    def __init__(self, rate: float | None, now_ms: float) -> None:
-        self.level = max(1.0, (rate or 0.0) * BUCKET_S)
+    def __init__(self, now_ms: float) -> None:
+        # Starts empty: the entries' credit covers the first moments of a new home.
+        self.level = 0.0
         self.updated_ms = now_ms
 
     def take(
@@ -119,9 +120,9 @@
 
     __slots__ = ("asked_by_entry", "requests", "tokens", "used_ms")
 
-    def __init__(self, limit: Limit, now_ms: float) -> None:
-        self.requests = _Bucket(limit.requests_per_s, now_ms)
-        self.tokens = _Bucket(limit.tokens_per_s, now_ms)
+    def __init__(self, now_ms: float) -> None:
+        self.requests = _Bucket(now_ms)
+        self.tokens = _Bucket(now_ms)
         self.asked_by_entry: dict[str, _Asked] = {}
         self.used_ms = now_ms
 
@@ -156,7 +157,7 @@
         self, entry_id: str, row: GrantRow, limit: Limit, now_ms: float
     ) -> GrantRow:
         """Answer one row of a request."""
-        home = self._scope(row.scope, limit, now_ms)
+        home = self._scope(row.scope, now_ms)
         home.drop_old(now_ms)
         asked = _Asked(now_ms, row, 0.0)
         home.asked_by_entry[entry_id] = asked
@@ -192,10 +193,10 @@
         free = home.free_running(entry_id, total)
         return float(int(min(wanted, fair, free) + 1e-9))
 
-    def _scope(self, scope: Scope, limit: Limit, now_ms: float) -> _HomeScope:
+    def _scope(self, scope: Scope, now_ms: float) -> _HomeScope:
         home = self._scope_by_name.get(scope)
         if home is None:
-            home = self._scope_by_name[scope] = _HomeScope(limit, now_ms)
+            home = self._scope_by_name[scope] = _HomeScope(now_ms)
         home.used_ms = now_ms
         self._scope_by_name.move_to_end(scope)
         return home
--- a/wigeonwind/decisions/limits.py
+++ b/wigeonwind/decisions/limits.py
@@ -86,8 +86,10 @@
         return Allowed()
 
     def _refusal(self, client: ClientScope, now_ms: float) -> Limited | None:
-        entries = self._other_entries(client)
+        entries = len(self._entry_ids)
         client.refresh(entries, now_ms)
+        if client.home == self._own_id and not client.has_grant(now_ms):
+            self._ask_self(client, now_ms)
         exceeded = client.exceeded(entries, now_ms)
         if exceeded is not None and client.home == self._own_id:
             self._ask_self(client, now_ms)
@@ -102,10 +104,6 @@
         owner = f"customer {customer}" if customer else f"class {class_name}"
         return Limited(f"{name} of {owner}", retry_ms * (1.0 + jitter))
 
-    def _other_entries(self, client: ClientScope) -> int:
-        """Return the number of entries, or 0 if this one is the home."""
-        return 0 if client.home == self._own_id else len(self._entry_ids)
-
     def _ask_self(self, client: ClientScope, now_ms: float) -> None:
         limit = self._limit(client.scope)
         row = self._ledger.grant(self._own_id, client.row(now_ms), limit, now_ms)
@@ -192,7 +190,7 @@
 
     def _refresh_own(self, client: ClientScope, now_ms: float) -> None:
         if client.needs_home() and client.is_due(now_ms):
-            client.refresh(0, now_ms)
+            client.refresh(len(self._entry_ids), now_ms)
             self._ask_self(client, now_ms)
         if not client.needs_home():
             self._pending.pop(client.scope, None)
@@ -211,7 +209,7 @@
             client = self._client_by_scope.get(row.scope)
             if client is None:
                 continue
-            client.refresh(self._other_entries(client), now_ms)
+            client.refresh(len(self._entry_ids), now_ms)
             client.on_grant(row, valid_ms, now_ms)
             if not client.needs_home():
                 self._pending.pop(row.scope, None)
