--- a/tests/test_decisions_queue.py
+++ b/tests/test_decisions_queue.py
@@ -257,6 +257,20 @@
     assert "b" in engine.finished_ms
 
 
+def test_a_withdrawn_attempt_leaves_no_timer_for_a_later_one_of_its_key():
+    engine = Engine(1)
+    engine.offer(item("d", "dossier", may_pause=False), 400)
+    engine.step()
+    for _ in range(2):
+        engine.offer(item("c", "chat", engine.now_ms), 10)
+        engine.queue.withdraw(("c", 0))
+        engine.now_ms += 1000.0
+    engine.offer(item("c", "chat", engine.now_ms), 10)
+    while "c" not in engine.finished_ms:
+        engine.step()
+    assert not engine.expired
+
+
 def test_withdrawn_work_never_starts():
     engine = Engine(1)
     engine.offer(item("a", "dossier"), 10)
--- a/wigeonwind/decisions/endpoint_queue.py
+++ b/wigeonwind/decisions/endpoint_queue.py
@@ -81,7 +81,7 @@
         self._turns = ClassTurns()
         self._class_by_name: dict[str, ClassWork] = {}
         self._work_by_key: dict[WorkKey, Work] = {}
-        self._timers: list[tuple[float, int, WorkKey]] = []
+        self._timers: list[tuple[float, int, Work]] = []
         self._timer_numbers = count()
         self._running = 0
         self._queued_tokens = 0
@@ -181,7 +181,7 @@
             self._set_timer(work.limits.expire_ms, work)
 
     def _set_timer(self, at_ms: float, work: Work) -> None:
-        heappush(self._timers, (at_ms, next(self._timer_numbers), work.item.key))
+        heappush(self._timers, (at_ms, next(self._timer_numbers), work))
 
     def actions(self, now_ms: float) -> Iterator[QueueAction]:
         """Yield what to do now; each yielded action counts as carried out."""
@@ -208,9 +208,9 @@
 
     def _expire(self, now_ms: float) -> Iterator[ExpireWork]:
         while self._timers and self._timers[0][0] <= now_ms:
-            _, _, key = heappop(self._timers)
-            work = self._work_by_key.get(key)
-            if work is None or work.state in (WorkState.RUNNING, WorkState.PAUSED):
+            _, _, work = heappop(self._timers)
+            is_known = self._work_by_key.get(work.item.key) is work
+            if not is_known or work.state in (WorkState.RUNNING, WorkState.PAUSED):
                 continue
             if now_ms < work.limits.expire_ms:
                 self._part(work).make_late(work)
