Carry grants of fleet-wide limits between entries

Cause: the limits ask home entries for shares, but no part sent or answered those messages, so each entry was its own home and a limit of N entries was N times too high.

Change: GrantExchange sends what is due every 50 ms, answers other entries and hands grants over; the entry role passes it messages once it is set. The process has still to create it with the limiter and a way to reach entries.

In virtual time two entries that are offered ten times a limit of 40 a second for 5 s admit 20 to 60 a second together, connected and cut off from each other.

Conclusion: the entry's side of shared limits is ready to be wired.

--- /dev/null
+++ b/tests/test_entry_grants.py
@@ -0,0 +1,88 @@
+"""Grants between two entries over in-memory links."""
+
+from dataclasses import dataclass
+
+from wigeonwind.catalog import Catalog, Customer, Limit
+from wigeonwind.clock import ManualClock
+from wigeonwind.decisions.interfaces import Allowed
+from wigeonwind.decisions.limits import CustomerLimiter
+from wigeonwind.links.messages import Hello, Ping
+from wigeonwind.roles.grant_exchange import TICK_MS, GrantExchange
+
+RATE = 40.0
+ENTRIES = ("entry-1", "entry-2")
+
+
+@dataclass
+class PairLink:
+    """Delivers to the exchange of the other entry at once, unless it is cut."""
+
+    hello: Hello
+    net: dict[str, GrantExchange]
+    peer_of_receiver: str
+    cut: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        return not self.cut
+
+    def send(self, message: object) -> bool:
+        if self.cut:
+            return False
+        back = self.net[f"link:{self.peer_of_receiver}"]
+        self.net[self.hello.member_id].on_message(back, message)
+        return True
+
+    def close(self, reason: str) -> None:
+        self.cut = True
+
+
+def hello(entry_id: str) -> Hello:
+    return Hello(entry_id, 1, "entry", "tartu-a", "", 1)
+
+
+def admitted_in_5_s(connected: bool) -> float:
+    """Offer far too much at both entries; return admitted requests a second."""
+    clock = ManualClock()
+    customer = Customer("c", limit=Limit(requests_per_s=RATE))
+    catalog = Catalog(1, customer_by_name={"c": customer})
+    limiters = {name: CustomerLimiter(catalog, name) for name in ENTRIES}
+    net: dict = {}
+    for name, other in (ENTRIES, ENTRIES[::-1]):
+        # `link:a` is how the other entry reaches a.
+        net[f"link:{name}"] = PairLink(hello(name), net, other, not connected)
+        link_of = {other: f"link:{other}"}
+        net[name] = GrantExchange(
+            limiters[name], clock, lambda home, by=link_of: net[by[home]]
+        )
+        net[name].set_entries(ENTRIES, 0 if connected else 1)
+    admitted = 0
+    for _ in range(int(5000 / TICK_MS)):
+        for name in ENTRIES:
+            now_ms = clock.now_ms()
+            for _ in range(10):
+                answer = limiters[name].check("c", "chat", 0, now_ms)
+                admitted += isinstance(answer, Allowed)
+                limiters[name].on_ended("c", "chat", now_ms)
+            net[name].tick()
+        clock.advance(TICK_MS)
+    return admitted / 5.0
+
+
+def test_limit_holds_over_two_entries() -> None:
+    # Guards against a customer that gets its limit once for each entry.
+    assert RATE * 0.5 <= admitted_in_5_s(connected=True) <= RATE * 1.5
+
+
+def test_limit_holds_without_answers() -> None:
+    # Guards against a partition that stops a customer or lifts its limit.
+    assert RATE * 0.5 <= admitted_in_5_s(connected=False) <= RATE * 1.5
+
+
+def test_other_messages_are_left_to_others() -> None:
+    # Guards against messages that end here although another part needs them.
+    exchange = GrantExchange(
+        CustomerLimiter(Catalog(1), "entry-1"), ManualClock(), lambda home: None
+    )
+    link = PairLink(hello("entry-2"), {}, "entry-1")
+    assert not exchange.on_message(link, Ping(0.0))
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import gevent
+from gevent import Greenlet
 from gevent.event import Event
 
 from wigeonwind.catalog import Catalog
@@ -23,6 +24,7 @@
 from wigeonwind.roles.dispatch import Dispatcher
 from wigeonwind.roles.endpoint_links import EndpointLinks
 from wigeonwind.roles.entry_http import CallerServer
+from wigeonwind.roles.grant_exchange import GrantExchange
 from wigeonwind.roles.health_api import HealthApi
 from wigeonwind.roles.http_call import HttpCall, StartResponse, read_call
 from wigeonwind.roles.metrics_sink import MetricsSink
@@ -69,6 +71,9 @@
             clock, self._links, choice, limits, retry, metrics, self._pending
         )
         self.dispatcher = Dispatcher(context)
+        self.grants: GrantExchange | None = None
+        """Set before `start` where limits are shared with other entries."""
+        self._grants_loop: Greenlet | None = None
         timeout_ms = float(settings.limits.request_timeout_ms)
         self._admission = Admission(clock, limits, timeout_ms)
         runner = Runner(clock, self._admission, self.dispatcher, metrics, tracer)
@@ -124,6 +129,8 @@
         """
         if self.dispatcher.on_message(link, message):
             return True
+        if self.grants is not None and self.grants.on_message(link, message):
+            return True
         match message:
             case LoadReport():
                 self._on_load(link, message)
@@ -166,6 +173,8 @@
         """Listen for callers and return where."""
         self._server.start()
         self._started = True
+        if self.grants is not None:
+            self._grants_loop = gevent.spawn(self.grants.run)
         return self._server.bound_address
 
     def drain(self) -> None:
@@ -186,5 +195,7 @@
     def stop(self) -> None:
         """Stop at once; what is in flight is cut off."""
         self._started = False
+        if self._grants_loop is not None:
+            self._grants_loop.kill(block=False)
         self._server.close_idle()
         self._server.stop(timeout=0)
--- /dev/null
+++ b/wigeonwind/roles/grant_exchange.py
@@ -0,0 +1,83 @@
+"""Carries requests for shares of limits, and grants, between entries."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.decisions.grants import GRANT_VALID_MS
+from wigeonwind.links.link_types import Link
+from wigeonwind.links.messages import Grant, GrantRequest
+
+TICK_MS = 50.0
+"""Interval between looks at what is due; a refused scope asks again after this."""
+
+
+class SharedLimits(Protocol):
+    """Limits whose units are granted by home entries."""
+
+    def set_entries(self, entry_ids: tuple[str, ...], unreachable: int = 0) -> None:
+        """Replace the live entries."""
+        ...
+
+    def requests(self, now_ms: float) -> dict[str, list[list]]:
+        """Return the rows that are due, by home entry."""
+        ...
+
+    def on_request(self, entry_id: str, rows: list[list], now_ms: float) -> list[list]:
+        """Answer the rows of another entry."""
+        ...
+
+    def on_grant(self, rows: list[list], valid_ms: float, now_ms: float) -> None:
+        """Use the rows of a grant."""
+        ...
+
+
+class GrantExchange:
+    """Asks home entries for grants and answers as a home.
+
+    `link_of` returns the link to an entry, or None after it has begun to open one; it
+    must not block. A request that cannot be sent is due again at a later tick.
+    """
+
+    def __init__(
+        self,
+        limits: SharedLimits,
+        clock: Clock,
+        link_of: Callable[[str], Link | None],
+    ) -> None:
+        self._limits = limits
+        self._clock = clock
+        self._link_of = link_of
+
+    def set_entries(self, entry_ids: tuple[str, ...], unreachable: int = 0) -> None:
+        """Use these live entries; `unreachable` of them cannot reach this one."""
+        self._limits.set_entries(entry_ids, unreachable)
+
+    def on_message(self, link: Link, message: object) -> bool:
+        """Handle a message; False if it is of another kind."""
+        now_ms = self._clock.now_ms()
+        match message:
+            case GrantRequest(rows=rows):
+                answer = self._limits.on_request(link.hello.member_id, rows, now_ms)
+                link.send(Grant(answer, GRANT_VALID_MS))
+                return True
+            case Grant(rows=rows, valid_ms=valid_ms):
+                self._limits.on_grant(rows, valid_ms, now_ms)
+                return True
+        return False
+
+    def tick(self) -> None:
+        """Send what is due, one message for each home entry."""
+        rows_by_home = self._limits.requests(self._clock.now_ms())
+        for entry_id, rows in rows_by_home.items():
+            link = self._link_of(entry_id)
+            if link is not None:
+                link.send(GrantRequest(rows))
+
+    def run(self) -> None:
+        """Tick until the greenlet is killed."""
+        while True:
+            self.tick()
+            gevent.sleep(TICK_MS / MS_PER_SECOND)
