Move waiting work away from endpoints that peers show to be failing

Cause: a request waited half its class's longest wait at an endpoint already known to fail; and a deadline that passed counted against the endpoint, although a caller may set a deadline of a millisecond.

Change: while an attempt waits it is looked at every 100 ms, and asked back at once if the choice avoids its endpoint. A passed deadline is no failure. What all requests share has its own module.

Conclusion: queued work leaves a marked endpoint within about 100 ms.

--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -190,11 +190,12 @@
         self.catalog = catalog or make_catalog()
         self.store = MemoryStore()
         self.metrics = CountingSink()
+        self.choice = EndpointChooser("tartu-a", Random(1))
         self.role = EntryRole(
             settings,
             SystemClock(),
             self.store,
-            EndpointChooser("tartu-a", Random(1)),
+            self.choice,
             CustomerLimiter(self.catalog, "entry-1"),
             RetryPolicy(Random(1)),
             self.metrics,
--- a/tests/test_entry_dispatch.py
+++ b/tests/test_entry_dispatch.py
@@ -30,6 +30,11 @@
 Handler = Callable[[FakeSide, Submit], None]
 
 
+@pytest.fixture(autouse=True)
+def quick_checks(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("wigeonwind.roles.attempt.MOVE_CHECK_MS", 5.0)
+
+
 @pytest.fixture
 def entry() -> Iterator[EntryUnderTest]:
     running = EntryUnderTest(make_catalog(max_wait_ms=40.0))
@@ -199,6 +204,28 @@
     assert len(submits(*entry.sides)) == (2 if withdrawn else 1)
 
 
+def test_waiting_request_leaves_an_ejected_endpoint() -> None:
+    # Guards against work that waits for its whole time at an endpoint known to fail.
+    entry = EntryUnderTest(make_catalog(max_wait_ms=60_000.0))
+
+    def on_other(side: FakeSide, message: object) -> None:
+        if isinstance(message, Withdraw):
+            key = (message.request_id, message.attempt)
+            side.reply(WithdrawResult(*key, True))
+
+    def eject(side: FakeSide, submit: Submit) -> None:
+        silent(side, submit)
+        name = side.hello.member_id
+        entry.choice.is_ejected = lambda found, now_ms: found == name
+
+    handler = once(eject, answer_words("x"))
+    for _ in range(2):
+        entry.add_side(handler, on_other=on_other)
+    assert entry.chat().status == 200
+    assert entry.metrics.counts["entry_moved"] == 1
+    entry.role.stop()
+
+
 @pytest.mark.parametrize(
     ("reply", "outcome"), [(True, "not-run"), (False, "unknown"), (None, "unknown")]
 )
--- a/wigeonwind/roles/attempt.py
+++ b/wigeonwind/roles/attempt.py
@@ -32,6 +32,9 @@
 """Time a sidecar has to confirm a withdrawal when the deadline has passed."""
 
 
+MOVE_CHECK_MS = 100.0
+"""Interval between looks whether a waiting attempt should go elsewhere."""
+
 FAILED_RETRY_MS = 1000.0
 """Retry-After of a request whose endpoint could not be reached: by then the comparison
 with other endpoints has marked it.
@@ -109,17 +112,15 @@
         self._end: AttemptEnd | None = None
         self._pieces: list[bytes] = []
 
-    def events(
-        self, move_at_ms: float | None, has_other: Callable[[Link], bool]
-    ) -> AttemptEvents:
+    def events(self, should_move: Callable[[], bool] | None) -> AttemptEvents:
         """Yield the answer as it arrives and return how the attempt ended.
 
-        At `move_at_ms` an attempt that still waits in the sidecar's queue is asked
-        back if another endpoint could take it.
+        While the attempt waits in the sidecar's queue, `should_move` is asked every
+        MOVE_CHECK_MS; if it says so the attempt is asked back, once.
         """
         while self._end is None:
-            if not self._wait(move_at_ms):
-                self._on_time(move_at_ms, has_other)
+            if not self._wait(should_move is not None):
+                self._on_time(should_move)
                 continue
             if self.mailbox.caller_gone:
                 return CallerGone()
@@ -130,26 +131,21 @@
         """Tell the sidecar to stop."""
         self.link.send(Cancel(*self.key))
 
-    def _wait(self, move_at_ms: float | None) -> bool:
-        now_ms = self.clock.now_ms()
-        until_ms = self.request.deadline_ms
-        if move_at_ms is not None and self._may_move():
-            until_ms = min(until_ms, move_at_ms)
-        return self.mailbox.wait(until_ms - now_ms)
+    def _wait(self, checks_moves: bool) -> bool:
+        left_ms = self.request.deadline_ms - self.clock.now_ms()
+        if checks_moves and self._may_move():
+            left_ms = min(left_ms, MOVE_CHECK_MS)
+        return self.mailbox.wait(left_ms)
 
     def _may_move(self) -> bool:
         return not (self.started or self._asked_back)
 
-    def _on_time(
-        self, move_at_ms: float | None, has_other: Callable[[Link], bool]
-    ) -> None:
-        now_ms = self.clock.now_ms()
-        if now_ms >= self.request.deadline_ms:
+    def _on_time(self, should_move: Callable[[], bool] | None) -> None:
+        if self.clock.now_ms() >= self.request.deadline_ms:
             self._end = self._time_out()
-        elif move_at_ms is not None and now_ms >= move_at_ms and self._may_move():
+        elif should_move is not None and self._may_move() and should_move():
             self._asked_back = True
-            if has_other(self.link):
-                self.link.send(Withdraw(*self.key))
+            self.link.send(Withdraw(*self.key))
 
     def _time_out(self) -> TimedOut:
         """Ask the attempt back, so that the caller may be told not-run."""
--- a/wigeonwind/roles/dispatch.py
+++ b/wigeonwind/roles/dispatch.py
@@ -14,7 +14,8 @@
 from wigeonwind.roles.answer import CallerRequest
 from wigeonwind.roles.metrics_sink import NO_LABELS
 from wigeonwind.roles.pending import Mailbox
-from wigeonwind.roles.request_run import Events, RequestRun, RunContext
+from wigeonwind.roles.request_run import Events, RequestRun
+from wigeonwind.roles.run_context import RunContext
 
 REQUEST_MESSAGES = (
     Chunk,
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -33,8 +33,8 @@
 from wigeonwind.roles.plain_api import PREFIX as PLAIN_PREFIX
 from wigeonwind.roles.plain_api import PlainApi
 from wigeonwind.roles.replies import failure_reply, refusal
-from wigeonwind.roles.request_run import RunContext
 from wigeonwind.roles.run import Runner
+from wigeonwind.roles.run_context import RunContext
 from wigeonwind.roles.tracing import Tracer
 from wigeonwind.settings import Settings, SocketAddress, parse_address
 from wigeonwind.state.store_types import Store
--- a/wigeonwind/roles/request_run.py
+++ b/wigeonwind/roles/request_run.py
@@ -1,16 +1,11 @@
 """One admitted request: its attempts, retries, resumption and outcome."""
 
 from collections.abc import Generator
-from dataclasses import dataclass
 
-from wigeonwind.clock import Clock
 from wigeonwind.decisions.interfaces import (
-    EndpointChoice,
     GiveUp,
-    LimitDecisions,
     NoEndpoint,
     RetryCause,
-    RetryDecisions,
     RouteRequest,
 )
 from wigeonwind.links.link_types import Link
@@ -35,10 +30,10 @@
     Withdrawn,
     failure_code,
 )
-from wigeonwind.roles.endpoint_links import EndpointLinks
-from wigeonwind.roles.metrics_sink import NO_LABELS, MetricsSink
-from wigeonwind.roles.pending import Mailbox, PendingAttempts
+from wigeonwind.roles.metrics_sink import NO_LABELS
+from wigeonwind.roles.pending import Mailbox
 from wigeonwind.roles.replies import failure
+from wigeonwind.roles.run_context import KnowsEjected, RunContext
 
 MAX_ATTEMPTS = 8
 """Attempts of one request, whatever the retry decisions allow."""
@@ -56,19 +51,6 @@
 Events = Generator[Event, None, None]
 
 
-@dataclass(frozen=True)
-class RunContext:
-    """What all requests of one entry share."""
-
-    clock: Clock
-    links: EndpointLinks
-    choice: EndpointChoice
-    limits: LimitDecisions
-    retry: RetryDecisions
-    metrics: MetricsSink
-    pending: PendingAttempts
-
-
 class RequestRun:
     """One request with its attempts."""
 
@@ -142,9 +124,9 @@
             excluded |= {chosen.endpoint_id}
         return NoEndpoint("no endpoint is connected", 1000.0)
 
-    def _has_other(self, link: Link) -> bool:
+    def _has_other(self, endpoint_id: str) -> bool:
         """Return whether another endpoint could take a request that waits."""
-        excluded = self._refused_by | self._left | {link.hello.member_id}
+        excluded = self._refused_by | self._left | {endpoint_id}
         return not isinstance(self._choose(excluded), NoEndpoint)
 
     def _named_link(self, endpoint_id: str, incarnation: int) -> Link | Failure:
@@ -211,8 +193,11 @@
         choice = self.context.choice
         limits = self.context.limits
         request = self.request
-        move_at_ms = self._move_at_ms() if may_move else None
-        events = attempt.events(move_at_ms, self._has_other)
+
+        def should_move() -> bool:
+            return self._should_move(attempt, endpoint_id)
+
+        events = attempt.events(should_move if may_move else None)
         counted = 0
         while True:
             try:
@@ -265,12 +250,21 @@
             request.traceparent,
         )
 
-    def _move_at_ms(self) -> float | None:
-        """Return when to ask a waiting attempt back; None for never."""
+    def _should_move(self, attempt: Attempt, endpoint_id: str) -> bool:
+        """Return whether a waiting attempt should be sent elsewhere.
+
+        It leaves an endpoint that peers show to be failing at once, any other after a
+        share of its class's wait.
+        """
         if self._moves >= MAX_MOVES:
-            return None
+            return False
+        now_ms = self.clock.now_ms()
+        choice = self.context.choice
         wait_ms = self.request.request_class.max_wait_ms * MOVE_SHARE
-        return self.clock.now_ms() + wait_ms
+        is_late = now_ms - attempt.sent_ms >= wait_ms
+        if not is_late and isinstance(choice, KnowsEjected):
+            is_late = choice.is_ejected(endpoint_id, now_ms)
+        return is_late and self._has_other(endpoint_id)
 
     def _after(self, end: AttemptEnd, may_retry: bool) -> AnswerEnd | Failure | None:
         """Return the last event of the request, or None to send another attempt."""
@@ -371,8 +365,9 @@
 def _speaks_well(end: AttemptEnd) -> bool:
     """Return whether an end says nothing against the endpoint's health.
 
-    An endpoint that refuses because it is full or leaving works as it should.
+    An endpoint that refuses because it is full or leaving works as it should, and the
+    deadline is the caller's choice.
     """
     if isinstance(end, NotRun):
         return failure_code(end.code) is not ErrorCode.ENDPOINT_FAILED
-    return not isinstance(end, (Broken, TimedOut))
+    return not isinstance(end, Broken)
--- /dev/null
+++ b/wigeonwind/roles/run_context.py
@@ -0,0 +1,36 @@
+"""What all requests of one entry share."""
+
+from dataclasses import dataclass
+from typing import Protocol, runtime_checkable
+
+from wigeonwind.clock import Clock
+from wigeonwind.decisions.interfaces import (
+    EndpointChoice,
+    LimitDecisions,
+    RetryDecisions,
+)
+from wigeonwind.roles.endpoint_links import EndpointLinks
+from wigeonwind.roles.metrics_sink import MetricsSink
+from wigeonwind.roles.pending import PendingAttempts
+
+
+@runtime_checkable
+class KnowsEjected(Protocol):
+    """An endpoint choice that can tell which endpoints it avoids."""
+
+    def is_ejected(self, endpoint_id: str, now_ms: float) -> bool:
+        """Return whether an endpoint gets no new work."""
+        ...
+
+
+@dataclass(frozen=True)
+class RunContext:
+    """What all requests of one entry share."""
+
+    clock: Clock
+    links: EndpointLinks
+    choice: EndpointChoice
+    limits: LimitDecisions
+    retry: RetryDecisions
+    metrics: MetricsSink
+    pending: PendingAttempts
