Add the history record and a checker for each promise

The fault runs need evidence in one form and one independent check for each of P1 to P8. checking.history has typed records with a JSON-lines form; checking.promises a registry of checkers, each stating what it checks and what it cannot see.

--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,174 @@
+"""Each promise: a history that keeps it, and one changed record that breaks it."""
+
+from dataclasses import replace
+
+import pytest
+
+from wigeonwind.checking.history import (
+    ClassSeen,
+    End,
+    EndpointSeen,
+    ExecutionSeen,
+    History,
+    MemberChange,
+    MemberSeen,
+    PausedSeen,
+    Piece,
+    RequestSeen,
+    TextAccepted,
+    TextSeen,
+    read_history,
+    write_history,
+)
+from wigeonwind.checking.promises import check_history
+from wigeonwind.standins.answer_text import answer_text
+
+CLASSES = (
+    ClassSeen("chat", 0, 4000.0, "first-token", 1500.0),
+    ClassSeen("dossier", 2, 9000.0, "whole", 60_000.0),
+)
+ENDPOINT = EndpointSeen("side-0", "llm", "model", 4)
+
+
+def request(number, request_class="chat", sent_ms=1000.0, **changes):
+    """Return a request that was answered whole after 200 ms."""
+    prompt = f"question {number} len=3"
+    seen = RequestSeen(
+        number,
+        "entry-0",
+        "llm",
+        request_class,
+        "buyer",
+        sent_ms,
+        sent_ms,
+        sent_ms + 200,
+        End.WHOLE,
+        sent_ms + 100,
+        prompt,
+        request_id=f"id-{number}",
+        status=200,
+        pieces=(Piece(sent_ms + 100, answer_text(prompt)),),
+    )
+    return replace(seen, **changes)
+
+
+def refused(number, code="overloaded", **changes):
+    """Return a request that was told not-run."""
+    fields = {"end": End.REFUSED, "outcome": "not-run", "code": code, "status": 503}
+    fields |= {"pieces": (), "first_ms": None}
+    return request(number, **(fields | changes))
+
+
+def booking(number, key, **changes):
+    text = f'{{"key": "{key}"}}'
+    fields = {"prompt": "", "key": key, "pieces": (Piece(1100.0, text),)}
+    return request(number, **(fields | changes))
+
+
+def member(change, at_ms, member_id="side-0", **changes):
+    return MemberSeen(member_id, "side", 1, at_ms, change, **changes)
+
+
+def executed(number, at_ms=1050.0, **changes):
+    fields = {"request_id": f"id-{number}.1", **changes}
+    return ExecutionSeen("side-0", at_ms, **fields)
+
+
+STOP = (member(MemberChange.DRAIN, 1050.0), member(MemberChange.STOPPED, 9000.0))
+FULL = tuple(request(number, sent_ms=900.0) for number in range(4))
+
+CASES = {
+    "P1 refusal": ("P1", (*FULL, refused(9)), (*FULL[1:], refused(9))),
+    "P1 pause": (
+        "P1",
+        (request(1, "dossier"), PausedSeen("side-0", 1050.0, "id-1.1")),
+        (request(1, "chat"), PausedSeen("side-0", 1050.0, "id-1.1")),
+    ),
+    "P2 wait": (
+        "P2",
+        (request(1, first_ms=9000.0, ended_ms=9100.0),),
+        (request(1, first_ms=11_000.0, ended_ms=11_100.0),),
+    ),
+    "P2 starvation": (
+        "P2",
+        (*(refused(n, "limit", sent_ms=900.0 * n) for n in range(1, 15)), request(99)),
+        tuple(refused(n, "limit", sent_ms=900.0 * n) for n in range(1, 15)),
+    ),
+    "P3 swapped": (
+        "P3",
+        (request(1), request(2)),
+        (request(1), request(2, pieces=request(1).pieces)),
+    ),
+    "P3 cut": (
+        "P3",
+        (request(1, end=End.BROKEN), member(MemberChange.KILLED, 1100.0, "entry-0")),
+        (request(1, end=End.BROKEN), member(MemberChange.KILLED, 1100.0, "side-0")),
+    ),
+    "P3 failed": (
+        "P3",
+        (
+            refused(1, "endpoint_failed", outcome="failed"),
+            member(MemberChange.KILLED, 1100.0),
+        ),
+        (refused(1, "endpoint_failed", outcome="failed"),),
+    ),
+    "P4 model": ("P4", (refused(1, "x"), executed(2)), (refused(1, "x"), executed(1))),
+    "P4 plain": (
+        "P4",
+        (refused(1, "x"), ExecutionSeen("desk", 0.0, number=2)),
+        (refused(1, "x"), ExecutionSeen("desk", 0.0, number=1)),
+    ),
+    "P5 twice": (
+        "P5",
+        (booking(1, "k"), ExecutionSeen("desk", 0.0, key="k")),
+        (booking(1, "k"), *[ExecutionSeen("desk", 0.0, key="k")] * 2),
+    ),
+    "P5 never": (
+        "P5",
+        (booking(1, "k"), ExecutionSeen("desk", 0.0, key="k")),
+        (booking(1, "k"),),
+    ),
+    "P6": ("P6", (*STOP, executed(1, 3000.0)), (*STOP, executed(1, 3100.0))),
+    "P7 cut": (
+        "P7",
+        (*STOP, request(1)),
+        (*STOP, refused(1, "endpoint_failed", outcome="unknown")),
+    ),
+    "P7 exit": ("P7", STOP, (STOP[0], replace(STOP[1], exit_code=1))),
+    "P8 revert": (
+        "P8",
+        (TextSeen("e", 1, 1.0, 2), TextSeen("e", 1, 2.0, 3)),
+        (TextSeen("e", 1, 1.0, 3), TextSeen("e", 1, 2.0, 2)),
+    ),
+    "P8 late": (
+        "P8",
+        (TextAccepted(2, "d", "e", 0.0), TextSeen("e", 1, 18_000.0, 1)),
+        (TextAccepted(2, "d", "e", 0.0), TextSeen("e", 1, 20_000.0, 1)),
+    ),
+    "P8 twice": (
+        "P8",
+        (TextAccepted(2, "d", "e", 0.0), TextAccepted(3, "f", "e", 0.0)),
+        (TextAccepted(2, "d", "e", 0.0), TextAccepted(2, "f", "e", 0.0)),
+    ),
+}
+
+
+def broken(records):
+    return {
+        violation.promise
+        for violation in check_history(History((*CLASSES, ENDPOINT, *records)))
+    }
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_a_kept_promise_passes_and_a_broken_one_is_caught(case):
+    promise, kept, mutated = CASES[case]
+    assert promise not in broken(kept)
+    assert promise in broken(mutated)
+
+
+def test_a_history_file_gives_back_what_was_written(tmp_path):
+    records = (*CLASSES, ENDPOINT, request(1), booking(2, "k"), *STOP, executed(1))
+    path = str(tmp_path / "history.jsonl")
+    write_history(path, records)
+    assert read_history(path).records == records
--- /dev/null
+++ b/wigeonwind/checking/promise_requests.py
@@ -0,0 +1,262 @@
+"""Checkers of the promises about single requests: P1 to P5."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from wigeonwind.checking.disturbances import planned_stops, unplanned
+from wigeonwind.checking.history import (
+    ClassSeen,
+    End,
+    EndpointSeen,
+    ExecutionSeen,
+    History,
+    PausedSeen,
+    RequestSeen,
+)
+from wigeonwind.checking.promises import CHECKERS, Violation
+from wigeonwind.outcomes import Ok
+from wigeonwind.standins.answer_text import check_partial_answer, check_whole_answer
+
+BURST_MEMORY_MS = 3_000.0
+"""Time for which an entry may still count work that has ended.
+
+Load reports come each second and weigh half after a second more.
+"""
+
+START_MARGIN_MS = 5_000.0
+"""Added to a class's max_wait: a link that breaks is noticed within 5 s."""
+
+SHED_CODES = ("overloaded",)
+
+
+@CHECKERS.register("P1")
+def check_p1(history: History) -> Iterator[Violation]:
+    """Check that urgent work is not refused or paused because of lower classes.
+
+    Statement: if all requests of the same or a higher class that were open within 3 s
+    before a refusal for overload fit into the batch slots of the service's smallest
+    endpoint, that refusal would not have happened without lower classes. A request of
+    the highest class is never paused. Refusals while an endpoint of the run is
+    disturbed are not judged. It cannot see a refusal that lower work caused while many
+    requests of the same class were open, nor a pause of a middle class.
+    """
+    class_by_name = {each.name: each for each in history.of(ClassSeen)}
+    faults = unplanned(history)
+    requests = list(history.of(RequestSeen))
+    for request in requests:
+        if request.code not in SHED_CODES or request.outcome != "not-run":
+            continue
+        since_ms = request.sent_ms - BURST_MEMORY_MS
+        if any(fault.overlaps(since_ms, request.ended_ms) for fault in faults):
+            continue
+        rivals = _rivals(request, requests, class_by_name, since_ms)
+        slots = _fewest_slots(history, request.service)
+        if _has_lower(request, class_by_name) and len(rivals) < slots:
+            text = (
+                f"{request.request_class} refused with {len(rivals)} of {slots} slots"
+            )
+            yield Violation(
+                "P1", f"{text} in use by its own or higher classes", (request,)
+            )
+    yield from _paused_most_urgent(history, class_by_name)
+
+
+def _rivals(
+    request: RequestSeen,
+    requests: list[RequestSeen],
+    class_by_name: dict[str, ClassSeen],
+    since_ms: float,
+) -> list[RequestSeen]:
+    priority = class_by_name[request.request_class].priority
+    return [
+        other
+        for other in requests
+        if other.number != request.number
+        and other.service == request.service
+        and class_by_name[other.request_class].priority <= priority
+        and other.sent_ms <= request.ended_ms
+        and other.ended_ms >= since_ms
+    ]
+
+
+def _fewest_slots(history: History, service: str) -> int:
+    slots = [e.slots for e in history.of(EndpointSeen) if e.service == service]
+    return min(slots, default=0)
+
+
+def _has_lower(request: RequestSeen, class_by_name: dict[str, ClassSeen]) -> bool:
+    priority = class_by_name[request.request_class].priority
+    return any(each.priority > priority for each in class_by_name.values())
+
+
+def _paused_most_urgent(
+    history: History, class_by_name: dict[str, ClassSeen]
+) -> Iterator[Violation]:
+    if not class_by_name:
+        return
+    highest = min(each.priority for each in class_by_name.values())
+    request_by_id = {each.request_id: each for each in history.of(RequestSeen)}
+    for paused in history.of(PausedSeen):
+        request = request_by_id.get(paused.request_id.rpartition(".")[0])
+        if request and class_by_name[request.request_class].priority == highest:
+            message = (
+                f"{request.request_class} was paused though nothing is more urgent"
+            )
+            yield Violation("P1", message, (request, paused))
+
+
+@CHECKERS.register("P2")
+def check_p2(history: History) -> Iterator[Violation]:
+    """Check that every request begins or is refused within its class's bound.
+
+    Statement: without a disturbance in that time, a request gets its first piece or a
+    refusal within max_wait and 5 s; and a class that had requests open without a pause
+    for that long has at least one of them answered. It cannot see a bound that is
+    longer than the run.
+    """
+    faults = unplanned(history)
+    for each in history.of(ClassSeen):
+        bound_ms = each.max_wait_ms + START_MARGIN_MS
+        requests = [r for r in history.of(RequestSeen) if r.request_class == each.name]
+        for request in requests:
+            begun_ms = (
+                request.ended_ms if request.first_ms is None else request.first_ms
+            )
+            disturbed = any(f.overlaps(request.sent_ms, begun_ms) for f in faults)
+            if begun_ms - request.sent_ms > bound_ms and not disturbed:
+                message = f"{each.name} waited {begun_ms - request.sent_ms:.0f} ms"
+                yield Violation("P2", f"{message}, bound {bound_ms:.0f}", (request,))
+        yield from _starved(each, requests, bound_ms, faults)
+
+
+def _starved(
+    seen: ClassSeen, requests: list[RequestSeen], bound_ms: float, faults: tuple
+) -> Iterator[Violation]:
+    """Yield times longer than the bound in which demand got nothing begun."""
+    begun = sorted(r.first_ms for r in requests if r.first_ms is not None)
+    offered = sorted((r for r in requests if r.sent_ms), key=lambda r: r.sent_ms)
+    run: list[RequestSeen] = []
+    for request in offered:
+        if run and request.sent_ms > max(r.ended_ms for r in run[-50:]) + 1000.0:
+            run = []
+        run.append(request)
+        from_ms, until_ms = run[0].sent_ms, request.ended_ms
+        if until_ms - from_ms <= bound_ms:
+            continue
+        if any(from_ms <= at_ms <= until_ms for at_ms in begun):
+            run = [request]
+        elif not any(fault.overlaps(from_ms, until_ms) for fault in faults):
+            message = f"no {seen.name} began in {until_ms - from_ms:.0f} ms of demand"
+            yield Violation("P2", message, tuple(run[:5]))
+            run = []
+
+
+@CHECKERS.register("P3")
+def check_p3(history: History) -> Iterator[Violation]:
+    """Check that each answer is whole and belongs to its own request.
+
+    Statement: an answer that ended as whole equals the text of its prompt; one that
+    did not is a beginning of it; a booking's answer names its own key; no two replies
+    have one request id; a connection breaks only if its entry was disturbed; and an
+    answer ends otherwise than whole or `not-run` only during a disturbance, a planned
+    stop (P7) or past its deadline. It cannot see answers of plain services without a
+    key.
+    """
+    number_by_id: dict[str, RequestSeen] = {}
+    faults = unplanned(history)
+    stops = planned_stops(history)
+    for request in history.of(RequestSeen):
+        wrong = _wrong_answer(request)
+        if wrong:
+            yield Violation("P3", wrong, (request,))
+        other = number_by_id.setdefault(request.request_id, request)
+        if request.request_id and other is not request:
+            yield Violation("P3", "two replies have one request id", (other, request))
+        if request.end is End.BROKEN and not any(
+            fault.member_id == request.entry
+            and fault.overlaps(request.sent_ms, request.ended_ms)
+            for fault in faults
+        ):
+            yield Violation("P3", "the entry cut the answer off", (request,))
+        elif _failed(request) and not any(
+            time.overlaps(request.sent_ms, request.ended_ms)
+            for time in (*faults, *stops)
+        ):
+            message = f"{request.end.value} {request.outcome} without a disturbance"
+            yield Violation("P3", message, (request,))
+
+
+def _failed(request: RequestSeen) -> bool:
+    if request.end in (End.WHOLE, End.UNREACHED) or request.code == "deadline":
+        return False
+    return request.outcome != "not-run"
+
+
+def _wrong_answer(request: RequestSeen) -> str:
+    if request.prompt:
+        check = check_whole_answer if request.end is End.WHOLE else check_partial_answer
+        found = check(request.prompt, request.text, request.max_tokens)
+        return "" if isinstance(found, Ok) else f"not the answer: {found}"
+    is_booking = bool(request.key) and request.end is End.WHOLE
+    if is_booking and f'"key": "{request.key}"' not in request.text:
+        return "not the answer to this booking"
+    return ""
+
+
+@CHECKERS.register("P4")
+def check_p4(history: History) -> Iterator[Violation]:
+    """Check that nothing ran of a request whose caller was told `not-run`.
+
+    Statement: no endpoint that keeps records began work under the request's id or
+    number. A connection that was never made counts as told. It cannot see work at
+    endpoints whose records were lost.
+    """
+    by_id, by_number = _executions(history)
+    for request in history.of(RequestSeen):
+        if request.outcome != "not-run" and request.end is not End.UNREACHED:
+            continue
+        ran = [*by_number[request.number], *by_id[request.request_id]]
+        if ran:
+            message = f"told not-run ({request.code}), but it ran"
+            yield Violation("P4", message, (request, *ran))
+
+
+def _executions(
+    history: History,
+) -> tuple[dict[str, list[ExecutionSeen]], dict[int, list[ExecutionSeen]]]:
+    by_id: dict[str, list[ExecutionSeen]] = defaultdict(list)
+    by_number: dict[int, list[ExecutionSeen]] = defaultdict(list)
+    for seen in history.of(ExecutionSeen):
+        if seen.request_id:
+            by_id[seen.request_id.rpartition(".")[0]].append(seen)
+        if seen.number >= 0:
+            by_number[seen.number].append(seen)
+    by_id.pop("", None)
+    return by_id, by_number
+
+
+@CHECKERS.register("P5")
+def check_p5(history: History) -> Iterator[Violation]:
+    """Check that each booking ran at most once, and once if it was answered.
+
+    Statement: over all endpoints, a key has at most one execution; a key with an
+    answer of status 200 has exactly one, and all its answers are the same. A booking
+    without an answer may have run or not.
+    """
+    by_key: dict[str, list[ExecutionSeen]] = defaultdict(list)
+    for seen in history.of(ExecutionSeen):
+        if seen.key:
+            by_key[seen.key].append(seen)
+    for key, executions in by_key.items():
+        if len(executions) > 1:
+            message = f"booking {key} ran {len(executions)} times"
+            yield Violation("P5", message, tuple(executions))
+    answer_by_key: dict[str, RequestSeen] = {}
+    for request in history.of(RequestSeen):
+        if not request.key or request.end is not End.WHOLE or request.status != 200:
+            continue
+        if not by_key[request.key]:
+            yield Violation("P5", "an answered booking never ran", (request,))
+        first = answer_by_key.setdefault(request.key, request)
+        if first.text != request.text:
+            yield Violation("P5", "two answers to one booking", (first, request))
