Ask less often for running requests, and refuse all under a limit of zero

Scopes that only hold concurrency asked twice a second although nothing changed, and a limit of zero still admitted one request at each entry by its credit. Concurrency is now granted for 3 s and asked for every 1.5 s; a limit of zero refuses everything.

--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterator
 from random import Random
 
+import cbor2
 from absl import app, flags
 
 from tests.decisions_engine import CATALOG, CLASSES, STEP_MS, Engine, item
@@ -193,6 +194,38 @@
         )
 
 
+def grant_messages(streams: int = 220, seconds: float = 20.0) -> None:
+    """Print the rows an entry sends for streams of as many limited customers."""
+    limit = Limit(requests_per_s=20.0, tokens_per_s=4000.0, concurrency=16)
+    customers = {f"c{n}": Customer(f"c{n}", limit=limit) for n in range(streams)}
+    for name, used in (
+        ("concurrency", Limit(concurrency=16)),
+        ("all limits", limit),
+    ):
+        catalog = Catalog(
+            1, customer_by_name={n: Customer(n, limit=used) for n in customers}
+        )
+        entry = CustomerLimiter(catalog, "e0")
+        home = CustomerLimiter(catalog, "e1")
+        for limiter in (entry, home):
+            limiter.set_entries(tuple(f"e{n}" for n in range(390)))
+        for customer in customers:
+            entry.check(customer, "chat", 100, 0.0)
+        rows = size = 0
+        for step in range(int(seconds * 1000 / 50)):
+            now_ms = step * 50.0
+            for customer in customers:
+                entry.on_tokens(customer, "chat", 1, now_ms)
+            for asked in entry.requests(now_ms).values():
+                rows += len(asked)
+                size += len(cbor2.dumps(asked))
+                entry.on_grant(home.on_request("e0", asked, now_ms), 1000.0, now_ms)
+        print(
+            f"grants, {name}: {rows / seconds:,.0f} rows/s, {size / seconds:,.0f} "
+            f"bytes/s asked by an entry with {streams} streams"
+        )
+
+
 def offers(seed: int, seconds: float, chat_per_s: float, lower_per_s: float) -> list:
     """Return rows of step, name, class and tokens, with a wide spread of lengths."""
     chat_rng, lower_rng = Random(seed), Random(seed + 1)
@@ -311,6 +344,7 @@
         speeds(seed)
     if "limits" in FLAGS.part:
         limit_overshoot(seed)
+        grant_messages()
     if "burst" in FLAGS.part:
         burst(seed, "fifo")
         burst(seed, "queue")
--- a/tests/test_decisions_limits.py
+++ b/tests/test_decisions_limits.py
@@ -156,6 +156,12 @@
     assert 3500.0 < now_ms < 7500.0
 
 
+@pytest.mark.parametrize("field", ["requests_per_s", "tokens_per_s", "concurrency"])
+def test_a_limit_of_zero_refuses_everything(field):
+    entry = CustomerLimiter(catalog_with(Limit(**{field: 0})), "e1")
+    assert isinstance(entry.check("c", "chat", 1, 0.0), Limited)
+
+
 def test_an_edited_limit_applies_to_new_work_and_drops_nothing():
     entry = CustomerLimiter(catalog_with(Limit(concurrency=4)), "e1")
     for _ in range(4):
--- a/wigeonwind/decisions/grant_client.py
+++ b/wigeonwind/decisions/grant_client.py
@@ -4,11 +4,19 @@
 
 from wigeonwind.catalog import Limit
 from wigeonwind.clock import MS_PER_SECOND
-from wigeonwind.decisions.grants import IDLE_MS, GrantRow, Scope
+from wigeonwind.decisions.grants import (
+    IDLE_MS,
+    RUNNING_VALID_MS,
+    GrantRow,
+    Scope,
+)
 
 ASK_INTERVAL_MS = 500.0
 """Interval between requests for a scope; half a grant, so that one may be lost."""
 
+HOLD_INTERVAL_MS = 1500.0
+"""Interval between requests for a scope that only has running requests."""
+
 URGENT_INTERVAL_MS = 50.0
 """Interval between requests for a scope that has just refused work."""
 
@@ -78,6 +86,7 @@
         "requests",
         "running",
         "running_granted",
+        "running_until_ms",
         "scope",
         "settled_ms",
         "tokens",
@@ -95,6 +104,7 @@
         self.tokens = _Account(now_ms)
         self.running = 0
         self.running_granted = 0.0
+        self.running_until_ms = now_ms
         self.granted_until_ms = now_ms
         self.answered_ms = now_ms
         self.asked_ms = float("-inf")
@@ -108,7 +118,6 @@
         if now_ms >= self.granted_until_ms:
             self.requests.granted = 0.0
             self.tokens.granted = 0.0
-            self.running_granted = 0.0
         elapsed_s = max(0.0, now_ms - self.settled_ms) / MS_PER_SECOND
         self.settled_ms = max(now_ms, self.settled_ms)
         if self.is_silent(now_ms):
@@ -142,6 +151,8 @@
     def _is_over(
         self, account: _Account, units: float, rate: float, entries: int
     ) -> bool:
+        if rate <= 0.0:
+            return True
         if account.granted >= max(units, 1e-9):
             return False
         return account.debt + units > _credit(rate, entries)
@@ -149,7 +160,9 @@
     def _running_allowed(self, entries: int, now_ms: float) -> float:
         if self.limit.concurrency is None:
             return float("inf")
-        if self.has_grant(now_ms):
+        if self.limit.concurrency <= 0:
+            return 0.0
+        if now_ms < self.running_until_ms:
             return self.running_granted
         return max(1.0, float(self.limit.concurrency // entries))
 
@@ -167,14 +180,18 @@
 
     def add_tokens(self, tokens: int, now_ms: float) -> None:
         """Count generated tokens."""
-        self.used_ms = now_ms
-        self.tokens.ask(float(tokens), now_ms)
         if self.limit.tokens_per_s is not None:
+            self.used_ms = now_ms
+            self.tokens.ask(float(tokens), now_ms)
             self.tokens.take(tokens, self.limit.tokens_per_s)
 
     def is_due(self, now_ms: float) -> bool:
         """Return whether the home should be asked now."""
-        interval_ms = URGENT_INTERVAL_MS if self.refused else ASK_INTERVAL_MS
+        interval_ms = HOLD_INTERVAL_MS
+        if self.refused:
+            interval_ms = URGENT_INTERVAL_MS
+        elif self.used_ms > self.asked_ms or self._has_debt():
+            interval_ms = ASK_INTERVAL_MS
         return now_ms - self.asked_ms >= interval_ms
 
     def has_grant(self, now_ms: float) -> bool:
@@ -183,8 +200,10 @@
 
     def needs_home(self) -> bool:
         """Return whether to ask again although nothing new was requested."""
-        has_debt = any(account.debt > 0.0 for account, _ in self._rates())
-        return has_debt or bool(self.running and self.limit.concurrency)
+        return self._has_debt() or bool(self.running and self.limit.concurrency)
+
+    def _has_debt(self) -> bool:
+        return any(account.debt > 0.0 for account, _ in self._rates())
 
     def is_old(self, now_ms: float) -> bool:
         """Return whether there was no request for a while."""
@@ -219,6 +238,7 @@
         self.requests.on_grant(row.requests)
         self.tokens.on_grant(row.tokens)
         self.running_granted = row.held
+        self.running_until_ms = self.asked_ms + RUNNING_VALID_MS
         self.granted_until_ms = now_ms + valid_ms
         self.waiting_since_ms = None
         self.refused = False
--- a/wigeonwind/decisions/grants.py
+++ b/wigeonwind/decisions/grants.py
@@ -28,9 +28,12 @@
 GRANT_VALID_MS = 1000.0
 """Life of a grant; unused units expire with it."""
 
-FORGET_MS = 3000.0
+FORGET_MS = 5000.0
 """Time after which the home forgets what an entry has asked for and holds."""
 
+RUNNING_VALID_MS = 3000.0
+"""Life of granted concurrency, from the request; the home remembers it for longer."""
+
 BUCKET_S = 0.5
 """Seconds of a limit that the home may give out at once after a pause."""
 
