--- a/tests/test_decisions_choice.py
+++ b/tests/test_decisions_choice.py
@@ -14,6 +14,7 @@
     GiveUp,
     NoEndpoint,
     Resend,
+    RetryCause,
     RouteRequest,
 )
 from wigeonwind.decisions.prefix_index import ENTRY_LIFE_MS, PrefixIndex
@@ -119,7 +120,7 @@
     made = chooser(3)
     for _ in range(5):
         made.on_sent("e0", CHAT, 0.0)
-        made.on_ended("e0", False, 0.0)
+        made.on_ended("e0", CHAT, False, 0.0)
     assert {send(made, 300.0) for _ in range(20)} == {"e1", "e2"}
 
 
@@ -167,3 +168,20 @@
     assert isinstance(policy.decide(0, True, False, None, 0.0), Resend)
     assert isinstance(policy.decide(0, True, True, 0.0, 0.0), GiveUp)
     assert isinstance(policy.decide(3, True, True, None, 0.0), GiveUp)
+
+
+def test_answers_of_a_dead_engine_need_no_retry_budget():
+    # With a budget, an engine that died with 16 answers cut six of them off.
+    policy = RetryPolicy(Random(1))
+    policy.on_request(0.0)
+    interrupted = [
+        policy.decide(0, False, True, None, 1.0, RetryCause.INTERRUPTED)
+        for _ in range(64)
+    ]
+    assert all(isinstance(each, Resend) for each in interrupted)
+    refused = [
+        policy.decide(0, True, True, None, 2.0, RetryCause.REFUSED) for _ in range(64)
+    ]
+    assert sum(isinstance(each, Resend) for each in refused) <= 10
+    last = policy.decide(3, False, True, None, 3.0, RetryCause.INTERRUPTED)
+    assert isinstance(last, GiveUp)
--- a/wigeonwind/decisions/interfaces.py
+++ b/wigeonwind/decisions/interfaces.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import Enum
 from typing import Protocol
 
 from wigeonwind.catalog import Catalog
@@ -100,6 +101,7 @@
     """Pauses since the start."""
     dropped_tokens: int = 0
     """Tokens of KV cache dropped by pauses since the start; computed again later."""
+    running_by_class: tuple[tuple[str, int], ...] = ()
 
 
 class EndpointQueueDecisions(Protocol):
@@ -190,6 +192,8 @@
     ms_to_first_token: float
     queued_tokens: int
     ready: bool = True
+    running_by_class: tuple[tuple[str, int], ...] = ()
+    """Empty if the sender is of a release that does not report it."""
 
 
 class EndpointChoice(Protocol):
@@ -221,7 +225,9 @@
         """Record tokens received, for the comparison of peers."""
         ...
 
-    def on_ended(self, endpoint_id: str, ok: bool, now_ms: float) -> None:
+    def on_ended(
+        self, endpoint_id: str, request: RouteRequest, ok: bool, now_ms: float
+    ) -> None:
         """Record that a request sent there has ended."""
         ...
 
@@ -283,6 +289,19 @@
     reason: str
 
 
+class RetryCause(Enum):
+    """Why another attempt is needed."""
+
+    REFUSED = "refused"
+    """The endpoint had no room; retries of these can feed an overload."""
+    FAILED = "failed"
+    """The endpoint failed before anything of the answer was delivered."""
+    HANDED_BACK = "handed-back"
+    """The endpoint leaves or was lost before the attempt began; nothing was spent."""
+    INTERRUPTED = "interrupted"
+    """The endpoint died in the middle of an answer, which goes on elsewhere."""
+
+
 class RetryDecisions(Protocol):
     """Whether a failed attempt is followed by another."""
 
@@ -297,6 +316,7 @@
         repeatable: bool,
         remaining_ms: float | None,
         now_ms: float,
+        cause: RetryCause = RetryCause.FAILED,
     ) -> Resend | GiveUp:
         """Decide after attempt number `attempt` (from 0) has failed."""
         ...
--- a/wigeonwind/links/messages.py
+++ b/wigeonwind/links/messages.py
@@ -198,8 +198,9 @@
 class LoadReport:
     """The state of a side's queue and engine, sent at most once a second.
 
-    `waiting_by_class` pairs class name and count. `engine_age_ms` is the age of the
-    engine's own report. `ms_per_token` is the recent median.
+    `waiting_by_class` and `running_by_class` pair class name and count.
+    `engine_age_ms` is the age of the engine's own report. `ms_per_token` is the recent
+    median.
     """
 
     member_id: str
@@ -212,6 +213,7 @@
     ms_to_first_token: float
     queued_tokens: int
     ready: bool
+    running_by_class: list[list] | None = None
 
 
 @message(14)
@@ -235,9 +237,13 @@
 @message(16)
 @dataclass(frozen=True)
 class TextRequest:
-    """Ask for the text, as changes against `have_version` where that is possible."""
+    """Ask for the text, as changes against `have_version` where that is possible.
+
+    `part` above 0 asks for a further part of the whole text.
+    """
 
     have_version: int
+    part: int = 0
 
 
 @message(17)
@@ -245,8 +251,9 @@
 class TextChange:
     """Sections that differ between two versions; `base_version` 0 is the whole text.
 
-    `sections` pairs section name and section source; `removed` names sections that are
-    gone; `digest` is that of the whole new text.
+    `sections` pairs section name and section source, followed by the name of the
+    section before it if it is added; `removed` names sections that are gone; `digest`
+    is that of the whole new text.
     """
 
     base_version: int
@@ -254,6 +261,9 @@
     sections: list[list[str]]
     removed: list[str]
     digest: str
+    part: int = 0
+    parts: int = 1
+    """A whole text may come in several parts, which are numbered from 0."""
 
 
 @message(18)
@@ -276,9 +286,14 @@
 @message(20)
 @dataclass(frozen=True)
 class ResolveClaim:
-    """Ask a side what became of a claim token, and forbid it if it did not start."""
+    """Ask a side what became of a claim token, and forbid it if it did not start.
+
+    `target_incarnation` is the side's incarnation in the claim, 0 for any: a restarted
+    side knows nothing of what ran before, so it must not call the token forbidden.
+    """
 
     claim_token: str
+    target_incarnation: int = 0
 
 
 @message(21)
@@ -300,7 +315,11 @@
 @message(22)
 @dataclass(frozen=True)
 class Order:
-    """An order of the leader to the endpoint, with its fencing number."""
+    """An order of the leader to the endpoint, with its fencing token.
+
+    `action` is `load_model`, `load_adapter`, `change_role`, or `observe`, which only
+    announces the token and asks for the present state.
+    """
 
     order_id: str
     fence: int
@@ -313,7 +332,11 @@
 @message(23)
 @dataclass(frozen=True)
 class OrderResult:
-    """What became of an order; `fence` is the highest fencing number seen."""
+    """What became of an order; `fence` is the highest fencing token seen.
+
+    The rest describes the endpoint as it is now, also after the action `observe`;
+    the counts are requests since the version was loaded.
+    """
 
     order_id: str
     done: bool
@@ -322,6 +345,10 @@
     version: str
     role: str
     reason: str
+    ready: bool = True
+    ended: int = 0
+    failed: int = 0
+    attained: int = 0
 
 
 @message(24)
@@ -358,3 +385,13 @@
     """Answer to a heartbeat, with its time."""
 
     sent_ms: float
+
+
+@message(28)
+@dataclass(frozen=True)
+class MembersBuckets:
+    """Digests of the sender's member records by bucket, after a digest differed."""
+
+    digests: list[int]
+    reply: bool
+    """Whether the receiver shall send its own digests back."""
--- /dev/null
+++ b/wigeonwind/roles/caller_identity.py
@@ -0,0 +1,176 @@
+"""Who calls, and in which class: checks against the catalog of the request."""
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from wigeonwind.catalog import Catalog, Customer, RequestClass, Service, ServiceKind
+from wigeonwind.outcomes import ErrorCode, Failure, Ok
+from wigeonwind.roles.replies import refusal
+
+ANONYMOUS = "anonymous"
+"""Customer of callers that give no key and no name, where the text allows them."""
+
+BEARER = "bearer "
+
+DIGEST_PREFIX_LENGTH = 16
+"""Hexadecimal digits that index the digests.
+
+The lookup by prefix may take a time that depends on the prefix, which is a part of a
+hash and tells nothing about the key; the whole digest is compared in constant time.
+"""
+
+
+REBUILD_FACTOR = 8
+REBUILD_MARGIN = 1000
+"""The index is built anew when it has taken 8 keys for each customer and 1,000 more,
+which at 3,300 changes a day takes months.
+"""
+
+NO_NAMES: frozenset[str] = frozenset()
+
+
+class KeyIndex:
+    """Names of the customers that may have a key, over successive catalogs.
+
+    It is shared by all catalogs of an entry, because building one for 29,000 customers
+    takes longer than the time between two tokens. Names whose keys have changed stay in
+    it: whoever looks a key up compares it with the catalog of the request.
+    """
+
+    def __init__(self) -> None:
+        self._names_by_prefix: dict[str, frozenset[str]] = {}
+        self._customer_by_name: Mapping[str, Customer] = {}
+        self.added = 0
+
+    def update(self, customer_by_name: Mapping[str, Customer]) -> None:
+        """Add the keys of customers that are not the same objects as before."""
+        before = self._customer_by_name
+        self._customer_by_name = customer_by_name
+        for name, customer in customer_by_name.items():
+            if before.get(name) is not customer:
+                self._add(customer)
+        if self.added > REBUILD_FACTOR * len(customer_by_name) + REBUILD_MARGIN:
+            self._rebuild()
+
+    def names(self, digest: str) -> frozenset[str]:
+        """Return the customers whose keys may have this digest."""
+        return self._names_by_prefix.get(digest[:DIGEST_PREFIX_LENGTH], NO_NAMES)
+
+    def _add(self, customer: Customer) -> None:
+        for digest in customer.keys:
+            prefix = digest.lower()[:DIGEST_PREFIX_LENGTH]
+            names = self._names_by_prefix.get(prefix, NO_NAMES)
+            self._names_by_prefix[prefix] = names | {customer.name}
+            self.added += 1
+
+    def _rebuild(self) -> None:
+        """Forget names that only older catalogs need; their requests are admitted."""
+        self._names_by_prefix = {}
+        self.added = 0
+        for customer in self._customer_by_name.values():
+            self._add(customer)
+
+
+class CustomerDirectory:
+    """Customers of one catalog, found by key without a scan."""
+
+    def __init__(self, catalog: Catalog, index: KeyIndex) -> None:
+        self.catalog = catalog
+        self.service_by_model = _service_by_model(catalog)
+        self._index = index
+
+    def customer_of_key(self, key: str) -> Customer | None:
+        """Return the customer whose API key this is."""
+        digest = hashlib.sha256(key.encode("latin-1", "replace")).hexdigest()
+        found = None
+        for name in self._index.names(digest):
+            customer = self.catalog.customer_by_name.get(name)
+            for known in customer.keys if customer else ():
+                if hmac.compare_digest(known.lower(), digest):
+                    found = customer
+        return found
+
+
+def _service_by_model(catalog: Catalog) -> dict[str, Service]:
+    found: dict[str, Service] = {}
+    for service in catalog.service_by_name.values():
+        if service.kind is ServiceKind.MODEL:
+            for model in service.models:
+                found.setdefault(model, service)
+    return found
+
+
+@dataclass(frozen=True)
+class Caller:
+    """The customer of a request; `customer` is None for anonymous callers."""
+
+    name: str
+    customer: Customer | None
+
+
+def identify(
+    directory: CustomerDirectory, headers: Mapping[str, str]
+) -> Ok[Caller] | Failure:
+    """Find the customer; `headers` has lower-case names.
+
+    Messages never repeat the key.
+    """
+    authorization = headers.get("authorization", "")
+    if authorization[: len(BEARER)].lower() == BEARER:
+        return _by_key(directory, authorization[len(BEARER) :].strip(), headers)
+    name = headers.get("x-customer", "")
+    if name:
+        return _by_name(directory, name)
+    if directory.catalog.allow_anonymous:
+        return Ok(Caller(ANONYMOUS, None))
+    message = "no API key (Authorization: Bearer KEY) and no X-Customer header"
+    return refusal(ErrorCode.UNAUTHORIZED, message)
+
+
+def _by_key(
+    directory: CustomerDirectory, key: str, headers: Mapping[str, str]
+) -> Ok[Caller] | Failure:
+    customer = directory.customer_of_key(key)
+    if customer is not None:
+        return Ok(Caller(customer.name, customer))
+    name = headers.get("x-customer", "")
+    if name and not _has_keys(directory, name):
+        return _by_name(directory, name)
+    if directory.catalog.allow_anonymous and not name:
+        return Ok(Caller(ANONYMOUS, None))
+    return refusal(ErrorCode.UNAUTHORIZED, "the API key is not known")
+
+
+def _has_keys(directory: CustomerDirectory, name: str) -> bool:
+    customer = directory.catalog.customer_by_name.get(name)
+    return customer is not None and bool(customer.keys)
+
+
+def _by_name(directory: CustomerDirectory, name: str) -> Ok[Caller] | Failure:
+    customer = directory.catalog.customer_by_name.get(name)
+    if customer is None:
+        return refusal(ErrorCode.UNKNOWN_CUSTOMER, "the X-Customer name is not known")
+    if customer.keys:
+        message = "this customer must give its API key (Authorization: Bearer KEY)"
+        return refusal(ErrorCode.UNAUTHORIZED, message)
+    return Ok(Caller(customer.name, customer))
+
+
+def choose_class(
+    catalog: Catalog, service: Service, caller: Caller, wanted: str
+) -> Ok[RequestClass] | Failure:
+    """Return the class of a request: `wanted` if given, else the service's default."""
+    name = wanted or service.default_class
+    request_class = catalog.class_by_name.get(name)
+    if request_class is None:
+        return refusal(ErrorCode.UNKNOWN_CLASS, f"unknown request class {name!r}")
+    if name not in service.classes:
+        message = f"service {service.name!r} does not serve class {name!r}"
+        return refusal(ErrorCode.UNKNOWN_CLASS, message)
+    customer = caller.customer
+    if customer is not None and customer.classes and name not in customer.classes:
+        message = f"customer {customer.name!r} may not use class {name!r}"
+        return refusal(ErrorCode.UNKNOWN_CLASS, message, http_status=403)
+    return Ok(request_class)
--- /dev/null
+++ b/wigeonwind/roles/entry_http.py
@@ -0,0 +1,340 @@
+"""The HTTP server towards callers: gevent's WSGI server with bounds on strangers."""
+
+import socket
+import struct
+from collections.abc import Callable, Iterable
+from http.client import HTTPException
+from typing import Any
+from urllib.parse import unquote
+
+import gevent
+from gevent.pool import Pool
+from gevent.pywsgi import MAX_REQUEST_LINE, Input, WSGIHandler, WSGIServer
+
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.outcomes import ErrorCode, Failure, Outcome
+from wigeonwind.roles.http_bounds import (
+    BoundedHead,
+    RequestRefusedError,
+    body_too_large,
+    check_framing,
+    refused,
+    send_refusal,
+)
+from wigeonwind.roles.http_call import (
+    BODY_KEY,
+    HEADERS_KEY,
+    SOCKET_KEY,
+    TARGET_KEY,
+    ReplyAbortedError,
+)
+from wigeonwind.roles.replies import failure, refusal
+from wigeonwind.settings import LimitSettings, SocketAddress
+
+IDLE_TIMEOUT_S = 60.0
+"""Longest silence of a connection between requests, and of a caller that should read.
+
+Load balancers commonly drop idle connections after a minute.
+"""
+
+RESET_LINGER = struct.pack("ii", 1, 0)
+"""Socket option value with which `close` resets the connection."""
+
+BODY_READ_BYTES = 65_536
+SMALL_BODY_BYTES = 65_536
+MAX_LARGE_BODIES_BYTES = 96_000_000
+"""Bound of all bodies above SMALL_BODY_BYTES together, under half of a node's memory.
+Small bodies always pass, so that a few large ones that arrive slowly harm nobody else.
+"""
+
+OVERLOAD_RETRY_MS = 1000.0
+
+Application = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+
+class CallerHandler(WSGIHandler):
+    """One connection of a caller."""
+
+    server: "CallerServer"
+
+    def handle_one_request(self) -> Any:
+        """Serve one request; the head and body have `read_timeout_ms` to arrive."""
+        if not self._await_request():
+            return None
+        timer = gevent.Timeout.start_new(self.server.read_timeout_s)
+        self._read_timer = timer
+        try:
+            return super().handle_one_request()
+        except RequestRefusedError as error:
+            self._refuse(error.failure)
+            return None
+        except gevent.Timeout as expired:
+            if expired is not timer:
+                raise
+            message = "the request did not arrive in time"
+            self._refuse(refusal(ErrorCode.BAD_REQUEST, message, http_status=408))
+            return None
+        finally:
+            timer.close()
+
+    def _await_request(self) -> bool:
+        """Wait for the first byte of a request."""
+        if self.server.is_closing:
+            return False
+        self.server.idle.add(self)
+        try:
+            return bool(self.rfile.peek(1))
+        except (OSError, ValueError):
+            return False
+        finally:
+            self.server.idle.discard(self)
+
+    def end_idle(self) -> None:
+        """Close a connection on which no request has begun."""
+        try:
+            self.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
+
+    def read_requestline(self) -> str:
+        """Read the first line; raise RequestRefusedError if it is too long."""
+        line = str(super().read_requestline())
+        if len(line) >= MAX_REQUEST_LINE:
+            message = "the request line is too long"
+            raise refused(message, ErrorCode.TOO_LARGE, 414)
+        return line
+
+    def MessageClass(self, rfile: Any, *args: Any) -> Any:  # noqa: N802
+        """Read the header lines."""
+        bounded = BoundedHead(rfile, self.server.limits.max_header_bytes)
+        return super().MessageClass(bounded, *args)
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Parse the head; raise ValueError where it is not plain HTTP/1.x."""
+        if len(raw_requestline.split()) != 3:
+            raise refused("the request line is wrong", ErrorCode.BAD_REQUEST, 400)
+        read = super().read_request(raw_requestline)
+        check_framing(self.headers, self.server.limits.max_body_bytes)
+        if self.request_version != "HTTP/1.1":
+            # Without chunks only the end of the connection ends a streamed reply.
+            self.close_connection = True
+        return bool(read)
+
+    def get_environ(self) -> Any:
+        """Return what the interfaces towards callers use of the WSGI environment.
+
+        The usual environment costs as much as the rest of a short request.
+        """
+        headers = [list(pair) for pair in self.headers.items()]
+        expected = self.headers.get("expect", "").lower() == "100-continue"
+        chunked = self.headers.get("transfer-encoding") is not None
+        self.wsgi_input = Input(
+            self.rfile,
+            self.content_length,
+            socket=self.socket if expected else None,
+            chunked_input=chunked,
+        )
+        environ = self.server.get_environ()
+        environ["REQUEST_METHOD"] = self.command
+        environ["PATH_INFO"] = unquote(self.path.partition("?")[0])
+        environ["REMOTE_ADDR"] = self.client_address[0]
+        environ["wsgi.input"] = self.wsgi_input
+        environ[TARGET_KEY] = self.path
+        environ[HEADERS_KEY] = headers
+        environ[SOCKET_KEY] = self.socket
+        return environ
+
+    def handle_one_response(self) -> None:
+        """Read the body within its bounds, then let the application answer."""
+        self._held_bytes = 0
+        try:
+            if self._take_body():
+                self._read_timer.close()
+                self.server.in_flight += 1
+                try:
+                    super().handle_one_response()
+                finally:
+                    self.server.in_flight -= 1
+        finally:
+            self.server.large_bodies_bytes -= self._held_bytes
+
+    def _take_body(self) -> bool:
+        """Read the body; False if the request has been refused."""
+        try:
+            self.environ[BODY_KEY] = self._read_body()
+        except RequestRefusedError as error:
+            self._refuse(error.failure)
+            return False
+        except OSError:
+            message = "the body is not complete or its chunks are malformed"
+            self._refuse(refusal(ErrorCode.BAD_REQUEST, message))
+            return False
+        return True
+
+    def _read_body(self) -> bytes:
+        pieces = []
+        size = 0
+        while piece := self.wsgi_input.read(BODY_READ_BYTES):
+            size += len(piece)
+            if size > self.server.limits.max_body_bytes:
+                raise body_too_large(self.server.limits.max_body_bytes)
+            if size > SMALL_BODY_BYTES:
+                self._hold(len(piece))
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    def _hold(self, size: int) -> None:
+        """Count a part of a large body; refuse where all together grow too large."""
+        self._held_bytes += size
+        self.server.large_bodies_bytes += size
+        if self.server.large_bodies_bytes > MAX_LARGE_BODIES_BYTES:
+            message = "too many large requests at a time"
+            error = refusal(ErrorCode.OVERLOADED, message, OVERLOAD_RETRY_MS)
+            raise RequestRefusedError(error)
+
+    def _handle_client_error(self, ex: Exception) -> None:
+        if isinstance(ex, RequestRefusedError):
+            self._refuse(ex.failure)
+        elif isinstance(ex, HTTPException):
+            message = "the request has too many headers"
+            self._refuse(refusal(ErrorCode.TOO_LARGE, message, http_status=431))
+        else:
+            message = "the request is not valid HTTP"
+            self._refuse(refusal(ErrorCode.BAD_REQUEST, message))
+
+    def _refuse(self, error: Failure) -> None:
+        """Send a refusal and end the connection."""
+        self.close_connection = True
+        self.server.count_refused(error)
+        send_refusal(self.socket, error)
+
+    def finalize_headers(self) -> None:
+        """Announce the end of the connection while the entry drains."""
+        if self.server.is_draining and not self.close_connection:
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
+        super().finalize_headers()
+        if self.command == "HEAD":
+            self.response_use_chunked = False
+
+    def _write_with_headers(self, data: bytes) -> None:
+        """Send the head and the first data in one packet where they fit."""
+        self.headers_sent = True
+        self.finalize_headers()
+        if self.command == "HEAD":
+            data = b""
+        lines = [b"HTTP/1.1 " + self.status]
+        lines += [name + b": " + value for name, value in self.response_headers]
+        head = b"\r\n".join([*lines, b"", b""])
+        if data and self.response_use_chunked:
+            head += b"%x\r\n" % len(data)
+            data += b"\r\n"
+        self._sendall(head + data)
+
+    def _write(self, data: bytes) -> None:
+        """Send more of the body; a reply to HEAD has none."""
+        if self.command != "HEAD":
+            super()._write(data)
+
+    def _sendall(self, data: bytes) -> None:
+        """Send at once what the socket's buffer takes, and wait only for the rest."""
+        try:
+            sent = self.socket._sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
+            self.close_connection = True
+            raise
+        self.response_length += len(data)
+        if sent < len(data):
+            self.socket.sendall(memoryview(data)[sent:])
+
+    def process_result(self) -> None:
+        """Send the reply; an aborted one ends without its last chunk."""
+        try:
+            super().process_result()
+        except ReplyAbortedError:
+            self.close_connection = True
+            if not (self.response_use_chunked or self.provided_content_length):
+                self._reset_on_close()
+
+    def _reset_on_close(self) -> None:
+        """Make the end of a reply without any framing an error to the caller."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+
+    def handle_error(self, t: Any, v: Any, tb: Any) -> None:
+        """Report an error of ours; the request may have run."""
+        self._log_error(t, v, tb)
+        self.close_connection = True
+        if not self.headers_sent:
+            message = "the entry stopped before the request had its answer"
+            code = ErrorCode.ENDPOINT_FAILED
+            self._refuse(failure(Outcome.UNKNOWN, code, message, http_status=500))
+
+    def log_request(self) -> None:
+        """Write no line for each request: counters tell as much."""
+
+
+class CallerServer(WSGIServer):
+    """Accepts callers' connections."""
+
+    handler_class = CallerHandler
+
+    def __init__(
+        self,
+        address: SocketAddress,
+        application: Application,
+        limits: LimitSettings,
+        count_refused: Callable[[Failure], None],
+    ) -> None:
+        super().__init__(
+            (address.host, address.port),
+            application,
+            # A pool lets `stop` end the connections that are still open.
+            spawn=Pool(),
+            log=None,
+            error_log=None,
+            # A name here saves a lookup that a machine without resolver waits for.
+            environ={"SERVER_NAME": address.host},
+        )
+        self.limits = limits
+        self.read_timeout_s = limits.read_timeout_ms / MS_PER_SECOND
+        self.count_refused = count_refused
+        self.idle: set[CallerHandler] = set()
+        self.in_flight = 0
+        self.connections = 0
+        self.large_bodies_bytes = 0
+        self.is_draining = False
+        self.is_closing = False
+
+    def handle(self, sock: Any, address: Any) -> None:
+        """Serve one connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(IDLE_TIMEOUT_S)
+        self.connections += 1
+        try:
+            if self.connections > self.limits.max_connections:
+                self._refuse_connection(sock)
+            else:
+                super().handle(sock, address)
+        finally:
+            self.connections -= 1
+
+    def _refuse_connection(self, sock: Any) -> None:
+        message = "too many connections"
+        error = refusal(ErrorCode.OVERLOADED, message, OVERLOAD_RETRY_MS)
+        self.count_refused(error)
+        send_refusal(sock, error)
+        sock.close()
+
+    def close_idle(self) -> None:
+        """Accept no connection and close those on which no request has begun."""
+        self.is_closing = True
+        self.close()
+        for handler in tuple(self.idle):
+            handler.end_idle()
+
+    @property
+    def bound_address(self) -> SocketAddress:
+        """Return where the server listens; the port is known after `start`."""
+        return SocketAddress(self.server_host, self.server_port)
--- /dev/null
+++ b/wigeonwind/roles/pending.py
@@ -0,0 +1,172 @@
+"""Attempts that wait for messages, matched by request id, attempt and link."""
+
+from collections import deque
+from time import monotonic
+from typing import Any, Protocol
+
+from gevent import get_hub
+from gevent.hub import Waiter
+
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.links.link_types import Link
+from wigeonwind.links.messages import Chunk
+
+MAX_UNREAD_BYTES = 16_000_000
+"""Answer bytes kept for a slow caller; beyond that the caller counts as gone."""
+
+
+class AttemptMessage(Protocol):
+    """A message about one attempt."""
+
+    @property
+    def request_id(self) -> str:
+        """Return the request's id."""
+        ...
+
+    @property
+    def attempt(self) -> int:
+        """Return the attempt's number."""
+        ...
+
+
+class LinkLost:
+    """Put into a mailbox when the link of its attempt goes down."""
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+class Mailbox:
+    """What has arrived for one request; one greenlet reads it.
+
+    Waiting makes no timer of its own: one timer stays armed over many waits, because a
+    streamed answer waits for each token and its deadline seldom changes.
+    """
+
+    def __init__(self) -> None:
+        self.items: deque[object] = deque()
+        self.caller_gone = False
+        self.unread_bytes = 0
+        self._waiter: Waiter | None = None
+        self._timer: Any = None
+        self._timer_due_s = 0.0
+
+    def put(self, item: object) -> None:
+        """Add an item and wake the reader."""
+        self.items.append(item)
+        if self._waiter is not None:
+            self._wake()
+
+    def set_caller_gone(self) -> None:
+        """Record that the caller has closed its connection and wake the reader."""
+        self.caller_gone = True
+        self._wake()
+
+    def wait(self, timeout_ms: float) -> bool:
+        """Wait until there is something to look at; False after about `timeout_ms`.
+
+        It may return False early: whoever waits looks at the clock.
+        """
+        if self.items or self.caller_gone:
+            return True
+        if timeout_ms <= 0:
+            return False
+        self._arm(timeout_ms / MS_PER_SECOND)
+        waiter = Waiter()
+        self._waiter = waiter
+        try:
+            waiter.get()
+        finally:
+            self._waiter = None
+        return bool(self.items) or self.caller_gone
+
+    def clear(self) -> None:
+        """Forget what an ended attempt left."""
+        self.items.clear()
+        self.unread_bytes = 0
+
+    def close(self) -> None:
+        """Stop the timer."""
+        timer, self._timer = self._timer, None
+        if timer is not None:
+            timer.stop()
+            timer.close()
+
+    def _wake(self) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None:
+            get_hub().loop.run_callback(waiter.switch, None)
+
+    def _arm(self, timeout_s: float) -> None:
+        """Make sure that the timer fires within `timeout_s`."""
+        due_s = monotonic() + timeout_s
+        if self._timer is not None and self._timer_due_s <= due_s:
+            return
+        self.close()
+        self._timer = get_hub().loop.timer(timeout_s)
+        self._timer_due_s = due_s
+        self._timer.start(self._on_timer)
+
+    def _on_timer(self) -> None:
+        self.close()
+        self._wake()
+
+
+class PendingAttempts:
+    """The attempts in flight of one entry.
+
+    A message that matches no attempt on the link it came over is dropped, so a late or
+    repeated message never reaches another caller.
+    """
+
+    def __init__(self) -> None:
+        self._entry_by_key: dict[tuple[str, int], tuple[Link, Mailbox]] = {}
+        self._keys_by_link: dict[int, set[tuple[str, int]]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of attempts in flight."""
+        return len(self._entry_by_key)
+
+    def add(self, key: tuple[str, int], link: Link, mailbox: Mailbox) -> None:
+        """Wait for the messages of an attempt that is about to be sent."""
+        assert key not in self._entry_by_key, f"attempt {key} is sent twice"
+        self._entry_by_key[key] = (link, mailbox)
+        self._keys_by_link.setdefault(id(link), set()).add(key)
+
+    def remove(self, key: tuple[str, int]) -> None:
+        """Wait no longer; what still arrives is dropped."""
+        entry = self._entry_by_key.pop(key, None)
+        if entry is None:
+            return
+        keys = self._keys_by_link[id(entry[0])]
+        keys.discard(key)
+        if not keys:
+            del self._keys_by_link[id(entry[0])]
+
+    def deliver(self, link: Link, message: AttemptMessage) -> bool:
+        """Hand a message to its attempt; False if there is none on this link."""
+        entry = self._entry_by_key.get((message.request_id, message.attempt))
+        if entry is None or entry[0] is not link:
+            return False
+        entry[1].put(message)
+        return True
+
+    def deliver_chunk(self, link: Link, chunk: Chunk) -> bool:
+        """Hand a chunk to its attempt and count its bytes as unread."""
+        entry = self._entry_by_key.get((chunk.request_id, chunk.attempt))
+        if entry is None or entry[0] is not link:
+            return False
+        mailbox = entry[1]
+        mailbox.unread_bytes += len(chunk.data)
+        if mailbox.unread_bytes > MAX_UNREAD_BYTES:
+            self.remove((chunk.request_id, chunk.attempt))
+            mailbox.clear()
+            mailbox.set_caller_gone()
+            return False
+        mailbox.put(chunk)
+        return True
+
+    def on_down(self, link: Link, reason: str) -> None:
+        """Tell all attempts on a link that it is gone."""
+        for key in tuple(self._keys_by_link.get(id(link), ())):
+            self._entry_by_key[key][1].put(LinkLost(reason))
--- /dev/null
+++ b/wigeonwind/standins/engine_batch.py
@@ -0,0 +1,287 @@
+"""The batch of the engine model: admission, memory and the plan of iterations."""
+
+from collections.abc import Iterator
+from heapq import heappop, heappush
+from math import ceil
+
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.standins.engine_decode import DecodeSet, Iteration, RequestState, Stage
+from wigeonwind.standins.engine_types import (
+    EngineConfig,
+    EngineCounters,
+    EngineEvent,
+    RequestDone,
+    RequestLost,
+    StepRun,
+    TokensProduced,
+)
+from wigeonwind.standins.prefix_cache import PrefixCache
+
+TIME_TOLERANCE_MS = 1e-6
+"""Rounding of sums of durations must not hide an iteration that ends just now."""
+
+
+class Batch:
+    """All requests of one engine, in the order in which it serves them.
+
+    A request reserves memory for its whole answer when it enters the batch, so that
+    the batch never has to be broken up for memory. The most urgent waiting request is
+    never overtaken for memory by a smaller one.
+    """
+
+    def __init__(self, config: EngineConfig, cache: PrefixCache) -> None:
+        self.config = config
+        self.cache = cache
+        self.straggle = 1.0
+        self.state_by_id: dict[str, RequestState] = {}
+        self.events: list[EngineEvent] = []
+        self.decode_tokens = 0
+        self.dropped_tokens = 0
+        self.refused = 0
+        self.kv_used = 0
+        self.paused = 0
+        self._kv_reserved = 0
+        self._decoding = DecodeSet(self.events)
+        self._prefilling: dict[str, RequestState] = {}
+        self._waiting: list[tuple[int, int, int, RequestState]] = []
+        self._transfers: list[tuple[float, int, RequestState]] = []
+        self._entries = 0
+        self._prefill_tokens = 0
+        self._cached_tokens = 0
+        self._finished = 0
+        self._lost = 0
+
+    @property
+    def running(self) -> int:
+        """Return the number of requests in the batch."""
+        return len(self._decoding) + len(self._prefilling)
+
+    @property
+    def step_ms(self) -> float:
+        """Return the duration of an iteration without prefill."""
+        config = self.config
+        work_ms = config.decode_ms_base
+        work_ms += config.decode_ms_per_running * len(self._decoding)
+        return work_ms * self.straggle
+
+    def counters(self) -> EngineCounters:
+        """Return all counters."""
+        return EngineCounters(
+            self._prefill_tokens,
+            self.decode_tokens,
+            self._cached_tokens,
+            self.dropped_tokens,
+            self._finished,
+            self._lost,
+            self.refused,
+        )
+
+    def take_events(self, partial: bool) -> list[EngineEvent]:
+        """Return the events so far; with `partial`, also unfinished progress."""
+        if partial:
+            self._decoding.report_all()
+        events = list(self.events)
+        self.events.clear()
+        return events
+
+    def settled(self, request_id: str) -> RequestState | None:
+        """Return the request with its counts up to date, None if it is unknown."""
+        state = self.state_by_id.get(request_id)
+        if state:
+            self._decoding.settle(state)
+        return state
+
+    def enqueue(self, state: RequestState, ready_ms: float, now_ms: float) -> None:
+        """Let the request wait for a slot from `ready_ms` on."""
+        if state.stage is Stage.PAUSED:
+            self.paused -= 1
+        self.state_by_id[state.request.request_id] = state
+        self._entries += 1
+        if ready_ms > now_ms:
+            state.stage = Stage.TRANSFER
+            heappush(self._transfers, (ready_ms, self._entries, state))
+            return
+        state.stage = Stage.WAITING
+        order = (state.request.priority, state.seq, self._entries, state)
+        heappush(self._waiting, order)
+
+    def take_out(self, state: RequestState, stage: Stage) -> None:
+        """Remove the request from the batch or the queue and set its stage."""
+        request_id = state.request.request_id
+        self._decoding.remove(state)
+        self._prefilling.pop(request_id, None)
+        if state.stage is Stage.PAUSED:
+            self.paused -= 1
+        if stage is Stage.PAUSED:
+            self.paused += 1
+        state.stage = stage
+        if stage is Stage.GONE:
+            self.release(state)
+            del self.state_by_id[request_id]
+
+    def hold(self, state: RequestState, tokens: int) -> None:
+        """Add `tokens` of KV cache to what the request holds."""
+        state.kv_tokens += tokens
+        self.kv_used += tokens
+
+    def release(self, state: RequestState) -> None:
+        """Free the memory of a request that does not decode."""
+        self._kv_reserved -= state.reserved
+        self.kv_used -= state.kv_tokens
+        state.reserved = 0
+        state.kv_tokens = 0
+        state.host_tokens = 0
+
+    def drop(self, state: RequestState) -> int:
+        """Discard what was computed for the request; return the tokens wasted."""
+        dropped = state.computed
+        state.computed = 0
+        self.dropped_tokens += dropped
+        self.release(state)
+        return dropped
+
+    def lose_all(self, reason: str, now_ms: float) -> None:
+        """Lose every request."""
+        for state in list(self.state_by_id.values()):
+            self._decoding.remove(state)
+            self.drop(state)
+            self.take_out(state, Stage.GONE)
+            self._lost += 1
+            request_id = state.request.request_id
+            self.events.append(RequestLost(request_id, now_ms, state.produced, reason))
+
+    def next_transfer_ms(self) -> float | None:
+        """Return when the next KV cache transfer ends."""
+        while self._transfers and self._transfers[0][2].stage is not Stage.TRANSFER:
+            heappop(self._transfers)
+        return self._transfers[0][0] if self._transfers else None
+
+    def plan(self, at_ms: float, token_limit: int | None) -> Iteration | None:
+        """Admit what fits and return the next iterations, None if there is no work.
+
+        `token_limit` bounds the decoded tokens of the plan, rounded up to iterations.
+        """
+        self._finish_transfers(at_ms)
+        self._admit()
+        if not self.running:
+            return None
+        prefill = list(self._prefill_shares())
+        tokens = sum(share for _, share in prefill)
+        prefill_ms = tokens * MS_PER_SECOND / self.config.prefill_tokens_per_s
+        step_ms = self.step_ms + prefill_ms * self.straggle
+        repeat = self._repeat(prefill, token_limit)
+        transfer_ms = self.next_transfer_ms()
+        if transfer_ms is not None:
+            repeat = min(repeat, max(1, ceil((transfer_ms - at_ms) / step_ms)))
+        return Iteration(at_ms, step_ms, repeat, prefill)
+
+    def finish(self, iteration: Iteration, over: int) -> None:
+        """Carry out the iterations of the plan until `over` of them are done."""
+        count = over - iteration.done
+        last_ms = iteration.end_ms(over)
+        if len(self._decoding):
+            tokens = count * len(self._decoding)
+            self.decode_tokens += tokens
+            self.kv_used += tokens
+            for state in self._decoding.step(iteration, over):
+                self._finish(state, last_ms)
+        iteration.done = over
+        # Prefilled requests join the decoding ones only after this step.
+        for state, share in iteration.prefill:
+            if state.stage is Stage.PREFILL:
+                self._prefill(state, share * count, last_ms)
+
+    def _finish_transfers(self, at_ms: float) -> None:
+        ready_ms = self.next_transfer_ms()
+        while ready_ms is not None and ready_ms <= at_ms + TIME_TOLERANCE_MS:
+            _, _, state = heappop(self._transfers)
+            self.enqueue(state, at_ms, at_ms)
+            ready_ms = self.next_transfer_ms()
+
+    def _admit(self) -> None:
+        while self._waiting and self.running < self.config.slots:
+            state = self._waiting[0][3]
+            if state.stage is Stage.WAITING:
+                missing = state.full_tokens - state.reserved
+                if self._kv_reserved + missing > self.config.kv_limit_tokens:
+                    return
+                self._kv_reserved += missing
+                state.reserved += missing
+                self._enter(state)
+            heappop(self._waiting)
+
+    def _enter(self, state: RequestState) -> None:
+        self.hold(state, state.host_tokens)
+        state.host_tokens = 0
+        if not state.kv_tokens:
+            # The last prompt token is always computed: it gives the first answer token.
+            most = max(0, state.request.prompt_tokens - 1)
+            state.cached = min(self.cache.match(state.request.prefix_keys), most)
+            self.hold(state, state.cached)
+            self._cached_tokens += state.cached
+        state.prefill_left = max(0, state.context_tokens - state.kv_tokens)
+        if state.prefill_left or state.produced >= state.output:
+            state.stage = Stage.PREFILL
+            self._prefilling[state.request.request_id] = state
+        else:
+            self._decoding.add(state)
+
+    def _prefill_shares(self) -> Iterator[tuple[RequestState, int]]:
+        budget = self.config.prefill_chunk_tokens
+        for state in self._prefilling.values():
+            share = min(budget, state.prefill_left)
+            yield state, share
+            budget -= share
+            if not budget:
+                return
+
+    def _repeat(
+        self, prefill: list[tuple[RequestState, int]], token_limit: int | None
+    ) -> int:
+        if len(prefill) > 1:
+            return 1
+        limits = [
+            state.prefill_left // share if share else 1 for state, share in prefill
+        ]
+        steps = self._decoding.steps_to_report()
+        if steps is not None:
+            limits.append(steps)
+            if token_limit is not None:
+                limits.append(ceil(token_limit / len(self._decoding)))
+        return max(1, min(limits))
+
+    def _prefill(self, state: RequestState, tokens: int, at_ms: float) -> None:
+        state.prefill_left -= tokens
+        state.computed += tokens
+        self.hold(state, tokens)
+        self._prefill_tokens += tokens
+        if state.prefill_left:
+            return
+        request_id = state.request.request_id
+        self.cache.store(state.request.prefix_keys, at_ms)
+        if state.produced < state.output:
+            self._give_prefilled_token(state, at_ms)
+        if state.produced >= state.output:
+            self._finish(state, at_ms)
+            return
+        del self._prefilling[request_id]
+        self._decoding.add(state)
+
+    def _give_prefilled_token(self, state: RequestState, at_ms: float) -> None:
+        """Produce the token that the end of a prefill yields."""
+        request_id = state.request.request_id
+        runs = (StepRun(at_ms, 0.0, 0, 1),)
+        first = not state.started
+        self.events.append(TokensProduced(request_id, state.produced, 1, runs, first))
+        state.started = True
+        state.produced += 1
+        state.computed += 1
+        self.hold(state, 1)
+        self.decode_tokens += 1
+
+    def _finish(self, state: RequestState, at_ms: float) -> None:
+        self._finished += 1
+        self.take_out(state, Stage.GONE)
+        request_id = state.request.request_id
+        event = RequestDone(request_id, at_ms, state.produced, state.cached)
+        self.events.append(event)
--- /dev/null
+++ b/wigeonwind/state/text.py
@@ -0,0 +1,223 @@
+"""A configuration text with its meaning: parsed and checked, whole or by section."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, replace
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+from wigeonwind.catalog import Catalog, Customer
+from wigeonwind.outcomes import Invalid, Ok, Problem
+from wigeonwind.state.text_checks import (
+    Content,
+    check_customers,
+    check_services,
+    index_keys,
+)
+from wigeonwind.state.text_parts import MAX_PART_CHARS
+from wigeonwind.state.text_schema import (
+    Defaults,
+    SectionReader,
+    SectionValue,
+    line_of_key,
+)
+from wigeonwind.state.text_sections import (
+    NO_SECTIONS,
+    PREAMBLE,
+    Sections,
+    SplitText,
+    Touched,
+    split_text,
+)
+
+T = TypeVar("T")
+
+MAX_TEXT_CHARS = 16_000_000
+"""Bound on what a process parses; a text for 29,000 customers has about 6 MB."""
+
+
+@dataclass(frozen=True)
+class Text:
+    """One version of the configuration text that has passed all checks.
+
+    `customer_by_key` gives the name of the customer to which the digest of an API key
+    belongs. `touched` says where the text differs from the one that it was built on.
+    """
+
+    version: int
+    sections: Sections
+    catalog: Catalog
+    customer_by_key: Mapping[str, str]
+    touched: Touched
+
+    @property
+    def digest(self) -> str:
+        """Return the digest of the whole text."""
+        return self.sections.digest
+
+    @property
+    def source(self) -> str:
+        """Return the whole text."""
+        return self.sections.source
+
+
+def parse_text(source: str, version: int) -> Ok[Catalog] | Invalid:
+    r"""Return what a text says, or all its mistakes with 1-based line numbers.
+
+    >>> result = parse_text("[service a]\nkind = model\nmodles = b\n", 1)
+    >>> [problem.line for problem in result.problems]
+    [3]
+    """
+    result = read_text(source, version)
+    return result if isinstance(result, Invalid) else Ok(result.value.catalog)
+
+
+def read_text(
+    source: str, version: int, base: Text | None = None
+) -> Ok[Text] | Invalid:
+    """Check a whole text; sections that `base` has too are not parsed again."""
+    if len(source) > MAX_TEXT_CHARS:
+        size = f"{len(source)} characters"
+        return Invalid((Problem("", "", size, f"at most {MAX_TEXT_CHARS}"),))
+    split = split_text(source, base.sections if base else NO_SECTIONS)
+    result = build_text(split.sections, version, base, split.touched)
+    return _with_duplicates(split, result) if split.duplicates else result
+
+
+def _with_duplicates(split: SplitText, result: Ok[Text] | Invalid) -> Invalid:
+    problems = result.problems if isinstance(result, Invalid) else ()
+    duplicates = [
+        Problem(duplicate.name, "", "", "each section only once", duplicate.line)
+        for duplicate in split.duplicates
+    ]
+    return Invalid(tuple(sorted([*problems, *duplicates], key=lambda p: p.line)))
+
+
+def build_text(
+    sections: Sections,
+    version: int,
+    base: Text | None,
+    touched: Touched,
+) -> Ok[Text] | Invalid:
+    """Check sections and return the text, parsing only what differs from `base`."""
+    problems: list[Problem] = []
+    values = _read_sections(sections, touched.changed, problems)
+    content = _merge(base, values, touched.removed)
+    if problems:
+        # Names of sections that could not be read would look unknown.
+        return Invalid(tuple(_placed(problems, sections)))
+    gone = _customers_at(base, touched)
+    new_customers = [v for v in values.values() if isinstance(v, Customer)]
+    keys, key_problems = index_keys(
+        base.customer_by_key if base else {}, gone, new_customers
+    )
+    problems += key_problems
+    problems += _cross_problems(content, new_customers, touched)
+    if problems:
+        return Invalid(tuple(_placed(problems, sections)))
+    return Ok(Text(version, sections, _catalog(content, version), keys, touched))
+
+
+def _read_sections(
+    sections: Sections, names: Iterable[str], problems: list[Problem]
+) -> dict[str, SectionValue]:
+    """Return what each named section says; mistakes are added to `problems`."""
+    values: dict[str, SectionValue] = {}
+    reader = SectionReader()
+    for name in names:
+        source = sections.source_by_name[name]
+        if len(source) > MAX_PART_CHARS:
+            size = f"{len(source)} characters"
+            problems.append(Problem(name, "", size, f"at most {MAX_PART_CHARS}", 1))
+            continue
+        if name == PREAMBLE:
+            problems += _preamble_problems(source)
+            continue
+        result = reader.read(name, source)
+        if isinstance(result, Invalid):
+            problems += result.problems
+        else:
+            values[name] = result.value
+    return values
+
+
+def _preamble_problems(source: str) -> Iterator[Problem]:
+    for line, text in enumerate(source.splitlines(), 1):
+        if text.strip() and text.strip()[0] not in "#;":
+            yield Problem(PREAMBLE, "", text, "a section before the first key", line)
+
+
+def _merge(
+    base: Text | None, values: Mapping[str, SectionValue], removed: Iterable[str]
+) -> Content:
+    """Return the content of `base` with changed and without removed sections."""
+    catalog = base.catalog if base else Catalog(0)
+    # Copying the 29,000 customers costs more than reading one; it is done if needed.
+    kinds = {name.partition(" ")[0] for name in (*values, *removed)}
+    map_by_kind: dict[str, Any] = {
+        "service": catalog.service_by_name,
+        "class": catalog.class_by_name,
+        "customer": catalog.customer_by_name,
+        "defaults": {"": Defaults(catalog.allow_anonymous, catalog.default_limit)},
+    }
+    for kind in kinds & map_by_kind.keys():
+        map_by_kind[kind] = map_by_kind[kind].copy()
+    for name in removed:
+        kind, _, item = name.partition(" ")
+        map_by_kind.get(kind, {}).pop(item, None)
+    for name, value in values.items():
+        kind, _, item = name.partition(" ")
+        map_by_kind[kind][item] = value
+    defaults = map_by_kind["defaults"].get("", Defaults())
+    return Content(
+        map_by_kind["service"], map_by_kind["class"], map_by_kind["customer"], defaults
+    )
+
+
+def _customers_at(base: Text | None, touched: Touched) -> list[Customer]:
+    """Return the customers of `base` among the touched sections."""
+    known = base.catalog.customer_by_name if base else {}
+    names = [*touched.changed, *touched.removed]
+    items = [name.removeprefix("customer ") for name in names]
+    return [known[item] for item in items if item in known]
+
+
+def _cross_problems(
+    content: Content, changed_customers: Iterable[Customer], touched: Touched
+) -> Iterator[Problem]:
+    """Check between sections; customers that no change touches are left out."""
+    names = [*touched.changed, *touched.removed]
+    if all(name.startswith("customer ") for name in names):
+        yield from check_customers(content, changed_customers)
+        return
+    yield from check_services(content)
+    yield from check_customers(content, content.customer_by_name.values())
+
+
+def _placed(problems: Iterable[Problem], sections: Sections) -> list[Problem]:
+    """Return problems with lines that count from the start of the text."""
+    placed = []
+    for problem in problems:
+        source = sections.source_by_name.get(problem.section, "")
+        line = problem.line or line_of_key(source, problem.key)
+        name = problem.section
+        if name in sections.source_by_name:
+            line += sections.start_line(name) - 1
+        placed.append(replace(problem, line=line))
+    return sorted(placed, key=lambda problem: problem.line)
+
+
+def _catalog(content: Content, version: int) -> Catalog:
+    return Catalog(
+        version=version,
+        service_by_name=_frozen(content.service_by_name),
+        class_by_name=_frozen(content.class_by_name),
+        customer_by_name=_frozen(content.customer_by_name),
+        allow_anonymous=content.defaults.allow_anonymous,
+        default_limit=content.defaults.limit,
+    )
+
+
+def _frozen(items: Mapping[str, T]) -> Mapping[str, T]:
+    return (
+        items if isinstance(items, MappingProxyType) else MappingProxyType(items)  # type: ignore[arg-type]
+    )
--- /dev/null
+++ b/wigeonwind/state/text_head.py
@@ -0,0 +1,148 @@
+"""How a configuration text is kept in the store: one head, and parts by digest.
+
+The head `text/head` has the version of the text as its object version. A small text
+is inside the head. A larger one is cut into parts that never change once written, so
+that an edit writes the head and the parts in which it falls.
+"""
+
+import json
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from wigeonwind.state.text_parts import Part, cut_parts
+from wigeonwind.state.text_sections import Sections
+
+HEAD_KEY = "text/head"
+PART_PREFIX = "text/part/"
+
+INLINE_LIMIT_BYTES = 32_000
+"""Texts up to this size are kept in the head itself."""
+
+KEPT_VERSIONS = 32
+"""Versions for which a retired part is kept, so that a slow reader of an earlier head
+finds its parts. At 3,300 edits a day, parts would else add 60 MB a day."""
+
+MAX_DELETIONS = 8
+"""Parts deleted after one submission; the rest follows after later ones."""
+
+REMEMBERED_SUBMISSIONS = 32
+"""Accepted submissions listed in a head; within this many versions, a repeated
+submission is recognised."""
+
+
+class AcceptedSubmission(BaseModel):
+    """One submission that was accepted, with the version it became."""
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    version: int
+    submission_id: str
+    digest: str
+
+
+class RetiredPart(BaseModel):
+    """A part that no longer belongs to the text since `version`."""
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    digest: str
+    version: int
+
+
+class Head(BaseModel):
+    """The value of `text/head`; `source` is set if `parts` is empty.
+
+    `retired` lists parts of earlier texts that still exist.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="ignore")
+
+    version: int
+    submission_id: str
+    digest: str
+    parts: tuple[str, ...] = ()
+    source: str = ""
+    recent: tuple[AcceptedSubmission, ...] = ()
+    retired: tuple[RetiredPart, ...] = ()
+
+    def encode(self) -> bytes:
+        """Return the head as JSON."""
+        return json.dumps(self.model_dump(), separators=(",", ":")).encode()
+
+    def accepted(self, submission_id: str) -> AcceptedSubmission | None:
+        """Return the accepted submission of this id, if it is still listed."""
+        for row in self.recent:
+            if row.submission_id == submission_id:
+                return row
+        return None
+
+
+def decode_head(value: bytes, version: int) -> Head | None:
+    """Return a head, or None if it is damaged or not of object version `version`."""
+    try:
+        head = Head.model_validate_json(value)
+    except ValidationError:
+        return None
+    return head if head.version == version else None
+
+
+@dataclass(frozen=True)
+class StoredText:
+    """A text as it is written: its head, and its parts by digest.
+
+    `dropped` are the digests of parts that the head lists no more and that may be
+    deleted once it is written.
+    """
+
+    head: Head
+    part_by_digest: Mapping[str, Part]
+    dropped: tuple[str, ...] = ()
+
+
+def is_small(sections: Sections) -> bool:
+    """Return whether a text is kept in the head itself."""
+    chars = sum(map(len, sections.source_by_name.values()))
+    limit = INLINE_LIMIT_BYTES
+    return chars <= limit and len(sections.source.encode()) <= limit
+
+
+def store_text(
+    sections: Sections, base: Head, submission_id: str, parts: Sequence[Part] = ()
+) -> StoredText:
+    """Return what to write for a text that follows `base`; `parts` saves the cut."""
+    version = base.version + 1
+    row = AcceptedSubmission(
+        version=version, submission_id=submission_id, digest=sections.digest
+    )
+    recent = (*base.recent, row)[-REMEMBERED_SUBMISSIONS:]
+    fields: dict[str, Any] = {
+        "version": version,
+        "submission_id": submission_id,
+        "digest": sections.digest,
+        "recent": recent,
+    }
+    source = ""
+    part_by_digest: dict[str, Part] = {}
+    if not parts and is_small(sections):
+        source = sections.source
+    else:
+        part_by_digest = {part.digest: part for part in parts or cut_parts(sections)}
+    kept, dropped = _retire(base, part_by_digest, version)
+    head = Head(parts=tuple(part_by_digest), source=source, retired=kept, **fields)
+    return StoredText(head, part_by_digest, dropped)
+
+
+def _retire(
+    base: Head, part_by_digest: Mapping[str, Part], version: int
+) -> tuple[tuple[RetiredPart, ...], tuple[str, ...]]:
+    """Return the retired parts to list and the digests of those to delete."""
+    rows = [row for row in base.retired if row.digest not in part_by_digest]
+    gone = [digest for digest in base.parts if digest not in part_by_digest]
+    rows += [RetiredPart(digest=digest, version=version) for digest in gone]
+    old = [row for row in rows if row.version <= version - KEPT_VERSIONS]
+    old = old[:MAX_DELETIONS]
+    kept = tuple(row for row in rows if row not in old)
+    return kept, tuple(row.digest for row in old)
