Close unused links safely, share limits between entries, stop on a dead loop

Both ends of a pair could keep different first links and close the one the peer used; links outside the subset stayed open for ever; the subset was hashed again for every message of the spread; a restarted VM was out of use until its dead link timed out; a loop that died went unnoticed. Change: only the sender of work closes links, when idle for 30 s; the subset is kept until members change; links to an earlier start are closed; grants of limits travel over links opened on demand; a loop that ends by an error stops the process. Conclusion: links follow the members without cutting work.

--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -1,9 +1,11 @@
 """Peering, link table and spread, over links that deliver at once in memory."""
 
+from dataclasses import replace
 from random import Random
 
 from wigeonwind.clock import ManualClock
 from wigeonwind.links.messages import Hello
+from wigeonwind.roles.dialer import UNUSED_LIMIT_MS, Dialer
 from wigeonwind.roles.link_table import LinkTable
 from wigeonwind.roles.peering import MAX_RETRY_MS, DialBackoff, Peering
 from wigeonwind.roles.spread import Spread
@@ -161,3 +163,49 @@
     peering = Peering(members, 20, [])
     assert len(list(peering.wanted((), linked=0))) == 3
     assert list(peering.wanted((), linked=2)) == []
+
+
+def test_a_restarted_peer_replaces_its_dead_link_at_once():
+    # The link to a VM that died silently stays up until the heartbeat's timeout.
+    ups, downs = [], []
+    table = LinkTable(ups.append, lambda link, reason: downs.append(link))
+    old = MemoryLink(Hello("s1", 5, "side", "zone-a", "llm", 0), lambda message: None)
+    new = MemoryLink(Hello("s1", 9, "side", "zone-a", "llm", 0), lambda message: None)
+    table.add(old)
+    table.add(new)
+    assert table.get("s1") is new
+    assert (downs, old.is_open) == ([old], False)
+
+
+def make_dialer(clock, table, idle):
+    members = Membership(make_record("e1"))
+    members.merge([make_record(f"s{i}", "side") for i in range(4)], 0.0)
+    peering = Peering(members, 2, [])
+    dialer = Dialer(
+        peering, table, lambda at: None, lambda link: idle, clock, Random(1)
+    )
+    return members, peering, dialer
+
+
+def test_a_link_outside_the_subset_is_closed_only_while_it_is_idle():
+    # A subset changes when members come and go; work on the old link must not be cut.
+    for idle in (False, True):
+        clock, table = ManualClock(), LinkTable(lambda link: None, lambda *args: None)
+        _, peering, dialer = make_dialer(clock, table, idle)
+        hello = Hello("stranger", 1, "side", "zone-a", "", 0)
+        link = MemoryLink(hello, lambda message: None)
+        table.add(link)
+        dialer.tick([""], closes_unused=True)
+        clock.advance(UNUSED_LIMIT_MS + 1.0)
+        dialer.tick([""], closes_unused=True)
+        assert link.is_open is not idle
+
+
+def test_a_subset_is_chosen_again_when_members_change():
+    clock, table = ManualClock(), LinkTable(lambda link: None, lambda *args: None)
+    members, peering, _ = make_dialer(clock, table, True)
+    before = peering.endpoints([""])
+    assert len(before) == 2
+    gone = replace(before[0], state=MemberState.LEAVING)
+    members.merge([gone], 1.0)
+    assert gone.member_id not in [each.member_id for each in peering.endpoints([""])]
--- /dev/null
+++ b/wigeonwind/roles/dialer.py
@@ -0,0 +1,115 @@
+"""Keeps the links that a process wants: dials missing and closes unused ones."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+
+from gevent import spawn
+
+from wigeonwind.clock import Clock
+from wigeonwind.links.link_types import Link
+from wigeonwind.outcomes import Failure, Ok
+from wigeonwind.roles.link_table import LinkTable
+from wigeonwind.roles.peering import DialBackoff, Peering, address_of
+from wigeonwind.settings import SocketAddress, parse_address
+from wigeonwind.state.membership import MemberRecord
+
+UNUSED_LIMIT_MS = 30_000.0
+"""Time for which a link that is no longer wanted stays open: a second link to a peer, a
+link of an earlier subset, or one that was opened for a single purpose."""
+
+
+@dataclass
+class DialCounts:
+    """Counts of one process since its start."""
+
+    dials: int = 0
+    failed_dials: int = 0
+    closed_unused: int = 0
+
+
+class Dialer:
+    """Dials and closes links; call `tick` a few times a second.
+
+    `connect` opens a link and blocks. `is_idle` says whether nothing is in flight on a
+    link. Only the process that sends work closes unused links, so that a message of
+    work never meets a link that its receiver is closing.
+    """
+
+    def __init__(
+        self,
+        peering: Peering,
+        links: LinkTable,
+        connect: Callable[[SocketAddress], Ok[Link] | Failure],
+        is_idle: Callable[[Link], bool],
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self.counts = DialCounts()
+        self._peering = peering
+        self._links = links
+        self._connect = connect
+        self._is_idle = is_idle
+        self._clock = clock
+        self._rng = rng
+        self._backoff = DialBackoff(rng)
+        self._dialling: set[str] = set()
+        self._unwanted_since_ms: dict[Link, float] = {}
+
+    def tick(self, services: Iterable[str], closes_unused: bool) -> None:
+        """Dial missing links; close unused ones if this process sends the work."""
+        linked = len(self._links)
+        wanted = list(self._peering.wanted(tuple(services), linked))
+        for record in wanted:
+            self.dial_member(record)
+        if not linked:
+            for address in self._peering.join_addresses(self._rng):
+                self._dial(address)
+        if closes_unused:
+            self._close_unused({record.member_id for record in wanted})
+
+    def dial_member(self, record: MemberRecord) -> Link | None:
+        """Return the link to a member, or begin to open one and return None."""
+        link = self._links.get(record.member_id)
+        if link is None and address_of(record) is not None:
+            self._dial(record.address)
+        return link
+
+    def _dial(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit() or address in self._dialling:
+            return
+        if self._backoff.may_dial(address, self._clock.now_ms()):
+            self._dialling.add(address)
+            spawn(self._dial_now, address)
+
+    def _dial_now(self, address: str) -> None:
+        self.counts.dials += 1
+        try:
+            result = self._connect(parse_address(address))
+        finally:
+            self._dialling.discard(address)
+        if isinstance(result, Ok):
+            self._backoff.on_success(address)
+        else:
+            self.counts.failed_dials += 1
+            self._backoff.on_failure(address, self._clock.now_ms())
+
+    def _close_unused(self, wanted_ids: set[str]) -> None:
+        now_ms = self._clock.now_ms()
+        unwanted = [
+            link
+            for link in self._links.used()
+            if link.hello.member_id not in wanted_ids
+        ]
+        unwanted += self._links.spares()
+        since_by_link = {
+            link: self._unwanted_since_ms.get(link, now_ms)
+            for link in unwanted
+            if self._is_idle(link)
+        }
+        self._unwanted_since_ms = since_by_link
+        for link, since_ms in since_by_link.items():
+            if now_ms - since_ms > UNUSED_LIMIT_MS:
+                self.counts.closed_unused += 1
+                link.close("the link is no longer used")
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -166,6 +166,10 @@
         """Admit new requests under another version of the text."""
         self._admission.set_catalog(catalog)
 
+    def is_idle(self, link: Link) -> bool:
+        """Return whether no attempt is in flight on the link."""
+        return not self._pending.has_link(link)
+
     def set_endpoints(self, endpoints: tuple[EndpointInfo, ...]) -> None:
         """Choose among these endpoints from now on."""
         self._choice.set_endpoints(endpoints, self._clock.now_ms())
--- a/wigeonwind/roles/link_table.py
+++ b/wigeonwind/roles/link_table.py
@@ -24,7 +24,16 @@
         self._on_down = on_last_down
 
     def add(self, link: Link) -> None:
-        """File a link that has come up; announce it if it is the peer's first."""
+        """File a link that has come up; announce it if it is the peer's first.
+
+        Links to an earlier start of the peer are closed: a VM that died silently would
+        else keep its successor out of use until the heartbeat's timeout.
+        """
+        links = self._links_by_id.setdefault(link.hello.member_id, [])
+        for old in list(links):
+            if old.hello.incarnation < link.hello.incarnation:
+                self.remove(old, "the peer has restarted")
+                old.close("the peer has restarted")
         links = self._links_by_id.setdefault(link.hello.member_id, [])
         links.append(link)
         if len(links) == 1:
--- a/wigeonwind/roles/node.py
+++ b/wigeonwind/roles/node.py
@@ -1,6 +1,6 @@
 """The runtime of one process: its links, members, text and role."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from random import Random
 from typing import Any, Protocol
@@ -16,9 +16,10 @@
 from wigeonwind.links.link import LinkServer, connect_link
 from wigeonwind.links.link_types import Link, LinkOptions
 from wigeonwind.links.messages import Hello, Leaving, OrderResult
-from wigeonwind.outcomes import Ok
+from wigeonwind.outcomes import Failure, Ok
+from wigeonwind.roles.dialer import Dialer
 from wigeonwind.roles.link_table import LinkTable
-from wigeonwind.roles.peering import DialBackoff, Peering, address_of
+from wigeonwind.roles.peering import Peering, address_of
 from wigeonwind.roles.roller import Roller
 from wigeonwind.roles.spread import ANTI_ENTROPY_MS, Spread
 from wigeonwind.settings import Settings, SocketAddress, parse_address
@@ -31,16 +32,13 @@
 PEERING_MS = 250.0
 """Interval between looks at the links that are missing."""
 
-SPARE_LIMIT_MS = 30_000.0
-"""Time a link that nothing is sent on stays open: a second link to a peer, or a
-sidecar's link that its entry did not ask for."""
+REFUTATION_ROOM = 1000
+"""Incarnations count microseconds: a restart raises them by more than this, and a
+refutation, which keeps the process and its links, only by one."""
 
 CONFIRM_POLL_MS = 20.0
 """Interval between looks at what peers have confirmed."""
 
-DIRECT_STORE_WATCHERS = 2
-"""Processes of each zone that watch the store; one may be restarting."""
-
 log = get_logger("wigeonwind.node")
 
 
@@ -83,14 +81,16 @@
         """Use these endpoints for new work."""
         ...
 
+    def is_idle(self, link: Link) -> bool:
+        """Return whether no attempt is in flight on the link."""
+        ...
+
 
 @dataclass
 class NodeCounts:
     """Counts of one process since its start."""
 
     unhandled_messages: int = 0
-    failed_dials: int = 0
-    dials: int = 0
 
 
 class Node:
@@ -120,18 +120,20 @@
         self.spread = Spread(self.members, self.text, self.links, clock, rng)
         seeds = parse_addresses(settings.platform.seeds)
         self.peering = Peering(self.members, settings.links.subset_size, seeds)
-        self._backoff = DialBackoff(rng)
         self._server = LinkServer(
             parse_address(settings.listen.links), self.hello, self, options
         )
-        self._up_ms_by_link: dict[int, float] = {}
-        self._dialling: set[str] = set()
+        self.dialer = Dialer(
+            self.peering, self.links, self._connect, self._is_idle, clock, rng
+        )
         self._greenlets: list[Greenlet] = []
         self._stopped = Event()
         self._endpoint_ids: tuple[str, ...] = ()
         self.role: Role | None = None
         self.endpoint_consumer: EndpointConsumer | None = None
         self.roller: Roller | None = None
+        self.on_broken: Callable[[], None] = self.stop
+        """Called when an invariant is broken and the process cannot go on."""
 
     def _own_record(self) -> MemberRecord:
         node = self.settings.node
@@ -179,7 +181,8 @@
         own = self.members.own
         if not own.address.endswith(f":{bound.port}"):
             self._use_port(bound)
-        self._greenlets = [spawn(self._peering_loop), spawn(self._spread_loop)]
+        self._keep_running(spawn(self._peering_loop))
+        self._keep_running(spawn(self._spread_loop))
         if self.settings.node.role == "entry":
             self._start_roller()
         return bound
@@ -199,7 +202,7 @@
             lambda service: self.members.live("side", service),
             self.open_link,
         )
-        self._greenlets.append(spawn(self.roller.run))
+        self._keep_running(spawn(self.roller.run))
 
     def stop(self) -> None:
         """Close all links and stop at once."""
@@ -231,7 +234,6 @@
 
     def on_up(self, link: Link) -> None:
         """Take a link that has come up."""
-        self._up_ms_by_link[id(link)] = self.clock.now_ms()
         self.links.add(link)
         self.spread.on_up(link)
 
@@ -248,7 +250,6 @@
 
     def on_down(self, link: Link, reason: str) -> None:
         """Forget a link that is down."""
-        self._up_ms_by_link.pop(id(link), None)
         self.links.remove(link, reason)
         if self.links.get(link.hello.member_id) is None:
             self.spread.on_down(link)
@@ -276,7 +277,7 @@
         catalog = self.text.catalog
         for record in self.peering.endpoints(catalog.service_by_name):
             link = self.links.get(record.member_id)
-            if link is None or link.hello.incarnation != record.incarnation:
+            if link is None or _is_of_earlier_start(link, record):
                 continue
             service = catalog.service_by_name[record.service]
             models = service.models if service.kind is ServiceKind.MODEL else ()
@@ -288,10 +289,22 @@
         if link is None:
             address = address_of(record)
             if address is not None:
-                connect_link(address, self.hello, self, self.options)
+                self._connect(address)
             link = self.links.get(record.member_id)
         return link
 
+    def link_to_entry(self, member_id: str) -> Link | None:
+        """Return the link to another entry; without one, begin to open it."""
+        record = self.members.record(member_id)
+        return self.dialer.dial_member(record) if record else None
+
+    def _connect(self, address: SocketAddress) -> Ok[Link] | Failure:
+        return connect_link(address, self.hello, self, self.options)
+
+    def _is_idle(self, link: Link) -> bool:
+        consumer = self.endpoint_consumer
+        return consumer is None or consumer.is_idle(link)
+
     def confirm(self, version: int, timeout_ms: float) -> list[str]:
         """Wait until each linked zone has `version`; return the zones that do."""
         deadline_ms = self.clock.now_ms() + timeout_ms
@@ -302,6 +315,16 @@
                 return sorted(confirmed)
             sleep(CONFIRM_POLL_MS / MS_PER_SECOND)
 
+    def _keep_running(self, greenlet: Greenlet) -> None:
+        """Stop the process if one of its loops ends by an error."""
+        greenlet.link_exception(self._on_loop_error)
+        self._greenlets.append(greenlet)
+
+    def _on_loop_error(self, greenlet: Greenlet) -> None:
+        # A process without one of its loops would go on half alive.
+        log.error("a loop ended by an error", error=repr(greenlet.exception))
+        self.on_broken()
+
     def _spread_loop(self) -> None:
         while not self._stopped.is_set():
             sleep(self.rng.uniform(0.8, 1.2) * ANTI_ENTROPY_MS / MS_PER_SECOND)
@@ -309,45 +332,12 @@
 
     def _peering_loop(self) -> None:
         while not self._stopped.is_set():
-            self._dial_missing()
-            self._close_unused()
+            services = tuple(self.text.catalog.service_by_name)
+            self.dialer.tick(services, self.settings.node.role == "entry")
             self.refresh_endpoints()
             sleep(PEERING_MS / MS_PER_SECOND)
 
-    def _dial_missing(self) -> None:
-        services = list(self.text.catalog.service_by_name)
-        linked = len(self.links)
-        for record in self.peering.wanted(services, linked):
-            if self.links.get(record.member_id) is None:
-                self._dial(record.address)
-        if not linked:
-            for address in self.peering.join_addresses(self.rng):
-                self._dial(address)
-
-    def _dial(self, address: str) -> None:
-        now_ms = self.clock.now_ms()
-        host, _, port = address.rpartition(":")
-        usable = bool(host) and port.isdigit() and address not in self._dialling
-        if usable and self._backoff.may_dial(address, now_ms):
-            self._dialling.add(address)
-            spawn(self._dial_now, address)
-
-    def _dial_now(self, address: str) -> None:
-        self.counts.dials += 1
-        try:
-            target = parse_address(address)
-            result = connect_link(target, self.hello, self, self.options)
-        finally:
-            self._dialling.discard(address)
-        if isinstance(result, Ok):
-            self._backoff.on_success(address)
-        else:
-            self.counts.failed_dials += 1
-            self._backoff.on_failure(address, self.clock.now_ms())
-
-    def _close_unused(self) -> None:
-        """Close spare links, and links that neither side asked for, after a while."""
-        oldest_ms = self.clock.now_ms() - SPARE_LIMIT_MS
-        for link in list(self.links.spares()):
-            if self._up_ms_by_link.get(id(link), oldest_ms) < oldest_ms:
-                link.close("a second link to the same process")
+
+def _is_of_earlier_start(link: Link, record: MemberRecord) -> bool:
+    """Return whether the link leads to an earlier start of the member."""
+    return record.incarnation - link.hello.incarnation > REFUTATION_ROOM
--- a/wigeonwind/roles/peering.py
+++ b/wigeonwind/roles/peering.py
@@ -63,6 +63,9 @@
         self._subset_size = subset_size
         self._seeds = tuple(str(seed) for seed in seeds)
         self._listed_addresses: tuple[str, ...] = ()
+        self._kept_for: tuple[int, tuple[str, ...]] = (-1, ())
+        self._kept_subset: tuple[MemberRecord, ...] = ()
+        self._kept_peers: tuple[MemberRecord, ...] = ()
 
     def set_listed_addresses(self, addresses: Iterable[str]) -> None:
         """Keep the link addresses of the platform's VM list, for joining."""
@@ -70,9 +73,24 @@
 
     def endpoints(self, services: Iterable[str]) -> tuple[MemberRecord, ...]:
         """Return the sidecars this entry sends work to, of all services."""
-        return tuple(
+        self._refresh(tuple(services))
+        return self._kept_subset
+
+    def _refresh(self, services: tuple[str, ...]) -> None:
+        """Choose again if members or services changed.
+
+        A choice hashes every member: 3 ms at 800 sidecars, too much for each message.
+        """
+        key = (self._membership.change_count, services)
+        if key == self._kept_for:
+            return
+        own = self._membership.own
+        self._kept_for = key
+        self._kept_subset = tuple(
             record for service in services for record in self._subset_of(service)
         )
+        entries = self._membership.live("entry")
+        self._kept_peers = choose_entry_peers(own.member_id, own.zone, entries)
 
     def _subset_of(self, service: str) -> tuple[MemberRecord, ...]:
         own = self._membership.own
@@ -82,15 +100,11 @@
     def wanted(self, services: Iterable[str], linked: int) -> Iterator[MemberRecord]:
         """Yield the members to hold a link to."""
         own = self._membership.own
-        entries = [
-            record
-            for record in self._membership.live("entry")
-            if record.member_id != own.member_id
-        ]
         if own.role == "entry":
             yield from self.endpoints(services)
-            yield from choose_entry_peers(own.member_id, own.zone, entries)
+            yield from self._kept_peers
         elif not linked:
+            entries = self._membership.live("entry")
             yield from choose_join_links(own.member_id, own.zone, entries)
 
     def join_addresses(self, rng: Random) -> list[str]:
--- a/wigeonwind/roles/pending.py
+++ b/wigeonwind/roles/pending.py
@@ -166,6 +166,10 @@
         mailbox.put(chunk)
         return True
 
+    def has_link(self, link: Link) -> bool:
+        """Return whether any attempt waits for messages on the link."""
+        return id(link) in self._keys_by_link
+
     def on_down(self, link: Link, reason: str) -> None:
         """Tell all attempts on a link that it is gone."""
         for key in tuple(self._keys_by_link.get(id(link), ())):
--- a/wigeonwind/roles/process.py
+++ b/wigeonwind/roles/process.py
@@ -19,6 +19,7 @@
 from wigeonwind.links.link import link_options
 from wigeonwind.outcomes import Invalid, Ok, Problem
 from wigeonwind.roles.entry import EntryRole
+from wigeonwind.roles.grant_exchange import GrantExchange
 from wigeonwind.roles.health_api import HealthApi
 from wigeonwind.roles.http_call import StartResponse, read_call
 from wigeonwind.roles.metrics import Metrics
@@ -44,6 +45,9 @@
 ROLE_CHECK_MS = 5_000.0
 """Interval at which a process looks whether it is one of the watchers."""
 
+GRANT_MEMBERS_MS = 250.0
+"""Interval at which the limits learn of entries that came or went."""
+
 log = get_logger("wigeonwind.process")
 
 
@@ -65,6 +69,7 @@
         self.metrics = Metrics(node.clock)
         self.metrics.add_link_counts(node.options.counts)
         self.stopped = Event()
+        node.on_broken = self.stop
         self._greenlets: list[Greenlet] = []
         self._drain: Greenlet | None = None
         self._tracer = make_tracer(settings.trace, settings.node.id, settings.node.role)
@@ -89,16 +94,18 @@
         settings = self.settings
         if settings.node.role == "entry":
             choice = EndpointChooser(settings.node.zone, node.rng)
+            limiter = CustomerLimiter(node.text.catalog, settings.node.id)
             self.entry = EntryRole(
                 settings,
                 node.clock,
                 node.store,
                 choice,
-                CustomerLimiter(node.text.catalog, settings.node.id),
+                limiter,
                 RetryPolicy(node.rng),
                 PrometheusSink(self.metrics),
                 self._tracer,
             )
+            self.entry.grants = GrantExchange(limiter, node.clock, node.link_to_entry)
             node.attach(self.entry, self.entry)
         else:
             assert settings.endpoint is not None
@@ -126,6 +133,8 @@
         operators = self._start_operators()
         loops = (self._watch_loop, self._poll_loop, self._vm_list_loop)
         self._greenlets = [spawn(loop) for loop in loops]
+        if self.entry is not None:
+            self._greenlets.append(spawn(self._grants_loop))
         log.info("started", id=self.settings.node.id, role=self.settings.node.role)
         return ProcessAddresses(links, callers, operators)
 
@@ -199,6 +208,18 @@
         while True:
             _sleep_ms(self._follower.poll_step())
 
+    def _grants_loop(self) -> None:
+        """Tell the limits which entries there are."""
+        known: tuple[tuple[str, ...], int] = ((), 0)
+        while True:
+            members = self.node.members
+            live = tuple(sorted(each.member_id for each in members.live("entry")))
+            unreachable = sum(members.is_suspect(each) for each in live)
+            if (live, unreachable) != known and self.entry and self.entry.grants:
+                known = (live, unreachable)
+                self.entry.grants.set_entries(live, unreachable)
+            _sleep_ms(GRANT_MEMBERS_MS)
+
     def _vm_list_loop(self) -> None:
         if not self.settings.platform.vm_list:
             return
--- a/wigeonwind/settings.py
+++ b/wigeonwind/settings.py
@@ -69,7 +69,7 @@
         20, ge=1, le=200, description="Sidecars of each service an entry links to."
     )
     heartbeat_ms: int = Field(
-        1000, ge=50, le=60000, description="Interval between heartbeats."
+        2000, ge=50, le=60000, description="Interval between heartbeats."
     )
     timeout_ms: int = Field(
         5000, ge=100, le=300000, description="Silence after which a link is closed."
--- a/wigeonwind/state/membership.py
+++ b/wigeonwind/state/membership.py
@@ -99,6 +99,8 @@
         self._listed_ids: set[str] = set()
         self._suspect_ids: set[str] = set()
         self.own = own
+        self.change_count = 0
+        """Grows with each change, so that derived choices can be kept until then."""
         self._store(own, 0.0)
 
     def record(self, member_id: str) -> MemberRecord | None:
@@ -148,6 +150,7 @@
 
     def _store(self, record: MemberRecord, now_ms: float) -> None:
         member_id = record.member_id
+        self.change_count += 1
         known = self._record_by_id.get(member_id)
         bucket = _bucket_of(member_id)
         if known is not None:
@@ -238,6 +241,7 @@
         for member_id, left_ms in list(self._left_ms_by_id.items()):
             if now_ms - left_ms > LEFT_RETENTION_MS:
                 record = self._record_by_id.pop(member_id)
+                self.change_count += 1
                 self._bucket_digests[_bucket_of(member_id)] ^= _fingerprint(record)
                 del self._left_ms_by_id[member_id]
                 self._heard_ms_by_id.pop(member_id, None)
