Run real processes under load and faults drawn by seed

Until now the promises were only tried in one process. checking.fleet_run starts wigeonwindd and test doubles as processes, each ended by its id, sends load, does the faults of a seed (drains, kills, freezes, faults of test doubles, edits and races of operators), merges all records and checks P1 to P8. Engines and desks note when they began work, for the checkers.

--- /dev/null
+++ b/wigeonwind/checking/child_process.py
@@ -0,0 +1,89 @@
+"""Processes that a fault run starts, signals and ends, each by its own id."""
+
+import os
+import re
+import signal
+import sys
+from collections.abc import Sequence
+from typing import IO, Any
+
+import gevent
+from gevent import subprocess
+
+ADDRESS = re.compile(r"(\w+) (\d+\.\d+\.\d+\.\d+:\d+)")
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 40.0
+KILL_LIMIT_S = 5.0
+HUNG = -99
+"""Exit code noted for a process that did not end by itself after SIGTERM."""
+
+
+class StartError(Exception):
+    """A process did not come up; the message names its log."""
+
+
+class ChildProcess:
+    """One process; `address_by_name` holds what it printed, such as `links`."""
+
+    def __init__(self, name: str, arguments: Sequence[str], log_path: str) -> None:
+        self.name = name
+        self._log_path = log_path
+        with open(log_path, "a", encoding="utf-8") as log:
+            self._popen: Any = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                start_new_session=True,
+            )
+        self.address_by_name = self._read_addresses(self._popen.stdout)
+        self._reader = gevent.spawn(_discard, self._popen.stdout)
+
+    def _read_addresses(self, stream: IO[bytes]) -> dict[str, str]:
+        with gevent.Timeout(START_LIMIT_S, False):
+            for line in stream:
+                found = dict(ADDRESS.findall(line.decode()))
+                if found:
+                    return found
+        self.kill()
+        raise StartError(f"{self.name} did not start; see {self._log_path}")
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._popen.poll() is None
+
+    def terminate(self) -> None:
+        """Send SIGTERM."""
+        self._signal(signal.SIGTERM)
+
+    def freeze(self) -> None:
+        """Send SIGSTOP."""
+        self._signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Send SIGCONT."""
+        self._signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """Send SIGKILL and wait for the end."""
+        self._signal(signal.SIGKILL)
+        self._popen.wait(KILL_LIMIT_S)
+
+    def wait(self, limit_s: float = STOP_LIMIT_S) -> int:
+        """Wait for the end and return the exit code; end a process that hangs."""
+        try:
+            return int(self._popen.wait(limit_s))
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return HUNG
+
+    def _signal(self, number: int) -> None:
+        if self.is_running:
+            os.kill(self._popen.pid, number)
+
+
+def _discard(stream: IO[bytes]) -> None:
+    """Read on, so that a full pipe never stops the process."""
+    for _ in stream:
+        pass
--- a/wigeonwind/checking/disturbances.py
+++ b/wigeonwind/checking/disturbances.py
@@ -5,10 +5,12 @@
 from math import inf
 
 from wigeonwind.checking.history import (
+    EndpointSeen,
     FaultSeen,
     History,
     MemberChange,
     MemberSeen,
+    RequestSeen,
 )
 
 SETTLE_MS = 15_000.0
@@ -19,6 +21,10 @@
 """
 
 
+HARMLESS = frozenset({"lag", "event_gap", "ignore_fence", "skip_watch", "repeat_watch"})
+"""Faults that the design promises to hide altogether."""
+
+
 @dataclass(frozen=True)
 class Interval:
     """A time in which `member_id` or a test double did not work as planned."""
@@ -37,6 +43,41 @@
     return (*_faults(history), *_kills(history), *_freezes(history))
 
 
+class Excuses:
+    """Which unplanned faults may explain what became of a request.
+
+    A fault of an entry concerns the requests sent to it; a fault of a sidecar or its
+    endpoint those for its service. A booking depends on the store and on the entries
+    and sidecars that earlier calls with its key used, so any fault may explain it.
+    """
+
+    def __init__(self, history: History) -> None:
+        self.faults = unplanned(history)
+        self._service_by_member = {
+            each.member_id: each.service for each in history.of(EndpointSeen)
+        }
+
+    def cover(self, request: RequestSeen, from_ms: float, until_ms: float) -> bool:
+        """Return whether a fault in this time may explain the request's fate."""
+        return any(
+            fault.overlaps(from_ms, until_ms) and self._concerns(fault, request)
+            for fault in self.faults
+        )
+
+    def entry_was_hit(self, request: RequestSeen) -> bool:
+        """Return whether the request's own entry was disturbed while it was open."""
+        return any(
+            fault.member_id == request.entry
+            and fault.overlaps(request.sent_ms, request.ended_ms)
+            for fault in self.faults
+        )
+
+    def _concerns(self, fault: Interval, request: RequestSeen) -> bool:
+        service = self._service_by_member.get(fault.member_id)
+        is_mine = fault.member_id == request.entry or service == request.service
+        return bool(request.key) or is_mine
+
+
 def planned_stops(history: History) -> tuple[Interval, ...]:
     """Return the time of each planned stop, from the signal to the end."""
     return tuple(_spans(history, MemberChange.DRAIN, MemberChange.STOPPED))
@@ -44,6 +85,8 @@
 
 def _faults(history: History) -> Iterator[Interval]:
     for fault in history.of(FaultSeen):
+        if fault.name in HARMLESS:
+            continue
         yield Interval(fault.target, fault.from_ms, fault.until_ms + SETTLE_MS)
 
 
--- /dev/null
+++ b/wigeonwind/checking/fault_actions.py
@@ -0,0 +1,197 @@
+"""What each fault of a schedule does to the fleet."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import gevent
+
+from wigeonwind.checking.history import FaultSeen, TextAccepted
+from wigeonwind.checking.process_fleet import Member, ProcessFleet, call_json
+from wigeonwind.checking.schedules import Fault, fault_kind
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.load.caller import wall_ms
+
+
+def _sides(fleet: ProcessFleet) -> list[Member]:
+    return [m for m in fleet.members if m.role == "side"]
+
+
+def _entries(fleet: ProcessFleet) -> list[Member]:
+    return [m for m in fleet.members if m.role == "entry"]
+
+
+@contextmanager
+def _chosen(fleet: ProcessFleet, among: list[Member], fault: Fault) -> Iterator[Any]:
+    """Give a running member that has no other fault; None if that would be the last.
+
+    The last endpoint of a service or the last entry stays: with none left, nothing
+    but refusals would be seen.
+    """
+    free = [m for m in among if m.process is not None and not m.is_busy]
+    free = [m for m in free if sum(o.service == m.service for o in free) > 1]
+    member = free[fault.choice % len(free)] if free else None
+    if member is not None:
+        member.is_busy = True
+    try:
+        yield member
+    finally:
+        if member is not None:
+            member.is_busy = False
+
+
+def _rest(fault: Fault) -> None:
+    gevent.sleep(fault.duration_ms / MS_PER_SECOND)
+
+
+def _drain(fleet: ProcessFleet, among: list[Member], fault: Fault) -> None:
+    with _chosen(fleet, among, fault) as member:
+        if member is None:
+            return
+        fleet.drain(member)
+        _rest(fault)
+        fleet.start_member(member)
+
+
+def _kill(fleet: ProcessFleet, among: list[Member], fault: Fault) -> None:
+    with _chosen(fleet, among, fault) as member:
+        if member is None:
+            return
+        fleet.kill(member)
+        _rest(fault)
+        fleet.start_member(member)
+
+
+def _freeze(fleet: ProcessFleet, among: list[Member], fault: Fault) -> None:
+    with _chosen(fleet, among, fault) as member:
+        if member is not None:
+            fleet.freeze(member, fault.duration_ms)
+
+
+@fault_kind("drain-side", is_planned=True)
+def drain_side(fleet: ProcessFleet, fault: Fault) -> None:
+    """Stop a sidecar as planned and start another in its place."""
+    _drain(fleet, _sides(fleet), fault)
+
+
+@fault_kind("drain-entry", is_planned=True)
+def drain_entry(fleet: ProcessFleet, fault: Fault) -> None:
+    """Stop an entry as planned and start another in its place."""
+    _drain(fleet, _entries(fleet), fault)
+
+
+@fault_kind("kill-side")
+def kill_side(fleet: ProcessFleet, fault: Fault) -> None:
+    """Kill a sidecar and start another in its place."""
+    _kill(fleet, _sides(fleet), fault)
+
+
+@fault_kind("kill-entry")
+def kill_entry(fleet: ProcessFleet, fault: Fault) -> None:
+    """Kill an entry and start another in its place."""
+    _kill(fleet, _entries(fleet), fault)
+
+
+@fault_kind("freeze-side")
+def freeze_side(fleet: ProcessFleet, fault: Fault) -> None:
+    """Stop and continue a sidecar."""
+    _freeze(fleet, _sides(fleet), fault)
+
+
+@fault_kind("freeze-entry")
+def freeze_entry(fleet: ProcessFleet, fault: Fault) -> None:
+    """Stop and continue an entry."""
+    _freeze(fleet, _entries(fleet), fault)
+
+
+def _standin_fault(
+    fleet: ProcessFleet, target: str, fault: Fault, fields: dict[str, Any]
+) -> None:
+    """Switch a fault of a test double on for a time.
+
+    It is recorded under the sidecar that owns the endpoint.
+    """
+    owners = [m.name for m in fleet.members if m.endpoint == target]
+    address = fleet.standin(target)
+    from_ms = wall_ms()
+    call_json(address, "POST", "/faults", fields)
+    _rest(fault)
+    call_json(address, "DELETE", "/faults")
+    name = str(fields["name"])
+    seen = FaultSeen(owners[0] if owners else target, name, from_ms, wall_ms())
+    fleet.records.append(seen)
+
+
+def _endpoint(fleet: ProcessFleet, kind: str, fault: Fault) -> str:
+    names = [m.endpoint for m in fleet.members if m.kind == kind]
+    return names[fault.choice % len(names)]
+
+
+def _register_standin_faults() -> None:
+    """Register the faults of test doubles."""
+    for name, kind, fields in (
+        ("engine-crash", "model", {"name": "crash", "after_tokens": 30}),
+        ("engine-straggle", "model", {"name": "straggle", "factor": 6.0}),
+        ("engine-freeze", "model", {"name": "freeze"}),
+        ("desk-crash-before", "plain", {"name": "crash", "when": "before"}),
+        ("desk-crash-after", "plain", {"name": "crash", "when": "after"}),
+        ("desk-lost-answers", "plain", {"name": "lose_answers", "count": 3}),
+        ("store-outage", "", {"name": "outage"}),
+        ("store-slow", "", {"name": "slow", "ms": 900.0}),
+        ("store-lost-answers", "", {"name": "lose_answers", "count": 5}),
+    ):
+        fault_kind(name)(_standin_act(kind, fields))
+
+
+def _standin_act(
+    kind: str, fields: dict[str, Any]
+) -> Callable[[ProcessFleet, Fault], None]:
+    def act(fleet: ProcessFleet, fault: Fault) -> None:
+        target = _endpoint(fleet, kind, fault) if kind else "store"
+        _standin_fault(fleet, target, fault, fields)
+
+    return act
+
+
+_register_standin_faults()
+
+
+@fault_kind("vm-list-lag", is_planned=True)
+def lag_vm_list(fleet: ProcessFleet, fault: Fault) -> None:
+    """Let the VM list lag 30 s."""
+    _standin_fault(fleet, "vm-list", fault, {"name": "lag", "ms": 30_000.0})
+
+
+def _edit(fleet: ProcessFleet, entry: Member, fault: Fault, number: int) -> None:
+    """Read the text in force at an entry and submit an edit of it."""
+    shown = call_json(entry.address("operators"), "GET", "/admin/text")
+    if shown.status != 200:
+        return
+    source = f"{shown.fields['source']}; edit {fault.choice}-{number}\n"
+    version = int(shown.fields["version"])
+    name = f"edit-{fault.choice}-{number}"
+    answer = fleet.submit(entry, version, name, source)
+    if answer.status == 200:
+        zones = tuple(answer.fields.get("confirmed_zones", ()))
+        accepted = TextAccepted(
+            int(answer.fields["version"]), "", entry.name, wall_ms(), zones
+        )
+        fleet.records.append(accepted)
+
+
+@fault_kind("text-edit", is_planned=True)
+def edit_text(fleet: ProcessFleet, fault: Fault) -> None:
+    """Let an operator edit the text."""
+    entries = fleet.entries()
+    if entries:
+        _edit(fleet, entries[fault.choice % len(entries)], fault, 0)
+
+
+@fault_kind("operator-race", is_planned=True)
+def race_operators(fleet: ProcessFleet, fault: Fault) -> None:
+    """Let operators at different entries edit the same version at the same time."""
+    edits = [
+        gevent.spawn(_edit, fleet, entry, fault, number)
+        for number, entry in enumerate(fleet.entries())
+    ]
+    gevent.joinall(edits)
--- /dev/null
+++ b/wigeonwind/checking/process_fleet.py
@@ -0,0 +1,281 @@
+"""A fleet of real processes on loopback, and the record of what was done to it."""
+
+import json
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import gevent
+
+from wigeonwind.checking.child_process import ChildProcess, StartError
+from wigeonwind.checking.history import MemberChange, MemberSeen, Record
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.load.caller import wall_ms
+from wigeonwind.roles.endpoint_http import HttpExchange, HttpFailure
+from wigeonwind.settings import parse_address
+
+READY_POLL_S = 0.05
+READY_LIMIT_S = 30.0
+CALL_LIMIT_MS = 8_000.0
+MAX_ANSWER_BYTES = 64_000_000
+ZONES = ("tartu-a", "viljandi-b", "voru-c")
+STANDINS = "wigeonwind.standins.main"
+DAEMON = "wigeonwind.daemon"
+
+
+@dataclass(frozen=True)
+class FleetShape:
+    """Numbers of processes and what the engines are like."""
+
+    entries: int = 2
+    engines: int = 3
+    desks: int = 2
+    engine_fields: dict[str, Any] = field(default_factory=dict)
+    speed: float = 1.0
+    desk_work_ms: float = 20.0
+
+
+@dataclass(frozen=True)
+class JsonAnswer:
+    """Status and fields of an answer; status 0 if there was none."""
+
+    status: int
+    fields: dict[str, Any]
+
+
+def call_json(
+    address: str, method: str, path: str, fields: dict[str, Any] | None = None
+) -> JsonAnswer:
+    """Call an HTTP interface that answers JSON."""
+    exchange = HttpExchange(parse_address(address), CALL_LIMIT_MS)
+    body = b"" if fields is None else json.dumps(fields).encode()
+    try:
+        if exchange.connect() is not None:
+            return JsonAnswer(0, {})
+        head = exchange.request(method, path, [], body)
+        if isinstance(head, HttpFailure):
+            return JsonAnswer(0, {})
+        data = exchange.read_all(MAX_ANSWER_BYTES)
+    finally:
+        exchange.close()
+    try:
+        found = json.loads(data) if isinstance(data, bytes) else None
+    except ValueError:
+        found = None
+    return JsonAnswer(head.status, found if isinstance(found, dict) else {})
+
+
+@dataclass
+class Member:
+    """One wigeonwindd of the fleet; `start` counts its lives."""
+
+    name: str
+    role: str
+    zone: str
+    service: str = ""
+    kind: str = ""
+    endpoint: str = ""
+    start: int = 0
+    process: ChildProcess | None = None
+    is_busy: bool = False
+    """Whether a fault is being done to it; it gets no second one meanwhile."""
+
+    def address(self, name: str) -> str:
+        """Return where it listens for `callers`, `links` or `operators`."""
+        assert self.process is not None
+        return self.process.address_by_name[name]
+
+
+class ProcessFleet:
+    """Starts, signals and ends the processes; `records` tells what happened."""
+
+    def __init__(self, shape: FleetShape, directory: Path) -> None:
+        self.shape = shape
+        self.records: list[Record] = []
+        self.members: list[Member] = []
+        self.standins: dict[str, ChildProcess] = {}
+        self.member_by_address: dict[str, str] = {}
+        self._directory = directory
+
+    def start(self, text: str) -> None:
+        """Start everything and wait until it serves."""
+        self._start_standin("store", "--kind=object-store")
+        self._start_standin("vm-list", "--kind=vm-list")
+        for number in range(self.shape.entries):
+            self._add(Member(f"entry-{number}", "entry", ZONES[number % 3]))
+        self._submit_first(text)
+        for number in range(self.shape.engines):
+            engine = f"engine-{number}"
+            config = {**self.shape.engine_fields, "seed": number}
+            self._start_standin(
+                engine,
+                "--kind=engine",
+                f"--engine={json.dumps(config)}",
+                f"--speed={self.shape.speed}",
+            )
+            self._add_side("llm", number, "wigeon-llm", "model", engine)
+        for number in range(self.shape.desks):
+            desk = f"desk-{number}"
+            work = f"--work_ms={self.shape.desk_work_ms}"
+            self._start_standin(desk, "--kind=plain", work)
+            self._add_side("desk", number, "spot-desk", "plain", desk)
+        self._wait_until_ready()
+
+    def stop(self) -> None:
+        """End all processes; a planned stop for the members."""
+        stops = [gevent.spawn(self.drain, member) for member in self.members]
+        gevent.joinall(stops)
+        self.kill_all()
+
+    def kill_all(self) -> None:
+        """End what is left."""
+        members = [m.process for m in self.members if m.process is not None]
+        for process in [*members, *self.standins.values()]:
+            process.kill()
+
+    def _add_side(
+        self, prefix: str, number: int, service: str, kind: str, endpoint: str
+    ) -> None:
+        name, zone = f"{prefix}-side-{number}", ZONES[number % 3]
+        self._add(Member(name, "side", zone, service, kind, endpoint))
+
+    def _add(self, member: Member) -> None:
+        self.members.append(member)
+        self.start_member(member)
+
+    def start_member(self, member: Member) -> None:
+        """Start a member, for the first time or again."""
+        member.start += 1
+        path = self._directory / f"{member.name}.ini"
+        path.write_text(self._settings(member), encoding="utf-8")
+        log = str(self._directory / f"{member.name}.log")
+        arguments = (DAEMON, f"--settings={path}")
+        member.process = ChildProcess(member.name, arguments, log)
+        if member.role == "entry":
+            self.member_by_address[member.address("callers")] = member.name
+        self._note(member, MemberChange.STARTED)
+        self.list_vm(member, "live")
+
+    def list_vm(self, member: Member, state: str) -> None:
+        """Change the member's row of the VM list."""
+        row = {"id": member.name, "address": member.address("links")}
+        row |= {"zone": member.zone, "state": state}
+        call_json(self.standin("vm-list"), "POST", "/v1/vms", row)
+
+    def standin(self, name: str) -> str:
+        """Return the address of a test double."""
+        return self.standins[name].address_by_name["ready"]
+
+    def _start_standin(self, name: str, *arguments: str) -> None:
+        log = str(self._directory / f"{name}.log")
+        self.standins[name] = ChildProcess(name, (STANDINS, *arguments), log)
+
+    def _settings(self, member: Member) -> str:
+        running = [m for m in self.members if m is not member and m.process is not None]
+        seeds = [m.address("links") for m in running if m.role == "entry"]
+        callers = "callers = 127.0.0.1:0" if member.role == "entry" else ""
+        endpoint = ""
+        if member.endpoint:
+            endpoint = (
+                f"[endpoint]\nservice = {member.service}\nkind = {member.kind}\n"
+                f"address = {self.standin(member.endpoint)}\n"
+            )
+        return f"""
+[node]
+id = {member.name}
+role = {member.role}
+zone = {member.zone}
+region = ee-south
+[listen]
+{callers}
+links = 127.0.0.1:0
+operators = 127.0.0.1:0
+[platform]
+store = {self.standin("store")}
+vm_list = {self.standin("vm-list")}
+seeds = {", ".join(seeds)}
+[drain]
+grace_ms = 800
+limit_ms = 30000
+{endpoint}"""
+
+    def _submit_first(self, text: str) -> None:
+        answer = self.submit(self.members[0], 0, "first", text)
+        if answer.status != 200:
+            raise StartError(f"the first text was not accepted: {answer}")
+
+    def submit(
+        self, entry: Member, base_version: int, submission_id: str, text: str
+    ) -> JsonAnswer:
+        """Submit a text as an operator does."""
+        fields = {
+            "base_version": base_version,
+            "submission_id": submission_id,
+            "source": text,
+        }
+        return call_json(entry.address("operators"), "PUT", "/admin/text", fields)
+
+    def _wait_until_ready(self) -> None:
+        sides = {m.name for m in self.members if m.role == "side"}
+        with gevent.Timeout(READY_LIMIT_S, StartError("the fleet is not ready")):
+            for entry in self.entries():
+                while not sides <= self._linked(entry):
+                    gevent.sleep(READY_POLL_S)
+
+    def _linked(self, entry: Member) -> set[str]:
+        status = self.status(entry)
+        if not status.get("ready"):
+            return set()
+        return {row["member"] for row in status["members"] if row["linked"]}
+
+    def status(self, member: Member) -> dict[str, Any]:
+        """Return a member's own status, empty if it gives none."""
+        answer = call_json(member.address("operators"), "GET", "/admin/status")
+        return answer.fields if answer.status == 200 else {}
+
+    def entries(self) -> list[Member]:
+        """Return the entries that are running."""
+        return [m for m in self.members if m.role == "entry" and m.process]
+
+    def drain(self, member: Member) -> None:
+        """Stop a member as planned and wait for its end."""
+        if member.process is None:
+            return
+        self.list_vm(member, "leaving")
+        self._note(member, MemberChange.DRAIN)
+        member.process.terminate()
+        code = member.process.wait()
+        member.process = None
+        self._note(member, MemberChange.STOPPED, code)
+
+    def kill(self, member: Member) -> None:
+        """End a member without warning."""
+        assert member.process is not None
+        self._note(member, MemberChange.KILLED)
+        member.process.kill()
+        member.process = None
+
+    def freeze(self, member: Member, duration_ms: float) -> None:
+        """Let a member stand still for some time."""
+        assert member.process is not None
+        self._note(member, MemberChange.FROZEN)
+        member.process.freeze()
+        gevent.sleep(duration_ms / MS_PER_SECOND)
+        member.process.thaw()
+        self._note(member, MemberChange.THAWED)
+
+    def note_unexpected_ends(self) -> None:
+        """Record members that have ended by themselves, a broken invariant."""
+        for member in self.members:
+            if member.process is not None and not member.process.is_running:
+                code = member.process.wait()
+                member.process = None
+                self._note(member, MemberChange.STOPPED, code)
+
+    def _note(
+        self, member: Member, change: MemberChange, exit_code: int | None = None
+    ) -> None:
+        seen = MemberSeen(
+            member.name, member.role, member.start, wall_ms(), change, exit_code
+        )
+        self.records.append(seen)
--- /dev/null
+++ b/wigeonwind/checking/run_faults.py
@@ -0,0 +1,167 @@
+"""Runs a fleet of real processes under load and faults, and checks the promises.
+
+Example: python -m wigeonwind.checking.run_faults --seed=7 --seconds=20
+"""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+
+from absl import app, flags
+
+from wigeonwind.checking.fleet_run import RunOptions, RunResult, run_fleet
+from wigeonwind.checking.history import RequestSeen, to_json, write_history
+from wigeonwind.checking.process_fleet import FleetShape
+from wigeonwind.checking.schedules import (
+    FAULT_KINDS,
+    ScheduleOptions,
+    draw_schedule,
+)
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.load.arrivals import LoadStage
+from wigeonwind.load.plan import ClassMix, Identity, LoadPlan
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("seed", 1, "First seed.", 0)
+flags.DEFINE_integer("seeds", 1, "Number of seeds, counted up.", 1, 1000)
+flags.DEFINE_float("seconds", 20.0, "Time of load.", 1.0, 600.0)
+flags.DEFINE_float("rate", 25.0, "Requests/s.", 0.1, 200.0)
+flags.DEFINE_float("gap", 3.0, "Mean seconds between faults.", 0.1, 600.0)
+flags.DEFINE_bool("planned", False, "Only planned changes.")
+flags.DEFINE_list("only", [], "Only these kinds of fault.")
+flags.DEFINE_integer("entries", 2, "Entries.", 1, 6)
+flags.DEFINE_integer("engines", 3, "Model endpoints.", 1, 10)
+flags.DEFINE_integer("desks", 2, "Plain endpoints.", 1, 6)
+flags.DEFINE_string("history", "", "File for the history, with the seed added.")
+
+TEXT = """
+[defaults]
+allow_anonymous = yes
+[service wigeon-llm]
+kind = model
+models = barley-7b
+model_version = 1
+classes = chat, dossier, tagging
+default_class = chat
+concurrency = 16
+[service spot-desk]
+kind = plain
+classes = desk
+default_class = desk
+concurrency = 16
+unrepeatable_methods = POST, PUT, PATCH, DELETE
+bookings = claim
+[class chat]
+priority = 0
+target = first-token 1500ms
+max_wait = 8s
+[class desk]
+priority = 0
+target = whole 2s
+max_wait = 8s
+[class dossier]
+priority = 1
+target = whole 60s
+max_wait = 30s
+[class tagging]
+priority = 2
+target = whole 60s
+max_wait = 60s
+[customer buyer-1]
+weight = 2
+[customer buyer-2]
+weight = 1
+"""
+
+MIX = (
+    ClassMix("chat", 5.0, 60.0, 40.0),
+    ClassMix("dossier", 1.0, 300.0, 150.0),
+    ClassMix("tagging", 2.0, 60.0, 10.0),
+)
+CUSTOMERS = (Identity("buyer-1", weight=3.0), Identity("buyer-2"))
+
+
+def options_of(
+    seed: int,
+    seconds: float,
+    rate: float,
+    schedule: ScheduleOptions,
+    shape: FleetShape,
+) -> RunOptions:
+    """Return the run of a seed."""
+    stage = LoadStage(seconds * MS_PER_SECOND, rate, rate)
+    plan = LoadPlan((stage,), MIX, CUSTOMERS, bookings=0.25, seed=seed)
+    return RunOptions(TEXT, shape, plan, draw_schedule(schedule))
+
+
+def replay_command(seed: int) -> str:
+    """Return the command that runs one seed again."""
+    kept = [
+        flag.serialize()
+        for flag in FLAGS.get_key_flags_for_module(sys.modules[__name__])
+        if flag.value != flag.default and flag.name not in ("seed", "seeds", "history")
+    ]
+    words = ["python -m wigeonwind.checking.run_faults", f"--seed={seed}", *kept]
+    return " ".join(words)
+
+
+def run_seed(seed: int) -> RunResult:
+    """Run one seed and print what was found."""
+    only = tuple(FLAGS.only)
+    schedule = ScheduleOptions(
+        seed,
+        FLAGS.seconds * MS_PER_SECOND,
+        FLAGS.gap * MS_PER_SECOND,
+        FLAGS.planned,
+        only,
+    )
+    shape = FleetShape(FLAGS.entries, FLAGS.engines, FLAGS.desks)
+    begin = time.monotonic()
+    result = run_fleet(options_of(seed, FLAGS.seconds, FLAGS.rate, schedule, shape))
+    seconds = time.monotonic() - begin
+    ends = Counter(seen.end.value for seen in result.history.of(RequestSeen))
+    counts = ", ".join(f"{count} {end}" for end, count in sorted(ends.items()))
+    print(
+        f"seed {seed}: {counts}; {len(result.violations)} violations, {seconds:.0f} s"
+    )
+    if FLAGS.history:
+        path = Path(FLAGS.history)
+        name = path.with_name(f"{path.stem}-{seed}{path.suffix}")
+        write_history(str(name), result.history.records)
+    if result.violations:
+        _print_violations(seed, result)
+    return result
+
+
+def _print_violations(seed: int, result: RunResult) -> None:
+    for violation in result.violations:
+        print(f"  {violation.promise}: {violation.message}")
+        for record in violation.evidence[:3]:
+            print(f"    {_shortened(to_json(record))}")
+    print(f"  again: {replay_command(seed)}", flush=True)
+
+
+def _shortened(text: str) -> str:
+    return text if len(text) <= 700 else f"{text[:500]} … {text[-200:]}"
+
+
+def main(_argv: list[str]) -> int:
+    """Run the seeds; the exit code is 1 if a promise was broken."""
+    unknown = sorted(set(FLAGS.only) - set(FAULT_KINDS.names()))
+    if unknown:
+        known = ", ".join(FAULT_KINDS.names())
+        raise app.UsageError(f"--only: unknown {', '.join(unknown)}; known: {known}")
+    seeds = range(FLAGS.seed, FLAGS.seed + FLAGS.seeds)
+    bad = [seed for seed in seeds if run_seed(seed).violations]
+    if bad:
+        print(f"{len(bad)} of {len(seeds)} seeds broke a promise: {bad}")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/wigeonwind/standins/engine_control.py
+++ b/wigeonwind/standins/engine_control.py
@@ -6,6 +6,7 @@
 from geventhttpclient import HTTPClient
 
 from wigeonwind.settings import SocketAddress
+from wigeonwind.standins.engine_log import EngineLog
 from wigeonwind.standins.engine_model import EngineModel
 from wigeonwind.standins.engine_orders import LOAD_MODEL
 from wigeonwind.standins.engine_types import (
@@ -34,6 +35,7 @@
     """What the control calls need of the engine server."""
 
     model: EngineModel
+    log: EngineLog
 
     def now_ms(self) -> float:
         """Return the engine's time."""
@@ -91,7 +93,10 @@
             message = f"kv = {kv!r}: expected one of {', '.join(KV_MODES)}"
             return error_reply(400, "bad_request", message)
         now_ms = self._engine.now_ms()
-        return self._stopped(self._engine.model.pause(_request_id(call), kv, now_ms))
+        result = self._engine.model.pause(_request_id(call), kv, now_ms)
+        if isinstance(result, RequestStopped):
+            self._engine.log.on_paused(_request_id(call))
+        return self._stopped(result)
 
     def _resume(self, call: Call) -> Reply:
         now_ms = self._engine.now_ms()
--- a/wigeonwind/standins/engine_server.py
+++ b/wigeonwind/standins/engine_server.py
@@ -11,6 +11,7 @@
 from wigeonwind.settings import SocketAddress
 from wigeonwind.standins.completion import AnswerWriter, Completion, read_completion
 from wigeonwind.standins.engine_control import EngineControl
+from wigeonwind.standins.engine_log import EngineLog
 from wigeonwind.standins.engine_model import EngineModel
 from wigeonwind.standins.engine_types import (
     EngineConfig,
@@ -98,10 +99,12 @@
         self._wake = Event()
         self._greenlets: list[Greenlet] = []
         self._crash_handled = False
+        self.log = EngineLog()
         self._control = EngineControl(self, weight_store)
         self.routes.update(self._control.routes())
         self.routes[("POST", "/v1/chat/completions")] = self._chat
         self.routes[("POST", "/v1/completions")] = self._completion
+        self.routes[("GET", "/executions")] = self._executions
 
     def start(self) -> SocketAddress:
         """Start the engine and the HTTP server."""
@@ -201,6 +204,11 @@
         elif isinstance(event, RequestLost):
             answer.finish(event.reason, lost=True)
 
+    def _executions(self, call: Call) -> Reply:
+        begun = [asdict(row) for row in self.log.begun]
+        paused = [asdict(row) for row in self.log.paused]
+        return json_reply({"begun": begun, "paused": paused})
+
     def _chat(self, call: Call) -> Reply:
         return self._complete(call, chat=True)
 
@@ -223,6 +231,7 @@
             status = STATUS_BY_REFUSAL[outcome.reason]
             message = f"request {completion.request_id} not run"
             return error_reply(status, outcome.reason.value, message)
+        self.log.on_begun(completion.request_id)
         answer = Answer(completion, call)
         self._answer_by_id[completion.request_id] = answer
         writer = AnswerWriter(completion, completion.model or orders.model)
--- a/wigeonwind/standins/plain_service.py
+++ b/wigeonwind/standins/plain_service.py
@@ -5,7 +5,8 @@
 """
 
 from collections import Counter
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, field
+from time import time
 
 from gevent import sleep
 
@@ -36,6 +37,8 @@
     path: str
     headers: dict[str, str]
     body: str
+    at_ms: float = field(default=0.0, compare=False)
+    """Wall-clock time, which checkers share with other processes."""
 
 
 class Desk:
@@ -64,7 +67,8 @@
             return self._execution_by_key[key]
         self._number += 1
         self.stock -= 1
-        execution = Execution(self._number, key, method, path, headers, body)
+        at_ms = time() * MS_PER_SECOND
+        execution = Execution(self._number, key, method, path, headers, body, at_ms)
         if len(self.executions) < MAX_EXECUTIONS:
             self.executions.append(execution)
         if key:
