Report a request's tokens to the decisions every 50 ms

Cause: with the full endpoint choice and limits, reporting each token cost more than formatting it.

Change: tokens are reported at most every 50 ms and at the end of an attempt.

--- a/wigeonwind/roles/request_run.py
+++ b/wigeonwind/roles/request_run.py
@@ -41,6 +41,12 @@
 MAX_MOVES = 2
 """Times a request is asked back from a queue and sent elsewhere."""
 
+REPORT_MS = 50.0
+"""Least time between two reports of a request's tokens to the decisions.
+
+Reporting each token would cost more than formatting it.
+"""
+
 MOVE_SHARE = 0.5
 """Share of the class's wait after which a queued attempt is asked back.
 
@@ -190,31 +196,43 @@
         self, attempt: Attempt, endpoint_id: str, may_move: bool
     ) -> Generator[AnswerHead | AnswerParts, None, AttemptEnd]:
         """Pass the attempt's events on and report tokens to the decisions."""
-        choice = self.context.choice
-        limits = self.context.limits
-        request = self.request
 
         def should_move() -> bool:
             return self._should_move(attempt, endpoint_id)
 
         events = attempt.events(should_move if may_move else None)
         counted = 0
-        while True:
-            try:
-                event = next(events)
-            except StopIteration as stop:
-                return stop.value
+        due_ms = 0.0
+        try:
+            while True:
+                try:
+                    event = next(events)
+                except StopIteration as stop:
+                    return stop.value
+                now_ms = self.clock.now_ms()
+                if now_ms >= due_ms and attempt.tokens > counted:
+                    self._report_tokens(attempt, endpoint_id, counted, now_ms)
+                    counted = attempt.tokens
+                    due_ms = now_ms + REPORT_MS
+                yield event
+        finally:
             if attempt.tokens > counted:
                 now_ms = self.clock.now_ms()
-                if counted == 0 and attempt.first_part_ms is not None:
-                    wait_ms = attempt.first_part_ms - attempt.sent_ms
-                    choice.on_first_token(endpoint_id, wait_ms, now_ms)
-                tokens = attempt.tokens - counted
-                counted = attempt.tokens
-                choice.on_tokens(endpoint_id, tokens, now_ms)
-                name = request.request_class.name
-                limits.on_tokens(request.customer, name, tokens, now_ms)
-            yield event
+                self._report_tokens(attempt, endpoint_id, counted, now_ms)
+
+    def _report_tokens(
+        self, attempt: Attempt, endpoint_id: str, counted: int, now_ms: float
+    ) -> None:
+        """Report the tokens beyond `counted` to the choice and the limits."""
+        choice = self.context.choice
+        request = self.request
+        if counted == 0 and attempt.first_part_ms is not None:
+            wait_ms = attempt.first_part_ms - attempt.sent_ms
+            choice.on_first_token(endpoint_id, wait_ms, now_ms)
+        tokens = attempt.tokens - counted
+        choice.on_tokens(endpoint_id, tokens, now_ms)
+        class_name = request.request_class.name
+        self.context.limits.on_tokens(request.customer, class_name, tokens, now_ms)
 
     def _after_attempt(
         self, attempt: Attempt, endpoint_id: str, end: AttemptEnd
