Hold a fresh process back until its text is current

Cause: review. A process that starts during a store outage became ready with the text of its first peer, which may be older than that of peers in other zones. A VM whose clock was set back got a lower incarnation and was kept out of use for ever. Change: the role gets its first text when the store has answered, or when peers have had 2 s and none announced a newer one; an open link is enough evidence that an endpoint is there; a process that the VM list shows as leaving is not ready.

--- a/bench/control.py
+++ b/bench/control.py
@@ -1,9 +1,10 @@
 """Measure the control traffic of a fleet by size: messages, bytes, CPU, memory.
 
-All processes' runtimes share this one process and loopback; roles are left out, so
-what is measured is membership, text spread and heartbeats.
+All processes' runtimes share this one process and loopback. Of the roles only the load
+reports are there, so what is measured is membership, text, heartbeats and reports.
 
-    python bench/control.py --sizes=10,50,200 --seed=1
+    python -m bench.control --sizes=20,60,180 --subsets=20 --seed=1
+    python -m bench.control --sizes=90 --subsets=5,10,20,40 --seed=1
 """
 
 from gevent import monkey
@@ -17,10 +18,11 @@
 from random import Random  # noqa: E402
 
 from absl import app, flags  # noqa: E402
-from gevent import sleep  # noqa: E402
+from gevent import sleep, spawn  # noqa: E402
 
 from wigeonwind.clock import SystemClock  # noqa: E402
-from wigeonwind.links.link_types import LinkOptions  # noqa: E402
+from wigeonwind.links.link import link_options  # noqa: E402
+from wigeonwind.links.messages import LoadReport  # noqa: E402
 from wigeonwind.outcomes import Ok  # noqa: E402
 from wigeonwind.roles.node import Node  # noqa: E402
 from wigeonwind.settings import read_settings  # noqa: E402
@@ -29,7 +31,8 @@
 FLAGS = flags.FLAGS
 flags.DEFINE_list("sizes", ["10", "50", "200"], "Numbers of processes.")
 flags.DEFINE_integer("seed", 1, "Seed of all random choices.")
-flags.DEFINE_integer("subset", 20, "Sidecars an entry links to.")
+flags.DEFINE_list("subsets", ["20"], "Numbers of sidecars an entry links to.")
+flags.DEFINE_bool("reports", True, "Let sidecars send load reports.")
 flags.DEFINE_float("seconds", 10.0, "Measured time of each phase.")
 flags.DEFINE_string("json", "", "File for the rows.")
 
@@ -90,7 +93,47 @@
         return StoreFailure("outage", maybe_written=False)
 
 
-def make_node(index: int, seeds: str) -> Node:
+class ReportingRole:
+    """The part of a sidecar that reports its load to linked entries."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def on_up(self, link):
+        pass
+
+    def on_message(self, link, message):
+        return isinstance(message, LoadReport)
+
+    def on_down(self, link, reason):
+        pass
+
+    def set_catalog(self, catalog):
+        pass
+
+    def start(self):
+        if self._node.settings.node.role == "side" and FLAGS.reports:
+            spawn(self._report_loop)
+
+    def drain(self):
+        pass
+
+    def stop(self):
+        pass
+
+    def _report_loop(self):
+        rows = [["chat", 3], ["dossier", 9]]
+        report = LoadReport(
+            "side-1", 8, 16, rows, 8, 500.0, 21.5, 180.0, 400, True, rows
+        )
+        while True:
+            sleep(self._node.settings.links.report_ms / 1000)
+            for link in self._node.links.used():
+                if link.hello.role == "entry":
+                    link.send(report)
+
+
+def make_node(index: int, seeds: str, subset: int) -> Node:
     """Return one process; a third are entries, as at the target size."""
     role = "entry" if index % 3 == 0 else "side"
     source = SETTINGS.format(
@@ -98,12 +141,16 @@
         role=role,
         zone=ZONES[index % len(ZONES)],
         seeds=seeds,
-        subset=FLAGS.subset,
+        subset=subset,
     )
     settings = read_settings(source + (ENDPOINT if role == "side" else ""))
     assert isinstance(settings, Ok), settings
     rng = Random(FLAGS.seed * 1000 + index)
-    return Node(settings.value, SystemClock(), DownStore(), LinkOptions(), rng)
+    options = link_options(settings.value.links)
+    assert isinstance(options, Ok), options
+    node = Node(settings.value, SystemClock(), DownStore(), options.value, rng)
+    node.attach(ReportingRole(node))
+    return node
 
 
 def totals(nodes: list[Node]) -> tuple[int, int]:
@@ -147,14 +194,15 @@
     return all(node.text.version == version for node in nodes)
 
 
-def build_fleet(size: int) -> list[Node]:
+def build_fleet(size: int, subset: int) -> list[Node]:
     """Start `size` processes that join through the first."""
-    first = make_node(0, "")
+    first = make_node(0, "", subset)
     seed_address = str(first.start())
     nodes = [first]
     for index in range(1, size):
-        node = make_node(index, seed_address)
+        node = make_node(index, seed_address, subset)
         node.start()
+        node.role.start()
         nodes.append(node)
     return nodes
 
@@ -178,15 +226,20 @@
     }
 
 
-def run_size(size: int) -> dict:
+def run_size(size: int, subset: int) -> dict:
     """Build a fleet of `size` processes and measure it."""
     before_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-    nodes = build_fleet(size)
+    nodes = build_fleet(size, subset)
     join_s = wait_for(lambda: all_know(nodes, size))
     nodes[0].text.offer(1, TEXT.format(wait=4000))
     first_text_s = wait_for(lambda: all_have(nodes, 1))
     sleep(3.0)
-    row = {"size": size, "join_s": join_s, "first_text_s": first_text_s}
+    row = {
+        "size": size,
+        "subset": subset,
+        "join_s": join_s,
+        "first_text_s": first_text_s,
+    }
     row["idle"] = measure_phase(nodes, FLAGS.seconds)
     row["edit"] = measure_edits(nodes)
     row["links"] = round(sum(len(node.links) for node in nodes) / size, 1)
@@ -202,8 +255,9 @@
     """Measure each size and print one JSON row each."""
     rows = []
     for size in FLAGS.sizes:
-        rows.append(run_size(int(size)))
-        print(json.dumps(rows[-1]), flush=True)
+        for subset in FLAGS.subsets:
+            rows.append(run_size(int(size), int(subset)))
+            print(json.dumps(rows[-1]), flush=True)
     if FLAGS.json:
         with open(FLAGS.json, "w") as file:
             json.dump(rows, file, indent=1)
--- a/wigeonwind/roles/node.py
+++ b/wigeonwind/roles/node.py
@@ -22,6 +22,7 @@
 from wigeonwind.roles.peering import Peering, address_of
 from wigeonwind.roles.roller import Roller
 from wigeonwind.roles.spread import ANTI_ENTROPY_MS, Spread
+from wigeonwind.roles.text_gate import TextGate
 from wigeonwind.settings import Settings, SocketAddress, parse_address
 from wigeonwind.settings import parse_address_list as parse_addresses
 from wigeonwind.state.lease import Lease
@@ -32,10 +33,6 @@
 PEERING_MS = 250.0
 """Interval between looks at the links that are missing."""
 
-REFUTATION_ROOM = 1000
-"""Incarnations count microseconds: a restart raises them by more than this, and a
-refutation, which keeps the process and its links, only by one."""
-
 CONFIRM_POLL_MS = 20.0
 """Interval between looks at what peers have confirmed."""
 
@@ -116,6 +113,8 @@
         self.incarnation = new_incarnation()
         self.links = LinkTable(self._on_first_up, self._on_last_down)
         self.text = TextKeeper(self.links.broadcast, clock)
+        self.text_gate = TextGate(clock, self._newest_announced_text)
+        self.text.subscribe(self.text_gate.on_catalog)
         self.members = Membership(self._own_record())
         self.spread = Spread(self.members, self.text, self.links, clock, rng)
         seeds = parse_addresses(settings.platform.seeds)
@@ -135,6 +134,9 @@
         self.on_broken: Callable[[], None] = self.stop
         """Called when an invariant is broken and the process cannot go on."""
 
+    def _newest_announced_text(self) -> int:
+        return self.spread.newest_text_version()
+
     def _own_record(self) -> MemberRecord:
         node = self.settings.node
         endpoint = self.settings.endpoint
@@ -166,9 +168,9 @@
         """Set the role, and for an entry the part that chooses endpoints."""
         self.role = role
         self.endpoint_consumer = consumer
-        self.text.subscribe(role.set_catalog)
+        self.text_gate.subscribe(role.set_catalog)
         if consumer is not None:
-            self.text.subscribe(lambda catalog: self.refresh_endpoints())
+            self.text_gate.subscribe(lambda catalog: self.refresh_endpoints())
 
     @property
     def endpoint_ids(self) -> tuple[str, ...]:
@@ -236,6 +238,7 @@
         """Take a link that has come up."""
         self.links.add(link)
         self.spread.on_up(link)
+        self.text_gate.on_link()
 
     def on_message(self, link: Link, message: Any) -> None:
         """Pass a message to the part it is for."""
@@ -277,7 +280,7 @@
         catalog = self.text.catalog
         for record in self.peering.endpoints(catalog.service_by_name):
             link = self.links.get(record.member_id)
-            if link is None or _is_of_earlier_start(link, record):
+            if link is None:
                 continue
             service = catalog.service_by_name[record.service]
             models = service.models if service.kind is ServiceKind.MODEL else ()
@@ -334,10 +337,6 @@
         while not self._stopped.is_set():
             services = tuple(self.text.catalog.service_by_name)
             self.dialer.tick(services, self.settings.node.role == "entry")
+            self.text_gate.tick()
             self.refresh_endpoints()
             sleep(PEERING_MS / MS_PER_SECOND)
-
-
-def _is_of_earlier_start(link: Link, record: MemberRecord) -> bool:
-    """Return whether the link leads to an earlier start of the member."""
-    return record.incarnation - link.hello.incarnation > REFUTATION_ROOM
--- a/wigeonwind/roles/process.py
+++ b/wigeonwind/roles/process.py
@@ -31,6 +31,7 @@
 from wigeonwind.roles.tracing import make_tracer
 from wigeonwind.roles.vm_list_client import VmListClient
 from wigeonwind.settings import Settings, SocketAddress, parse_address
+from wigeonwind.state.membership import MemberState
 from wigeonwind.state.store_client import StoreClient
 from wigeonwind.state.subset import is_store_watcher
 from wigeonwind.state.text_follower import TextFollower
@@ -120,9 +121,11 @@
     @property
     def ready(self) -> bool:
         """Return whether the process may receive new requests."""
+        if self.node.members.own.state is not MemberState.LIVE:
+            return False
         if self.entry is not None:
             return self.entry.ready
-        return self.node.text.version > 0 and self._drain is None
+        return self.node.text_gate.is_open and self._drain is None
 
     def start(self) -> ProcessAddresses:
         """Start all listeners and loops; raise OSError if an address is taken."""
@@ -206,7 +209,10 @@
 
     def _poll_loop(self) -> None:
         while True:
-            _sleep_ms(self._follower.poll_step())
+            pause_ms = self._follower.poll_step()
+            if self._follower.has_answer:
+                self.node.text_gate.on_store_answer()
+            _sleep_ms(pause_ms)
 
     def _grants_loop(self) -> None:
         """Tell the limits which entries there are."""
--- a/wigeonwind/roles/spread.py
+++ b/wigeonwind/roles/spread.py
@@ -111,6 +111,10 @@
         """Return the version a linked peer has in force, None if it is not linked."""
         return self._text_version_by_id.get(member_id)
 
+    def newest_text_version(self) -> int:
+        """Return the highest version that a linked peer has announced, 0 if none."""
+        return max(self._text_version_by_id.values(), default=0)
+
     def zones_with_text(self, version: int) -> set[str]:
         """Return the zones in which a linked peer has `version` or a later one."""
         return {
--- a/wigeonwind/state/text_follower.py
+++ b/wigeonwind/state/text_follower.py
@@ -50,6 +50,8 @@
         self._sleep_ms = sleep_ms
         self._revision = 0
         self._failures = 0
+        self.has_answer = False
+        """Whether the store has been read successfully since the start."""
         self.problem = ""
         """Why the text of the store cannot be used, empty if it can."""
         self.count_by_event: dict[str, int] = {}
@@ -85,6 +87,7 @@
             self._count("fetch_failed")
             return result
         self._failures = 0
+        self.has_answer = True
         if isinstance(result, FetchedText):
             self._offer(result)
         elif not isinstance(result, NothingNewer):
