--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,6 +1,7 @@
 """The load plan, its report and the command that runs it."""
 
 import json
+from dataclasses import replace
 
 import pytest
 from numpy.random import default_rng
@@ -35,6 +36,8 @@
     assert len({prompt[:1000] for prompt in prompts}) < len(set(prompts))
     keys = [each.key for each in requests if each.key]
     assert 0 < len(set(keys)) < len(keys)
+    chats = list(Planner(replace(plan, send_only=("chat",))).requests())
+    assert chats == [each for each in requests if each.request_class == "chat"]
 
 
 def test_latency_counts_from_the_intended_send_time():
--- a/wigeonwind/checking/fleet_run.py
+++ b/wigeonwind/checking/fleet_run.py
@@ -18,6 +18,7 @@
     PausedSeen,
     Record,
     RequestSeen,
+    ResumedSeen,
     TextSeen,
 )
 from wigeonwind.checking.process_fleet import (
@@ -173,6 +174,8 @@
             yield ExecutionSeen(member.name, row["at_ms"], row["request_id"])
         for row in answer.fields.get("paused", ()):
             yield PausedSeen(member.name, row["at_ms"], row["request_id"])
+        for row in answer.fields.get("resumed", ()):
+            yield ResumedSeen(member.name, row["at_ms"], row["request_id"])
         for row in answer.fields.get("executions", ()):
             number = int(row["headers"].get("x-load-number", "-1"))
             yield ExecutionSeen(
--- a/wigeonwind/checking/history.py
+++ b/wigeonwind/checking/history.py
@@ -189,6 +189,16 @@
     request_id: str
 
 
+@RECORDS.register("resumed")
+@dataclass(frozen=True)
+class ResumedSeen(Record):
+    """An endpoint went on with a paused request; ids as in `ExecutionSeen`."""
+
+    member_id: str
+    at_ms: float
+    request_id: str
+
+
 R = TypeVar("R", bound=Record)
 
 
--- a/wigeonwind/checking/process_fleet.py
+++ b/wigeonwind/checking/process_fleet.py
@@ -77,6 +77,7 @@
     endpoint: str = ""
     start: int = 0
     process: ChildProcess | None = None
+    is_ending: bool = False
     is_busy: bool = False
     """Whether a fault is being done to it; it gets no second one meanwhile."""
 
@@ -241,19 +242,28 @@
         """Stop a member as planned and wait for its end."""
         if member.process is None:
             return
+        member.is_ending = True
         self.list_vm(member, "leaving")
         self._note(member, MemberChange.DRAIN)
         member.process.terminate()
         code = member.process.wait()
-        member.process = None
+        self._ended(member)
         self._note(member, MemberChange.STOPPED, code)
 
     def kill(self, member: Member) -> None:
         """End a member without warning."""
         assert member.process is not None
+        member.is_ending = True
         self._note(member, MemberChange.KILLED)
         member.process.kill()
+        self._ended(member)
+
+    def _ended(self, member: Member) -> None:
+        """Remove a VM that has ended; a row left behind would be of the next one."""
         member.process = None
+        member.is_ending = False
+        path = f"/v1/vms?id={member.name}"
+        call_json(self.standin("vm-list"), "DELETE", path)
 
     def freeze(self, member: Member, duration_ms: float) -> None:
         """Let a member stand still for some time."""
@@ -267,9 +277,11 @@
     def note_unexpected_ends(self) -> None:
         """Record members that have ended by themselves, a broken invariant."""
         for member in self.members:
-            if member.process is not None and not member.process.is_running:
+            if member.process is None or member.is_ending:
+                continue
+            if not member.process.is_running:
                 code = member.process.wait()
-                member.process = None
+                self._ended(member)
                 self._note(member, MemberChange.STOPPED, code)
 
     def _note(
--- /dev/null
+++ b/wigeonwind/checking/profiles.py
@@ -0,0 +1,136 @@
+"""What fault runs run: a configuration text, a fleet and a load, by name."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from wigeonwind.checking.process_fleet import FleetShape
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.load.arrivals import LoadStage
+from wigeonwind.load.plan import ClassMix, Identity, LoadPlan
+from wigeonwind.registry import Registry
+
+POLLUVILI_PATH = Path(__file__).parents[2] / "examples" / "polluvili" / "text.ini"
+
+TEXT = """
+[defaults]
+allow_anonymous = yes
+[service wigeon-llm]
+kind = model
+models = barley-7b
+model_version = 1
+classes = chat, dossier, tagging
+default_class = chat
+concurrency = 16
+[service spot-desk]
+kind = plain
+classes = desk
+default_class = desk
+concurrency = 16
+unrepeatable_methods = POST, PUT, PATCH, DELETE
+bookings = claim
+[class chat]
+priority = 0
+target = first-token 1500ms
+max_wait = 8s
+[class desk]
+priority = 0
+target = whole 2s
+max_wait = 8s
+[class dossier]
+priority = 1
+target = whole 60s
+max_wait = 30s
+[class tagging]
+priority = 2
+target = whole 60s
+max_wait = 60s
+[customer buyer-1]
+weight = 2
+[customer buyer-2]
+weight = 1
+"""
+
+MIX = (
+    ClassMix("chat", 5.0, 60.0, 40.0),
+    ClassMix("dossier", 1.0, 300.0, 150.0),
+    ClassMix("tagging", 2.0, 60.0, 10.0),
+)
+CUSTOMERS = (Identity("buyer-1", weight=3.0), Identity("buyer-2"))
+
+
+@dataclass(frozen=True)
+class Profile:
+    """A text and a load; `shape` is what the load is meant for."""
+
+    text: str
+    plan: LoadPlan
+    shape: FleetShape
+
+
+@dataclass(frozen=True)
+class LoadSize:
+    """Seed, time and rate of the load."""
+
+    seed: int
+    seconds: float
+    rate_per_s: float
+
+
+PROFILES: Registry[Callable[[LoadSize], Profile]] = Registry("profile")
+
+
+@PROFILES.register("mixed")
+def mixed(size: LoadSize) -> Profile:
+    """Three classes and bookings, below capacity."""
+    stage = LoadStage(size.seconds * MS_PER_SECOND, size.rate_per_s, size.rate_per_s)
+    plan = LoadPlan((stage,), MIX, CUSTOMERS, bookings=0.25, seed=size.seed)
+    return Profile(TEXT, plan, FleetShape())
+
+
+HARVEST_MIX = (
+    ClassMix("chat", 16.0, 300.0, 80.0),
+    ClassMix("dossier", 0.66, 2500.0, 500.0),
+    ClassMix("tagging", 2.6, 500.0, 25.0),
+)
+"""Loads of 1.1, 0.3 and 0.1 of three engines at 19.3 requests/s.
+
+With 8 slots in use an iteration takes 16.8 ms, so a request costs an engine its
+prompt / 8000 s and 2.1 ms for each token of the answer: 0.205, 1.36 and 0.115 s.
+"""
+
+HARVEST_CUSTOMERS = tuple(
+    Identity(name, f"example key of {name}", weight)
+    for name, weight in (
+        ("ee-south-desk", 4.0),
+        ("tartu-maltsters", 4.0),
+        ("viljandi-brewers", 3.0),
+        ("otepaa-brewhouse", 1.0),
+        ("polva-malthouse", 1.0),
+    )
+)
+
+
+@PROFILES.register("harvest")
+def harvest(size: LoadSize) -> Profile:
+    """Flood with chat: 0.4 of the capacity, then `rate_per_s`, then 0.4 again.
+
+    19.3 requests/s are 1.5 times the capacity of the three engines.
+    """
+    calm = size.rate_per_s * 0.4 / 1.5
+    part_ms = size.seconds * MS_PER_SECOND / 6
+    stages = (
+        LoadStage(part_ms, calm, calm),
+        LoadStage(4 * part_ms, size.rate_per_s, size.rate_per_s),
+        LoadStage(part_ms, calm, calm),
+    )
+    plan = LoadPlan(
+        stages,
+        HARVEST_MIX,
+        HARVEST_CUSTOMERS,
+        shared=0.0,
+        returning=0.0,
+        seed=size.seed,
+    )
+    text = POLLUVILI_PATH.read_text(encoding="utf-8")
+    return Profile(text, plan, FleetShape())
--- a/wigeonwind/load/plan.py
+++ b/wigeonwind/load/plan.py
@@ -62,6 +62,11 @@
     booking_class: str = "desk"
     seed: int = 1
     max_requests: int = 100_000
+    send_only: tuple[str, ...] = ()
+    """Classes that are sent, at the times they have in the whole plan; empty for all.
+
+    Two runs that differ in this alone show what the other classes cost a class.
+    """
 
 
 @dataclass(frozen=True)
@@ -98,7 +103,13 @@
         self._customer_shares = shares([each.weight for each in plan.customers])
 
     def requests(self) -> Iterator[PlannedRequest]:
-        """Yield the requests in the order of their times."""
+        """Yield the requests to send in the order of their times."""
+        only = self._plan.send_only
+        for planned in self._all_requests():
+            if not only or planned.request_class in only:
+                yield planned
+
+    def _all_requests(self) -> Iterator[PlannedRequest]:
         plan = self._plan
         times = arrival_times(plan.arrivals, plan.stages, self._arrival_rng)
         for number, at_ms in enumerate(times):
--- a/wigeonwind/standins/engine_control.py
+++ b/wigeonwind/standins/engine_control.py
@@ -100,7 +100,10 @@
 
     def _resume(self, call: Call) -> Reply:
         now_ms = self._engine.now_ms()
-        return self._stopped(self._engine.model.resume(_request_id(call), now_ms))
+        result = self._engine.model.resume(_request_id(call), now_ms)
+        if isinstance(result, RequestStopped):
+            self._engine.log.on_resumed(_request_id(call))
+        return self._stopped(result)
 
     def _stopped(self, result: RequestStopped | RequestUnknown) -> Reply:
         self._engine.wake()
