--- /dev/null
+++ b/tests/test_fleet_run.py
@@ -0,0 +1,67 @@
+"""Real processes under load: a short fixed run, and longer ones with drawn faults."""
+
+import pytest
+
+from wigeonwind.checking.fault_actions import drain_entry, drain_side
+from wigeonwind.checking.fleet_run import RunOptions, run_fleet
+from wigeonwind.checking.history import (
+    End,
+    ExecutionSeen,
+    MemberChange,
+    MemberSeen,
+    RequestSeen,
+    TextAccepted,
+)
+from wigeonwind.checking.process_fleet import FleetShape
+from wigeonwind.checking.profiles import PROFILES, LoadSize
+from wigeonwind.checking.schedules import (
+    FAULT_KINDS,
+    Fault,
+    ScheduleOptions,
+    draw_schedule,
+)
+
+PLANNED = (
+    Fault("vm-list-lag", 100.0, 1000.0, 0),
+    Fault("drain-side", 600.0, 200.0, 1),
+    Fault("operator-race", 1000.0, 0.0, 0),
+    Fault("drain-entry", 1400.0, 200.0, 1),
+)
+
+
+def run(size, schedule, shape=None):
+    profile = PROFILES.get("mixed")(size)
+    options = RunOptions(profile.text, shape or FleetShape(), profile.plan, schedule)
+    return run_fleet(options, tell=lambda text: None)
+
+
+def test_planned_changes_of_real_processes_keep_all_promises():
+    result = run(LoadSize(1, 3.0, 12.0), PLANNED)
+    assert result.violations == ()
+    history = result.history
+    ends = {seen.end for seen in history.of(RequestSeen)}
+    assert End.WHOLE in ends
+    stops = [m for m in history.of(MemberSeen) if m.change is MemberChange.STOPPED]
+    assert len(stops) == 9
+    assert {stop.exit_code for stop in stops} == {0}
+    assert next(history.of(TextAccepted)).version == 2
+    assert next(history.of(ExecutionSeen)).at_ms > 0
+
+
+def test_a_schedule_is_the_same_for_the_same_seed():
+    options = ScheduleOptions(seed=3, load_ms=60_000.0)
+    schedule = draw_schedule(options)
+    assert schedule == draw_schedule(options) != ()
+    planned = draw_schedule(ScheduleOptions(3, 60_000.0, planned_only=True))
+    kinds = {FAULT_KINDS.get(fault.name) for fault in planned}
+    assert all(kind.is_planned for kind in kinds)
+    assert {kind.act for kind in kinds} & {drain_entry, drain_side}
+
+
+@pytest.mark.nightly
+@pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize("planned", [True, False])
+def test_faults_drawn_by_seed_break_no_promise(seed, planned):
+    options = ScheduleOptions(seed, 25_000.0, 2_000.0, planned)
+    result = run(LoadSize(seed, 25.0, 25.0), draw_schedule(options))
+    assert result.violations == ()
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from wigeonwind.checking.check import check_history
 from wigeonwind.checking.history import (
     ClassSeen,
     End,
@@ -20,7 +21,6 @@
     read_history,
     write_history,
 )
-from wigeonwind.checking.promises import check_history
 from wigeonwind.standins.answer_text import answer_text
 
 CLASSES = (
--- a/wigeonwind/checking/fleet_run.py
+++ b/wigeonwind/checking/fleet_run.py
@@ -10,6 +10,7 @@
 
 from wigeonwind.catalog import Catalog, ServiceKind
 from wigeonwind.checking import fault_actions as fault_actions
+from wigeonwind.checking.check import check_history
 from wigeonwind.checking.history import (
     ClassSeen,
     EndpointSeen,
@@ -27,7 +28,7 @@
     ProcessFleet,
     call_json,
 )
-from wigeonwind.checking.promises import Violation, check_history
+from wigeonwind.checking.promises import Violation
 from wigeonwind.checking.schedules import FAULT_KINDS, Fault
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.load.caller import wall_ms
