--- a/wigeonwind/roles/request_run.py
+++ b/wigeonwind/roles/request_run.py
@@ -1,16 +1,11 @@
 """One admitted request: its attempts, retries, resumption and outcome."""
 
 from collections.abc import Generator
-from dataclasses import dataclass
 
-from wigeonwind.clock import Clock
 from wigeonwind.decisions.interfaces import (
-    EndpointChoice,
     GiveUp,
-    LimitDecisions,
     NoEndpoint,
     RetryCause,
-    RetryDecisions,
     RouteRequest,
 )
 from wigeonwind.links.link_types import Link
@@ -35,10 +30,10 @@
     Withdrawn,
     failure_code,
 )
-from wigeonwind.roles.endpoint_links import EndpointLinks
-from wigeonwind.roles.metrics_sink import NO_LABELS, MetricsSink
-from wigeonwind.roles.pending import Mailbox, PendingAttempts
+from wigeonwind.roles.metrics_sink import NO_LABELS
+from wigeonwind.roles.pending import Mailbox
 from wigeonwind.roles.replies import failure
+from wigeonwind.roles.run_context import KnowsEjected, RunContext
 
 MAX_ATTEMPTS = 8
 """Attempts of one request, whatever the retry decisions allow."""
@@ -46,6 +41,12 @@
 MAX_MOVES = 2
 """Times a request is asked back from a queue and sent elsewhere."""
 
+REPORT_MS = 50.0
+"""Least time between two reports of a request's tokens to the decisions.
+
+Reporting each token would cost more than formatting it.
+"""
+
 MOVE_SHARE = 0.5
 """Share of the class's wait after which a queued attempt is asked back.
 
@@ -56,19 +57,6 @@
 Events = Generator[Event, None, None]
 
 
-@dataclass(frozen=True)
-class RunContext:
-    """What all requests of one entry share."""
-
-    clock: Clock
-    links: EndpointLinks
-    choice: EndpointChoice
-    limits: LimitDecisions
-    retry: RetryDecisions
-    metrics: MetricsSink
-    pending: PendingAttempts
-
-
 class RequestRun:
     """One request with its attempts."""
 
@@ -142,9 +130,9 @@
             excluded |= {chosen.endpoint_id}
         return NoEndpoint("no endpoint is connected", 1000.0)
 
-    def _has_other(self, link: Link) -> bool:
+    def _has_other(self, endpoint_id: str) -> bool:
         """Return whether another endpoint could take a request that waits."""
-        excluded = self._refused_by | self._left | {link.hello.member_id}
+        excluded = self._refused_by | self._left | {endpoint_id}
         return not isinstance(self._choose(excluded), NoEndpoint)
 
     def _named_link(self, endpoint_id: str, incarnation: int) -> Link | Failure:
@@ -208,34 +196,50 @@
         self, attempt: Attempt, endpoint_id: str, may_move: bool
     ) -> Generator[AnswerHead | AnswerParts, None, AttemptEnd]:
         """Pass the attempt's events on and report tokens to the decisions."""
-        choice = self.context.choice
-        limits = self.context.limits
-        request = self.request
-        move_at_ms = self._move_at_ms() if may_move else None
-        events = attempt.events(move_at_ms, self._has_other)
+
+        def should_move() -> bool:
+            return self._should_move(attempt, endpoint_id)
+
+        events = attempt.events(should_move if may_move else None)
         counted = 0
-        while True:
-            try:
-                event = next(events)
-            except StopIteration as stop:
-                return stop.value
+        due_ms = 0.0
+        try:
+            while True:
+                try:
+                    event = next(events)
+                except StopIteration as stop:
+                    return stop.value
+                now_ms = self.clock.now_ms()
+                if now_ms >= due_ms and attempt.tokens > counted:
+                    self._report_tokens(attempt, endpoint_id, counted, now_ms)
+                    counted = attempt.tokens
+                    due_ms = now_ms + REPORT_MS
+                yield event
+        finally:
             if attempt.tokens > counted:
                 now_ms = self.clock.now_ms()
-                if counted == 0 and attempt.first_part_ms is not None:
-                    wait_ms = attempt.first_part_ms - attempt.sent_ms
-                    choice.on_first_token(endpoint_id, wait_ms, now_ms)
-                tokens = attempt.tokens - counted
-                counted = attempt.tokens
-                choice.on_tokens(endpoint_id, tokens, now_ms)
-                name = request.request_class.name
-                limits.on_tokens(request.customer, name, tokens, now_ms)
-            yield event
+                self._report_tokens(attempt, endpoint_id, counted, now_ms)
+
+    def _report_tokens(
+        self, attempt: Attempt, endpoint_id: str, counted: int, now_ms: float
+    ) -> None:
+        """Report the tokens beyond `counted` to the choice and the limits."""
+        choice = self.context.choice
+        request = self.request
+        if counted == 0 and attempt.first_part_ms is not None:
+            wait_ms = attempt.first_part_ms - attempt.sent_ms
+            choice.on_first_token(endpoint_id, wait_ms, now_ms)
+        tokens = attempt.tokens - counted
+        choice.on_tokens(endpoint_id, tokens, now_ms)
+        class_name = request.request_class.name
+        self.context.limits.on_tokens(request.customer, class_name, tokens, now_ms)
 
     def _after_attempt(
         self, attempt: Attempt, endpoint_id: str, end: AttemptEnd
     ) -> None:
         now_ms = self.clock.now_ms()
-        self.context.choice.on_ended(endpoint_id, _speaks_well(end), now_ms)
+        ok = _speaks_well(end)
+        self.context.choice.on_ended(endpoint_id, self._route(), ok, now_ms)
         if isinstance(end, (CallerGone, TimedOut, Broken)):
             attempt.cancel()
         if isinstance(end, CallerGone):
@@ -265,12 +269,21 @@
             request.traceparent,
         )
 
-    def _move_at_ms(self) -> float | None:
-        """Return when to ask a waiting attempt back; None for never."""
+    def _should_move(self, attempt: Attempt, endpoint_id: str) -> bool:
+        """Return whether a waiting attempt should be sent elsewhere.
+
+        It leaves an endpoint that peers show to be failing at once, any other after a
+        share of its class's wait.
+        """
         if self._moves >= MAX_MOVES:
-            return None
+            return False
+        now_ms = self.clock.now_ms()
+        choice = self.context.choice
         wait_ms = self.request.request_class.max_wait_ms * MOVE_SHARE
-        return self.clock.now_ms() + wait_ms
+        is_late = now_ms - attempt.sent_ms >= wait_ms
+        if not is_late and isinstance(choice, KnowsEjected):
+            is_late = choice.is_ejected(endpoint_id, now_ms)
+        return is_late and self._has_other(endpoint_id)
 
     def _after(self, end: AttemptEnd, may_retry: bool) -> AnswerEnd | Failure | None:
         """Return the last event of the request, or None to send another attempt."""
@@ -371,8 +384,9 @@
 def _speaks_well(end: AttemptEnd) -> bool:
     """Return whether an end says nothing against the endpoint's health.
 
-    An endpoint that refuses because it is full or leaving works as it should.
+    An endpoint that refuses because it is full or leaving works as it should, and the
+    deadline is the caller's choice.
     """
     if isinstance(end, NotRun):
         return failure_code(end.code) is not ErrorCode.ENDPOINT_FAILED
-    return not isinstance(end, (Broken, TimedOut))
+    return not isinstance(end, Broken)
