--- a/wigeonwind/checking/fleet_run.py
+++ b/wigeonwind/checking/fleet_run.py
@@ -10,6 +10,7 @@
 
 from wigeonwind.catalog import Catalog, ServiceKind
 from wigeonwind.checking import fault_actions as fault_actions
+from wigeonwind.checking.check import check_history
 from wigeonwind.checking.history import (
     ClassSeen,
     EndpointSeen,
@@ -18,6 +19,7 @@
     PausedSeen,
     Record,
     RequestSeen,
+    ResumedSeen,
     TextSeen,
 )
 from wigeonwind.checking.process_fleet import (
@@ -26,7 +28,7 @@
     ProcessFleet,
     call_json,
 )
-from wigeonwind.checking.promises import Violation, check_history
+from wigeonwind.checking.promises import Violation
 from wigeonwind.checking.schedules import FAULT_KINDS, Fault
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.load.caller import wall_ms
@@ -173,6 +175,8 @@
             yield ExecutionSeen(member.name, row["at_ms"], row["request_id"])
         for row in answer.fields.get("paused", ()):
             yield PausedSeen(member.name, row["at_ms"], row["request_id"])
+        for row in answer.fields.get("resumed", ()):
+            yield ResumedSeen(member.name, row["at_ms"], row["request_id"])
         for row in answer.fields.get("executions", ()):
             number = int(row["headers"].get("x-load-number", "-1"))
             yield ExecutionSeen(
