Refuse and delay less urgent work in a burst

Cause: of the chat that harvest lost, the larger part came from three faults. The comparison of peers ejected healthy endpoints, since paused answers counted as slow ones. Waiting dossiers counted as load, so chat went to a full endpoint while another was half empty. The model of the backlog drifted: an early end shortened the latest slot, and the earliest one, which decides, stayed too late. After the burst, chat had a slot but waited in the engine for the prompts and the memory of dossiers.

Change: a straggler must also be one by its sidecar's report; lower work counts at most as far as it fits beside urgent work; an early end frees the slot nearest to its expected end, and the wait is bounded by the rate of ends when lengths vary; lower work starts only while prompts in prefill and memory leave room for urgent work.

--- a/wigeonwind/decisions/admission.py
+++ b/wigeonwind/decisions/admission.py
@@ -59,17 +59,31 @@
             heapreplace(self._free_at_ms, start_ms + hold_ms)
 
     def correct(self, delta_ms: float, now_ms: float) -> None:
-        """Correct the total after an attempt took longer or shorter than expected."""
+        """Correct the total after an attempt took longer or shorter than expected.
+
+        One that ended early frees the slot that was to become free at about its
+        expected end. Taking the time from the latest slot instead left the earliest
+        one too late, and the estimate refused work while slots were free.
+        """
         if not self._free_at_ms:
             return
         if delta_ms > 0.0:
             self.add(delta_ms, now_ms)
             return
-        index = max(range(len(self._free_at_ms)), key=self._free_at_ms.__getitem__)
-        shorter_ms = max(now_ms, self._free_at_ms[index] + delta_ms)
-        self._free_at_ms[index] = min(self._free_at_ms[index], shorter_ms)
+        slots = range(len(self._free_at_ms))
+        expected_ms = now_ms - delta_ms
+        nearest = min(slots, key=lambda n: abs(self._free_at_ms[n] - expected_ms))
+        left_ms = self._shorten(nearest, -delta_ms, now_ms)
+        latest = max(slots, key=self._free_at_ms.__getitem__)
+        self._shorten(latest, left_ms, now_ms)
         heapify(self._free_at_ms)
 
+    def _shorten(self, index: int, by_ms: float, now_ms: float) -> float:
+        """Let a slot become free earlier, but not before now; return the rest."""
+        possible_ms = min(by_ms, max(0.0, self._free_at_ms[index] - now_ms))
+        self._free_at_ms[index] -= possible_ms
+        return by_ms - possible_ms
+
     def clear(self) -> None:
         """Forget everything: the endpoint has none of this work left."""
         self._free_at_ms = [0.0] * len(self._free_at_ms)
@@ -201,22 +215,42 @@
         self,
         priority: int,
         limits: StartLimits,
-        share_wait_ms: float,
+        bound_ms: float,
         now_ms: float,
     ) -> Rejected | None:
         """Return the refusal, or None to admit.
 
-        `share_wait_ms` is the wait if the class had only its guaranteed share.
+        `bound_ms` is a bound on the wait that does not come from the backlog: its
+        guaranteed share, or the rate at which slots become free.
         """
         if limits.deadline_ms <= now_ms:
             reason = "the deadline comes before the work could start"
             return Rejected(ErrorCode.DEADLINE.value, reason, 0.0)
-        wait_ms = min(self._wait_ms(priority, now_ms), share_wait_ms)
+        wait_ms = min(self._wait_ms(priority, now_ms), bound_ms)
         excess_ms = wait_ms - TARGET_MARGIN * max(0.0, limits.target_ms - now_ms)
         if excess_ms <= 0.0:
             return None
         return self.overloaded(excess_ms, "work would start too late for its target")
 
+    def turnover_ms(self, item: WorkItem, priority: int, ahead: int) -> float:
+        """Return a bound on the wait behind `ahead` attempts of this priority or above.
+
+        It is 0 while they are fewer than the slots: one slot would be free without
+        lower work. With lengths that vary widely, the expected ends in the backlog are
+        wrong one by one, and the earliest of them comes far too late, while the rate
+        at which slots become free is known. Infinite for even lengths, and below the
+        most urgent class, where the work ahead is of several kinds.
+        """
+        if ahead < self._slots:
+            return 0.0
+        is_top = priority == min(self._backlog_by_priority, default=priority)
+        if not is_top or not self._slots:
+            return float("inf")
+        if not self._estimates.is_uneven(item.class_name):
+            return float("inf")
+        hold_ms = self._estimates.hold_ms(item)
+        return (ahead - self._slots + 1) * hold_ms / self._slots
+
     def _wait_ms(self, priority: int, now_ms: float) -> float:
         """Return the wait behind present work, stretched by higher work to come."""
         wait_ms = self._backlog_by_priority[priority].wait_ms(now_ms)
--- a/wigeonwind/decisions/choice.py
+++ b/wigeonwind/decisions/choice.py
@@ -64,23 +64,31 @@
         self.report: _Report | None = None
         self.own_by_priority: dict[int, int] = {}
 
+    @property
+    def slots(self) -> int:
+        """Return the reported number of slots, or a default before a report."""
+        return max(1, self.report.load.slots) if self.report else DEFAULT_SLOTS
+
     def own_work(self, priority: int) -> float:
         """Return our outstanding work that a request of this priority waits for."""
-        return weigh_work(self.own_by_priority.items(), priority)
+        return weigh_work(self.own_by_priority.items(), priority, self.slots)
 
 
-def weigh_work(counts: Iterable[tuple[int, int]], priority: int) -> float:
+def weigh_work(counts: Iterable[tuple[int, int]], priority: int, slots: int) -> float:
     """Return how much of (priority, count) pairs stands in a request's way.
 
-    >>> weigh_work([(0, 4), (1, 8)], 0)
-    6.0
-    >>> weigh_work([(0, 4), (1, 8)], 1)
-    12
+    Lower work counts only as far as it can run beside the other work: what waits for a
+    slot gives way, however much it is.
+
+    >>> weigh_work([(0, 4), (1, 8)], 0, 8)
+    5.0
+    >>> weigh_work([(0, 4), (1, 8)], 1, 8)
+    12.0
     """
-    return sum(
-        count if other <= priority else LOWER_WORK_WEIGHT * count
-        for other, count in counts
-    )
+    rows = list(counts)
+    ahead = sum(count for other, count in rows if other <= priority)
+    lower = sum(count for other, count in rows if other > priority)
+    return ahead + LOWER_WORK_WEIGHT * min(lower, max(0, slots - ahead))
 
 
 class EndpointChooser:
@@ -120,6 +128,7 @@
         endpoint = self._endpoint_by_id.get(endpoint_id)
         if endpoint is not None:
             own = dict(endpoint.own_by_priority)
+            endpoint.health.reported_ms_per_token = load.ms_per_token
             endpoint.report = _Report(load, now_ms - load.age_ms, own)
 
     def choose(
@@ -176,12 +185,11 @@
     def _load(self, endpoint: _Endpoint, priority: int, now_ms: float) -> float:
         """Return the work per slot ahead of a request of this priority."""
         count = endpoint.own_work(priority)
-        slots = DEFAULT_SLOTS
+        slots = endpoint.slots
         report = endpoint.report
         if report is not None:
-            slots = max(1, report.load.slots)
             age_ms = max(0.0, now_ms - report.measured_ms)
-            own = weigh_work(report.own_by_priority.items(), priority)
+            own = weigh_work(report.own_by_priority.items(), priority, slots)
             others = max(0.0, self._reported(report.load, priority) - own)
             count += others * 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
         weight = endpoint.health.weight(now_ms)
@@ -195,7 +203,7 @@
         counts = [(priority_of(name, priority), count) for name, count in rows]
         if not load.running_by_class:
             counts.append((priority, load.running))
-        return weigh_work(counts, priority)
+        return weigh_work(counts, priority, max(1, load.slots))
 
     def _cached(
         self, pool: list[_Endpoint], request: RouteRequest, now_ms: float
--- a/wigeonwind/decisions/endpoint_queue.py
+++ b/wigeonwind/decisions/endpoint_queue.py
@@ -22,6 +22,7 @@
     WorkItem,
     WorkKey,
 )
+from wigeonwind.decisions.lower_start import LowerStart
 from wigeonwind.decisions.preemption import (
     KvCosts,
     PausedCache,
@@ -79,6 +80,7 @@
         self._estimates = ServiceEstimates()
         self._admission = Admission(self._estimates, slots, rng)
         self._turns = ClassTurns()
+        self._lower_start = LowerStart(self._estimates, self._cache)
         self._class_by_name: dict[str, ClassWork] = {}
         self._work_by_key: dict[WorkKey, Work] = {}
         self._timers: list[tuple[float, int, Work]] = []
@@ -125,6 +127,7 @@
         own = self._own_classes()
         shares = {name: own[name].min_share for name in own}
         self._turns.configure(shares, self._slots)
+        self._lower_start.configure(own.values())
         priorities = {part.priority for part in self._class_by_name.values()}
         priorities.update(work.priority for work in self._work_by_key.values())
         remaining = [
@@ -144,12 +147,15 @@
         if item.key in self._work_by_key:
             return Admitted(position)
         limits = self._admission.limits(item, own.request_class)
-        share_wait_ms = self._share_wait_ms(own, now_ms)
-        rejected = self._admission.decide(own.priority, limits, share_wait_ms, now_ms)
-        if rejected is None and own.waiting_count >= MAX_WAITING:
-            rejected = self._admission.overloaded(0.0, "too much work is waiting")
+        parts = self._class_by_name.values()
+        ahead = sum(p.work_count for p in parts if p.priority <= own.priority)
+        turnover_ms = self._admission.turnover_ms(item, own.priority, ahead)
+        bound_ms = min(turnover_ms, self._share_wait_ms(own, now_ms))
+        rejected = self._admission.decide(own.priority, limits, bound_ms, now_ms)
         if rejected is not None:
             return rejected
+        if own.waiting_count >= MAX_WAITING:
+            return self._admission.overloaded(0.0, "too much work is waiting")
         expected_ms = self._estimates.hold_ms(item)
         rank = rank_ms(item.arrived_ms, item.resume_tokens)
         work = Work(item, own.priority, limits, expected_ms, rank, now_ms)
@@ -157,8 +163,8 @@
         return Admitted(position)
 
     def _share_wait_ms(self, own: ClassWork, now_ms: float) -> float:
-        rate = self._turns.rate(own.name)
-        saving_ms = self._turns.saving_ms(own.name)
+        turns = self._turns
+        rate, saving_ms = turns.rate(own.name), turns.saving_ms(own.name)
         return own.share_backlog.wait_ms(rate, saving_ms, now_ms)
 
     def _position(self, own: ClassWork) -> int:
@@ -187,10 +193,7 @@
         """Yield what to do now; each yielded action counts as carried out."""
         self._advance(now_ms)
         yield from self._expire(now_ms)
-        while self._running < self._slots:
-            work = self._next()
-            if work is None:
-                return
+        while self._running < self._slots and (work := self._next()):
             yield self._run(work, now_ms)
         yield from self._preempt(now_ms)
 
@@ -249,9 +252,13 @@
         if entitled:
             earned_ms = self._turns.earned_ms
             return min(entitled, key=lambda part: earned_ms(part.name)).first()
-        urgent = min(part.priority for part in parts)
-        heads = [part.first() for part in parts if part.priority == urgent]
-        return min((head for head in heads if head), key=lambda head: head.rank)
+        heads = [head for part in parts if (head := self._fitting_first(part))]
+        return min(heads, key=lambda head: (head.priority, head.rank), default=None)
+
+    def _fitting_first(self, part: ClassWork) -> Work | None:
+        head = part.first()
+        parts = self._class_by_name.values()
+        return head if head and self._lower_start.allows(head, parts) else None
 
     def _is_entitled(self, part: ClassWork, top: int) -> bool:
         below_share = part.running_count < self._turns.entitled(part.name)
@@ -271,13 +278,12 @@
         """Give slots of lower or longer work to more urgent work."""
         parts = [part for part in self._class_by_name.values() if part.ready_count]
         for part in sorted(parts, key=lambda part: part.priority):
-            head = part.first()
-            victim = self._victim(part, head, now_ms) if head else None
-            while head is not None and victim is not None:
+            while head := self._fitting_first(part):
+                victim = self._victim(part, head, now_ms)
+                if victim is None:
+                    break
                 yield self._pause(victim, now_ms)
                 yield self._run(head, now_ms)
-                head = part.first()
-                victim = self._victim(part, head, now_ms) if head else None
 
     def _victim(self, part: ClassWork, head: Work, now_ms: float) -> Work | None:
         """Return running work that gives way to `head`, of the lowest class first."""
--- a/wigeonwind/decisions/estimates.py
+++ b/wigeonwind/decisions/estimates.py
@@ -18,6 +18,14 @@
 """Duration of a call to a plain service assumed before the first one."""
 
 
+UNEVEN_DEVIATION = 0.25
+"""Mean deviation of answer lengths, as a share of their mean, from which an end is as
+likely at one moment as at another. A fixed length has 0, a memoryless one 0.74."""
+
+UNEVEN_SAMPLES = 10
+"""Answers of a class before their lengths are judged."""
+
+
 class Average:
     """A mean that starts as a plain average and turns into an exponential one.
 
@@ -29,16 +37,18 @@
     15.0
     """
 
-    __slots__ = ("count", "value")
+    __slots__ = ("count", "deviation", "value")
 
     def __init__(self, initial: float) -> None:
         self.value = initial
+        self.deviation = 0.0
         self.count = 0
 
     def add(self, sample: float) -> None:
         """Include one sample."""
         self.count += 1
         weight = max(SMOOTHING, 1.0 / (self.count + 1))
+        self.deviation += weight * (abs(sample - self.value) - self.deviation)
         self.value += weight * (sample - self.value)
 
 
@@ -72,6 +82,13 @@
         known = self._tokens_by_class.get(class_name)
         return known.value if known else INITIAL_TOKENS
 
+    def is_uneven(self, class_name: str) -> bool:
+        """Return whether the answers of a class differ widely in length."""
+        known = self._tokens_by_class.get(class_name)
+        if known is None or known.count < UNEVEN_SAMPLES:
+            return False
+        return known.deviation > UNEVEN_DEVIATION * known.value
+
     def prefill_ms(self, item: WorkItem) -> float:
         """Return the expected time from start to the first result."""
         if not item.may_pause:
--- a/wigeonwind/decisions/health.py
+++ b/wigeonwind/decisions/health.py
@@ -6,6 +6,11 @@
 STRAGGLER_FACTOR = 3.0
 """Time per token, relative to the median of the peers, that marks a straggler."""
 
+CONFIRM_FACTOR = 1.5
+"""Time per token that the sidecar reports, relative to the median of its peers, below
+which an endpoint is no straggler. The entry's own measure also counts the time for
+which answers are paused, which a sidecar leaves out."""
+
 MIN_SAMPLE_TOKENS = 20.0
 """Recent tokens below which an endpoint's time per token is not compared."""
 
@@ -48,6 +53,7 @@
         self.outstanding = 0
         self.streaming = 0
         self.failures = 0
+        self.reported_ms_per_token = 0.0
         self.ejected_until_ms = float("-inf")
         self._ejections = 0
         self._start_ms = now_ms if is_new else float("-inf")
@@ -168,7 +174,13 @@
         times_ms = _known(other.ms_per_token(now_ms) for other in others)
         if own_ms is None or not times_ms:
             return False
-        return own_ms > STRAGGLER_FACTOR * median(times_ms)
+        if own_ms <= STRAGGLER_FACTOR * median(times_ms):
+            return False
+        reported = [other.reported_ms_per_token for other in others]
+        known_ms = [time_ms for time_ms in reported if time_ms > 0.0]
+        if not peer.reported_ms_per_token or not known_ms:
+            return True
+        return peer.reported_ms_per_token > CONFIRM_FACTOR * median(known_ms)
 
     def _is_silent(
         self, peer: EndpointHealth, others: list[EndpointHealth], now_ms: float
--- a/wigeonwind/decisions/preemption.py
+++ b/wigeonwind/decisions/preemption.py
@@ -24,12 +24,14 @@
 class KvCosts:
     """Costs of moving KV cache, in milliseconds per token, and room for it.
 
-    `paused_limit_tokens` is how much cache of paused work the engine may keep.
+    `paused_limit_tokens` is how much cache of paused work the engine may keep,
+    `kv_limit_tokens` how much cache it has room for in all; 0 if that is unknown.
     """
 
     export_ms: float = 0.02
     import_ms: float = 0.02
     paused_limit_tokens: int = 100_000
+    kv_limit_tokens: int = 0
 
 
 class PausedCache:
--- a/wigeonwind/experiments/policies.py
+++ b/wigeonwind/experiments/policies.py
@@ -209,7 +209,7 @@
 ) -> EndpointQueueDecisions:
     transfer_ms = MS_PER_SECOND / config.kv_transfer_tokens_per_s
     room = int(config.kv_limit_tokens * PAUSED_KV_SHARE)
-    costs = KvCosts(transfer_ms, transfer_ms, room)
+    costs = KvCosts(transfer_ms, transfer_ms, room, config.kv_limit_tokens)
     return EndpointQueue(catalog, config.slots, rng, costs, service)
 
 
