Pass engines' cache events to entries, and size the paused KV cache

Cause: nothing called EndpointChooser.on_cache_event or EndpointQueue.set_kv_costs in the daemon, so an entry knew only the prefixes that it had sent itself, and paused work could keep 100,000 tokens of cache whatever the engine held.

Change: a sidecar polls /cache/events every 500 ms while it has work and for 5 s after, and sends the newest changes to linked entries in the new message 29 CacheEvents. At most 20 keys/s a link and 200 keys/s a node are sent (9 bytes each); the oldest are dropped beyond that. Paused work may keep PAUSED_KV_SHARE (a quarter) of the limit that the engine's /load states; the experiments use the same constant. Replies of an engine may be 4 MB, as a whole event log of 20,000 rows is longer than 1 MB. The test of stable message numbers now expects 29 and checks the name of the new one.

The queue's next_wake_ms is never earlier than RECHECK_MS (50 ms), the tick of the sidecar, so the tick already calls `actions` in time.

--- a/tests/side_fakes.py
+++ b/tests/side_fakes.py
@@ -139,6 +139,7 @@
     def __init__(self):
         self.requests = []
         self.version = "1"
+        self.load = {}
         self.script = ["a", " b", "end"]
         self.free = 1000
         self.gate = Event()
@@ -169,6 +170,7 @@
             self._stream(sock)
         elif path == "/load":
             fields = {"running": 1, "model": "m", "version": self.version, "role": ""}
+            fields |= self.load
             self._whole(sock, b"200 OK", [], json.dumps(fields).encode())
         elif path == "/orders":
             self.version = json.loads(self.requests[-1][3])["version"]
--- /dev/null
+++ b/tests/test_cache_feed.py
@@ -0,0 +1,111 @@
+"""Cache events from the engine to the entries' choice, within their rate."""
+
+import gevent
+import pytest
+from openai import OpenAI
+from side_fakes import FakeLink
+
+from wigeonwind.clock import ManualClock
+from wigeonwind.links.codec import decode, encode
+from wigeonwind.links.messages import CacheEvents
+from wigeonwind.roles.cache_feed import (
+    BURST_S,
+    LINGER_MS,
+    LINK_KEYS_PER_S,
+    POLL_MS,
+    CacheFeed,
+)
+from wigeonwind.roles.demo import TEXT_PATH, start_fleet
+from wigeonwind.roles.engine_client import EngineCacheEvents, EngineFailure
+
+
+class FakeEngine:
+    """Answers with the changes that a test queues."""
+
+    def __init__(self):
+        self.answers, self.asked = [], []
+
+    def cache_events(self, after):
+        self.asked.append(after)
+        empty = EngineCacheEvents((), after)
+        return self.answers.pop(0) if self.answers else empty
+
+
+@pytest.fixture
+def feed():
+    feed = CacheFeed("side-1", ManualClock(0.0), FakeEngine(), lambda: True)
+    feed.link = FakeLink()
+    feed.on_up(feed.link)
+    return feed
+
+
+def step(feed, count=1):
+    for _ in range(count):
+        feed._clock.advance(POLL_MS)
+        feed.step()
+
+
+def test_only_the_last_change_of_a_prefix_is_sent(feed):
+    changes = ((5, True), (6, True), (5, False), (2**64 - 1, True))
+    feed._client.answers = [EngineCacheEvents(changes, 9)]
+    step(feed)
+    [message] = feed.link.of_type(CacheEvents)
+    assert message == CacheEvents("side-1", 9, [6, 2**64 - 1], [5])
+    assert decode(encode(message)) == message
+    step(feed)
+    assert feed._client.asked == [0, 9]
+
+
+def test_a_busy_cache_stays_within_the_rate_and_loses_its_oldest_events(feed):
+    # Guards against events that fill the links: 1,000 a second for a minute.
+    batches = [tuple((k, True) for k in range(n, n + 500)) for n in range(120)]
+    feed._client.answers = [EngineCacheEvents(batch, 1) for batch in batches]
+    step(feed, 120)
+    sent = feed.link.of_type(CacheEvents)
+    assert sum(len(m.stored) for m in sent) <= LINK_KEYS_PER_S * (60 + BURST_S)
+    assert sent[-1].stored[-1] == batches[-1][-1][0]
+    assert sum(len(encode(m)) for m in sent) / 60 < 300
+
+
+def test_an_engine_that_started_again_is_read_from_its_first_event(feed):
+    feed._client.answers = [
+        EngineCacheEvents(((1, True),), 40),
+        EngineFailure(True, "slow"),
+        EngineFailure(False, "connection refused"),
+    ]
+    step(feed, 4)
+    assert feed._client.asked == [0, 40, 40, 0]
+
+
+def test_an_idle_engine_is_not_asked(feed):
+    feed._has_work = lambda: False
+    step(feed)
+    assert not feed._client.asked
+    feed.note_work()
+    step(feed, 30)
+    assert len(feed._client.asked) == LINGER_MS / POLL_MS
+
+
+def test_returning_conversations_go_to_the_engine_that_holds_the_prefix():
+    # The second turn comes through the other entry, which knows the first only from
+    # the engine's events.
+    fleet = start_fleet(TEXT_PATH.read_text(encoding="utf-8"), entries=2, services=0)
+    try:
+        clients = [
+            OpenAI(base_url=f"http://{at}/v1", api_key="any", max_retries=0)
+            for at in fleet.callers
+        ]
+
+        def cached_tokens(client, prompt):
+            answer = client.completions.create(model="barley-7b", prompt=prompt)
+            return answer.usage.prompt_tokens_details.cached_tokens
+
+        prompts = [f"{number} len=3 " + f"lot {number} " * 100 for number in range(8)]
+        assert not any(cached_tokens(clients[0], prompt) for prompt in prompts)
+        known = fleet.entries[1].entry._choice._prefixes
+        with gevent.Timeout(10.0):
+            while len(known) < 16:
+                gevent.sleep(0.01)
+        assert all(cached_tokens(clients[1], p + " and now?") for p in prompts)
+    finally:
+        fleet.stop()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -28,4 +28,5 @@
     assert names[1] == "Hello"
     assert names[2] == "Submit"
     assert names[9] == "Failed"
-    assert len(names) == 28
+    assert names[29] == "CacheEvents"
+    assert len(names) == 29
--- a/tests/test_side_work.py
+++ b/tests/test_side_work.py
@@ -353,3 +353,14 @@
     assert (report.ready, report.engine_running, report.slots) == (True, 1, 2)
     bed.clock.advance(10_000.0)
     assert not reporter.report().ready
+
+
+def test_paused_work_may_keep_a_share_of_the_engines_own_cache(make_bed):
+    # Guards against a fixed room that is more than a small engine has.
+    bed = make_bed()
+    costs = []
+    bed.queue.set_kv_costs = costs.append
+    bed.endpoint.load = {"kv_limit_tokens": 4000}
+    for _ in range(2):
+        bed.side._reporter.look()
+    assert [each.paused_limit_tokens for each in costs] == [1000]
--- a/wigeonwind/decisions/preemption.py
+++ b/wigeonwind/decisions/preemption.py
@@ -19,6 +19,10 @@
 SAME_CLASS_MARGIN_MS = 5000.0
 """Difference in rank that is worth a pause within a class."""
 
+PAUSED_KV_SHARE = 0.25
+"""Share of an engine's KV memory that paused work may keep; more would leave running
+work without memory, which stalls the batch."""
+
 
 @dataclass(frozen=True)
 class KvCosts:
--- a/wigeonwind/experiments/policies.py
+++ b/wigeonwind/experiments/policies.py
@@ -29,7 +29,7 @@
     WorkItem,
     WorkKey,
 )
-from wigeonwind.decisions.preemption import KvCosts
+from wigeonwind.decisions.preemption import PAUSED_KV_SHARE, KvCosts
 from wigeonwind.registry import Registry
 from wigeonwind.standins.engine_types import EngineConfig
 
@@ -48,10 +48,6 @@
     resumes: bool
 
 
-PAUSED_KV_SHARE = 0.25
-"""Share of an engine's KV memory that paused work may keep; more would leave running
-work without memory, which stalls the batch."""
-
 POLICIES: Registry[Policy] = Registry("policy")
 """Policies by name."""
 
--- a/wigeonwind/links/messages.py
+++ b/wigeonwind/links/messages.py
@@ -5,30 +5,13 @@
 append fields with defaults; an older one ignores what it does not know.
 """
 
-from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TypeVar
 
-T = TypeVar("T")
-
-PROTOCOL_VERSION = 1
-"""Version of the message set; a link to another major version is refused."""
-
-MESSAGE_TYPE_BY_NUMBER: dict[int, type] = {}
-"""Filled by the `message` decorator."""
-
-
-def message(number: int) -> Callable[[type[T]], type[T]]:
-    """Return a decorator that files a frozen dataclass under `number`."""
-
-    def add(cls: type[T]) -> type[T]:
-        if number in MESSAGE_TYPE_BY_NUMBER:
-            raise ValueError(f"message number {number} is used twice")
-        cls.NUMBER = number  # type: ignore[attr-defined]
-        MESSAGE_TYPE_BY_NUMBER[number] = cls
-        return cls
-
-    return add
+from wigeonwind.links.message_registry import (
+    MESSAGE_TYPE_BY_NUMBER as MESSAGE_TYPE_BY_NUMBER,
+)
+from wigeonwind.links.message_registry import PROTOCOL_VERSION as PROTOCOL_VERSION
+from wigeonwind.links.message_registry import message
 
 
 @message(1)
@@ -395,3 +378,18 @@
     digests: list[int]
     reply: bool
     """Whether the receiver shall send its own digests back."""
+
+
+@message(29)
+@dataclass(frozen=True)
+class CacheEvents:
+    """Prompt prefixes that a side's engine has stored or evicted since the last one.
+
+    Keys are those of `RouteRequest.prefix_keys`. The events are hints: the sender drops
+    the oldest beyond its rate, so gaps in what `next_seq` counts are normal.
+    """
+
+    member_id: str
+    next_seq: int
+    stored: list[int]
+    evicted: list[int]
--- a/wigeonwind/roles/engine_client.py
+++ b/wigeonwind/roles/engine_client.py
@@ -16,8 +16,9 @@
 ORDER_TIMEOUT_MS = 600_000.0
 """Time for an order: weights are fetched from a store of limited rate."""
 
-MAX_REPLY_BYTES = 1_000_000
-"""Bound of an answer that is not a stream."""
+MAX_REPLY_BYTES = 4_000_000
+"""Bound of an answer that is not a stream; a whole log of cache events is the longest:
+20,000 events take about 1.4 MB."""
 
 ENGINE_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 """Paths on which an engine generates text."""
@@ -49,6 +50,16 @@
     model: str
     version: str
     role: str
+    kv_limit_tokens: int = 0
+    """Tokens that the KV cache holds; 0 if the engine does not say."""
+
+
+@dataclass(frozen=True)
+class EngineCacheEvents:
+    """What became of prompt prefixes: (key, whether it was stored), in their order."""
+
+    changes: tuple[tuple[int, bool], ...]
+    next_seq: int
 
 
 @dataclass(frozen=True)
@@ -177,10 +188,26 @@
                 str(fields.get("model", "")),
                 str(fields.get("version", "")),
                 str(fields.get("role", "")),
+                int(fields.get("kv_limit_tokens", 0)),
             )
         except (KeyError, TypeError, ValueError) as error:
             return EngineFailure(True, f"load report cannot be used: {error}")
 
+    def cache_events(self, after: int) -> EngineCacheEvents | EngineFailure:
+        """Read the prompt-cache events after number `after`."""
+        path = f"/cache/events?after={after}"
+        fields = self._call("GET", path, None, CONTROL_TIMEOUT_MS)
+        if isinstance(fields, EngineFailure):
+            return fields
+        try:
+            changes = tuple(
+                (int(event["prefix"]), event["kind"] == "stored")
+                for event in fields["events"]
+            )
+            return EngineCacheEvents(changes, int(fields["next"]))
+        except (KeyError, TypeError, ValueError) as error:
+            return EngineFailure(True, f"cache events cannot be used: {error}")
+
     def order(self, order: Order) -> EngineFailure | None:
         """Carry out an order; None when the engine has done it."""
         fields = {
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -17,7 +17,7 @@
     RetryDecisions,
 )
 from wigeonwind.links.link_types import Link
-from wigeonwind.links.messages import ClaimState, Leaving, LoadReport
+from wigeonwind.links.messages import CacheEvents, ClaimState, Leaving, LoadReport
 from wigeonwind.outcomes import ErrorCode
 from wigeonwind.roles.admission import Admission
 from wigeonwind.roles.booking_call import BookingCalls
@@ -135,6 +135,9 @@
             case LoadReport():
                 self._on_load(link, message)
                 return True
+            case CacheEvents():
+                self._on_cache_events(link, message)
+                return True
             case ClaimState():
                 return self._bookings.on_claim_state(link, message)
             case Leaving(member_id=member_id, incarnation=incarnation):
@@ -156,6 +159,12 @@
         )
         self._choice.on_load(link.hello.member_id, load, self._clock.now_ms())
 
+    def _on_cache_events(self, link: Link, events: CacheEvents) -> None:
+        name, now_ms = link.hello.member_id, self._clock.now_ms()
+        for keys, stored in ((events.stored, True), (events.evicted, False)):
+            for key in keys:
+                self._choice.on_cache_event(name, key, stored, now_ms)
+
     def on_down(self, link: Link, reason: str) -> None:
         """Stop using a link; attempts on it end."""
         self._links.on_down(link)
--- a/wigeonwind/roles/load_reporter.py
+++ b/wigeonwind/roles/load_reporter.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from gevent import Greenlet, sleep, spawn
+from gevent import sleep
 
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.interfaces import EndpointQueueDecisions
@@ -15,6 +15,7 @@
     EngineFailure,
     EngineLoad,
 )
+from wigeonwind.roles.loops import Loops
 from wigeonwind.settings import SocketAddress
 
 STALE_INTERVALS = 3
@@ -36,6 +37,7 @@
         address: SocketAddress,
         report_ms: float,
         takes_work: Callable[[], bool],
+        on_load: Callable[[EngineLoad], None] | None = None,
     ) -> None:
         self._member_id = member_id
         self._clock = clock
@@ -44,20 +46,16 @@
         self._address = address
         self._report_ms = report_ms
         self._takes_work = takes_work
+        self._on_load = on_load
         self._links: list[Link] = []
         self._load: EngineLoad | None = None
         self._read_ms: float | None = None
         self._reported_ready = False
-        self._greenlets: list[Greenlet] = []
 
-    def start(self) -> None:
+    def start(self, loops: Loops) -> None:
         """Start to watch and to report."""
-        self._greenlets = [spawn(self._watch_loop), spawn(self._report_loop)]
-
-    def stop(self) -> None:
-        """Stop to watch and to report."""
-        for greenlet in self._greenlets:
-            greenlet.kill(block=False)
+        loops.start(self._watch_loop)
+        loops.start(self._report_loop)
 
     def on_up(self, link: Link) -> None:
         """Report to an entry from now on, at once for the first time."""
@@ -84,6 +82,8 @@
             if not isinstance(load, EngineFailure):
                 self._load = load
                 self._read_ms = self._clock.now_ms()
+                if self._on_load is not None:
+                    self._on_load(load)
             return
         probe = HttpExchange(self._address, CONTROL_TIMEOUT_MS)
         if probe.connect() is None:
--- /dev/null
+++ b/wigeonwind/roles/loops.py
@@ -0,0 +1,40 @@
+"""Background loops of a process, none of which may end unnoticed."""
+
+from collections.abc import Callable
+
+from gevent import Greenlet, spawn
+from structlog import get_logger
+
+log = get_logger("wigeonwind.loops")
+
+
+class Loops:
+    """Starts loops, and has the process stopped if one ends by an error.
+
+    A process without one of its loops would go on half alive. `on_broken` is called
+    once, in a greenlet of its own, as stopping may block.
+    """
+
+    def __init__(self, on_broken: Callable[[], None]) -> None:
+        self.on_broken = on_broken
+        self._greenlets: list[Greenlet] = []
+        self._is_broken = False
+
+    def start(self, loop: Callable[[], None]) -> None:
+        """Run a loop that ends by `stop` or by an error only."""
+        greenlet = spawn(loop)
+        greenlet.link_exception(self._on_error)
+        self._greenlets.append(greenlet)
+
+    def stop(self) -> None:
+        """Stop all loops at once."""
+        for greenlet in self._greenlets:
+            greenlet.kill(block=False)
+        self._greenlets = []
+
+    def _on_error(self, greenlet: Greenlet) -> None:
+        if self._is_broken:
+            return
+        self._is_broken = True
+        log.error("a loop ended by an error", error=repr(greenlet.exception))
+        spawn(self.on_broken)
--- a/wigeonwind/roles/side.py
+++ b/wigeonwind/roles/side.py
@@ -1,9 +1,9 @@
 """The sidecar: the only owner of its endpoint."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol, runtime_checkable
 
-from gevent import Greenlet, sleep, spawn
+from gevent import sleep
 
 from wigeonwind.catalog import Catalog
 from wigeonwind.clock import MS_PER_SECOND, Clock
@@ -16,6 +16,7 @@
     ResumeWork,
     StartWork,
 )
+from wigeonwind.decisions.preemption import PAUSED_KV_SHARE, KvCosts
 from wigeonwind.ids import new_incarnation
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import (
@@ -29,10 +30,12 @@
 )
 from wigeonwind.outcomes import ErrorCode
 from wigeonwind.roles.attempt_runner import AttemptRunner
+from wigeonwind.roles.cache_feed import CacheFeed
 from wigeonwind.roles.claim_memory import ClaimMemory
-from wigeonwind.roles.engine_client import EngineClient
+from wigeonwind.roles.engine_client import EngineClient, EngineLoad
 from wigeonwind.roles.intake import Intake
 from wigeonwind.roles.load_reporter import LoadReporter
+from wigeonwind.roles.loops import Loops
 from wigeonwind.roles.metrics import Metrics
 from wigeonwind.roles.orders import OrderGate, VersionCounts
 from wigeonwind.roles.pause_detector import TICK_MS, PauseDetector
@@ -47,6 +50,15 @@
 """Priority of a class that the present configuration does not have any more."""
 
 
+@runtime_checkable
+class UsesKvCosts(Protocol):
+    """A queue that decides what becomes of the KV cache of paused work."""
+
+    def set_kv_costs(self, kv_costs: KvCosts) -> None:
+        """Use other costs of moving KV cache and another room for it."""
+        ...
+
+
 class SideRole:
     """Connects links, queue, endpoint and orders; settings need an `[endpoint]`."""
 
@@ -71,7 +83,8 @@
         self._catalog = Catalog(0)
         self._links: list[Link] = []
         self._is_draining = False
-        self._ticker: Greenlet | None = None
+        self._kv_limit_tokens = 0
+        self.loops = Loops(self.stop)
         self._pauses = PauseDetector(clock)
         self._table = WorkTable(clock)
         self._claims = ClaimMemory(clock)
@@ -83,6 +96,7 @@
         counts = VersionCounts()
         self._metrics = SideMetrics(metrics, clock, counts)
         self._reporter = self._make_reporter(address)
+        self._cache_feed = self._make_cache_feed()
         self._intake = self._make_intake()
         self._runner = self._make_runner(self._engine or PlainClient(address, limit_ms))
         self._work_end = WorkEnd(
@@ -114,6 +128,14 @@
             address,
             self._settings.links.report_ms,
             lambda: not self._is_draining and not self._pause.is_on,
+            self._on_load,
+        )
+
+    def _make_cache_feed(self) -> CacheFeed | None:
+        if self._engine is None:
+            return None
+        return CacheFeed(
+            self.member_id, self._clock, self._engine, lambda: len(self._table) > 0
         )
 
     def _make_intake(self) -> Intake:
@@ -144,9 +166,11 @@
 
     def start(self) -> None:
         """Start to watch the endpoint, to report, and to read the lease."""
-        self._reporter.start()
+        self._reporter.start(self.loops)
         self._orders.start()
-        self._ticker = spawn(self._tick_loop)
+        self.loops.start(self._tick_loop)
+        if self._cache_feed is not None:
+            self.loops.start(self._cache_feed.run)
 
     def set_catalog(self, catalog: Catalog) -> None:
         """Use another version of the text for new work."""
@@ -162,6 +186,8 @@
         """Take a link to a peer."""
         self._links.append(link)
         self._reporter.on_up(link)
+        if self._cache_feed is not None:
+            self._cache_feed.on_up(link)
         if self._is_draining:
             link.send(Leaving(self.member_id, self.incarnation))
 
@@ -179,6 +205,8 @@
         if link in self._links:
             self._links.remove(link)
         self._reporter.on_down(link)
+        if self._cache_feed is not None:
+            self._cache_feed.on_down(link)
         for attempt in self._table.of_link(link):
             self._stop_orphan(attempt)
         self._pump()
@@ -197,10 +225,8 @@
     def stop(self) -> None:
         """Stop at once; what runs is broken off."""
         self._is_draining = True
-        self._reporter.stop()
+        self.loops.stop()
         self._orders.stop()
-        if self._ticker is not None:
-            self._ticker.kill(block=False)
         for attempt in self._table.started():
             self._runner.cancel(attempt, "the sidecar stops")
 
@@ -217,6 +243,14 @@
             sleep(TICK_MS / MS_PER_SECOND)
             self.tick()
 
+    def _on_load(self, load: EngineLoad) -> None:
+        """Let paused work keep a share of the engine's KV cache."""
+        limit = load.kv_limit_tokens
+        if limit != self._kv_limit_tokens and isinstance(self._queue, UsesKvCosts):
+            self._kv_limit_tokens = limit
+            room = int(limit * PAUSED_KV_SHARE)
+            self._queue.set_kv_costs(KvCosts(paused_limit_tokens=room))
+
     def _refuse_new(self) -> Rejected | None:
         """Return why no new work is taken now, if so."""
         if self._is_draining:
@@ -249,6 +283,8 @@
 
     def _on_ended(self, attempt: Attempt) -> None:
         self._work_end.on_ended()
+        if self._cache_feed is not None:
+            self._cache_feed.note_work()
         self._pump()
 
     def _pump(self) -> None:
