--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,55 @@
+"""What a process does beside its role: supervised loops and the booking sweep."""
+
+from types import SimpleNamespace
+
+import pytest
+from entry_fakes import MemoryStore
+from structlog.testing import capture_logs
+
+from wigeonwind.roles.demo import (
+    ANY_PORT,
+    endpoint_source,
+    make_process,
+    settings_source,
+)
+from wigeonwind.roles.process import EXIT_BROKEN, sweep_if_leader
+from wigeonwind.standins.object_store_server import ObjectStoreServer
+from wigeonwind.standins.plain_service import PlainServiceServer
+from wigeonwind.state.booking_sweep import BookingSweep
+
+
+def fail(*_):
+    raise ValueError("fault in a loop")
+
+
+@pytest.mark.parametrize(
+    "find_step",
+    [
+        lambda process: (process._follower, "poll_step"),
+        lambda process: (process.node.dialer, "tick"),
+        lambda process: (process.side._reporter, "report"),
+        lambda process: (process.side, "tick"),
+    ],
+)
+def test_a_loop_that_ends_by_an_error_stops_the_process(find_step):
+    # Guards against a process that goes on half alive, unnoticed by its supervisor.
+    store, service = ObjectStoreServer(ANY_PORT), PlainServiceServer(ANY_PORT)
+    source = settings_source("side-1", "side", "tartu-a", str(store.start()), "")
+    endpoint = endpoint_source("spot-desk", "plain", service.start())
+    process = make_process(source + endpoint)
+    setattr(*find_step(process), fail)
+    with capture_logs() as lines:
+        process.start()
+        assert process.stopped.wait(10.0)
+    assert process.exit_code == EXIT_BROKEN
+    assert [row["log_level"] for row in lines].count("error") == 1
+    service.stop()
+    store.stop()
+
+
+@pytest.mark.parametrize("holds_lease", [True, False])
+def test_only_the_leader_sweeps_bookings(holds_lease):
+    sweep = BookingSweep(MemoryStore(), lambda: 0.0)
+    step = sweep_if_leader(SimpleNamespace(holds_lease=holds_lease), sweep)
+    assert (step is not None and step.complete) == holds_lease
+    assert sweep_if_leader(None, sweep) is None
--- a/wigeonwind/daemon.py
+++ b/wigeonwind/daemon.py
@@ -14,10 +14,9 @@
 
 from wigeonwind.outcomes import Invalid, Ok
 from wigeonwind.roles.logs import configure_logs
-from wigeonwind.roles.process import Process, build_process
+from wigeonwind.roles.process import EXIT_OK, Process, build_process
 from wigeonwind.settings import Settings, read_settings
 
-EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
 EXIT_ADDRESS_TAKEN = 3
 
@@ -52,7 +51,7 @@
     operators = f" operators {addresses.operators}" if addresses.operators else ""
     print(f"listening links {addresses.links}{callers}{operators}", flush=True)
     process.stopped.wait()
-    return EXIT_OK
+    return process.exit_code
 
 
 def start(argv: list[str]) -> int:
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import gevent
-from gevent import Greenlet
 from gevent.event import Event
 
 from wigeonwind.catalog import Catalog
@@ -27,6 +26,7 @@
 from wigeonwind.roles.grant_exchange import GrantExchange
 from wigeonwind.roles.health_api import HealthApi
 from wigeonwind.roles.http_call import HttpCall, StartResponse, read_call
+from wigeonwind.roles.loops import Loops
 from wigeonwind.roles.metrics_sink import MetricsSink
 from wigeonwind.roles.openai_api import OpenAiApi
 from wigeonwind.roles.pending import PendingAttempts
@@ -73,7 +73,7 @@
         self.dispatcher = Dispatcher(context)
         self.grants: GrantExchange | None = None
         """Set before `start` where limits are shared with other entries."""
-        self._grants_loop: Greenlet | None = None
+        self.loops = Loops(self.stop)
         timeout_ms = float(settings.limits.request_timeout_ms)
         self._admission = Admission(clock, limits, timeout_ms)
         runner = Runner(clock, self._admission, self.dispatcher, metrics, tracer)
@@ -188,7 +188,7 @@
         self._server.start()
         self._started = True
         if self.grants is not None:
-            self._grants_loop = gevent.spawn(self.grants.run)
+            self.loops.start(self.grants.run)
         return self._server.bound_address
 
     def drain(self) -> None:
@@ -209,7 +209,6 @@
     def stop(self) -> None:
         """Stop at once; what is in flight is cut off."""
         self._started = False
-        if self._grants_loop is not None:
-            self._grants_loop.kill(block=False)
+        self.loops.stop()
         self._server.close_idle()
         self._server.stop(timeout=0)
--- a/wigeonwind/roles/node.py
+++ b/wigeonwind/roles/node.py
@@ -1,11 +1,11 @@
 """The runtime of one process: its links, members, text and role."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from random import Random
 from typing import Any, Protocol
 
-from gevent import Greenlet, sleep, spawn
+from gevent import sleep
 from gevent.event import Event
 from structlog import get_logger
 
@@ -19,6 +19,7 @@
 from wigeonwind.outcomes import Failure, Ok
 from wigeonwind.roles.dialer import Dialer
 from wigeonwind.roles.link_table import LinkTable
+from wigeonwind.roles.loops import Loops
 from wigeonwind.roles.peering import Peering, address_of
 from wigeonwind.roles.roller import Roller
 from wigeonwind.roles.spread import ANTI_ENTROPY_MS, Spread
@@ -126,14 +127,12 @@
         self.dialer = Dialer(
             self.peering, self.links, self._connect, self._is_idle, clock, rng
         )
-        self._greenlets: list[Greenlet] = []
         self._stopped = Event()
         self._endpoint_ids: tuple[str, ...] = ()
         self.role: Role | None = None
         self.endpoint_consumer: EndpointConsumer | None = None
         self.roller: Roller | None = None
-        self.on_broken: Callable[[], None] = self.stop
-        """Called when an invariant is broken and the process cannot go on."""
+        self.loops = Loops(self.stop)
 
     def _own_record(self) -> MemberRecord:
         node = self.settings.node
@@ -181,8 +180,8 @@
         own = self.members.own
         if not own.address.endswith(f":{bound.port}"):
             self._use_port(bound)
-        self._keep_running(spawn(self._peering_loop))
-        self._keep_running(spawn(self._spread_loop))
+        self.loops.start(self._peering_loop)
+        self.loops.start(self._spread_loop)
         if self.settings.node.role == "entry":
             self._start_roller()
         return bound
@@ -202,15 +201,14 @@
             lambda service: self.members.live("side", service),
             self.open_link,
         )
-        self._keep_running(spawn(self.roller.run))
+        self.loops.start(self.roller.run)
 
     def stop(self) -> None:
         """Close all links and stop at once."""
         self._stopped.set()
         if self.roller is not None:
             self.roller.stop()
-        for greenlet in self._greenlets:
-            greenlet.kill(block=False)
+        self.loops.stop()
         self._server.stop()
         for link in [*self.links.used(), *self.links.spares()]:
             link.close("the process stops")
@@ -315,16 +313,6 @@
                 return sorted(confirmed)
             sleep(CONFIRM_POLL_MS / MS_PER_SECOND)
 
-    def _keep_running(self, greenlet: Greenlet) -> None:
-        """Stop the process if one of its loops ends by an error."""
-        greenlet.link_exception(self._on_loop_error)
-        self._greenlets.append(greenlet)
-
-    def _on_loop_error(self, greenlet: Greenlet) -> None:
-        # A process without one of its loops would go on half alive.
-        log.error("a loop ended by an error", error=repr(greenlet.exception))
-        self.on_broken()
-
     def _spread_loop(self) -> None:
         while not self._stopped.is_set():
             sleep(self.rng.uniform(0.8, 1.2) * ANTI_ENTROPY_MS / MS_PER_SECOND)
--- a/wigeonwind/roles/process.py
+++ b/wigeonwind/roles/process.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
+from time import time
 from typing import Any
 
 from gevent import Greenlet, sleep, spawn
@@ -22,15 +23,18 @@
 from wigeonwind.roles.grant_exchange import GrantExchange
 from wigeonwind.roles.health_api import HealthApi
 from wigeonwind.roles.http_call import StartResponse, read_call
+from wigeonwind.roles.loops import Loops
 from wigeonwind.roles.metrics import Metrics
 from wigeonwind.roles.metrics_sink import PrometheusSink
 from wigeonwind.roles.node import Node
 from wigeonwind.roles.node_status import node_status
 from wigeonwind.roles.operators_api import OperatorsApi
+from wigeonwind.roles.roller import Roller
 from wigeonwind.roles.side import SideRole
 from wigeonwind.roles.tracing import make_tracer
 from wigeonwind.roles.vm_list_client import VmListClient
 from wigeonwind.settings import Settings, SocketAddress, parse_address
+from wigeonwind.state.booking_sweep import BookingSweep, ListingStore, SweepStep
 from wigeonwind.state.store_client import StoreClient
 from wigeonwind.state.subset import is_store_watcher
 from wigeonwind.state.text_follower import TextFollower
@@ -48,6 +52,15 @@
 GRANT_MEMBERS_MS = 250.0
 """Interval at which the limits learn of entries that came or went."""
 
+SWEEP_MS = 15_000.0
+"""Mean interval between parts of the sweep of expired bookings; all 256 parts take
+about an hour, short against the 7 days for which records are kept."""
+
+EXIT_OK = 0
+
+EXIT_BROKEN = 70
+"""Exit code after a loop ended by an error (EX_SOFTWARE of sysexits.h)."""
+
 log = get_logger("wigeonwind.process")
 
 
@@ -69,8 +82,9 @@
         self.metrics = Metrics(node.clock)
         self.metrics.add_link_counts(node.options.counts)
         self.stopped = Event()
-        node.on_broken = self.stop
-        self._greenlets: list[Greenlet] = []
+        self.exit_code = EXIT_OK
+        self._loops = Loops(self._on_broken)
+        node.loops.on_broken = self._on_broken
         self._drain: Greenlet | None = None
         self._tracer = make_tracer(settings.trace, settings.node.id, settings.node.role)
         self.entry: EntryRole | None = None
@@ -106,6 +120,7 @@
                 self._tracer,
             )
             self.entry.grants = GrantExchange(limiter, node.clock, node.link_to_entry)
+            self.entry.loops.on_broken = self._on_broken
             node.attach(self.entry, self.entry)
         else:
             assert settings.endpoint is not None
@@ -115,6 +130,7 @@
             self.side = SideRole(
                 settings, node.clock, node.store, queue, self.metrics, node.incarnation
             )
+            self.side.loops.on_broken = self._on_broken
             node.attach(self.side)
 
     @property
@@ -131,10 +147,11 @@
         if self.side is not None:
             self.side.start()
         operators = self._start_operators()
-        loops = (self._watch_loop, self._poll_loop, self._vm_list_loop)
-        self._greenlets = [spawn(loop) for loop in loops]
+        for loop in (self._watch_loop, self._poll_loop, self._vm_list_loop):
+            self._loops.start(loop)
         if self.entry is not None:
-            self._greenlets.append(spawn(self._grants_loop))
+            self._loops.start(self._grants_loop)
+            self._loops.start(self._sweep_loop)
         log.info("started", id=self.settings.node.id, role=self.settings.node.role)
         return ProcessAddresses(links, callers, operators)
 
@@ -180,9 +197,14 @@
         self.node.stop()
         self._close()
 
+    def _on_broken(self) -> None:
+        """Stop because an invariant is broken; the supervisor starts another one."""
+        if self.exit_code == EXIT_OK:
+            self.exit_code = EXIT_BROKEN
+            self.stop()
+
     def _close(self) -> None:
-        for greenlet in self._greenlets:
-            greenlet.kill(block=False)
+        self._loops.stop()
         if self.entry is not None:
             self.entry.stop()
         if self._operators_server is not None:
@@ -220,6 +242,15 @@
                 self.entry.grants.set_entries(live, unreachable)
             _sleep_ms(GRANT_MEMBERS_MS)
 
+    def _sweep_loop(self) -> None:
+        """Delete expired bookings, on one entry at a time."""
+        store = self.node.store
+        assert isinstance(store, ListingStore), store
+        sweep = BookingSweep(store, _wall_ms)
+        while True:
+            _sleep_ms(self.node.rng.uniform(0.8, 1.2) * SWEEP_MS)
+            sweep_if_leader(self.node.roller, sweep)
+
     def _vm_list_loop(self) -> None:
         if not self.settings.platform.vm_list:
             return
@@ -236,6 +267,17 @@
             _sleep_ms(self.node.rng.uniform(0.5, 1.5) * VM_LIST_MS)
 
 
+def sweep_if_leader(roller: Roller | None, sweep: BookingSweep) -> SweepStep | None:
+    """Sweep one part of the bookings if this process holds the roller lease."""
+    if roller is None or not roller.holds_lease:
+        return None
+    return sweep.step()
+
+
+def _wall_ms() -> float:
+    return time() * MS_PER_SECOND
+
+
 def _sleep_ms(duration_ms: float) -> None:
     sleep(duration_ms / MS_PER_SECOND)
 
--- a/wigeonwind/state/booking_sweep.py
+++ b/wigeonwind/state/booking_sweep.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Protocol, runtime_checkable
 
 from wigeonwind.outcomes import Ok
 from wigeonwind.state.booking_record import decode_record, is_expired
@@ -17,6 +17,7 @@
 """
 
 
+@runtime_checkable
 class ListingStore(Protocol):
     """The calls of the object store that a sweep makes."""
 
