--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import gevent
-from gevent import Greenlet
 from gevent.event import Event
 
 from wigeonwind.catalog import Catalog
@@ -17,7 +16,7 @@
     RetryDecisions,
 )
 from wigeonwind.links.link_types import Link
-from wigeonwind.links.messages import ClaimState, Leaving, LoadReport
+from wigeonwind.links.messages import CacheEvents, ClaimState, Leaving, LoadReport
 from wigeonwind.outcomes import ErrorCode
 from wigeonwind.roles.admission import Admission
 from wigeonwind.roles.booking_call import BookingCalls
@@ -27,6 +26,7 @@
 from wigeonwind.roles.grant_exchange import GrantExchange
 from wigeonwind.roles.health_api import HealthApi
 from wigeonwind.roles.http_call import HttpCall, StartResponse, read_call
+from wigeonwind.roles.loops import Loops
 from wigeonwind.roles.metrics_sink import MetricsSink
 from wigeonwind.roles.openai_api import OpenAiApi
 from wigeonwind.roles.pending import PendingAttempts
@@ -73,7 +73,7 @@
         self.dispatcher = Dispatcher(context)
         self.grants: GrantExchange | None = None
         """Set before `start` where limits are shared with other entries."""
-        self._grants_loop: Greenlet | None = None
+        self.loops = Loops(self.stop)
         timeout_ms = float(settings.limits.request_timeout_ms)
         self._admission = Admission(clock, limits, timeout_ms)
         runner = Runner(clock, self._admission, self.dispatcher, metrics, tracer)
@@ -135,6 +135,9 @@
             case LoadReport():
                 self._on_load(link, message)
                 return True
+            case CacheEvents():
+                self._on_cache_events(link, message)
+                return True
             case ClaimState():
                 return self._bookings.on_claim_state(link, message)
             case Leaving(member_id=member_id, incarnation=incarnation):
@@ -156,6 +159,12 @@
         )
         self._choice.on_load(link.hello.member_id, load, self._clock.now_ms())
 
+    def _on_cache_events(self, link: Link, events: CacheEvents) -> None:
+        name, now_ms = link.hello.member_id, self._clock.now_ms()
+        for keys, stored in ((events.stored, True), (events.evicted, False)):
+            for key in keys:
+                self._choice.on_cache_event(name, key, stored, now_ms)
+
     def on_down(self, link: Link, reason: str) -> None:
         """Stop using a link; attempts on it end."""
         self._links.on_down(link)
@@ -179,7 +188,7 @@
         self._server.start()
         self._started = True
         if self.grants is not None:
-            self._grants_loop = gevent.spawn(self.grants.run)
+            self.loops.start(self.grants.run)
         return self._server.bound_address
 
     def drain(self) -> None:
@@ -200,7 +209,6 @@
     def stop(self) -> None:
         """Stop at once; what is in flight is cut off."""
         self._started = False
-        if self._grants_loop is not None:
-            self._grants_loop.kill(block=False)
+        self.loops.stop()
         self._server.close_idle()
         self._server.stop(timeout=0)
