--- a/wigeonwind/roles/attempt_runner.py
+++ b/wigeonwind/roles/attempt_runner.py
@@ -23,7 +23,9 @@
 )
 from wigeonwind.roles.plain_client import PlainClient, PlainEnd
 from wigeonwind.roles.side_metrics import SideMetrics
+from wigeonwind.roles.side_spans import AttemptSpans
 from wigeonwind.roles.sse import StreamEnd, TokenBatch
+from wigeonwind.roles.tracing import Tracer
 from wigeonwind.roles.work_table import Attempt, WorkTable
 
 RESUME = "resume"
@@ -49,6 +51,7 @@
         metrics: SideMetrics,
         priority_of: Callable[[str], int],
         on_ended: Callable[[Attempt], None],
+        tracer: Tracer,
     ) -> None:
         self._clock = clock
         self._table = table
@@ -58,6 +61,7 @@
         self._metrics = metrics
         self._priority_of = priority_of
         self._on_ended = on_ended
+        self._tracer = tracer
 
     def start(self, item: WorkItem) -> None:
         """Run an attempt that the queue has let through."""
@@ -105,27 +109,32 @@
         self._control(action.item, RESUME)
 
     def _run(self, attempt: Attempt) -> None:
+        waited_ms = self._clock.now_ms() - attempt.item.arrived_ms
+        spans = AttemptSpans(self._tracer, attempt, waited_ms)
         try:
             if isinstance(self._client, EngineClient):
-                self._run_model(attempt, self._client)
+                self._run_model(attempt, self._client, spans.traceparent)
             else:
-                self._run_plain(attempt, self._client)
+                self._run_plain(attempt, self._client, spans.traceparent)
         except Exception:
             # The entry must not wait for ever for the end of a faulty run.
             self._fail(attempt, ErrorCode.ENDPOINT_FAILED, "fault in the sidecar")
             raise
         finally:
+            spans.end()
             self._table.end(attempt.item.key)
             self._queue.on_done(attempt.item.key, self._clock.now_ms())
             self._on_ended(attempt)
 
-    def _run_model(self, attempt: Attempt, client: EngineClient) -> None:
+    def _run_model(
+        self, attempt: Attempt, client: EngineClient, traceparent: str
+    ) -> None:
         submit = attempt.submit
         body = engine_body(submit, self._priority_of(submit.class_name))
         if isinstance(body, EngineFailure):
             self._fail(attempt, ErrorCode.BAD_REQUEST, body.reason)
             return
-        stream = client.stream(submit.path, body)
+        stream = client.stream(submit.path, body, traceparent)
         attempt.exchange = stream
         if attempt.cancelled:
             self._fail(attempt, attempt.cancel_code, attempt.cancelled)
@@ -146,8 +155,10 @@
                 attempt.is_sent &= item.sent
                 self._fail(attempt, code, item.reason)
 
-    def _run_plain(self, attempt: Attempt, client: PlainClient) -> None:
-        call = client.call(attempt.submit)
+    def _run_plain(
+        self, attempt: Attempt, client: PlainClient, traceparent: str
+    ) -> None:
+        call = client.call(attempt.submit, traceparent)
         attempt.exchange = call
         recorder = BookingRecorder()
         if attempt.cancelled:
@@ -200,6 +211,7 @@
         attempt.link.wait_writable()
 
     def _finish(self, attempt: Attempt, end: StreamEnd) -> None:
+        attempt.outcome = "finished"
         self._metrics.on_end(attempt, "finished")
         self._send(
             attempt,
@@ -213,6 +225,7 @@
 
     def _fail(self, attempt: Attempt, code: ErrorCode, reason: str) -> None:
         """End an attempt without a whole answer; what has been sent stays sent."""
+        attempt.outcome = "failed"
         self._metrics.on_end(attempt, "failed")
         if attempt.cancelled:
             self._metrics.waste(attempt.tokens, "cancelled")
--- a/wigeonwind/roles/booking_call.py
+++ b/wigeonwind/roles/booking_call.py
@@ -20,6 +20,7 @@
 from wigeonwind.roles.replies import Reply, failure, failure_reply, status_line
 from wigeonwind.roles.request_run import RequestRun
 from wigeonwind.roles.run import Running
+from wigeonwind.roles.tracing import Tracer
 from wigeonwind.state.booking_record import RecordedAnswer
 from wigeonwind.state.booking_steps import (
     AskClaim,
@@ -40,7 +41,6 @@
     ReadRecord,
     RunAttempt,
     RunResult,
-    Step,
     StepResult,
     Target,
     Unresolved,
@@ -59,8 +59,9 @@
 class BookingCalls:
     """Runs bookings and asks sidecars about claims."""
 
-    def __init__(self, store: Store, dispatcher: Dispatcher) -> None:
+    def __init__(self, store: Store, dispatcher: Dispatcher, tracer: Tracer) -> None:
         self._store = store
+        self._tracer = tracer
         self._dispatcher = dispatcher
         self._asked_by_token: dict[str, tuple[Link, AsyncResult]] = {}
 
@@ -73,7 +74,7 @@
             body_digest(request.method, request.path, request.body),
         )
         run = self._dispatcher.run(request, running.mailbox)
-        result = self._drive(booking, run)
+        result = self._drive(booking, run, request.traceparent)
         running.set_outcome(_outcome_of(result))
         yield from _reply(call, result)
 
@@ -91,7 +92,9 @@
             if asked_link is link:
                 result.set(None)
 
-    def _drive(self, booking: BookingCall, run: RequestRun) -> BookingResult:
+    def _drive(
+        self, booking: BookingCall, run: RequestRun, traceparent: str
+    ) -> BookingResult:
         """Carry the protocol's steps out one by one."""
         steps = book(booking, new_id, _wall_ms)
         result: StepResult = None
@@ -100,14 +103,31 @@
                 step = steps.send(result)
             except StopIteration as end:
                 return end.value
-            result = self._carry_out(step, run)
+            if isinstance(step, ReadRecord | WriteRecord):
+                result = self._call_store(step, traceparent)
+            else:
+                result = self._carry_out(step, run)
+
+    def _call_store(
+        self, step: ReadRecord | WriteRecord, traceparent: str
+    ) -> StepResult:
+        is_read = isinstance(step, ReadRecord)
+        name = "store.get" if is_read else "store.put"
+        span = self._tracer.start_span(name, traceparent, {})
+        result: StepResult = None
+        try:
+            if isinstance(step, ReadRecord):
+                result = self._store.get(step.key)
+            else:
+                result = self._store.put(step.key, step.value, step.if_version)
+        finally:
+            span.end({"result": type(result).__name__})
+        return result
 
-    def _carry_out(self, step: Step, run: RequestRun) -> StepResult:
+    def _carry_out(
+        self, step: ChooseTarget | RunAttempt | AskClaim | Pause, run: RequestRun
+    ) -> StepResult:
         match step:
-            case ReadRecord(key=key):
-                return self._store.get(key)
-            case WriteRecord(key=key, value=value, if_version=if_version):
-                return self._store.put(key, value, if_version)
             case ChooseTarget():
                 return _choose(run)
             case RunAttempt(claim_token=token, target=target):
--- a/wigeonwind/roles/endpoint_http.py
+++ b/wigeonwind/roles/endpoint_http.py
@@ -30,6 +30,11 @@
 """What a broken connection or a malformed answer raises."""
 
 
+def trace_headers(traceparent: str) -> list[list[str]]:
+    """Return the header that continues a trace at the endpoint, if there is a trace."""
+    return [["traceparent", traceparent]] if traceparent else []
+
+
 @dataclass(frozen=True)
 class HttpFailure:
     """No whole answer; `sent` False means that no byte of the request was sent."""
--- a/wigeonwind/roles/engine_client.py
+++ b/wigeonwind/roles/engine_client.py
@@ -6,7 +6,11 @@
 from typing import Any
 
 from wigeonwind.links.messages import Order, Submit
-from wigeonwind.roles.endpoint_http import HttpExchange, HttpFailure
+from wigeonwind.roles.endpoint_http import (
+    HttpExchange,
+    HttpFailure,
+    trace_headers,
+)
 from wigeonwind.roles.sse import StreamEnd, StreamError, TokenBatch, TokenStream
 from wigeonwind.settings import SocketAddress
 
@@ -86,8 +90,11 @@
 class EngineStream:
     """One answer being generated."""
 
-    def __init__(self, exchange: HttpExchange, path: str, body: bytes) -> None:
+    def __init__(
+        self, exchange: HttpExchange, path: str, body: bytes, traceparent: str
+    ) -> None:
         self._exchange = exchange
+        self._headers = [*JSON_HEADERS, *trace_headers(traceparent)]
         self._path = path
         self._body = body
 
@@ -107,7 +114,7 @@
             yield EngineFailure(False, failure.reason)
             return
         on_connected()
-        head = self._exchange.request("POST", self._path, JSON_HEADERS, self._body)
+        head = self._exchange.request("POST", self._path, self._headers, self._body)
         if isinstance(head, HttpFailure):
             yield EngineFailure(head.sent, head.reason)
         elif head.status != 200:
@@ -147,10 +154,10 @@
         self._address = address
         self._request_limit_ms = request_limit_ms
 
-    def stream(self, path: str, body: bytes) -> EngineStream:
+    def stream(self, path: str, body: bytes, traceparent: str = "") -> EngineStream:
         """Return the stream of an answer; nothing is sent before `items` is run."""
         exchange = HttpExchange(self._address, self._request_limit_ms)
-        return EngineStream(exchange, path, body)
+        return EngineStream(exchange, path, body, traceparent)
 
     def cancel(self, engine_id: str) -> ControlAnswer | EngineFailure:
         """Stop an answer."""
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -78,7 +78,7 @@
         self._admission = Admission(clock, limits, timeout_ms)
         runner = Runner(clock, self._admission, self.dispatcher, metrics, tracer)
         self._runner = runner
-        self._bookings = BookingCalls(store, self.dispatcher)
+        self._bookings = BookingCalls(store, self.dispatcher, tracer)
         self._openai = OpenAiApi(self._admission, runner)
         self._plain = PlainApi(self._admission, runner, self._bookings.answer)
         listen = settings.listen
--- a/wigeonwind/roles/plain_client.py
+++ b/wigeonwind/roles/plain_client.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass
 
 from wigeonwind.links.messages import Submit
-from wigeonwind.roles.endpoint_http import HttpExchange, HttpFailure, HttpHead
+from wigeonwind.roles.endpoint_http import (
+    HttpExchange,
+    HttpFailure,
+    HttpHead,
+    trace_headers,
+)
 from wigeonwind.settings import SocketAddress
 
 HOP_HEADERS = frozenset(
@@ -52,8 +57,11 @@
 class PlainCall:
     """One call of a plain service."""
 
-    def __init__(self, exchange: HttpExchange, submit: Submit) -> None:
+    def __init__(
+        self, exchange: HttpExchange, submit: Submit, traceparent: str
+    ) -> None:
         self._exchange = exchange
+        self._traceparent = traceparent
         self._submit = submit
 
     def items(self, on_connected: Callable[[], None]) -> Iterator[PlainItem]:
@@ -75,6 +83,7 @@
             for pair in end_to_end_headers(submit.headers)
             if pair[0].lower() not in REQUEST_ONLY_HERE
         ]
+        headers += trace_headers(self._traceparent)
         head = self._exchange.request(submit.method, submit.path, headers, submit.body)
         if isinstance(head, HttpFailure):
             yield head
@@ -104,6 +113,7 @@
         self._address = address
         self._request_limit_ms = request_limit_ms
 
-    def call(self, submit: Submit) -> PlainCall:
+    def call(self, submit: Submit, traceparent: str = "") -> PlainCall:
         """Return a call; nothing is sent before `items` is run."""
-        return PlainCall(HttpExchange(self._address, self._request_limit_ms), submit)
+        exchange = HttpExchange(self._address, self._request_limit_ms)
+        return PlainCall(exchange, submit, traceparent)
--- a/wigeonwind/roles/process.py
+++ b/wigeonwind/roles/process.py
@@ -113,7 +113,13 @@
             catalog = node.text.catalog
             queue = EndpointQueue(catalog, 1, node.rng, service=service)
             self.side = SideRole(
-                settings, node.clock, node.store, queue, self.metrics, node.incarnation
+                settings,
+                node.clock,
+                node.store,
+                queue,
+                self.metrics,
+                node.incarnation,
+                self._tracer,
             )
             node.attach(self.side)
 
--- a/wigeonwind/roles/side.py
+++ b/wigeonwind/roles/side.py
@@ -39,6 +39,7 @@
 from wigeonwind.roles.plain_client import PlainClient
 from wigeonwind.roles.side_drain import EndpointPause, WorkEnd
 from wigeonwind.roles.side_metrics import SideMetrics
+from wigeonwind.roles.tracing import PassingTracer, Tracer
 from wigeonwind.roles.work_table import Attempt, WorkTable
 from wigeonwind.settings import Settings, SocketAddress, parse_address
 from wigeonwind.state.store_types import Store
@@ -58,6 +59,7 @@
         queue: EndpointQueueDecisions,
         metrics: Metrics,
         incarnation: int | None = None,
+        tracer: Tracer | None = None,
     ) -> None:
         endpoint = settings.endpoint
         if endpoint is None:
@@ -65,6 +67,7 @@
         self.member_id = settings.node.id
         self.incarnation = incarnation or new_incarnation()
         self._settings = settings
+        self._tracer = tracer or PassingTracer()
         self._endpoint = endpoint
         self._clock = clock
         self._queue = queue
@@ -140,6 +143,7 @@
             self._metrics,
             self._priority_of,
             self._on_ended,
+            self._tracer,
         )
 
     def start(self) -> None:
--- a/wigeonwind/roles/tracing.py
+++ b/wigeonwind/roles/tracing.py
@@ -1,5 +1,7 @@
 """Traces: an OpenTelemetry span for each hop, exported as the settings say."""
 
+import re
+import time
 from collections.abc import Mapping, Sequence
 from typing import Protocol
 
@@ -21,6 +23,8 @@
 
 PROPAGATOR = TraceContextTextMapPropagator()
 TRACEPARENT = "traceparent"
+TRACEPARENT_SHAPE = re.compile(r"[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
+NS_PER_MS = 1_000_000
 
 
 class Span(Protocol):
@@ -44,8 +48,12 @@
         name: str,
         traceparent: str,
         attributes: Mapping[str, str | int | float],
+        age_ms: float = 0.0,
     ) -> Span:
-        """Start a span below `traceparent`, or a new trace if that is empty."""
+        """Start a span below `traceparent`, or a new trace if that is empty.
+
+        `age_ms` is for how long the hop has been going on already.
+        """
         ...
 
 
@@ -74,7 +82,9 @@
     """A span that records nothing and passes the caller's trace context on."""
 
     def __init__(self, traceparent: str) -> None:
-        self.traceparent = traceparent
+        # Callers write it and endpoints get it, so nothing else may pass.
+        is_valid = TRACEPARENT_SHAPE.fullmatch(traceparent) is not None
+        self.traceparent = traceparent if is_valid else ""
 
     def end(self, attributes: Mapping[str, str | int | float]) -> None:
         """Record nothing."""
@@ -88,6 +98,7 @@
         name: str,
         traceparent: str,
         attributes: Mapping[str, str | int | float],
+        age_ms: float = 0.0,
     ) -> PassedSpan:
         """Return a span that keeps `traceparent`."""
         return PassedSpan(traceparent)
@@ -123,11 +134,15 @@
         name: str,
         traceparent: str,
         attributes: Mapping[str, str | int | float],
+        age_ms: float = 0.0,
     ) -> RecordedSpan:
         """Start a span; a malformed `traceparent` starts a new trace."""
         carrier = {TRACEPARENT: traceparent} if traceparent else {}
         context = PROPAGATOR.extract(carrier)
-        span = self._tracer.start_span(name, context, attributes=dict(attributes))
+        began_ns = time.time_ns() - int(age_ms * NS_PER_MS)
+        span = self._tracer.start_span(
+            name, context, attributes=dict(attributes), start_time=began_ns
+        )
         return RecordedSpan(span)
 
     def shutdown(self) -> None:
--- a/wigeonwind/roles/work_table.py
+++ b/wigeonwind/roles/work_table.py
@@ -67,6 +67,8 @@
     cancel_code: ErrorCode = ErrorCode.CANCELLED
     chunks: int = 0
     tokens: int = 0
+    outcome: str = ""
+    """How it ended: `finished` or `failed`; empty before."""
     first_token_ms: float | None = None
     exchange: Abortable | None = None
     sent_or_ended: Event = field(default_factory=Event)
--- a/wigeonwind/tool/main.py
+++ b/wigeonwind/tool/main.py
@@ -44,13 +44,20 @@
     if values["help"].value:
         print(_help(found, values))
         return ExitCode.DONE
-    if len(arguments) != len(found.arguments.split()):
+    if not _fits(found.arguments.split(), arguments):
         wanted = f"wigeonctl {found.name} {found.arguments}".rstrip()
         print_error(f"expected: {wanted}")
         return ExitCode.USAGE
     return found.run(arguments, values)
 
 
+def _fits(names: Sequence[str], arguments: Sequence[str]) -> bool:
+    """Return whether the number of arguments is right; `NAME...` takes one or more."""
+    if names and names[-1].endswith("..."):
+        return len(arguments) >= len(names)
+    return len(arguments) == len(names)
+
+
 def _load_commands() -> None:
     """Import every module `…_command` of the package, which fills the registry."""
     for module in pkgutil.iter_modules(wigeonwind.tool.__path__):
