Let entries close the links of a leaving sidecar

Ruled out: the claim protocol; it takes certain not-run claims over. Change: the sender of work closes the idle link as soon as the member is leaving; the sidecar hands late work back until then, at most 5 s.

--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -245,3 +245,18 @@
             extra_headers={"X-Request-Class": "chat"},
         )
     assert refused.value.status_code == 404 or refused.value.status_code == 400
+
+
+def test_work_sent_to_a_sidecar_that_has_just_left_is_certainly_not_run(fleet):
+    # The sidecar closed its links itself, so a booking on its way there was `unknown`.
+    desks = [side for side in fleet.sides if side.settings.endpoint.kind == "plain"]
+    jobs = []
+    for number in range(60):
+        jobs.append(gevent.spawn(book, fleet, f"late-{number}", number=number % 2))
+        if number == 10:
+            desks[0].drain()
+        gevent.sleep(0.02)
+    gevent.joinall(jobs, timeout=WAIT_LIMIT_S, raise_error=True)
+    assert desks[0].stopped.wait(WAIT_LIMIT_S)
+    assert [job.value[0].status_code for job in jobs] == [200] * 60
+    assert all(executions_of(fleet, f"late-{number}") == 1 for number in range(60))
--- a/wigeonwind/roles/dialer.py
+++ b/wigeonwind/roles/dialer.py
@@ -110,6 +110,9 @@
         }
         self._unwanted_since_ms = since_by_link
         for link, since_ms in since_by_link.items():
-            if now_ms - since_ms > UNUSED_LIMIT_MS:
+            # A leaving sidecar waits for this: if it closed the link itself, work on
+            # its way there would be lost without a word on whether it ran.
+            is_leaving = self._peering.is_leaving(link.hello.member_id)
+            if is_leaving or now_ms - since_ms > UNUSED_LIMIT_MS:
                 self.counts.closed_unused += 1
                 link.close("the link is no longer used")
--- a/wigeonwind/roles/node.py
+++ b/wigeonwind/roles/node.py
@@ -34,6 +34,10 @@
 PEERING_MS = 250.0
 """Interval between looks at the links that are missing."""
 
+ENTRIES_LIMIT_MS = 5_000.0
+"""Time for entries to close their links to a leaving sidecar; they do it at their next
+look, but one that is paused must not hold up the stop."""
+
 CONFIRM_POLL_MS = 20.0
 """Interval between looks at what peers have confirmed."""
 
@@ -230,8 +234,18 @@
             self.roller.stop()
         if self.role is not None:
             self.role.drain()
+        if self.settings.node.role == "side":
+            self._wait_for_entries()
         self.stop()
 
+    def _wait_for_entries(self) -> None:
+        """Hand late work back until the entries have closed their links."""
+        deadline_ms = self.clock.now_ms() + ENTRIES_LIMIT_MS
+        while self.clock.now_ms() < deadline_ms:
+            if not any(link.hello.role == "entry" for link in self.links.used()):
+                return
+            sleep(CONFIRM_POLL_MS / MS_PER_SECOND)
+
     def on_up(self, link: Link) -> None:
         """Take a link that has come up."""
         self.links.add(link)
--- a/wigeonwind/roles/peering.py
+++ b/wigeonwind/roles/peering.py
@@ -107,6 +107,11 @@
             entries = self._membership.live("entry")
             yield from choose_join_links(own.member_id, own.zone, entries)
 
+    def is_leaving(self, member_id: str) -> bool:
+        """Return whether a member has begun to leave, or has left."""
+        record = self._membership.record(member_id)
+        return record is not None and record.state is not MemberState.LIVE
+
     def join_addresses(self, rng: Random) -> list[str]:
         """Return a few addresses to dial while no link is up."""
         own_address = self._membership.own.address
