Start urgent work that may not be refused before others of its class

Attempts past their target stood behind all that could still meet theirs, and were not given back at max_wait while a lower class held a slot, so they waited as long as the flood lasted. Past max_wait they now come first in their class.

The new test fails before (6700 < 6000).

--- a/tests/test_decisions_queue.py
+++ b/tests/test_decisions_queue.py
@@ -294,3 +294,28 @@
     for _ in range(400):
         engine.step()
     assert len(engine.finished_ms) == 8
+
+
+def test_urgent_work_that_may_not_be_refused_starts_soon_after_its_longest_wait():
+    # Guards P2: late chats stood behind all on-time ones while a flood lasted (24 s
+    # at real processes under the text of examples/polluvili).
+    rng = Random(1)
+    engine = Engine(4)
+    arrived_ms = {}
+    for step in range(3000):
+        if step % 200 == 0:
+            engine.offer(item(f"dossier-{step}", "dossier", engine.now_ms), 2000)
+        if rng.random() < 0.08:
+            name = f"chat-{step}"
+            arrived_ms[name] = engine.now_ms
+            customer = f"c{rng.randrange(3)}"
+            tokens = int(rng.lognormvariate(3.6, 0.8)) + 1
+            engine.offer(item(name, "chat", engine.now_ms, customer), tokens)
+        engine.step()
+    waits = [
+        engine.started_ms[n] - at
+        for n, at in arrived_ms.items()
+        if n in engine.started_ms
+    ]
+    assert max(waits) > 4000.0
+    assert max(waits) < 6000.0
--- a/wigeonwind/checking/promise_changes.py
+++ b/wigeonwind/checking/promise_changes.py
@@ -101,8 +101,9 @@
 
     Statement: one version is accepted once; a process never shows a lower version
     than before in the same life; all show one digest for one version; and 19 s after
-    an acceptance a process that has run undisturbed since before it shows that version
-    or a higher one. It cannot see what a process had in force between two looks.
+    an acceptance, or after its own start if that is later, a process that was not
+    disturbed shows that version or a higher one. It cannot see what a process had in
+    force between two looks.
     """
     accepted = list(history.of(TextAccepted))
     first_by_version: dict[int, TextAccepted] = {}
@@ -136,7 +137,7 @@
     life: list[TextSeen], accepted: list[TextAccepted], faults: tuple[Interval, ...]
 ) -> Iterator[Violation]:
     for text in accepted:
-        due_ms = text.at_ms + TEXT_IN_FORCE_MS
+        due_ms = max(text.at_ms, life[0].at_ms) + TEXT_IN_FORCE_MS
         for seen in life:
             if seen.at_ms < due_ms or seen.version >= text.version:
                 continue
--- a/wigeonwind/decisions/endpoint_queue.py
+++ b/wigeonwind/decisions/endpoint_queue.py
@@ -28,7 +28,7 @@
     has_run_enough,
     is_worth_same_class,
 )
-from wigeonwind.decisions.work import ClassWork, Work, WorkState
+from wigeonwind.decisions.work import WAITING_STATES, ClassWork, Work, WorkState
 from wigeonwind.outcomes import ErrorCode
 
 RECHECK_MS = 50.0
@@ -59,7 +59,8 @@
     - An attempt refused by `offer` would also be refused with no lower work present
       (P1): `Admission` counts the same and higher priorities only. A minimum share can
       delay urgent work. If a lower class held a slot while it waited, it is given back
-      at the caller's deadline only, not at its max_wait.
+      at the caller's deadline only, not at its max_wait; from then on it comes before
+      all other work of its class, so it waits for one slot at most.
 
     `service` limits the shares to the classes of that service.
     """
@@ -215,6 +216,8 @@
             if now_ms < work.limits.expire_ms:
                 self._part(work).make_late(work)
             elif now_ms < work.limits.deadline_ms and self._lower_ran(work):
+                if work.state is not WorkState.OVERDUE:
+                    self._part(work).make_overdue(work)
                 self._set_timer(now_ms + RECHECK_MS, work)
             else:
                 self._remove(work, now_ms)
@@ -333,7 +336,7 @@
     def on_done(self, key: WorkKey, now_ms: float) -> None:
         """Record that started work has ended, whole, failed or cancelled."""
         work = self._work_by_key.get(key)
-        if work is None or work.state in (WorkState.WAITING, WorkState.LATE):
+        if work is None or work.state in WAITING_STATES:
             return
         self._advance(now_ms)
         held_ms = work.held_until(now_ms)
--- a/wigeonwind/decisions/work.py
+++ b/wigeonwind/decisions/work.py
@@ -13,14 +13,23 @@
 
 
 class WorkState(Enum):
-    """Where an attempt is; LATE is waiting with its target lost."""
+    """Where an attempt is.
+
+    LATE is waiting with its target lost, OVERDUE waiting beyond the longest wait of its
+    class.
+    """
 
     WAITING = "waiting"
     LATE = "late"
+    OVERDUE = "overdue"
     RUNNING = "running"
     PAUSED = "paused"
 
 
+WAITING_STATES = (WorkState.WAITING, WorkState.LATE, WorkState.OVERDUE)
+"""States of an attempt that has not begun."""
+
+
 @dataclass(slots=True, eq=False)
 class Work:
     """One admitted attempt; times are clock readings in milliseconds."""
@@ -64,6 +73,7 @@
         self.request_class = request_class
         self._shares = CustomerShares()
         self._late: SortedList = SortedList()
+        self._overdue: SortedList = SortedList()
         self._running: SortedList = SortedList()
         self._work_by_key: dict[WorkKey, Work] = {}
         self._slot_left_ms = float("-inf")
@@ -88,7 +98,7 @@
     @property
     def ready_count(self) -> int:
         """Return the number of attempts that want a slot."""
-        return self._shares.ready_count + len(self._late)
+        return self._shares.ready_count + len(self._late) + len(self._overdue)
 
     @property
     def work_count(self) -> int:
@@ -122,14 +132,16 @@
             self._running.remove((work.rank, key))
         elif work.state is WorkState.LATE:
             self._late.remove((work.rank, key))
+        elif work.state is WorkState.OVERDUE:
+            self._overdue.remove((work.rank, key))
         else:
             self._shares.remove(work.item.customer, work.rank, key)
-        if work.state in (WorkState.WAITING, WorkState.LATE):
+        if work.state in WAITING_STATES:
             self.waiting_count -= 1
 
     def first(self) -> Work | None:
-        """Return the ready attempt to run next: late ones come last."""
-        first = self._shares.first()
+        """Return the ready attempt to run next: overdue ones first, late ones last."""
+        first = self._overdue[0] if self._overdue else self._shares.first()
         if first is None and self._late:
             first = self._late[0]
         return self._work_by_key[first[1]] if first else None
@@ -140,6 +152,17 @@
         self._late.add((work.rank, work.item.key))
         work.state = WorkState.LATE
 
+    def make_overdue(self, work: Work) -> None:
+        """Move a waiting attempt before all others of its class.
+
+        It may not be refused, and behind those that can meet their target it would
+        wait for as long as the overload lasts.
+        """
+        self._take_out(work)
+        self.waiting_count += 1
+        self._overdue.add((work.rank, work.item.key))
+        work.state = WorkState.OVERDUE
+
     def run(self, work: Work, now_ms: float) -> None:
         """Give a ready attempt a slot; its first start charges the expected time."""
         self._take_out(work)
