Keep the concurrency in rows of grants on the wire

The codec cut rows of GrantRequest and Grant to four items and dropped the concurrency asked for and granted, so an entry that was not the customer's home was granted none. The rows now have all six items.

Run: the new test of the codec fails before.

--- a/tests/test_links_codec.py
+++ b/tests/test_links_codec.py
@@ -7,12 +7,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from wigeonwind.decisions.grants import GrantRow
 from wigeonwind.links.codec import DecodeFailure, decode, encode
 from wigeonwind.links.messages import (
     MESSAGE_TYPE_BY_NUMBER,
     PROTOCOL_VERSION,
     Chunk,
     ClaimState,
+    Grant,
+    GrantRequest,
     Members,
     Ping,
     Queued,
@@ -113,3 +116,14 @@
 
 def test_a_number_may_be_an_integer_where_a_float_is_meant():
     assert decode(dumps([PROTOCOL_VERSION, 26, 5])) == Ping(5)
+
+
+@pytest.mark.parametrize("kind", [GrantRequest, Grant])
+def test_a_row_of_grants_keeps_its_concurrency(kind):
+    # Guards against rows cut to four items: an entry that is not the home of a customer
+    # was granted no running request at all and refused nearly every one.
+    row = GrantRow(("c", ""), 1.0, 2.0, 3.0, 4.0)
+    fields = {"valid_ms": 1.0} if kind is Grant else {}
+    decoded = decode(encode(kind([row.to_list()], **fields)))
+    assert isinstance(decoded, kind)
+    assert GrantRow.from_list(decoded.rows[0]) == row
--- a/wigeonwind/links/codec.py
+++ b/wigeonwind/links/codec.py
@@ -43,8 +43,8 @@
     (LoadReport, "waiting_by_class"): (str, int),
     (LoadReport, "running_by_class"): (str, int),
     (Members, "records"): (str, int, int, str, str, str, str),
-    (GrantRequest, "rows"): (str, str, float, float),
-    (Grant, "rows"): (str, str, float, float),
+    (GrantRequest, "rows"): (str, str, float, float, float, float),
+    (Grant, "rows"): (str, str, float, float, float, float),
 }
 """Item types of the rows whose annotation does not give them.
 
--- a/wigeonwind/links/messages.py
+++ b/wigeonwind/links/messages.py
@@ -339,7 +339,8 @@
 class GrantRequest:
     """An entry asks a customer's home entry for shares of its limits.
 
-    Each row is [customer, class, requests wanted, tokens wanted].
+    Each row is [customer, class, requests wanted, tokens wanted, requests that run,
+    more that may run].
     """
 
     rows: list[list]
@@ -348,7 +349,10 @@
 @message(25)
 @dataclass(frozen=True)
 class Grant:
-    """Shares for the next `valid_ms`; rows are [customer, class, requests, tokens]."""
+    """Shares for the next `valid_ms`.
+
+    Rows are [customer, class, requests, tokens, requests that may run, 0].
+    """
 
     rows: list[list]
     valid_ms: float
