Let store calls through soon after an outage

Cause: the backoff of a lane grew to 10 s, longer than the 2 s that a call may wait, so calls were refused ("rate or backoff leaves no time") without asking a store that was back. Calls that failed together each doubled the backoff: eight bookings under way in one short fault were enough for the whole 10 s.

Change: the backoff is at most 1 s for reads and writes (10 s for watches). Failures of calls that were under way together count once. After a failure one call at a time is sent until one is answered (half-open), and then all that wait go on, so the load on a store in an outage stays below one call per backoff.

--- a/wigeonwind/state/store_client.py
+++ b/wigeonwind/state/store_client.py
@@ -38,7 +38,11 @@
     reads: LaneLimits = LaneLimits(connections=8, calls_per_s=100, timeout_ms=2_000)
     writes: LaneLimits = LaneLimits(connections=8, calls_per_s=50, timeout_ms=2_000)
     watches: LaneLimits = LaneLimits(
-        connections=4, calls_per_s=2, timeout_ms=5_000, hold_ms=60_000
+        connections=4,
+        calls_per_s=2,
+        timeout_ms=5_000,
+        hold_ms=60_000,
+        longest_backoff_ms=10_000,
     )
     breaker: BreakerLimits | None = None
 
--- a/wigeonwind/state/store_http.py
+++ b/wigeonwind/state/store_http.py
@@ -9,6 +9,7 @@
 from random import Random
 
 import gevent
+from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
@@ -18,7 +19,6 @@
 from wigeonwind.state.store_types import StoreFailure
 
 FIRST_BACKOFF_MS = 50.0
-LONGEST_BACKOFF_MS = 10_000.0
 MAX_REPLY_BYTES = 4_000_000
 """Bound on a reply: a value of 1 MB in base64, or a long list of keys."""
 
@@ -34,6 +34,9 @@
     timeout_ms: float
     hold_ms: float = 0.0
     """Longest time for which the store itself may hold a request (watches)."""
+    longest_backoff_ms: float = 1_000.0
+    """Longest wait after failures. It must be below `timeout_ms`: a longer one refuses
+    calls without asking a store that has long been back."""
 
 
 @dataclass(frozen=True)
@@ -67,7 +70,12 @@
 
 
 class StoreLane:
-    """Sends one kind of calls, within its rate, with backoff after failures."""
+    """Sends one kind of calls, within its rate, with backoff after failures.
+
+    After a failure one call at a time is sent until the store answers (half-open): in
+    an outage a process sends about one call per backoff, and all that wait go on as
+    soon as one is answered.
+    """
 
     def __init__(
         self,
@@ -89,6 +97,8 @@
         self._failures = 0
         self._not_before_ms = 0.0
         self._open_until_ms = 0.0
+        self._failed_ms = float("-inf")
+        self._probe: Event | None = None
         self._tokens = limits.calls_per_s
         self._filled_at_ms = clock.now_ms()
 
@@ -112,32 +122,68 @@
         """
         deadline_ms = self._clock.now_ms() + self.limits.timeout_ms + hold_ms
         while True:
-            waited = self._wait_for_turn(deadline_ms)
-            if waited is not None:
-                return waited
-            result = self._send(method, path, body, headers or {}, deadline_ms)
-            self._note(result)
+            turn = self._wait_for_turn(deadline_ms)
+            if isinstance(turn, StoreFailure):
+                return turn
+            try:
+                sent_ms = self._clock.now_ms()
+                result = self._send(method, path, body, headers or {}, deadline_ms)
+                self._note(result, sent_ms)
+            finally:
+                self._end_probe(turn)
             if not isinstance(result, StoreFailure) or result.maybe_written:
                 return result
             if self._clock.now_ms() + self._backoff_left_ms() >= deadline_ms:
                 return result
 
-    def _wait_for_turn(self, deadline_ms: float) -> StoreFailure | None:
-        """Wait for backoff and rate; return a failure if that takes too long."""
+    def _wait_for_turn(self, deadline_ms: float) -> Event | StoreFailure | None:
+        """Wait for rate and backoff; return a failure if that takes too long.
+
+        An Event says that the call is the probe, see `_end_probe`.
+        """
         now_ms = self._clock.now_ms()
         if self._open_until_ms > now_ms:
             self.counts.refused_by_breaker += 1
             left_ms = self._open_until_ms - now_ms
             return StoreFailure("circuit breaker is open", False, left_ms)
-        delay_ms = max(self._backoff_left_ms(), self._take_token())
-        if now_ms + delay_ms >= deadline_ms:
-            self._tokens += 1
-            self.counts.over_budget += 1
+        refused = self._wait(self._take_token(), deadline_ms)
+        while refused is None:
+            left_ms = self._backoff_left_ms()
+            if left_ms > 0:
+                refused = self._wait(left_ms, deadline_ms)
+            elif self._probe is not None:
+                refused = self._wait_for_probe(self._probe, deadline_ms)
+            else:
+                return self._begin_probe()
+        self._tokens += 1
+        self.counts.over_budget += 1
+        return refused
+
+    def _wait(self, delay_ms: float, deadline_ms: float) -> StoreFailure | None:
+        if self._clock.now_ms() + delay_ms >= deadline_ms:
             return StoreFailure("rate or backoff leaves no time", False, delay_ms)
         if delay_ms > 0:
             self._sleep_ms(delay_ms)
         return None
 
+    def _begin_probe(self) -> Event | None:
+        # A watch may be held for long, and others must not wait for it.
+        if self._failures and not self.limits.hold_ms:
+            self._probe = Event()
+        return self._probe
+
+    def _end_probe(self, probe: Event | None) -> None:
+        """Let the others go on, after success at once, otherwise after the backoff."""
+        if probe is not None:
+            self._probe = None
+            probe.set()
+
+    def _wait_for_probe(self, probe: Event, deadline_ms: float) -> StoreFailure | None:
+        left_ms = deadline_ms - self._clock.now_ms()
+        if left_ms > 0 and probe.wait(left_ms / MS_PER_SECOND):
+            return None
+        return StoreFailure("the store does not answer", False, MS_PER_SECOND)
+
     def _backoff_left_ms(self) -> float:
         return max(0.0, self._not_before_ms - self._clock.now_ms())
 
@@ -210,18 +256,24 @@
             return StoreFailure(f"store answered {status}", True, retry_ms)
         return Reply(status, data)
 
-    def _note(self, result: Reply | StoreFailure) -> None:
+    def _note(self, result: Reply | StoreFailure, sent_ms: float) -> None:
         """Set backoff and breaker after an answer."""
         if isinstance(result, Reply):
             self._failures = 0
+            self._not_before_ms = 0.0
             return
         self.counts.failures += 1
+        if sent_ms < self._failed_ms:
+            # Calls that were under way together fail together: that is one failure of
+            # the store and must not double the backoff for each of them.
+            return
         self._failures += 1
-        now_ms = self._clock.now_ms()
+        now_ms = self._failed_ms = self._clock.now_ms()
         ceiling = min(
-            FIRST_BACKOFF_MS * 2 ** min(self._failures, 12), LONGEST_BACKOFF_MS
+            FIRST_BACKOFF_MS * 2 ** min(self._failures, 12),
+            self.limits.longest_backoff_ms,
         )
-        # Full jitter keeps processes that failed together from returning together.
+        # Jitter keeps processes that failed together from returning together.
         self._not_before_ms = now_ms + self._random.uniform(ceiling / 2, ceiling)
         if self._breaker and self._failures >= self._breaker.failures:
             open_ms = self._breaker.open_ms * self._random.uniform(0.5, 1.5)
