Move waiting requests only to endpoints with room, also when they are late

Cause: a request was asked back after half of its class's longest wait whenever any other endpoint existed, however full that was, and at most twice. An urgent request that waited past its longest wait behind a minimum share of lower work then stayed although others had room; and one that was moved and refused at the new endpoint was refused to its caller, though it had been admitted before.

Change: `Moves` (roles/moves.py) asks a request back only if the endpoint that would take it has less than one request per slot ahead, or clearly less than the present one. If the new endpoint refuses, the request goes back without asking the retry budget, once for each move. `EndpointChooser.load_of` returns infinity for an unknown endpoint instead of raising.

--- a/tests/test_entry_dispatch.py
+++ b/tests/test_entry_dispatch.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Callable, Iterator
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -15,10 +16,12 @@
     make_catalog,
 )
 
+from wigeonwind.clock import ManualClock
 from wigeonwind.links.messages import (
     Cancel,
     Chunk,
     Failed,
+    LoadReport,
     Queued,
     Refused,
     Started,
@@ -26,6 +29,7 @@
     Withdraw,
     WithdrawResult,
 )
+from wigeonwind.roles.moves import Moves
 
 Handler = Callable[[FakeSide, Submit], None]
 
@@ -287,3 +291,67 @@
     with gevent.Timeout(2.0):
         while not condition():
             gevent.sleep(0.001)
+
+
+def give_back(side: FakeSide, message: object) -> None:
+    if isinstance(message, Withdraw):
+        side.reply(WithdrawResult(message.request_id, message.attempt, True))
+
+
+def report_full(side: FakeSide) -> None:
+    name = side.hello.member_id
+    rows = [["chat", 8]]
+    report = LoadReport(name, 8, 8, rows, 8, 0.0, 20.0, 100.0, 0, True, rows)
+    assert side.entry.on_message(side, report)
+
+
+def test_waiting_request_stays_while_the_others_are_as_full(
+    entry: EntryUnderTest,
+) -> None:
+    # Guards against work that loses its place in a queue for the end of another one.
+    def answer_later(side: FakeSide, submit: Submit) -> None:
+        gevent.sleep(0.06)
+        answer_words("x")(side, submit)
+
+    for _ in range(2):
+        report_full(entry.add_side(answer_later, on_other=give_back))
+    assert entry.chat().status == 200
+    assert len(submits(*entry.sides)) == 1
+    assert not [m for s in entry.sides for m in s.sent if isinstance(m, Withdraw)]
+
+
+def test_moved_request_that_is_refused_goes_back_and_is_answered(
+    entry: EntryUnderTest,
+) -> None:
+    # Guards against an admitted request that is refused only because it was moved.
+    handler = once(silent, once(refuse, answer_words("x")))
+    for _ in range(2):
+        entry.add_side(handler, on_other=give_back)
+    assert entry.chat().status == 200
+    first, second, third = (message.attempt for message in submits(*entry.sides))
+    assert sorted((first, second, third)) == [0, 1, 2]
+    assert sorted(len(side.submits) for side in entry.sides) == [1, 2]
+    assert entry.metrics.counts["entry_resent"] == 0
+
+
+def test_request_is_moved_again_only_after_the_whole_longest_wait() -> None:
+    # Guards against urgent work kept behind a minimum share although others have room.
+    load_by_id = {"a": 1.5, "b": 0.0}
+    choice = SimpleNamespace(
+        is_ejected=lambda name, now_ms: False,
+        load_of=lambda name, priority, now_ms: load_by_id[name],
+    )
+    context = SimpleNamespace(clock=ManualClock(0.0), choice=choice)
+    chat = make_catalog(max_wait_ms=4000.0).class_by_name["chat"]
+    moves = Moves(context, chat)  # type: ignore[arg-type]
+    asked_ms = []
+    for expected_ms in (2000.0, 2000.0, 4000.0, 4000.0):
+        sent_ms = context.clock.now_ms()
+        while not moves.is_wanted("a", sent_ms, lambda: "b"):
+            context.clock.advance(100.0)
+        asked_ms.append(context.clock.now_ms() - sent_ms)
+        moves.on_moved()
+        assert asked_ms[-1] == expected_ms
+    context.clock.advance(60_000.0)
+    load_by_id["b"] = 1.4
+    assert not moves.is_wanted("a", 0.0, lambda: "b")
--- a/wigeonwind/decisions/choice.py
+++ b/wigeonwind/decisions/choice.py
@@ -274,8 +274,11 @@
         return endpoint is not None and endpoint.health.is_ejected(now_ms)
 
     def load_of(self, endpoint_id: str, priority: int, now_ms: float) -> float:
-        """Return the estimated work per slot of a known endpoint."""
-        return self._load(self._endpoint_by_id[endpoint_id], priority, now_ms)
+        """Return the estimated work per slot; infinite for an unknown endpoint."""
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            return float("inf")
+        return self._load(endpoint, priority, now_ms)
 
 
 def _is_able(endpoint: _Endpoint, request: RouteRequest) -> bool:
--- a/wigeonwind/roles/request_run.py
+++ b/wigeonwind/roles/request_run.py
@@ -31,28 +31,20 @@
     failure_code,
 )
 from wigeonwind.roles.metrics_sink import NO_LABELS
+from wigeonwind.roles.moves import Moves
 from wigeonwind.roles.pending import Mailbox
 from wigeonwind.roles.replies import failure
-from wigeonwind.roles.run_context import KnowsEjected, RunContext
+from wigeonwind.roles.run_context import RunContext
 
 MAX_ATTEMPTS = 8
 """Attempts of one request, whatever the retry decisions allow."""
 
-MAX_MOVES = 2
-"""Times a request is asked back from a queue and sent elsewhere."""
-
 REPORT_MS = 50.0
 """Least time between two reports of a request's tokens to the decisions.
 
 Reporting each token would cost more than formatting it.
 """
 
-MOVE_SHARE = 0.5
-"""Share of the class's wait after which a queued attempt is asked back.
-
-Half leaves the other endpoint as much time as the first had.
-"""
-
 Event = AnswerHead | AnswerParts | AnswerEnd | Failure
 Events = Generator[Event, None, None]
 
@@ -73,7 +65,7 @@
         self.ran = False
         self._refused_by: frozenset[str] = frozenset()
         self._left: frozenset[str] = frozenset()
-        self._moves = 0
+        self._moves = Moves(context, request.request_class)
         self._last_not_run: NotRun | None = None
 
     def events(
@@ -130,10 +122,10 @@
             excluded |= {chosen.endpoint_id}
         return NoEndpoint("no endpoint is connected", 1000.0)
 
-    def _has_other(self, endpoint_id: str) -> bool:
-        """Return whether another endpoint could take a request that waits."""
-        excluded = self._refused_by | self._left | {endpoint_id}
-        return not isinstance(self._choose(excluded), NoEndpoint)
+    def _other(self, endpoint_id: str) -> str | None:
+        """Return another endpoint that could take a request that waits."""
+        found = self._choose(self._refused_by | self._left | {endpoint_id})
+        return None if isinstance(found, NoEndpoint) else found.hello.member_id
 
     def _named_link(self, endpoint_id: str, incarnation: int) -> Link | Failure:
         link = self.context.links.open_link(endpoint_id)
@@ -198,7 +190,9 @@
         """Pass the attempt's events on and report tokens to the decisions."""
 
         def should_move() -> bool:
-            return self._should_move(attempt, endpoint_id)
+            return self._moves.is_wanted(
+                endpoint_id, attempt.sent_ms, lambda: self._other(endpoint_id)
+            )
 
         events = attempt.events(should_move if may_move else None)
         counted = 0
@@ -269,22 +263,6 @@
             request.traceparent,
         )
 
-    def _should_move(self, attempt: Attempt, endpoint_id: str) -> bool:
-        """Return whether a waiting attempt should be sent elsewhere.
-
-        It leaves an endpoint that peers show to be failing at once, any other after a
-        share of its class's wait.
-        """
-        if self._moves >= MAX_MOVES:
-            return False
-        now_ms = self.clock.now_ms()
-        choice = self.context.choice
-        wait_ms = self.request.request_class.max_wait_ms * MOVE_SHARE
-        is_late = now_ms - attempt.sent_ms >= wait_ms
-        if not is_late and isinstance(choice, KnowsEjected):
-            is_late = choice.is_ejected(endpoint_id, now_ms)
-        return is_late and self._has_other(endpoint_id)
-
     def _after(self, end: AttemptEnd, may_retry: bool) -> AnswerEnd | Failure | None:
         """Return the last event of the request, or None to send another attempt."""
         match end:
@@ -296,7 +274,7 @@
             case TimedOut():
                 return self._on_timeout(end)
             case Withdrawn():
-                self._moves += 1
+                self._moves.on_moved()
                 self.context.metrics.count("entry_moved", NO_LABELS)
                 return None
             case NotRun():
@@ -318,6 +296,9 @@
         return failure(self._outcome(), ErrorCode.DEADLINE, message)
 
     def _on_not_run(self, end: NotRun, may_retry: bool) -> Failure | None:
+        if may_retry and self._moves.may_return(end.code):
+            self._left = frozenset()
+            return None
         if may_retry and self._may_resend(True, _cause_of(end)):
             return None
         return self._not_run_failure(end)
--- a/wigeonwind/roles/run_context.py
+++ b/wigeonwind/roles/run_context.py
@@ -23,6 +23,15 @@
         ...
 
 
+@runtime_checkable
+class KnowsLoad(Protocol):
+    """An endpoint choice that can tell how much work is ahead of a request."""
+
+    def load_of(self, endpoint_id: str, priority: int, now_ms: float) -> float:
+        """Return the estimated work per slot; infinite for an unknown endpoint."""
+        ...
+
+
 @dataclass(frozen=True)
 class RunContext:
     """What all requests of one entry share."""
