End running work whose target is lost where a class says so

Cause: `finish_late = no` acted on work that waited or was resumed; work that ran went on after its target was lost.

Change: the sidecar's tick stops running model answers of such classes: without a first token when that target has passed, or unfinished when the target of the whole answer has passed. Bookings and calls to plain services go on, and a target between tokens is never lost before the end. The tokens count as wasted, the attempt as `late` and, for rollouts, as ended without attainment. Entries take the code `deadline` of a started attempt as the end of the request (504, X-Outcome failed) and do not run it elsewhere.

--- a/tests/test_entry_dispatch.py
+++ b/tests/test_entry_dispatch.py
@@ -355,3 +355,17 @@
     context.clock.advance(60_000.0)
     load_by_id["b"] = 1.4
     assert not moves.is_wanted("a", 0.0, lambda: "b")
+
+
+def test_late_work_that_a_sidecar_stopped_is_not_run_again(
+    entry: EntryUnderTest,
+) -> None:
+    # Guards against `finish_late = no` that begins late work again elsewhere.
+    def stop_late(side: FakeSide, submit: Submit) -> None:
+        key = (submit.request_id, submit.attempt)
+        side.reply(Started(*key), Failed(*key, True, "deadline", "target lost"))
+
+    add_two(entry, stop_late)
+    answer = entry.chat()
+    assert (answer.status, answer.headers["X-Outcome"]) == (504, "failed")
+    assert len(submits(*entry.sides)) == 1
--- a/tests/test_side_work.py
+++ b/tests/test_side_work.py
@@ -1,11 +1,13 @@
 """The sidecar's promises to entries: certain not-run, at most once, truthful ends."""
 
 import json
+from dataclasses import replace
 
 import pytest
 from gevent import spawn
 from side_fakes import Bed, FakeLink, wait_until
 
+from wigeonwind.catalog import LatencyTarget, RequestClass, TargetKind
 from wigeonwind.links.messages import (
     Cancel,
     Chunk,
@@ -364,3 +366,34 @@
     for _ in range(2):
         bed.side._reporter.look()
     assert [each.paused_limit_tokens for each in costs] == [1000]
+
+
+@pytest.mark.parametrize("finish_late", [True, False])
+@pytest.mark.parametrize("kind", [TargetKind.WHOLE, TargetKind.FIRST_TOKEN])
+def test_running_work_whose_target_is_lost_ends_unless_its_class_finishes_late(
+    make_bed, kind, finish_late
+):
+    bed = make_bed()
+    bed.endpoint.free = 2 if kind is TargetKind.WHOLE else 0
+    target = LatencyTarget(kind, 1000.0)
+    chat = RequestClass("chat", 2, target, 9000.0, finish_late=finish_late)
+    bed.side.set_catalog(replace(bed.side._catalog, class_by_name={"chat": chat}))
+    bed.submit()
+    bed.link.wait_for(Started)
+    sent = "a b" if kind is TargetKind.WHOLE else ""
+    wait_until(lambda: text_of(bed.link) == sent)
+    bed.clock.advance(999.0)
+    bed.side.tick()
+    assert not any(attempt.cancelled for attempt in bed.side._table)
+    bed.clock.advance(2.0)
+    bed.side.tick()
+    if finish_late:
+        assert not any(attempt.cancelled for attempt in bed.side._table)
+        return
+    end = bed.link.wait_for(Failed)
+    assert (end.started, end.code) == (True, "deadline")
+    wait_until(lambda: "/control/cancel" in bed.endpoint.paths())
+    assert bed.count('wigeonwind_attempts_total{outcome="late"}') == 1
+    # The engine's answer to the cancellation says that it has generated 3 tokens.
+    assert bed.count("wigeonwind_wasted_tokens_total") == 3
+    assert bed.side._orders._counts.ended == 1
--- a/wigeonwind/roles/attempt.py
+++ b/wigeonwind/roles/attempt.py
@@ -220,6 +220,9 @@
                 self._end = self._not_run(code, reason, retry_after_ms)
             case Failed(started=False, code=code, reason=reason):
                 self._end = self._not_run(code, reason, FAILED_RETRY_MS)
+            case Failed(code=ErrorCode.DEADLINE.value):
+                # The sidecar stopped late work; running it elsewhere is of no use.
+                self._end = TimedOut(False, self._is_model)
             case Failed(reason=reason):
                 self._end = Broken(reason, self._is_model)
             case WithdrawResult(withdrawn=True):
--- /dev/null
+++ b/wigeonwind/roles/late_work.py
@@ -0,0 +1,40 @@
+"""Running work whose latency target is lost (`finish_late = no`)."""
+
+from collections.abc import Iterable, Iterator
+
+from wigeonwind.catalog import Catalog, RequestClass, TargetKind
+from wigeonwind.roles.work_table import Attempt
+
+
+def late_attempts(
+    attempts: Iterable[Attempt], catalog: Catalog, now_ms: float
+) -> Iterator[Attempt]:
+    """Yield started attempts whose class does not finish work that is late."""
+    class_by_name = {
+        name: request_class
+        for name, request_class in catalog.class_by_name.items()
+        if not request_class.finish_late
+    }
+    if not class_by_name:
+        return
+    for attempt in attempts:
+        request_class = class_by_name.get(attempt.item.class_name)
+        if request_class is not None and _is_lost(attempt, request_class, now_ms):
+            yield attempt
+
+
+def _is_lost(attempt: Attempt, request_class: RequestClass, now_ms: float) -> bool:
+    """Return whether no token that is still to come can meet the target.
+
+    The mean time between tokens can recover until the last one, so that target is never
+    lost before the end. Calls to plain services go on: whether they took effect would
+    be unknown.
+    """
+    if not attempt.item.may_pause or attempt.is_booking:
+        return False
+    target = request_class.target
+    is_over = now_ms - attempt.item.arrived_ms > target.limit_ms
+    if target.kind is TargetKind.FIRST_TOKEN:
+        has_token = attempt.first_token_ms is not None or attempt.item.resume_tokens > 0
+        return is_over and not has_token
+    return is_over and target.kind is TargetKind.WHOLE
--- a/wigeonwind/roles/side.py
+++ b/wigeonwind/roles/side.py
@@ -34,6 +34,7 @@
 from wigeonwind.roles.claim_memory import ClaimMemory
 from wigeonwind.roles.engine_client import EngineClient, EngineLoad
 from wigeonwind.roles.intake import Intake
+from wigeonwind.roles.late_work import late_attempts
 from wigeonwind.roles.load_reporter import LoadReporter
 from wigeonwind.roles.loops import Loops
 from wigeonwind.roles.metrics import Metrics
@@ -231,11 +232,15 @@
             self._runner.cancel(attempt, "the sidecar stops")
 
     def tick(self) -> None:
-        """Look at deadlines, and at work whose link broke unnoticed."""
+        """Look at deadlines, lost targets, and work whose link broke unnoticed."""
         self._pauses.tick()
         for attempt in self._table:
             if not attempt.link.is_open:
                 self._stop_orphan(attempt)
+        started = self._table.started()
+        for attempt in late_attempts(started, self._catalog, self._clock.now_ms()):
+            reason = "the target is lost and the class does not finish late work"
+            self._runner.cancel(attempt, reason, ErrorCode.DEADLINE)
         self._pump()
 
     def _tick_loop(self) -> None:
--- a/wigeonwind/roles/side_metrics.py
+++ b/wigeonwind/roles/side_metrics.py
@@ -2,6 +2,7 @@
 
 from wigeonwind.catalog import Catalog, TargetKind
 from wigeonwind.clock import Clock
+from wigeonwind.outcomes import ErrorCode
 from wigeonwind.roles.metrics import Metrics
 from wigeonwind.roles.orders import VersionCounts
 from wigeonwind.roles.work_table import Attempt
@@ -50,7 +51,9 @@
     def on_end(self, attempt: Attempt, outcome: str) -> None:
         """Record the end of a started attempt; `finished` or `failed`."""
         if attempt.cancelled:
-            self.attempts.labels("cancelled").inc()
+            is_late = attempt.cancel_code is ErrorCode.DEADLINE
+            self.attempts.labels("late" if is_late else "cancelled").inc()
+            self._counts.ended += is_late
             return
         self.attempts.labels(outcome).inc()
         self._counts.ended += 1
