Give long grants to scopes far below their limit

Cause: each active scope asked its home twice a second, in rows of doubles.

Change: a scope whose demand at an entry is at most 5% of each rate asks for a grant of 4 s and renews it every 1.5 s. The home gives at most 0.4 s of a limit at once and a tenth of it a second as long grants, otherwise a short one. The bound on overshoot grows by R, stated in the docstring and tested with a burst after light use at five entries. Whole numbers are sent as integers.

Using the local part without asking at all was not taken: the home would have to hold it back for every entry, used or not.

--- a/tests/test_decisions_limits.py
+++ b/tests/test_decisions_limits.py
@@ -12,7 +12,7 @@
     RequestClass,
     TargetKind,
 )
-from wigeonwind.decisions.grants import BUCKET_S, GRANT_VALID_MS, home_of
+from wigeonwind.decisions.grants import BUCKET_S, GRANT_VALID_MS, LONG_SHARE, home_of
 from wigeonwind.decisions.interfaces import Allowed, Limited
 from wigeonwind.decisions.limits import CustomerLimiter
 
@@ -196,3 +196,39 @@
             entry.on_ended("last", "chat", 60_000.0 + 100.0 * step)
         entry.requests(60_000.0 + 100.0 * step)
     assert entry.scope_count() <= 4
+
+
+def test_light_use_asks_rarely_and_a_sudden_burst_stays_within_the_bound():
+    # Guards against long grants that add up over entries, and against their return to
+    # two messages a second, which cost 19 KB/s.
+    rate, entries = 40.0, 5
+    names = [f"e{number}" for number in range(entries)]
+    fleet = Fleet(names, catalog_with(Limit(requests_per_s=rate)))
+    asked = []
+    for step in range(1200):
+        fleet.step([names[step // 40 % entries]] if step % 40 == 0 else [])
+        asked += [
+            row for kind, *_, rows in fleet.messages if kind == "ask" for row in rows
+        ]
+    seconds = 1200 * STEP_MS / 1000
+    assert len(fleet.admitted) == 30
+    assert len(asked) <= 1.0 * seconds * entries
+    burst_ms = fleet.now_ms
+    run(fleet, 10.0, 8)
+    credit = entries * max(1.0, rate / entries)
+    for window_s in (1.0, 3.0, 10.0):
+        until_ms = burst_ms + window_s * 1000
+        admitted = [at for at, _ in fleet.admitted if burst_ms <= at <= until_ms]
+        assert len(admitted) <= rate * (window_s + 1 + BUCKET_S) + rate + credit
+
+
+def test_the_home_gives_long_grants_for_a_part_of_the_limit_only():
+    home = CustomerLimiter(catalog_with(Limit(tokens_per_s=1000.0)), "home")
+    row = ["c", "", 0, 50, 0, 0, 0, 100]
+    given = 0.0
+    for step in range(40):
+        now_ms = step * 500.0
+        for name in ("e1", "e2", "e3"):
+            [answer] = home.on_request(name, [row], now_ms)
+            given += answer[3] if len(answer) > 6 else 0.0
+    assert 1000.0 * LONG_SHARE < given <= 1000.0 * LONG_SHARE * (1 + 20 / 4)
--- a/wigeonwind/decisions/grant_client.py
+++ b/wigeonwind/decisions/grant_client.py
@@ -1,11 +1,13 @@
 """The side of an entry that serves requests under fleet-wide limits; see `grants`."""
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 from wigeonwind.catalog import Limit
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.decisions.grants import (
     IDLE_MS,
+    LONG_VALID_MS,
     RUNNING_VALID_MS,
     GrantRow,
     Scope,
@@ -20,6 +22,12 @@
 URGENT_INTERVAL_MS = 50.0
 """Interval between requests for a scope that has just refused work."""
 
+LONG_INTERVAL_MS = 1500.0
+"""Interval between requests for a scope with a long grant, if that covers its use."""
+
+LONG_DEMAND = 0.05
+"""Share of a limit up to which an entry's demand counts as far below it."""
+
 SILENT_MS = 1500.0
 """Time without an answer after which an entry uses its equal part of the limit."""
 
@@ -59,10 +67,11 @@
         self.debt -= repaid
         self.granted += units - repaid
 
-    def wanted(self, now_ms: float) -> float:
-        """Return the units to ask for."""
+    def wanted(self, now_ms: float, seconds: float = 1.0) -> float:
+        """Return the units to ask for, for use within some seconds."""
         self.ask(0.0, now_ms)
-        return self.debt + max(0.0, self.demand * ASK_MARGIN - self.granted)
+        demand = self.demand * seconds
+        return self.debt + max(0.0, demand * ASK_MARGIN - self.granted)
 
 
 def _credit(rate: float, entries: int) -> float:
@@ -81,6 +90,7 @@
         "asked_ms",
         "granted_until_ms",
         "home",
+        "is_long",
         "limit",
         "refused",
         "requests",
@@ -112,6 +122,7 @@
         self.settled_ms = now_ms
         self.used_ms = now_ms
         self.refused = False
+        self.is_long = False
 
     def refresh(self, entries: int, now_ms: float) -> None:
         """Expire the grant, and let debt decay while the home is silent."""
@@ -191,7 +202,8 @@
         if self.refused:
             interval_ms = URGENT_INTERVAL_MS
         elif self.used_ms > self.asked_ms or self._has_debt():
-            interval_ms = ASK_INTERVAL_MS
+            is_covered = self.is_long and not self._has_debt()
+            interval_ms = LONG_INTERVAL_MS if is_covered else ASK_INTERVAL_MS
         return now_ms - self.asked_ms >= interval_ms
 
     def has_grant(self, now_ms: float) -> bool:
@@ -231,7 +243,25 @@
         if self.limit.tokens_per_s is not None:
             tokens = self.tokens.wanted(now_ms)
         more = 1 + int(self.requests.demand) if self.limit.concurrency else 0
-        return GrantRow(self.scope, requests, tokens, float(self.running), float(more))
+        row = GrantRow(self.scope, requests, tokens, float(self.running), float(more))
+        return self._with_long(row, now_ms) if self._is_light() else row
+
+    def _is_light(self) -> bool:
+        """Return whether the demand is far below each rate."""
+        return not self.refused and all(
+            account.demand <= LONG_DEMAND * rate for account, rate in self._rates()
+        )
+
+    def _with_long(self, row: GrantRow, now_ms: float) -> GrantRow:
+        seconds = LONG_VALID_MS / MS_PER_SECOND
+        long = [
+            account.wanted(now_ms, seconds) if rate is not None else 0.0
+            for account, rate in (
+                (self.requests, self.limit.requests_per_s),
+                (self.tokens, self.limit.tokens_per_s),
+            )
+        ]
+        return replace(row, long_requests=long[0], long_tokens=long[1])
 
     def on_grant(self, row: GrantRow, valid_ms: float, now_ms: float) -> None:
         """Use an answer of the home."""
@@ -239,7 +269,11 @@
         self.tokens.on_grant(row.tokens)
         self.running_granted = row.held
         self.running_until_ms = self.asked_ms + RUNNING_VALID_MS
-        self.granted_until_ms = now_ms + valid_ms
+        if row.is_long:
+            valid_ms = LONG_VALID_MS
+        if row.requests or row.tokens or not self.is_long:
+            self.is_long = row.is_long
+            self.granted_until_ms = now_ms + valid_ms
         self.waiting_since_ms = None
         self.refused = False
 
--- a/wigeonwind/decisions/grants.py
+++ b/wigeonwind/decisions/grants.py
@@ -6,7 +6,8 @@
 without one a small credit that later grants repay.
 
 Bound on overshoot. With a limit of R per second and N live entries, the units admitted
-fleet-wide in any T seconds are at most R * (T + 1 + BUCKET_S), plus a credit of
+fleet-wide in any T seconds are at most R * (T + 1 + BUCKET_S), plus R of units that
+long grants let entries hold for longer than a second, plus a credit of
 N * max(1, R / N) units that later grants repay, plus R, the grants of one second, for
 each change of home within the T seconds. An entry that gets no answers
 admits at most R / N a second beyond its credit; the home holds that part back for
@@ -18,7 +19,7 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from xxhash import xxh64_intdigest
 
@@ -28,6 +29,14 @@
 GRANT_VALID_MS = 1000.0
 """Life of a grant; unused units expire with it."""
 
+LONG_VALID_MS = 4000.0
+"""Life of a long grant, for scopes far below their limit: fewer messages."""
+
+LONG_SHARE = 0.4
+"""Seconds of a limit that may be given out as long grants at once; a quarter of it a
+second is given out in the long run. Entries hold at most 1.25 * LONG_VALID_MS of what
+they use, so 0.5 + 0.4 seconds of a limit in all."""
+
 FORGET_MS = 5000.0
 """Time after which the home forgets what an entry has asked for and holds."""
 
@@ -50,6 +59,8 @@
 
     In a request `held` is the number of concurrent requests that run and `more` how
     many the entry may need beside them. In a grant `held` is the number that may run.
+    `long_requests` and `long_tokens` are what the entry would use of a long grant, for
+    scopes far below their limit; in a grant, one that is positive makes it a long one.
     """
 
     scope: Scope
@@ -57,16 +68,31 @@
     tokens: float
     held: float = 0.0
     more: float = 0.0
+    long_requests: float = 0.0
+    long_tokens: float = 0.0
+
+    @property
+    def is_long(self) -> bool:
+        """Return whether a long grant is asked for or given."""
+        return self.long_requests > 0.0 or self.long_tokens > 0.0
 
     def to_list(self) -> list:
         """Return the row as sent in GrantRequest and Grant."""
-        return [*self.scope, self.requests, self.tokens, self.held, self.more]
+        numbers = [self.requests, self.tokens, self.held, self.more]
+        if self.is_long:
+            numbers += [self.long_requests, self.long_tokens]
+        return [*self.scope, *map(_short, numbers)]
 
     @staticmethod
     def from_list(row: list) -> "GrantRow":
         """Read a row; one without concurrency has four elements."""
-        customer, class_name, requests, tokens, held, more = [*row, 0.0, 0.0][:6]
-        return GrantRow((customer, class_name), requests, tokens, held, more)
+        numbers = [*row[2:8], 0.0, 0.0, 0.0, 0.0][:6]
+        return GrantRow((row[0], row[1]), *numbers)
+
+
+def _short(number: float) -> float:
+    """Return a whole number as an integer, which CBOR writes in fewer bytes."""
+    return int(number) if number == int(number) else number
 
 
 def home_weight(scope: Scope, entry_id: str) -> int:
@@ -83,6 +109,26 @@
     return max(entry_ids, key=lambda entry_id: home_weight(scope, entry_id))
 
 
+class _LongRoom:
+    """Units of one kind that the home may still give out as long grants."""
+
+    __slots__ = ("given", "updated_ms")
+
+    def __init__(self, now_ms: float) -> None:
+        self.given = 0.0
+        self.updated_ms = now_ms
+
+    def has(self, units: float, rate: float | None, now_ms: float) -> bool:
+        """Return whether there is room for `units`."""
+        if rate is None:
+            return True
+        per_ms = rate * LONG_SHARE / LONG_VALID_MS
+        elapsed_ms = max(0.0, now_ms - self.updated_ms)
+        self.given = max(0.0, self.given - elapsed_ms * per_ms)
+        self.updated_ms = max(now_ms, self.updated_ms)
+        return self.given + units <= rate * LONG_SHARE
+
+
 class _Bucket:
     """Units of one kind that the home may still give out."""
 
@@ -121,11 +167,20 @@
 class _HomeScope:
     """What the home knows of one scope: buckets and each entry's last request."""
 
-    __slots__ = ("asked_by_entry", "requests", "tokens", "used_ms")
+    __slots__ = (
+        "asked_by_entry",
+        "long_requests",
+        "long_tokens",
+        "requests",
+        "tokens",
+        "used_ms",
+    )
 
     def __init__(self, now_ms: float) -> None:
         self.requests = _Bucket(now_ms)
         self.tokens = _Bucket(now_ms)
+        self.long_requests = _LongRoom(now_ms)
+        self.long_tokens = _LongRoom(now_ms)
         self.asked_by_entry: dict[str, _Asked] = {}
         self.used_ms = now_ms
 
@@ -135,6 +190,15 @@
         for name in [n for n, a in asked.items() if now_ms - a.at_ms > FORGET_MS]:
             del asked[name]
 
+    def has_long_room(self, row: GrantRow, limit: Limit, now_ms: float) -> bool:
+        """Return whether the row may get the long grant that it asks for."""
+        requests, tokens = self.long_requests, self.long_tokens
+        return (
+            row.is_long
+            and requests.has(row.long_requests, limit.requests_per_s, now_ms)
+            and tokens.has(row.long_tokens, limit.tokens_per_s, now_ms)
+        )
+
     def free_running(self, entry_id: str, limit: float) -> float:
         """Return the concurrency that the other entries do not hold."""
         others = sum(
@@ -162,6 +226,9 @@
         """Answer one row of a request."""
         home = self._scope(row.scope, now_ms)
         home.drop_old(now_ms)
+        is_long = home.has_long_room(row, limit, now_ms)
+        if is_long:
+            row = replace(row, requests=row.long_requests, tokens=row.long_tokens)
         asked = _Asked(now_ms, row, 0.0)
         home.asked_by_entry[entry_id] = asked
         rows = [other.row for other in home.asked_by_entry.values()]
@@ -178,7 +245,11 @@
             now_ms,
         )
         asked.granted = self._running(home, entry_id, row, limit)
-        return GrantRow(row.scope, requests, tokens, asked.granted)
+        if not is_long:
+            return GrantRow(row.scope, requests, tokens, asked.granted)
+        home.long_requests.given += requests
+        home.long_tokens.given += tokens
+        return GrantRow(row.scope, requests, tokens, asked.granted, 0.0, 1.0)
 
     def _reachable(self, rate: float | None) -> float | None:
         return None if rate is None else rate * self._reachable_share
