--- a/wigeonwind/decisions/choice.py
+++ b/wigeonwind/decisions/choice.py
@@ -1,6 +1,6 @@
 """Choice of an endpoint for a request."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from random import Random
 
@@ -273,6 +273,14 @@
         endpoint = self._endpoint_by_id.get(endpoint_id)
         return endpoint is not None and endpoint.health.is_ejected(now_ms)
 
+    def endpoints(
+        self, now_ms: float
+    ) -> Iterator[tuple[EndpointInfo, EndpointLoad | None, bool]]:
+        """Yield each endpoint, its last report, and whether it gets no new work."""
+        for endpoint in self._endpoint_by_id.values():
+            load = endpoint.report.load if endpoint.report else None
+            yield endpoint.info, load, endpoint.health.is_ejected(now_ms)
+
     def load_of(self, endpoint_id: str, priority: int, now_ms: float) -> float:
         """Return the estimated work per slot; infinite for an unknown endpoint."""
         endpoint = self._endpoint_by_id.get(endpoint_id)
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -23,6 +23,7 @@
 from wigeonwind.roles.dispatch import Dispatcher
 from wigeonwind.roles.endpoint_links import EndpointLinks
 from wigeonwind.roles.entry_http import CallerServer
+from wigeonwind.roles.entry_status import EndpointRow, entry_status
 from wigeonwind.roles.grant_exchange import GrantExchange
 from wigeonwind.roles.health_api import HealthApi
 from wigeonwind.roles.http_call import HttpCall, StartResponse, read_call
@@ -34,7 +35,7 @@
 from wigeonwind.roles.plain_api import PlainApi
 from wigeonwind.roles.replies import failure_reply, refusal
 from wigeonwind.roles.run import Runner
-from wigeonwind.roles.run_context import RunContext
+from wigeonwind.roles.run_context import ListsEndpoints, RunContext
 from wigeonwind.roles.tracing import Tracer
 from wigeonwind.settings import Settings, SocketAddress, parse_address
 from wigeonwind.state.store_types import Store
@@ -183,6 +184,14 @@
         """Choose among these endpoints from now on."""
         self._choice.set_endpoints(endpoints, self._clock.now_ms())
 
+    def status(self) -> dict[str, Any]:
+        """Return the entry's part of `/admin/status`."""
+        choice = self._choice
+        rows: Iterable[EndpointRow] = ()
+        if isinstance(choice, ListsEndpoints):
+            rows = choice.endpoints(self._clock.now_ms())
+        return entry_status(self._runner.recent, rows)
+
     def start(self) -> SocketAddress:
         """Listen for callers and return where."""
         self._server.start()
--- /dev/null
+++ b/wigeonwind/roles/entry_status.py
@@ -0,0 +1,47 @@
+"""The parts of `/admin/status` that only an entry has: classes and endpoints."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+from wigeonwind.decisions.interfaces import EndpointInfo, EndpointLoad
+from wigeonwind.roles.recent_classes import RecentClasses
+
+EndpointRow = tuple[EndpointInfo, EndpointLoad | None, bool]
+"""An endpoint, its last load report, and whether it gets no new work."""
+
+
+def entry_status(recent: RecentClasses, rows: Iterable[EndpointRow]) -> dict[str, Any]:
+    """Return `classes`, over the last minute at this entry, and `endpoints`.
+
+    `queue` of a class is what waits at the endpoints of this entry, whoever sent it.
+    """
+    rows = list(rows)
+    waiting: Counter[str] = Counter()
+    for _, load, _ in rows:
+        if load is not None:
+            waiting.update(dict(load.waiting_by_class))
+    counts = recent.rows()
+    empty: dict[str, Any] = {"whole": 0, "refused": 0, "failed": 0, "attainment": None}
+    names = sorted({*counts, *waiting})
+    classes = [
+        {"class": name, "queue": waiting[name], **counts.get(name, empty)}
+        for name in names
+    ]
+    return {"classes": classes, "endpoints": [_endpoint(*row) for row in rows]}
+
+
+def _endpoint(
+    info: EndpointInfo, load: EndpointLoad | None, ejected: bool
+) -> dict[str, Any]:
+    return {
+        "endpoint": info.endpoint_id,
+        "service": info.service,
+        "zone": info.zone,
+        "ready": load is not None and load.ready,
+        "running": load.running if load else None,
+        "slots": load.slots if load else None,
+        "waiting": sum(count for _, count in load.waiting_by_class) if load else None,
+        "ms_per_token": round(load.ms_per_token, 1) if load else None,
+        "ejected": ejected,
+    }
--- a/wigeonwind/roles/process.py
+++ b/wigeonwind/roles/process.py
@@ -175,7 +175,8 @@
 
     def status(self) -> dict[str, Any]:
         """Return the fields of `/admin/status`."""
-        return node_status(self.node, self.ready)
+        fields = node_status(self.node, self.ready)
+        return fields | self.entry.status() if self.entry else fields
 
     def drain(self) -> None:
         """Leave gracefully; a second call shortens the grace period. Does not block."""
--- a/wigeonwind/roles/run.py
+++ b/wigeonwind/roles/run.py
@@ -10,6 +10,7 @@
 from wigeonwind.roles.http_call import CallerWatch, HttpCall
 from wigeonwind.roles.metrics_sink import MetricsSink
 from wigeonwind.roles.pending import Mailbox
+from wigeonwind.roles.recent_classes import RecentClasses, is_attained
 from wigeonwind.roles.request_run import Event, Events
 from wigeonwind.roles.tracing import Span, Tracer
 
@@ -29,7 +30,8 @@
         self._watch = watch
         self._span = span
         self._begun_ms = runner.clock.now_ms()
-        self._has_part = False
+        self._first_ms: float | None = None
+        self._tokens = 0
         self._outcome = "cancelled"
         self._labels = {
             "service": request.service.name,
@@ -52,9 +54,15 @@
         self._span.end({"outcome": self._outcome})
         metrics = self._runner.metrics
         metrics.count("entry_requests", {**self._labels, "outcome": self._outcome})
+        recent, name = self._runner.recent, self._labels["class"]
+        recent.count(name, self._outcome)
         if self._outcome == "whole":
             whole_ms = self._runner.clock.now_ms() - self._begun_ms
             metrics.observe_ms("entry_whole", self._labels, whole_ms)
+            first_ms = whole_ms if self._first_ms is None else self._first_ms
+            target = self._request.request_class.target
+            if is_attained(target, first_ms, whole_ms, self._tokens):
+                recent.count(name, "attained")
 
     def set_outcome(self, outcome: str) -> None:
         """Record how a request ended whose events were not taken from `events`."""
@@ -67,13 +75,13 @@
 
     def _observe(self, event: Event) -> None:
         if isinstance(event, AnswerParts):
-            if not self._has_part:
-                self._has_part = True
-                wait_ms = self._runner.clock.now_ms() - self._begun_ms
+            if self._first_ms is None:
+                wait_ms = self._first_ms = self._runner.clock.now_ms() - self._begun_ms
                 metrics = self._runner.metrics
                 metrics.observe_ms("entry_first_part", self._labels, wait_ms)
         elif isinstance(event, AnswerEnd):
             self._outcome = "whole"
+            self._tokens = event.completion_tokens
         elif isinstance(event, Failure):
             self._outcome = event.outcome.value
 
@@ -94,6 +102,7 @@
         self.dispatcher = dispatcher
         self.metrics = metrics
         self._tracer = tracer
+        self.recent = RecentClasses(clock)
 
     def start_span(self, name: str, call: HttpCall) -> Span:
         """Start the entry's span of a request."""
--- a/wigeonwind/roles/run_context.py
+++ b/wigeonwind/roles/run_context.py
@@ -1,11 +1,14 @@
 """What all requests of one entry share."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Protocol, runtime_checkable
 
 from wigeonwind.clock import Clock
 from wigeonwind.decisions.interfaces import (
     EndpointChoice,
+    EndpointInfo,
+    EndpointLoad,
     LimitDecisions,
     RetryDecisions,
 )
@@ -32,6 +35,17 @@
         ...
 
 
+@runtime_checkable
+class ListsEndpoints(Protocol):
+    """An endpoint choice that can show what it knows, for operators."""
+
+    def endpoints(
+        self, now_ms: float
+    ) -> Iterator[tuple[EndpointInfo, EndpointLoad | None, bool]]:
+        """Yield each endpoint, its last report, and whether it gets no new work."""
+        ...
+
+
 @dataclass(frozen=True)
 class RunContext:
     """What all requests of one entry share."""
--- a/wigeonwind/tool/entry_client.py
+++ b/wigeonwind/tool/entry_client.py
@@ -115,3 +115,18 @@
         print_error(f"the entry answered {result.status}: {message}")
         return ExitCode.USAGE
     return None
+
+
+def call_entry(
+    values: flags.FlagValues, method: str, path: str, fields: Any
+) -> EntryAnswer | ExitCode:
+    """Call an entry; print what went wrong and return the exit code if it did."""
+    client: Ok[EntryClient] | Invalid = client_from_flags(values)
+    if isinstance(client, Invalid):
+        print_error(str(client.problems[0]))
+        return ExitCode.USAGE
+    result = client.value.call(method, path, fields)
+    failed = exit_code_of(result)
+    if failed is not None or isinstance(result, NoAnswer):
+        return failed or ExitCode.UNAVAILABLE
+    return result
--- a/wigeonwind/tool/text_command.py
+++ b/wigeonwind/tool/text_command.py
@@ -7,7 +7,7 @@
 from absl import flags
 
 from wigeonwind.ids import new_id
-from wigeonwind.outcomes import Invalid, Ok
+from wigeonwind.outcomes import Invalid
 from wigeonwind.state.text import read_text
 from wigeonwind.tool.commands import (
     ExitCode,
@@ -19,8 +19,8 @@
 )
 from wigeonwind.tool.entry_client import (
     EntryAnswer,
-    EntryClient,
     NoAnswer,
+    call_entry,
     client_from_flags,
     exit_code_of,
 )
@@ -53,7 +53,7 @@
     if problems:
         fields["problems"] = [{**vars(p), "text": str(p)} for p in problems]
     elif values["entry"].value:
-        answer = _call(values, "POST", "/admin/text/check", {"source": source})
+        answer = call_entry(values, "POST", "/admin/text/check", {"source": source})
         if not isinstance(answer, EntryAnswer):
             return answer
         fields = dict(answer.fields)
@@ -169,7 +169,7 @@
 @command("text show", "", "Print the text in force.", define_entry)
 def show(arguments: Sequence[str], values: flags.FlagValues) -> ExitCode:
     """Print the text; its version is in the JSON form."""
-    answer = _call(values, "GET", "/admin/text", None)
+    answer = call_entry(values, "GET", "/admin/text", None)
     if not isinstance(answer, EntryAnswer):
         return answer
     if values["json"].value:
@@ -183,7 +183,7 @@
 @command("text status", "", "Show which version is in force where.", define_entry)
 def status(arguments: Sequence[str], values: flags.FlagValues) -> ExitCode:
     """Print the version of each member and zone."""
-    answer = _call(values, "GET", "/admin/status", None)
+    answer = call_entry(values, "GET", "/admin/status", None)
     if not isinstance(answer, EntryAnswer):
         return answer
     if values["json"].value:
@@ -202,21 +202,6 @@
     return ExitCode.DONE
 
 
-def _call(
-    values: flags.FlagValues, method: str, path: str, fields: Any
-) -> EntryAnswer | ExitCode:
-    """Call an entry; print what went wrong and return the exit code if it did."""
-    client: Ok[EntryClient] | Invalid = client_from_flags(values)
-    if isinstance(client, Invalid):
-        print_error(str(client.problems[0]))
-        return ExitCode.USAGE
-    result = client.value.call(method, path, fields)
-    failed = exit_code_of(result)
-    if failed is not None or isinstance(result, NoAnswer):
-        return failed or ExitCode.UNAVAILABLE
-    return result
-
-
 def _read_file(path: str) -> str | None:
     """Return the text of a file, `-` for standard input; None if it has none."""
     try:
