--- a/wigeonwind/roles/process.py
+++ b/wigeonwind/roles/process.py
@@ -35,6 +35,7 @@
 from wigeonwind.roles.vm_list_client import VmListClient
 from wigeonwind.settings import Settings, SocketAddress, parse_address
 from wigeonwind.state.booking_sweep import BookingSweep, ListingStore, SweepStep
+from wigeonwind.state.membership import MemberState
 from wigeonwind.state.store_client import StoreClient
 from wigeonwind.state.subset import is_store_watcher
 from wigeonwind.state.text_follower import TextFollower
@@ -128,7 +129,13 @@
             catalog = node.text.catalog
             queue = EndpointQueue(catalog, 1, node.rng, service=service)
             self.side = SideRole(
-                settings, node.clock, node.store, queue, self.metrics, node.incarnation
+                settings,
+                node.clock,
+                node.store,
+                queue,
+                self.metrics,
+                node.incarnation,
+                self._tracer,
             )
             self.side.loops.on_broken = self._on_broken
             node.attach(self.side)
@@ -136,9 +143,11 @@
     @property
     def ready(self) -> bool:
         """Return whether the process may receive new requests."""
+        if self.node.members.own.state is not MemberState.LIVE:
+            return False
         if self.entry is not None:
             return self.entry.ready
-        return self.node.text.version > 0 and self._drain is None
+        return self.node.text_gate.is_open and self._drain is None
 
     def start(self) -> ProcessAddresses:
         """Start all listeners and loops; raise OSError if an address is taken."""
@@ -229,7 +238,10 @@
 
     def _poll_loop(self) -> None:
         while True:
-            _sleep_ms(self._follower.poll_step())
+            pause_ms = self._follower.poll_step()
+            if self._follower.has_answer:
+                self.node.text_gate.on_store_answer()
+            _sleep_ms(pause_ms)
 
     def _grants_loop(self) -> None:
         """Tell the limits which entries there are."""
