Serve callers over TLS, reload keys, require them, refuse smuggled requests

Cause: a request with both Content-Length and Transfer-Encoding was accepted (gevent drops the length before our check saw it), and so were folded header lines, lone line feeds and control characters in Transfer-Encoding. Links and the operators' listener could be open to a network without any key. Change: framing is checked as the head is read, each header line must have the shape of RFC 9112; [listen] tls_certificate and tls_key; SIGHUP reads keys and certificates again and keeps the old ones where a file is wrong; a fleet key file may hold several keys, the first is proven and all are accepted; a process refuses to start without a fleet key (or operators' key) when that listener is not on loopback. A caller that goes away behind unread bytes (as at the end of a TLS session) is noticed by the state of its socket. LinkOptions is no longer frozen, because its keys change on reload. Conclusion: strangers can neither join, give orders nor hide a request.

--- a/wigeonwind/daemon.py
+++ b/wigeonwind/daemon.py
@@ -43,6 +43,7 @@
     """Serve until a signal drains the process; return the exit code."""
     gevent.signal_handler(signal.SIGTERM, process.drain)
     gevent.signal_handler(signal.SIGINT, process.drain)
+    gevent.signal_handler(signal.SIGHUP, process.reload)
     try:
         addresses = process.start()
     except OSError as error:
--- a/wigeonwind/links/link.py
+++ b/wigeonwind/links/link.py
@@ -149,7 +149,7 @@
     problems = list(_file_problems(settings))
     if problems:
         return Invalid(tuple(problems))
-    key = Path(settings.key_file).read_bytes().strip() if settings.key_file else b""
+    keys = read_keys(settings.key_file)
     message_bytes = max_body_bytes + LinkOptions().max_message_bytes
     try:
         server_tls, client_tls = _tls_contexts(settings)
@@ -165,13 +165,23 @@
             timeout_ms=settings.timeout_ms,
             max_message_bytes=message_bytes,
             max_queue_bytes=message_bytes,
-            key=key,
+            key=keys[0],
+            more_keys=keys[1:],
             server_tls=server_tls,
             client_tls=client_tls,
         )
     )
 
 
+def read_keys(path: str) -> tuple[bytes, ...]:
+    """Return the keys in a file, one a line; the first is the one that we prove.
+
+    No path gives one empty key. Raise OSError if the file cannot be read.
+    """
+    lines = Path(path).read_bytes().splitlines() if path else []
+    return tuple(line.strip() for line in lines if line.strip()) or (b"",)
+
+
 def _file_problems(settings: LinkSettings) -> Iterator[Problem]:
     tls = (settings.tls_certificate, settings.tls_key, settings.tls_authority)
     if any(tls) and not all(tls):
--- a/wigeonwind/links/link_types.py
+++ b/wigeonwind/links/link_types.py
@@ -77,9 +77,12 @@
     writes: int = 0
 
 
-@dataclass(frozen=True)
+@dataclass
 class LinkOptions:
-    """Bounds and keys of links; the byte bounds limit what a peer can make us hold."""
+    """Bounds and keys of links; the byte bounds limit what a peer can make us hold.
+
+    Only the keys change, when the key file is read again.
+    """
 
     heartbeat_ms: float = 1_000.0
     timeout_ms: float = 5_000.0
@@ -88,6 +91,8 @@
     max_links: int = 1_000
     key: bytes = b""
     """Shared key of the fleet; empty means that any peer is accepted."""
+    more_keys: tuple[bytes, ...] = ()
+    """Further keys that a peer may have, while the key of the fleet is replaced."""
     server_tls: SSLContext | None = None
     client_tls: SSLContext | None = None
     clock: Clock = field(default_factory=SystemClock)
--- a/wigeonwind/links/websocket.py
+++ b/wigeonwind/links/websocket.py
@@ -150,7 +150,8 @@
         protocol.send_binary(encode(replace(hello, token=token)))
         send_pending(self._sock, protocol)
         peer = self._read_hello()
-        if not is_proven(key, peer, peer_side, nonces):
+        keys = (key, *self._options.more_keys)
+        if not any(is_proven(each, peer, peer_side, nonces) for each in keys):
             raise OpeningError("the peer does not have the key of the fleet")
         self.hello = peer
         protocol.max_message_size = self._options.max_message_bytes
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -1,6 +1,7 @@
 """The entry role: accepts callers' requests and answers them through sidecars."""
 
 from collections.abc import Iterable, Mapping
+from ssl import SSLContext
 from typing import Any
 
 import gevent
@@ -56,6 +57,7 @@
         retry: RetryDecisions,
         metrics: MetricsSink,
         tracer: Tracer,
+        tls: SSLContext | None = None,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -90,6 +92,7 @@
             self.application,
             settings.limits,
             runner.count_reply,
+            tls,
         )
 
     @property
--- a/wigeonwind/roles/entry_http.py
+++ b/wigeonwind/roles/entry_http.py
@@ -1,6 +1,7 @@
 """The HTTP server towards callers: gevent's WSGI server with bounds on strangers."""
 
 import socket
+import ssl
 import struct
 from collections.abc import Callable, Iterable
 from http.client import HTTPException
@@ -102,19 +103,23 @@
         if len(line) >= MAX_REQUEST_LINE:
             message = "the request line is too long"
             raise refused(message, ErrorCode.TOO_LARGE, 414)
+        if line and not line.endswith("\r\n"):
+            raise refused("the request line is wrong", ErrorCode.BAD_REQUEST, 400)
         return line
 
     def MessageClass(self, rfile: Any, *args: Any) -> Any:  # noqa: N802
-        """Read the header lines."""
+        """Read the header lines and check how they frame the body."""
         bounded = BoundedHead(rfile, self.server.limits.max_header_bytes)
-        return super().MessageClass(bounded, *args)
+        headers = super().MessageClass(bounded, *args)
+        # gevent drops Content-Length beside chunks, so this cannot be checked later.
+        check_framing(headers, self.server.limits.max_body_bytes)
+        return headers
 
     def read_request(self, raw_requestline: str) -> bool:
         """Parse the head; raise ValueError where it is not plain HTTP/1.x."""
         if len(raw_requestline.split()) != 3:
             raise refused("the request line is wrong", ErrorCode.BAD_REQUEST, 400)
         read = super().read_request(raw_requestline)
-        check_framing(self.headers, self.server.limits.max_body_bytes)
         if self.request_version != "HTTP/1.1":
             # Without chunks only the end of the connection ends a streamed reply.
             self.close_connection = True
@@ -238,6 +243,10 @@
 
     def _sendall(self, data: bytes) -> None:
         """Send at once what the socket's buffer takes, and wait only for the rest."""
+        if self.server.tls is not None:
+            self.socket.sendall(data)
+            self.response_length += len(data)
+            return
         try:
             sent = self.socket._sock.send(data)
         except BlockingIOError:
@@ -286,6 +295,7 @@
         application: Application,
         limits: LimitSettings,
         count_refused: Callable[[Failure], None],
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         super().__init__(
             (address.host, address.port),
@@ -298,6 +308,7 @@
             environ={"SERVER_NAME": address.host},
         )
         self.limits = limits
+        self.tls = tls
         self.read_timeout_s = limits.read_timeout_ms / MS_PER_SECOND
         self.count_refused = count_refused
         self.idle: set[CallerHandler] = set()
@@ -315,11 +326,24 @@
         try:
             if self.connections > self.limits.max_connections:
                 self._refuse_connection(sock)
-            else:
-                super().handle(sock, address)
+                return
+            secured = self._secured(sock)
+            if secured is not None:
+                super().handle(secured, address)
         finally:
             self.connections -= 1
 
+    def _secured(self, sock: Any) -> Any:
+        """Return the socket with TLS where it is set; None if the handshake fails."""
+        if self.tls is None:
+            return sock
+        try:
+            with gevent.Timeout(self.read_timeout_s, TimeoutError("no handshake")):
+                return self.tls.wrap_socket(sock, server_side=True)
+        except (OSError, ValueError):
+            sock.close()
+            return None
+
     def _refuse_connection(self, sock: Any) -> None:
         message = "too many connections"
         error = refusal(ErrorCode.OVERLOADED, message, OVERLOAD_RETRY_MS)
--- a/wigeonwind/roles/http_bounds.py
+++ b/wigeonwind/roles/http_bounds.py
@@ -1,5 +1,6 @@
 """Checks of request heads, and refusals that reach callers who still send."""
 
+import re
 import socket
 from email.message import Message
 from typing import Any
@@ -20,6 +21,16 @@
 LINGER_READ_BYTES = 65_536
 
 
+HEADER_LINE = re.compile(
+    rb"(?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*)?\r\n"
+)
+"""A header line or the empty line that ends the head (RFC 9112 section 5).
+
+Folded lines, lone line feeds and spaces before the colon are refused: servers differ in
+how they read them, and what one takes for a header another takes for a request.
+"""
+
+
 class RequestRefusedError(ValueError):
     """Raised inside the server where a request breaks a bound; never leaves it."""
 
@@ -47,6 +58,8 @@
         if self._left < 0:
             message = "the request's head is too large"
             raise refused(message, ErrorCode.TOO_LARGE, 431)
+        if line and len(line) < size and HEADER_LINE.fullmatch(line) is None:
+            raise refused("a header line is malformed", ErrorCode.BAD_REQUEST, 400)
         return line
 
 
@@ -57,6 +70,9 @@
         message = "the transfer encoding is not supported"
         raise refused(message, ErrorCode.BAD_REQUEST, 501)
     lengths = headers.get_all("content-length", [])
+    if encodings and lengths:
+        message = "Content-Length beside Transfer-Encoding"
+        raise refused(message, ErrorCode.BAD_REQUEST, 400)
     if len(lengths) > 1 or not all(_is_length(value) for value in lengths):
         raise refused("wrong Content-Length", ErrorCode.BAD_REQUEST, 400)
     if lengths and int(lengths[0]) > max_body_bytes:
--- a/wigeonwind/roles/http_call.py
+++ b/wigeonwind/roles/http_call.py
@@ -18,6 +18,13 @@
 READ = 1
 """Event mask of the loop for a readable socket."""
 
+UNREAD_CHECK_S = 0.25
+"""Interval between looks at a connection with data that is not read yet."""
+
+TCP_CLOSE = 7
+TCP_CLOSE_WAIT = 8
+"""States of a connection whose other end has closed it (Linux, tcp_states.h)."""
+
 StartResponse = Callable[[str, Headers], Any]
 Body = Iterable[bytes]
 
@@ -35,6 +42,7 @@
 
     def __init__(self, sock: Any) -> None:
         self._sock = sock
+        self._timer: Any = None
         self._watcher: Any = None
         self._on_gone: Callable[[], None] | None = None
 
@@ -46,10 +54,11 @@
 
     def stop(self) -> None:
         """Watch no longer."""
-        watcher, self._watcher = self._watcher, None
-        if watcher is not None:
-            watcher.stop()
-            watcher.close()
+        for watcher in (self._watcher, self._timer):
+            if watcher is not None:
+                watcher.stop()
+                watcher.close()
+        self._watcher = self._timer = None
 
     def _check(self) -> None:
         try:
@@ -58,8 +67,26 @@
             return
         except OSError:
             data = b""
+        if not data:
+            self._end()
+            return
+        # Unread data, which may be the end of a TLS session, would fire without end.
+        self._watcher.stop()
+        self._timer = get_hub().loop.timer(UNREAD_CHECK_S, UNREAD_CHECK_S)
+        self._timer.start(self._check_closed)
+
+    def _check_closed(self) -> None:
+        """Notice the end of a connection behind data that nobody reads yet."""
+        try:
+            state = self._sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:
+            state = TCP_CLOSE_WAIT
+        if state in (TCP_CLOSE_WAIT, TCP_CLOSE):
+            self._end()
+
+    def _end(self) -> None:
         self.stop()
-        if not data and self._on_gone is not None:
+        if self._on_gone is not None:
             self._on_gone()
 
 
--- a/wigeonwind/roles/operators_api.py
+++ b/wigeonwind/roles/operators_api.py
@@ -108,6 +108,10 @@
             ("GET", "/admin/status"): self._show_status,
         }
 
+    def set_key(self, key: str) -> None:
+        """Let in only who presents this key from now on."""
+        self._key = key
+
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
--- a/wigeonwind/roles/process.py
+++ b/wigeonwind/roles/process.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
 from random import Random
+from ssl import SSLContext
 from typing import Any
 
 from gevent import Greenlet, sleep, spawn
@@ -22,6 +22,13 @@
 from wigeonwind.roles.grant_exchange import GrantExchange
 from wigeonwind.roles.health_api import HealthApi
 from wigeonwind.roles.http_call import StartResponse, read_call
+from wigeonwind.roles.key_files import (
+    caller_tls,
+    load_certificate,
+    missing_keys,
+    operators_key,
+    reload_links,
+)
 from wigeonwind.roles.metrics import Metrics
 from wigeonwind.roles.metrics_sink import PrometheusSink
 from wigeonwind.roles.node import Node
@@ -63,8 +70,15 @@
 class Process:
     """A whole process; several may live in one program, as in the demo."""
 
-    def __init__(self, settings: Settings, node: Node, key: str) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        node: Node,
+        key: str,
+        tls: SSLContext | None = None,
+    ) -> None:
         self.settings = settings
+        self._tls = tls
         self.node = node
         self.metrics = Metrics(node.clock)
         self.metrics.add_link_counts(node.options.counts)
@@ -104,6 +118,7 @@
                 RetryPolicy(node.rng),
                 PrometheusSink(self.metrics),
                 self._tracer,
+                self._tls,
             )
             self.entry.grants = GrantExchange(limiter, node.clock, node.link_to_entry)
             node.attach(self.entry, self.entry)
@@ -166,6 +181,25 @@
         """Return the fields of `/admin/status`."""
         return node_status(self.node, self.ready)
 
+    def reload(self) -> tuple[Problem, ...]:
+        """Read keys and certificates again; a wrong file leaves the present in use."""
+        listen = self.settings.listen
+        problems = list(reload_links(self.settings.links, self.node.options))
+        key = operators_key(listen.operators_key_file)
+        if isinstance(key, Invalid):
+            problems += key.problems
+        else:
+            self._operators.set_key(key)
+        if self._tls is not None:
+            problem = load_certificate(
+                self._tls, "listen", listen.tls_certificate, listen.tls_key
+            )
+            problems += [problem] if problem is not None else []
+        for each in problems:
+            log.error("a file was not read again", problem=str(each))
+        log.info("keys and certificates read again", problems=len(problems))
+        return tuple(problems)
+
     def drain(self) -> None:
         """Leave gracefully; a second call shortens the grace period. Does not block."""
         if self._drain is None:
@@ -248,28 +282,19 @@
 
 def build_process(settings: Settings, seed: int | None = None) -> Ok[Process] | Invalid:
     """Return the process that the settings describe, or what is wrong with them."""
+    missing = tuple(missing_keys(settings))
+    if missing:
+        return Invalid(missing)
     options = link_options(settings.links, settings.limits.max_body_bytes)
     if isinstance(options, Invalid):
         return options
     rng = Random(seed)
     store = StoreClient(parse_address(settings.platform.store))
     node = Node(settings, SystemClock(), store, options.value, rng)
-    key = _operators_key(settings.listen.operators_key_file)
+    key = operators_key(settings.listen.operators_key_file)
     if isinstance(key, Invalid):
         return key
-    return Ok(Process(settings, node, key))
-
-
-def _operators_key(path: str) -> str | Invalid:
-    """Return the operators' key; empty if none is set."""
-    if not path:
-        return ""
-    try:
-        key = Path(path).read_text(encoding="utf-8").strip()
-    except (OSError, UnicodeDecodeError):
-        key = ""
-    if key:
-        return key
-    # An empty or unreadable file must not open the interface to everybody.
-    expected = "a file that holds a key"
-    return Invalid((Problem("listen", "operators_key_file", path, expected),))
+    tls = caller_tls(settings.listen)
+    if isinstance(tls, Invalid):
+        return tls
+    return Ok(Process(settings, node, key, tls.value))
--- a/wigeonwind/settings.py
+++ b/wigeonwind/settings.py
@@ -50,6 +50,10 @@
     operators_key_file: str = Field(
         "", description="File with the key that wigeonctl must present."
     )
+    tls_certificate: str = Field(
+        "", description="Certificate file for TLS towards callers; empty for none."
+    )
+    tls_key: str = Field("", description="Private key file of `tls_certificate`.")
 
 
 class PlatformSettings(Section):
@@ -228,6 +232,10 @@
         problems.append(Problem("endpoint", "", "", "a section for role side"))
     if settings.node.role == "entry" and not settings.listen.callers:
         problems.append(Problem("listen", "callers", "", "an address for role entry"))
+    if bool(settings.listen.tls_certificate) != bool(settings.listen.tls_key):
+        expected = "tls_certificate and tls_key together"
+        value = settings.listen.tls_certificate
+        problems.append(Problem("listen", "tls_certificate", value, expected))
     if settings.links.timeout_ms <= settings.links.heartbeat_ms:
         value = str(settings.links.timeout_ms)
         expected = f"more than heartbeat_ms = {settings.links.heartbeat_ms}"
