Wait for the first load reports in the test of wigeonctl status

Cause: the test asked for the status right after the fleet was up. A sidecar reports ready only after it has read its endpoint once, so on a busy machine an endpoint was still shown as not ready (one failure in one full run).

Change: the test waits until all endpoints are shown as ready, then asserts all that it did before.

--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -2,6 +2,7 @@
 
 import json
 
+import gevent
 import pytest
 from openai import OpenAI
 
@@ -37,6 +38,11 @@
 def test_status_shows_classes_endpoints_members_and_text(fleet, capsys):
     client = OpenAI(base_url=f"http://{fleet.callers[0]}/v1", api_key="any")
     client.completions.create(model="barley-7b", prompt="stock? len=3")
+    status = fleet.entries[0].status
+    with gevent.Timeout(10.0):
+        # A sidecar reports ready only after it has read its endpoint once.
+        while not all(row["ready"] for row in status()["endpoints"]):
+            gevent.sleep(0.01)
     entry = f"--entry={fleet.operators[0]}"
     assert run(["status", entry, "--json"]) == ExitCode.DONE
     fields = json.loads(capsys.readouterr().out)
