--- a/wigeonwind/checking/process_fleet.py
+++ b/wigeonwind/checking/process_fleet.py
@@ -1,6 +1,7 @@
 """A fleet of real processes on loopback, and the record of what was done to it."""
 
 import json
+import secrets
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import partial
@@ -104,6 +105,10 @@
         self.standins: dict[str, ChildProcess] = {}
         self.member_by_address: dict[str, str] = {}
         self._directory = directory
+        # Other fleets on this machine use the same ports one after another.
+        self._key_path = directory / "fleet.key"
+        self._key_path.write_text(secrets.token_hex(32), encoding="utf-8")
+        self._key_path.chmod(0o600)
 
     def start(self, text: str) -> None:
         """Start everything and wait until it serves."""
@@ -208,6 +213,8 @@
 store = {self.standin("store")}
 vm_list = {self.standin("vm-list")}
 seeds = {", ".join(seeds)}
+[links]
+key_file = {self._key_path}
 [drain]
 grace_ms = 800
 limit_ms = 30000
