--- a/wigeonwind/experiments/bench.py
+++ b/wigeonwind/experiments/bench.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from heapq import heappop, heappush
 from itertools import count
@@ -15,6 +16,7 @@
     Chosen,
     EndpointChoice,
     EndpointInfo,
+    EndpointLoad,
     Rejected,
     Resend,
     RetryCause,
@@ -23,15 +25,12 @@
 )
 from wigeonwind.decisions.retry import RetryPolicy
 from wigeonwind.experiments.endpoint_run import Attempt, EndpointRun
-from wigeonwind.experiments.policies import Policy
+from wigeonwind.experiments.policies import OracleChoice, Policy
 from wigeonwind.experiments.results import Outcome
-from wigeonwind.experiments.scenario import Arrival, Fault, Scenario, arrivals
+from wigeonwind.experiments.scenario import HOP_MS, Arrival, Fault, Scenario, arrivals
 from wigeonwind.standins.engine_model import EngineModel
 from wigeonwind.standins.engine_types import RequestDone, TokensProduced
 
-HOP_MS = 0.5
-"""Delay of one message between an entry and a sidecar."""
-
 DRAIN_LIMIT_MS = 900_000.0
 """A run ends this long after its last arrival, finished or not."""
 
@@ -97,9 +96,14 @@
             EndpointInfo(e.endpoint_id, e.zone, self.scenario.service, ("model-1",))
             for e in self.endpoints
         )
+        if isinstance(choice, OracleChoice):
+            choice.connect(self._true_wait)
         choice.set_endpoints(infos, 0.0)
         return Entry(f"entry-{number}", zone, choice, RetryPolicy(rng))
 
+    def _true_wait(self, endpoint_id: str, priority: int, now_ms: float) -> float:
+        return self._endpoint_by_id[endpoint_id].true_wait(priority, now_ms)
+
     def _at(self, at_ms: float, call: Call) -> None:
         heappush(self._heap, (at_ms, next(self._numbers), call))
 
@@ -122,10 +126,16 @@
     def _report(self, now_ms: float) -> None:
         for endpoint in self.endpoints:
             load = endpoint.load(now_ms)
-            for entry in self.entries:
-                entry.choice.on_load(endpoint.endpoint_id, load, now_ms)
+            delay_ms = self.scenario.report_delay_ms
+            load = replace(load, age_ms=load.age_ms + delay_ms)
+            call = partial(self._on_load, endpoint.endpoint_id, load)
+            self._at(now_ms + delay_ms, call)
         self._at(now_ms + self.scenario.report_interval_ms, self._report)
 
+    def _on_load(self, endpoint_id: str, load: EndpointLoad, now_ms: float) -> None:
+        for entry in self.entries:
+            entry.choice.on_load(endpoint_id, load, now_ms)
+
     def _pass_cache_events(self, now_ms: float) -> None:
         for endpoint in self.endpoints:
             for event in endpoint.new_cache_events(now_ms):
@@ -148,6 +158,7 @@
                 endpoint.engine.restart(now_ms)
             elif fault.kind == "straggle":
                 endpoint.engine.set_straggle(fault.value, now_ms)
+                endpoint.straggle = fault.value
             elif fault.kind == "freeze":
                 endpoint.engine.freeze(now_ms)
             elif fault.kind == "unfreeze":
@@ -266,6 +277,7 @@
         """Note the whole answer."""
         outcome = self._outcome_by_id[attempt.arrival.request_id]
         outcome.done_ms = done.at_ms + HOP_MS
+        outcome.cached_tokens += done.cached_tokens
         self._ended(attempt, True, outcome.done_ms)
         self._end(outcome, refused=False)
 
--- a/wigeonwind/experiments/endpoint_run.py
+++ b/wigeonwind/experiments/endpoint_run.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from heapq import heapreplace
 from typing import Protocol
 
 from wigeonwind.decisions.interfaces import (
@@ -90,6 +91,8 @@
         self._schedule = schedule
         self._attempt_by_key: dict[WorkKey, Attempt] = {}
         self._key_by_engine_id: dict[str, WorkKey] = {}
+        self._tokens_by_key: dict[WorkKey, int] = {}
+        self.straggle = 1.0
         self._wake_ms: float | None = None
         self._cache_seq = 0
 
@@ -152,6 +155,23 @@
         self._cache_seq = batch.next_seq
         return batch.events
 
+    def true_wait(self, priority: int, now_ms: float) -> float:
+        """Return the time until an attempt would get a slot, from known lengths.
+
+        In tokens of one answer; infinite if the engine is dead. Only for an oracle.
+        """
+        self._collect(now_ms)
+        if self.engine.crashed:
+            return float("inf")
+        free = [0.0] * self.engine.config.slots
+        for attempt in self._attempt_by_key.values():
+            if attempt.priority <= priority:
+                left = attempt.arrival.output_tokens
+                left -= self._tokens_by_key.get(attempt.item.key, 0)
+                heapreplace(free, free[0] + left)
+        # Among endpoints with a free slot, the one with the least work is the best.
+        return (free[0] + 1e-3 * sum(free)) * self.straggle
+
     def crash(self, now_ms: float) -> None:
         """Let the engine die; waiting work is handed back, certainly not run."""
         self._collect(now_ms)
@@ -210,6 +230,7 @@
             if attempt is None:
                 continue
             if isinstance(event, TokensProduced):
+                self._tokens_by_key[key] = event.index + event.count
                 self.queue.on_tokens(key, event.count, event.last_ms)
                 self._events.on_tokens(attempt, event)
                 continue
@@ -223,6 +244,7 @@
 
     def _forget(self, key: WorkKey) -> None:
         del self._attempt_by_key[key]
+        self._tokens_by_key.pop(key, None)
         self._key_by_engine_id.pop(_engine_id(key), None)
 
     def _set_wake(self, now_ms: float) -> None:
--- a/wigeonwind/experiments/policies.py
+++ b/wigeonwind/experiments/policies.py
@@ -6,7 +6,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from wigeonwind.catalog import Catalog
@@ -198,6 +198,45 @@
         return load.running + sum(count for _, count in load.waiting_by_class)
 
 
+TrueWait = Callable[[str, int, float], float]
+"""The wait at an endpoint, by endpoint, priority and time; from known lengths."""
+
+
+class OracleChoice(LeastOutstanding):
+    """The endpoint whose slots are free first, by the present load and true lengths.
+
+    No product can know these. It shows what a better choice could still gain.
+    """
+
+    def connect(self, true_wait: TrueWait) -> None:
+        """Use this source of knowledge."""
+        self._true_wait = true_wait
+
+    def choose(
+        self, request: RouteRequest, now_ms: float, exclude: frozenset[str]
+    ) -> Chosen | NoEndpoint:
+        """Choose the endpoint with the least wait."""
+        wait_by_id = {
+            each: self._true_wait(each, request.priority, now_ms)
+            for each in self._endpoint_ids
+            if each not in exclude
+        }
+        best = min(wait_by_id, key=wait_by_id.__getitem__, default="")
+        if not best or wait_by_id[best] == float("inf"):
+            return NoEndpoint("none", 1000.0)
+        return Chosen(best)
+
+
+class NoAffinityChooser(EndpointChooser):
+    """The product's choice without regard to cached prefixes."""
+
+    def choose(
+        self, request: RouteRequest, now_ms: float, exclude: frozenset[str]
+    ) -> Chosen | NoEndpoint:
+        """Choose as for a request without a known prefix."""
+        return super().choose(replace(request, prefix_keys=()), now_ms, exclude)
+
+
 def _fifo(
     catalog: Catalog, config: EngineConfig, service: str, rng: Random
 ) -> FifoQueue:
@@ -221,3 +260,7 @@
     Policy("least-reported", _fifo, LeastReported, resumes=False)
 )
 POLICIES.register("ours")(Policy("ours", _own_queue, EndpointChooser, resumes=True))
+POLICIES.register("oracle")(Policy("oracle", _own_queue, OracleChoice, resumes=True))
+POLICIES.register("ours-no-affinity")(
+    Policy("ours-no-affinity", _own_queue, NoAffinityChooser, resumes=True)
+)
--- a/wigeonwind/experiments/results.py
+++ b/wigeonwind/experiments/results.py
@@ -29,7 +29,7 @@
     delivered: int = 0
     computed_tokens: int = 0
     dropped_tokens: int = 0
-    late_gaps: int = 0
+    cached_tokens: int = 0
     started_ms: float | None = None
     reasons: list[str] = field(default_factory=list)
 
@@ -48,7 +48,8 @@
             return self.first_ms - self.arrival.at_ms <= target.limit_ms
         if target.kind is TargetKind.WHOLE:
             return self.done_ms - self.arrival.at_ms <= target.limit_ms
-        return self.late_gaps * 20 <= self.arrival.output_tokens
+        gaps = max(1, self.arrival.output_tokens - 1)
+        return (self.done_ms - self.first_ms) / gaps <= target.limit_ms
 
 
 @dataclass(frozen=True)
@@ -128,6 +129,31 @@
     )
 
 
+@dataclass(frozen=True)
+class CustomerRow:
+    """What one customer got in one class, over one run."""
+
+    policy: str
+    customer: str
+    class_name: str
+    offered: int
+    attainment: float
+
+
+def customer_rows(
+    policy: str, request_class: RequestClass, outcomes: Iterable[Outcome]
+) -> Iterator[CustomerRow]:
+    """Yield one row for each customer of a class, in the order of their names."""
+    by_customer: dict[str, list[bool]] = defaultdict(list)
+    for outcome in outcomes:
+        if outcome.arrival.class_name == request_class.name:
+            attained = outcome.attained(request_class)
+            by_customer[outcome.arrival.customer].append(attained)
+    for name, attained_list in sorted(by_customer.items()):
+        share = sum(attained_list) / len(attained_list)
+        yield CustomerRow(policy, name, request_class.name, len(attained_list), share)
+
+
 def recovery_ms(
     outcomes: list[Outcome], request_class: RequestClass, burst_end_ms: float
 ) -> float | None:
--- a/wigeonwind/experiments/runs.py
+++ b/wigeonwind/experiments/runs.py
@@ -7,7 +7,13 @@
 
 from wigeonwind.experiments.bench import Bench
 from wigeonwind.experiments.policies import POLICIES
-from wigeonwind.experiments.results import Row, recovery_ms, rows_of
+from wigeonwind.experiments.results import (
+    CustomerRow,
+    Row,
+    customer_rows,
+    recovery_ms,
+    rows_of,
+)
 from wigeonwind.experiments.workloads import SCENARIOS
 
 
@@ -17,6 +23,10 @@
 
     rows: tuple[Row, ...]
     recovery_ms: float | None
+    customers: tuple[CustomerRow, ...]
+    cached_tokens: int
+    """Prompt tokens that came from engines' prefix caches."""
+    computed_tokens: int
 
 
 def run_one(experiment: str, policy: str, seed: int) -> RunResult:
@@ -28,10 +38,16 @@
     outcomes = Bench(scenario, chosen, seed).run()
     rows = tuple(rows_of(experiment, seed, policy, scenario.catalog, outcomes))
     recovery = None
+    urgent = scenario.catalog.class_by_name[scenario.urgent_class]
     if scenario.burst_end_ms:
-        urgent = scenario.catalog.class_by_name[scenario.urgent_class]
         recovery = recovery_ms(outcomes, urgent, scenario.burst_end_ms)
-    return RunResult(rows, recovery)
+    return RunResult(
+        rows,
+        recovery,
+        tuple(customer_rows(policy, urgent, outcomes)),
+        sum(outcome.cached_tokens for outcome in outcomes),
+        sum(outcome.computed_tokens for outcome in outcomes),
+    )
 
 
 def run_all(
@@ -61,6 +77,17 @@
     return Spread(mean(values), min(values), max(values))
 
 
+def customer_spreads(
+    results: Iterable[RunResult],
+) -> dict[tuple[str, str], Spread]:
+    """Return the urgent attainment by policy and customer."""
+    values: dict[tuple[str, str], list[float]] = defaultdict(list)
+    for result in results:
+        for row in result.customers:
+            values[(row.policy, row.customer)].append(row.attainment)
+    return {key: spread_of(group) for key, group in values.items()}
+
+
 @dataclass(frozen=True)
 class Summary:
     """One class under one policy, over all seeds."""
--- a/wigeonwind/experiments/scenario.py
+++ b/wigeonwind/experiments/scenario.py
@@ -11,6 +11,9 @@
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.standins.engine_types import EngineConfig, PrefixKey
 
+HOP_MS = 0.5
+"""Delay of one message between an entry and a sidecar."""
+
 
 @dataclass(frozen=True)
 class Arrival:
@@ -98,10 +101,14 @@
     end_ms: float
     faults: tuple[Fault, ...] = ()
     report_interval_ms: float = 1000.0
+    report_delay_ms: float = HOP_MS
+    """Time from a load report's making to its arrival at the entries."""
     patience_ms: float = 0.0
     caller_retries: int = 0
     entries: int = 3
     urgent_class: str = "chat"
+    traffic: str = ""
+    """Seeds the arrivals; experiments that are compared share it. Empty: `name`."""
     burst_end_ms: float = field(default=0.0)
     """When the load falls back, for the time to recover; 0 if there is no burst."""
 
@@ -122,8 +129,9 @@
 
 def arrivals(scenario: Scenario, seed: int) -> Iterator[Arrival]:
     """Yield all arrivals in the order of time; the same for every policy."""
+    traffic = scenario.traffic or scenario.name
     each = [
-        _stream_arrivals(scenario, stream, Random(f"{seed}/{scenario.name}/{number}"))
+        _stream_arrivals(scenario, stream, Random(f"{seed}/{traffic}/{number}"))
         for number, stream in enumerate(scenario.streams)
     ]
     return merge(*each, key=lambda arrival: arrival.at_ms)
@@ -151,7 +159,7 @@
 def _times(scenario: Scenario, stream: Stream, rng: Random) -> Iterator[float]:
     for number, stage in enumerate(stream.stages):
         following = stream.stages[number + 1 :]
-        end_ms = following[0].start_ms if following else scenario.end_ms
+        end_ms = min([scenario.end_ms, *(each.start_ms for each in following)])
         per_ms = rate_per_s(scenario, stream, stage.load) / MS_PER_SECOND
         if per_ms <= 0:
             continue
--- a/wigeonwind/experiments/workloads.py
+++ b/wigeonwind/experiments/workloads.py
@@ -98,7 +98,8 @@
         _stream("dossier", DOSSIER_LENGTHS, (0.0, dossier)),
         _stream("tagging", TAGGING_LENGTHS, (0.0, tagging)),
     )
-    return _polluvili(name, streams, 2 * MINUTE)
+    traffic = "steady" if name in ("straggler", "crash") else name
+    return replace(_polluvili(name, streams, 2 * MINUTE), traffic=traffic)
 
 
 @SCENARIOS.register("harvest")
@@ -166,15 +167,21 @@
 
 def _stale(age_ms: float) -> Scenario:
     scenario = _steady("stale", 0.45, 0.3, 0.1)
-    engines = tuple(replace(e, report_lag_ms=age_ms) for e in scenario.engines)
+    engines = tuple(replace(e, report_lag_ms=0.0) for e in scenario.engines)
     name = f"stale-{age_ms / SECOND:g}s"
     interval_ms = max(100.0, min(1000.0, age_ms))
-    return replace(scenario, name=name, engines=engines, report_interval_ms=interval_ms)
+    return replace(
+        scenario,
+        name=name,
+        engines=engines,
+        report_interval_ms=interval_ms,
+        report_delay_ms=age_ms,
+    )
 
 
 @SCENARIOS.register("stale")
 def stale() -> Scenario:
-    """Load reports that are 5 s old when they are sent."""
+    """Load reports that are 5 s old when they arrive."""
     return replace(_stale(5 * SECOND), name="stale")
 
 
--- a/wigeonwind/tool/experiment_command.py
+++ b/wigeonwind/tool/experiment_command.py
@@ -7,7 +7,13 @@
 from absl import flags
 
 from wigeonwind.experiments.policies import DEFAULT_POLICIES, POLICIES
-from wigeonwind.experiments.runs import RunResult, Summary, run_one, summarise
+from wigeonwind.experiments.runs import (
+    RunResult,
+    Summary,
+    customer_spreads,
+    run_one,
+    summarise,
+)
 from wigeonwind.experiments.workloads import SCENARIOS
 from wigeonwind.tool.commands import ExitCode, command, format_table, print_error
 
@@ -20,6 +26,12 @@
     flags.DEFINE_list(
         "policy", list(DEFAULT_POLICIES), "Policies to compare.", flag_values=values
     )
+    flags.DEFINE_bool(
+        "by_customer",
+        False,
+        "Print the attainment of the urgent class for each customer.",
+        flag_values=values,
+    )
     flags.DEFINE_string("json", "", "File for the rows.", flag_values=values)
     flags.DEFINE_string("plot", "", "PNG file for the plots.", flag_values=values)
 
@@ -73,9 +85,24 @@
         print_error(f"cannot write the results: {error}")
         return ExitCode.USAGE
     _print_table(summaries, recovery)
+    if values["by_customer"].value:
+        _print_customers(results)
+    for policy in policies:
+        own = [each for each in results if each.rows[0].policy == policy]
+        cached = sum(each.cached_tokens for each in own) / len(own)
+        computed = sum(each.computed_tokens for each in own) / len(own)
+        print(f"{policy}: {computed:.0f} tokens generated, {cached:.0f} cached")
     return ExitCode.DONE
 
 
+def _print_customers(results: Sequence[RunResult]) -> None:
+    rows = [
+        (policy, customer, spread)
+        for (policy, customer), spread in customer_spreads(results).items()
+    ]
+    print(format_table(("policy", "customer", "urgent attainment"), rows))
+
+
 def _plot(
     path: str,
     name: str,
