Start the processes of a fault run one after another

Started in several greenlets, processes were started more often than asked for within a full test run and left behind, which also loaded the machine.

--- a/wigeonwind/checking/process_fleet.py
+++ b/wigeonwind/checking/process_fleet.py
@@ -68,9 +68,14 @@
     return JsonAnswer(head.status, found if isinstance(found, dict) else {})
 
 
-def _all_at_once(calls: Iterable[Callable[[], None]]) -> None:
-    """Carry out calls in greenlets; raise what any of them raises."""
-    gevent.joinall([gevent.spawn(call) for call in calls], raise_error=True)
+def _one_by_one(calls: Iterable[Callable[[], None]]) -> None:
+    """Start processes one after another.
+
+    With starts in several greenlets, a full test run left a hundred processes behind:
+    too many had been started.
+    """
+    for call in calls:
+        call()
 
 
 @dataclass
@@ -113,7 +118,7 @@
     def start(self, text: str) -> None:
         """Start everything and wait until it serves."""
         rows = self._standin_arguments()
-        _all_at_once(partial(self._start_standin, *row) for row in rows)
+        _one_by_one(partial(self._start_standin, *row) for row in rows)
         for number in range(self.shape.entries):
             self.members.append(Member(f"entry-{number}", "entry", ZONES[number % 3]))
         first, *others = self.members
@@ -123,7 +128,7 @@
         self.members += sides
         self._submit_first(text)
         rest = [*others, *sides]
-        _all_at_once(partial(self.start_member, member) for member in rest)
+        _one_by_one(partial(self.start_member, member) for member in rest)
         self._wait_until_ready()
 
     def _standin_arguments(self) -> Iterator[tuple[str, ...]]:
