--- a/wigeonwind/checking/process_fleet.py
+++ b/wigeonwind/checking/process_fleet.py
@@ -71,7 +71,7 @@
 def _one_by_one(calls: Iterable[Callable[[], None]]) -> None:
     """Start processes one after another.
 
-    With starts in several greenlets, a full test run left a hundred processes behind:
+    With starts in several greenlets, a full test run left 524 processes behind:
     too many had been started.
     """
     for call in calls:
