--- a/wigeonwind/tool/settings_command.py
+++ b/wigeonwind/tool/settings_command.py
@@ -22,7 +22,7 @@
     if values["json"].value:
         print_json({"reference": page})
     else:
-        print(page)
+        print(page, end="")
     return ExitCode.DONE
 
 
