--- a/wigeonwind/decisions/preemption.py
+++ b/wigeonwind/decisions/preemption.py
@@ -19,17 +19,23 @@
 SAME_CLASS_MARGIN_MS = 5000.0
 """Difference in rank that is worth a pause within a class."""
 
+PAUSED_KV_SHARE = 0.25
+"""Share of an engine's KV memory that paused work may keep; more would leave running
+work without memory, which stalls the batch."""
+
 
 @dataclass(frozen=True)
 class KvCosts:
     """Costs of moving KV cache, in milliseconds per token, and room for it.
 
-    `paused_limit_tokens` is how much cache of paused work the engine may keep.
+    `paused_limit_tokens` is how much cache of paused work the engine may keep,
+    `kv_limit_tokens` how much cache it has room for in all; 0 if that is unknown.
     """
 
     export_ms: float = 0.02
     import_ms: float = 0.02
     paused_limit_tokens: int = 100_000
+    kv_limit_tokens: int = 0
 
 
 class PausedCache:
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/roles/entry.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import gevent
-from gevent import Greenlet
 from gevent.event import Event
 
 from wigeonwind.catalog import Catalog
@@ -18,16 +17,18 @@
     RetryDecisions,
 )
 from wigeonwind.links.link_types import Link
-from wigeonwind.links.messages import ClaimState, Leaving, LoadReport
+from wigeonwind.links.messages import CacheEvents, ClaimState, Leaving, LoadReport
 from wigeonwind.outcomes import ErrorCode
 from wigeonwind.roles.admission import Admission
 from wigeonwind.roles.booking_call import BookingCalls
 from wigeonwind.roles.dispatch import Dispatcher
 from wigeonwind.roles.endpoint_links import EndpointLinks
 from wigeonwind.roles.entry_http import CallerServer
+from wigeonwind.roles.entry_status import EndpointRow, entry_status
 from wigeonwind.roles.grant_exchange import GrantExchange
 from wigeonwind.roles.health_api import HealthApi
 from wigeonwind.roles.http_call import HttpCall, StartResponse, read_call
+from wigeonwind.roles.loops import Loops
 from wigeonwind.roles.metrics_sink import MetricsSink
 from wigeonwind.roles.openai_api import OpenAiApi
 from wigeonwind.roles.pending import PendingAttempts
@@ -35,7 +36,7 @@
 from wigeonwind.roles.plain_api import PlainApi
 from wigeonwind.roles.replies import failure_reply, refusal
 from wigeonwind.roles.run import Runner
-from wigeonwind.roles.run_context import RunContext
+from wigeonwind.roles.run_context import ListsEndpoints, RunContext
 from wigeonwind.roles.tracing import Tracer
 from wigeonwind.settings import Settings, SocketAddress, parse_address
 from wigeonwind.state.store_types import Store
@@ -75,7 +76,7 @@
         self.dispatcher = Dispatcher(context)
         self.grants: GrantExchange | None = None
         """Set before `start` where limits are shared with other entries."""
-        self._grants_loop: Greenlet | None = None
+        self.loops = Loops(self.stop)
         timeout_ms = float(settings.limits.request_timeout_ms)
         self._admission = Admission(clock, limits, timeout_ms)
         runner = Runner(clock, self._admission, self.dispatcher, metrics, tracer)
@@ -138,6 +139,9 @@
             case LoadReport():
                 self._on_load(link, message)
                 return True
+            case CacheEvents():
+                self._on_cache_events(link, message)
+                return True
             case ClaimState():
                 return self._bookings.on_claim_state(link, message)
             case Leaving(member_id=member_id, incarnation=incarnation):
@@ -159,6 +163,12 @@
         )
         self._choice.on_load(link.hello.member_id, load, self._clock.now_ms())
 
+    def _on_cache_events(self, link: Link, events: CacheEvents) -> None:
+        name, now_ms = link.hello.member_id, self._clock.now_ms()
+        for keys, stored in ((events.stored, True), (events.evicted, False)):
+            for key in keys:
+                self._choice.on_cache_event(name, key, stored, now_ms)
+
     def on_down(self, link: Link, reason: str) -> None:
         """Stop using a link; attempts on it end."""
         self._links.on_down(link)
@@ -177,12 +187,20 @@
         """Choose among these endpoints from now on."""
         self._choice.set_endpoints(endpoints, self._clock.now_ms())
 
+    def status(self) -> dict[str, Any]:
+        """Return the entry's part of `/admin/status`."""
+        choice = self._choice
+        rows: Iterable[EndpointRow] = ()
+        if isinstance(choice, ListsEndpoints):
+            rows = choice.endpoints(self._clock.now_ms())
+        return entry_status(self._runner.recent, rows)
+
     def start(self) -> SocketAddress:
         """Listen for callers and return where."""
         self._server.start()
         self._started = True
         if self.grants is not None:
-            self._grants_loop = gevent.spawn(self.grants.run)
+            self.loops.start(self.grants.run)
         return self._server.bound_address
 
     def drain(self) -> None:
@@ -203,7 +221,6 @@
     def stop(self) -> None:
         """Stop at once; what is in flight is cut off."""
         self._started = False
-        if self._grants_loop is not None:
-            self._grants_loop.kill(block=False)
+        self.loops.stop()
         self._server.close_idle()
         self._server.stop(timeout=0)
--- a/wigeonwind/roles/node.py
+++ b/wigeonwind/roles/node.py
@@ -1,11 +1,11 @@
 """The runtime of one process: its links, members, text and role."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from random import Random
 from typing import Any, Protocol
 
-from gevent import Greenlet, sleep, spawn
+from gevent import sleep
 from gevent.event import Event
 from structlog import get_logger
 
@@ -19,9 +19,11 @@
 from wigeonwind.outcomes import Failure, Ok
 from wigeonwind.roles.dialer import Dialer
 from wigeonwind.roles.link_table import LinkTable
+from wigeonwind.roles.loops import Loops
 from wigeonwind.roles.peering import Peering, address_of
 from wigeonwind.roles.roller import Roller
 from wigeonwind.roles.spread import ANTI_ENTROPY_MS, Spread
+from wigeonwind.roles.text_gate import TextGate
 from wigeonwind.settings import Settings, SocketAddress, parse_address
 from wigeonwind.settings import parse_address_list as parse_addresses
 from wigeonwind.state.lease import Lease
@@ -32,9 +34,9 @@
 PEERING_MS = 250.0
 """Interval between looks at the links that are missing."""
 
-REFUTATION_ROOM = 1000
-"""Incarnations count microseconds: a restart raises them by more than this, and a
-refutation, which keeps the process and its links, only by one."""
+ENTRIES_LIMIT_MS = 5_000.0
+"""Time for entries to close their links to a leaving sidecar; they do it at their next
+look, but one that is paused must not hold up the stop."""
 
 CONFIRM_POLL_MS = 20.0
 """Interval between looks at what peers have confirmed."""
@@ -116,6 +118,8 @@
         self.incarnation = new_incarnation()
         self.links = LinkTable(self._on_first_up, self._on_last_down)
         self.text = TextKeeper(self.links.broadcast, clock)
+        self.text_gate = TextGate(clock, self._newest_announced_text)
+        self.text.subscribe(self.text_gate.on_catalog)
         self.members = Membership(self._own_record())
         self.spread = Spread(self.members, self.text, self.links, clock, rng)
         seeds = parse_addresses(settings.platform.seeds)
@@ -126,14 +130,15 @@
         self.dialer = Dialer(
             self.peering, self.links, self._connect, self._is_idle, clock, rng
         )
-        self._greenlets: list[Greenlet] = []
         self._stopped = Event()
         self._endpoint_ids: tuple[str, ...] = ()
         self.role: Role | None = None
         self.endpoint_consumer: EndpointConsumer | None = None
         self.roller: Roller | None = None
-        self.on_broken: Callable[[], None] = self.stop
-        """Called when an invariant is broken and the process cannot go on."""
+        self.loops = Loops(self.stop)
+
+    def _newest_announced_text(self) -> int:
+        return self.spread.newest_text_version()
 
     def _own_record(self) -> MemberRecord:
         node = self.settings.node
@@ -166,9 +171,9 @@
         """Set the role, and for an entry the part that chooses endpoints."""
         self.role = role
         self.endpoint_consumer = consumer
-        self.text.subscribe(role.set_catalog)
+        self.text_gate.subscribe(role.set_catalog)
         if consumer is not None:
-            self.text.subscribe(lambda catalog: self.refresh_endpoints())
+            self.text_gate.subscribe(lambda catalog: self.refresh_endpoints())
 
     @property
     def endpoint_ids(self) -> tuple[str, ...]:
@@ -181,8 +186,8 @@
         own = self.members.own
         if not own.address.endswith(f":{bound.port}"):
             self._use_port(bound)
-        self._keep_running(spawn(self._peering_loop))
-        self._keep_running(spawn(self._spread_loop))
+        self.loops.start(self._peering_loop)
+        self.loops.start(self._spread_loop)
         if self.settings.node.role == "entry":
             self._start_roller()
         return bound
@@ -202,15 +207,14 @@
             lambda service: self.members.live("side", service),
             self.open_link,
         )
-        self._keep_running(spawn(self.roller.run))
+        self.loops.start(self.roller.run)
 
     def stop(self) -> None:
         """Close all links and stop at once."""
         self._stopped.set()
         if self.roller is not None:
             self.roller.stop()
-        for greenlet in self._greenlets:
-            greenlet.kill(block=False)
+        self.loops.stop()
         self._server.stop()
         for link in [*self.links.used(), *self.links.spares()]:
             link.close("the process stops")
@@ -230,12 +234,23 @@
             self.roller.stop()
         if self.role is not None:
             self.role.drain()
+        if self.settings.node.role == "side":
+            self._wait_for_entries()
         self.stop()
 
+    def _wait_for_entries(self) -> None:
+        """Hand late work back until the entries have closed their links."""
+        deadline_ms = self.clock.now_ms() + ENTRIES_LIMIT_MS
+        while self.clock.now_ms() < deadline_ms:
+            if not any(link.hello.role == "entry" for link in self.links.used()):
+                return
+            sleep(CONFIRM_POLL_MS / MS_PER_SECOND)
+
     def on_up(self, link: Link) -> None:
         """Take a link that has come up."""
         self.links.add(link)
         self.spread.on_up(link)
+        self.text_gate.on_link()
 
     def on_message(self, link: Link, message: Any) -> None:
         """Pass a message to the part it is for."""
@@ -277,7 +292,7 @@
         catalog = self.text.catalog
         for record in self.peering.endpoints(catalog.service_by_name):
             link = self.links.get(record.member_id)
-            if link is None or _is_of_earlier_start(link, record):
+            if link is None:
                 continue
             service = catalog.service_by_name[record.service]
             models = service.models if service.kind is ServiceKind.MODEL else ()
@@ -315,16 +330,6 @@
                 return sorted(confirmed)
             sleep(CONFIRM_POLL_MS / MS_PER_SECOND)
 
-    def _keep_running(self, greenlet: Greenlet) -> None:
-        """Stop the process if one of its loops ends by an error."""
-        greenlet.link_exception(self._on_loop_error)
-        self._greenlets.append(greenlet)
-
-    def _on_loop_error(self, greenlet: Greenlet) -> None:
-        # A process without one of its loops would go on half alive.
-        log.error("a loop ended by an error", error=repr(greenlet.exception))
-        self.on_broken()
-
     def _spread_loop(self) -> None:
         while not self._stopped.is_set():
             sleep(self.rng.uniform(0.8, 1.2) * ANTI_ENTROPY_MS / MS_PER_SECOND)
@@ -334,10 +339,6 @@
         while not self._stopped.is_set():
             services = tuple(self.text.catalog.service_by_name)
             self.dialer.tick(services, self.settings.node.role == "entry")
+            self.text_gate.tick()
             self.refresh_endpoints()
             sleep(PEERING_MS / MS_PER_SECOND)
-
-
-def _is_of_earlier_start(link: Link, record: MemberRecord) -> bool:
-    """Return whether the link leads to an earlier start of the member."""
-    return record.incarnation - link.hello.incarnation > REFUTATION_ROOM
