--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,6 +8,7 @@
 
 from wigeonwind import daemon
 from wigeonwind.outcomes import ErrorCode, Outcome
+from wigeonwind.roles import process
 from wigeonwind.roles.demo import TEXT_PATH, start_fleet
 from wigeonwind.roles.metrics_sink import TEXT_BY_NAME
 from wigeonwind.roles.replies import HTTP_STATUS_BY_CODE
@@ -40,9 +41,10 @@
     # Guards against scripts that meet a code without a meaning.
     table = page("operations.md").split("## Exit codes")[1].split("## ")[0]
     of_daemon, of_tool = table.split("| `wigeonctl`")
-    codes = {vars(daemon)[name] for name in vars(daemon) if name.startswith("EXIT_")}
-    assert {int(each) for each in re.findall(r"^\| (\d)", of_daemon, re.M)} == codes
-    listed = {int(each) for each in re.findall(r"^\| (\d)", of_tool, re.M)}
+    names = {**vars(daemon), **vars(process)}
+    codes = {names[name] for name in names if name.startswith("EXIT_")}
+    assert {int(each) for each in re.findall(r"^\| (\d+)", of_daemon, re.M)} == codes
+    listed = {int(each) for each in re.findall(r"^\| (\d+)", of_tool, re.M)}
     assert listed == {int(code) for code in ExitCode}
 
 
--- a/wigeonwind/roles/engine_client.py
+++ b/wigeonwind/roles/engine_client.py
@@ -197,7 +197,7 @@
                 str(fields.get("role", "")),
                 int(fields.get("kv_limit_tokens", 0)),
             )
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             return EngineFailure(True, f"load report cannot be used: {error}")
 
     def cache_events(self, after: int) -> EngineCacheEvents | EngineFailure:
@@ -212,7 +212,7 @@
                 for event in fields["events"]
             )
             return EngineCacheEvents(changes, int(fields["next"]))
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
             return EngineFailure(True, f"cache events cannot be used: {error}")
 
     def order(self, order: Order) -> EngineFailure | None:
--- a/wigeonwind/roles/entry_http.py
+++ b/wigeonwind/roles/entry_http.py
@@ -170,7 +170,7 @@
         except RequestRefusedError as error:
             self._refuse(error.failure)
             return False
-        except OSError:
+        except (OSError, ValueError):
             message = "the body is not complete or its chunks are malformed"
             self._refuse(refusal(ErrorCode.BAD_REQUEST, message))
             return False
--- a/wigeonwind/roles/sse.py
+++ b/wigeonwind/roles/sse.py
@@ -108,5 +108,5 @@
 
 _USAGE_FIELDS = ("prompt_tokens", "completion_tokens", "cached_tokens")
 
-_ENGINE_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
+_ENGINE_ERRORS = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
 """What an event of an unexpected shape raises."""
--- a/wigeonwind/roles/vm_list_client.py
+++ b/wigeonwind/roles/vm_list_client.py
@@ -5,6 +5,7 @@
 from urllib.parse import urlsplit
 
 from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
 
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.outcomes import ErrorCode, Failure, Ok, Outcome
@@ -20,6 +21,20 @@
 """Bound on the answer; 1,200 VMs take about 120 kB."""
 
 
+ANSWER_ERRORS = (
+    OSError,
+    ValueError,
+    KeyError,
+    TypeError,
+    EOFError,
+    OverflowError,
+    RecursionError,
+    HTTPParseError,
+)
+"""What a broken connection or an answer of another shape raises; one that is not
+caught would end the loop that reads the list."""
+
+
 @dataclass(frozen=True)
 class VmList:
     """One answer of the VM list; `as_of_ms` is wall-clock time in milliseconds."""
@@ -49,7 +64,7 @@
             if response.status_code != 200:
                 return _failure(f"status {response.status_code}")
             return Ok(_parse(json.loads(bytes(body))))
-        except (OSError, ValueError, KeyError, TypeError, EOFError) as error:
+        except ANSWER_ERRORS as error:
             self._client.close()
             return _failure(str(error))
 
--- a/wigeonwind/state/store_client.py
+++ b/wigeonwind/state/store_client.py
@@ -125,7 +125,7 @@
         try:
             value = b64decode(body["value"], validate=True)
             return Ok(StoredObject(key, int(body["version"]), value))
-        except (KeyError, TypeError, ValueError, Base64Error):
+        except (*ANSWER_ERRORS, Base64Error):
             return _unusable(reply, maybe_written=False)
 
     def list_versions(self, prefix: str) -> Ok[dict[str, int]] | StoreFailure:
@@ -138,7 +138,7 @@
         rows: Any = body.get("objects") if isinstance(body, dict) else body
         try:
             return Ok({row["key"]: int(row["version"]) for row in rows})
-        except (KeyError, TypeError, ValueError):
+        except ANSWER_ERRORS:
             return _unusable(reply, maybe_written=False)
 
     def put(
@@ -151,7 +151,7 @@
             return reply
         if reply.status == 412:
             return _conflict(key, reply)
-        version = _json(reply).get("version")
+        version = _version(reply)
         if reply.status == 200 and isinstance(version, int):
             return Ok(version)
         return _unusable(reply, maybe_written=reply.status == 200)
@@ -185,10 +185,14 @@
         try:
             events = tuple(_event(row) for row in body["events"])
             return Ok(WatchBatch(int(body["revision"]), events))
-        except (KeyError, TypeError, ValueError):
+        except ANSWER_ERRORS:
             return _unusable(reply, maybe_written=False)
 
 
+ANSWER_ERRORS = (KeyError, TypeError, ValueError, OverflowError)
+"""What an answer of another shape raises."""
+
+
 def _path(key: str) -> str:
     return "/v1/objects/" + quote(key, safe="/")
 
@@ -196,17 +200,23 @@
 def _json(reply: Reply) -> Any:
     try:
         return json.loads(reply.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return {}
 
 
+def _version(reply: Reply) -> object:
+    """Return the field `version` of an answer, None if it has none."""
+    body = _json(reply)
+    return body.get("version") if isinstance(body, dict) else None
+
+
 def _event(row: Any) -> WatchEvent:
     revision, version = int(row["revision"]), int(row["version"])
     return WatchEvent(str(row["key"]), version, revision, bool(row["deleted"]))
 
 
 def _conflict(key: str, reply: Reply) -> Conflict:
-    version = _json(reply).get("version", 0)
+    version = _version(reply)
     return Conflict(key, version if isinstance(version, int) else 0)
 
 
--- a/wigeonwind/state/text_schema.py
+++ b/wigeonwind/state/text_schema.py
@@ -1,7 +1,12 @@
 """The keys of each kind of section, and how one section becomes catalog data."""
 
 import re
-from configparser import DuplicateOptionError, ParsingError, RawConfigParser
+from configparser import (
+    DuplicateOptionError,
+    MissingSectionHeaderError,
+    ParsingError,
+    RawConfigParser,
+)
 from configparser import Error as ConfigError
 from dataclasses import dataclass
 from typing import Annotated, Any, Literal
@@ -338,6 +343,10 @@
             text = f"the key only once in [{name}]"
             line = error.lineno or 0
             problems.append(Problem(name, error.option, "", text, line))
+        except MissingSectionHeaderError as error:
+            # A subclass of ParsingError that has no list of errors.
+            text = str(error.line).strip()
+            problems.append(Problem(name, "", text, "a header [SECTION]", error.lineno))
         except ParsingError as error:
             problems += [_syntax_problem(name, line) for line in error.errors]
         except ConfigError as error:
