Explore all interleavings of bookings with faults, restarts and late copies

Cause: the claim protocol was only tested with random schedules, which do not show that a rare order of a pause, a crash and a late copy is harmless.

Seen: no violation for crash, lost call, lost answer and late call, alone and in pairs, with the same and another body, one and two endpoints and a restarted sidecar, each complete; each of ten broken variants is caught.

Conclusion: at most once holds within the bound of two claims of each call.

--- a/tests/test_bookings_call.py
+++ b/tests/test_bookings_call.py
@@ -90,6 +90,8 @@
 ) -> None:
     # Guards against a retry that runs a booking whose first run is not resolved.
     def resolve(side: FakeSide, asked: ResolveClaim) -> None:
+        # A sidecar that restarts meanwhile must be able to tell.
+        assert asked.target_incarnation == side.hello.incarnation
         side.reply(ClaimState(asked.claim_token, state, 201, [], b"recorded"))
 
     def break_first(side: FakeSide, submit: Submit) -> None:
--- /dev/null
+++ b/tests/test_bookings_interleavings.py
@@ -0,0 +1,261 @@
+"""Bookings under every interleaving of two calls, faults, late copies and restarts.
+
+Each invariant is also shown to catch a system that was broken on purpose.
+"""
+
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from wigeonwind.checking.booking_model import (
+    Advance,
+    BookingModel,
+    Collect,
+    Deliver,
+    Restart,
+)
+from wigeonwind.checking.explorer import Exploration, Fault, explore
+from wigeonwind.roles.claim_memory import KEEP_ANSWER_MS, KEEP_TOKEN_MS
+from wigeonwind.state import bookings
+from wigeonwind.state.booking_steps import (
+    Booked,
+    BookingUnknown,
+    CertainlyNotRun,
+    Forbidden,
+    MayHaveRun,
+    NotBooked,
+    RanWhole,
+    Target,
+    WriteRecord,
+)
+from wigeonwind.state.store_types import StoreFailure
+
+SAME = {"anna": "7", "bela": "7"}
+OTHER_BODY = {"anna": "7", "bela": "8"}
+RESTART = {"vm": [Restart("a")]}
+CRASHES, LATE = {Fault.CRASH: 2}, {Fault.LATE_CALL: 1}
+LOST, UNSENT = {Fault.LOST_ANSWER: 1}, {Fault.LOST_CALL: 1}
+TWICE = {"a booking was executed twice"}
+FALSE_NOT_RUN = {"a caller was told not-run, and its call ran"}
+WRONG_ANSWER = {
+    "a caller got an answer that is not that of the execution",
+    "the record holds an answer that is not that of the execution",
+}
+
+
+@pytest.fixture(autouse=True)
+def few_rounds(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Bound the takeovers of one call, so that the exploration is complete."""
+    monkeypatch.setattr(bookings, "MAX_ROUNDS", 2)
+
+
+def explored(
+    faults: dict[Fault, int], model: type[BookingModel] = BookingModel, *args: Any
+) -> Exploration:
+    arguments = args or (SAME,)
+    return explore(
+        lambda: model(*arguments), faults, 30_000, state_of=BookingModel.state
+    )
+
+
+@pytest.mark.parametrize(
+    ("faults", "arguments"),
+    [
+        (CRASHES, (SAME,)),
+        (CRASHES | UNSENT, (SAME,)),
+        (LATE | {Fault.CRASH: 1}, (SAME, ("a", "b"))),
+        (LOST | UNSENT, (SAME,)),
+        ({Fault.LOST_ANSWER: 2}, (SAME,)),
+        (LOST | LATE, (OTHER_BODY,)),
+        (CRASHES, (SAME, ("a",), RESTART)),
+        (LOST, (SAME, ("a",), RESTART)),
+    ],
+)
+def test_no_fault_or_pair_of_faults_breaks_a_promise(
+    faults: dict[Fault, int], arguments: tuple[Any, ...]
+) -> None:
+    # Guards against a second execution, a false not-run and a wrong recorded answer.
+    result = explored(faults, BookingModel, *arguments)
+    assert result.violation is None
+    assert result.is_complete
+    assert result.runs >= 500
+
+
+@pytest.mark.parametrize("pause_ms", [KEEP_ANSWER_MS + 1, KEEP_TOKEN_MS + 1])
+def test_a_call_that_goes_on_after_a_long_pause_runs_nothing(pause_ms: float) -> None:
+    # Guards against a sidecar that has forgotten the claim it gave up or ran.
+    others = {"time": [Advance(pause_ms)]}
+    result = explored({}, BookingModel, SAME, ("a",), others)
+    assert result.violation is None
+    assert result.is_complete
+
+
+def test_a_long_pause_before_the_attempt_is_sent_is_caught(monkeypatch) -> None:
+    # Shows that the bound between claim and attempt is needed.
+    monkeypatch.setattr(bookings, "MAX_CLAIM_TO_RUN_MS", float("inf"))
+    others = {"time": [Advance(KEEP_TOKEN_MS + 1)]}
+    result = explored({}, PausedBeforeSending, SAME, ("a",), others)
+    assert result.violation is not None
+    assert result.violation.message in TWICE
+
+
+class PausedBeforeSending(BookingModel):
+    """Anna's call can be paused between its claim and its attempt."""
+
+    def _run(self, step, body):
+        if step.claim_token.startswith("anna"):
+            yield Advance(0.0)
+        return (yield from super()._run(step, body))
+
+
+class ForbidsNothing(BookingModel):
+    """A sidecar says that a token never runs and does not remember it."""
+
+    def resolve(self, sidecar, token):
+        if sidecar.claims.state(token) is None:
+            return Forbidden()
+        return super().resolve(sidecar, token)
+
+
+class AnyIncarnation(BookingModel):
+    """A restarted sidecar vouches for the one before it."""
+
+    def ask(self, token, target):
+        return self.resolve(self.sidecar_by_id[target.endpoint_id], token)
+
+
+class RunsCopies(BookingModel):
+    """A sidecar takes a token that it has forbidden."""
+
+    def deliver(self, call):
+        sidecar = self._find(call.target)
+        if sidecar is not None and sidecar.claims.state(call.token) is not None:
+            sidecar.claims._token_by_name.pop(call.token)
+        return super().deliver(call)
+
+
+class IgnoresVersions(BookingModel):
+    """The store writes a claim whatever is there."""
+
+    def perform(self, process, call):
+        if isinstance(call, WriteRecord):
+            version = self.store.version_of(call.key)
+            call = replace(call, if_version=version)
+        return super().perform(process, call)
+
+
+class Mapped(BookingModel):
+    """Changes what the protocol is told or what it tells."""
+
+    def protocol(self, call, new_token):
+        steps = super().protocol(call, new_token)
+        result = step = None
+        while True:
+            try:
+                step = steps.send(self.told(step, result))
+            except StopIteration as stop:
+                return self.ends(stop.value)
+            result = yield step
+
+    def told(self, step, result):
+        return result
+
+    def ends(self, result):
+        return result
+
+
+class OptimisticRuns(Mapped):
+    """A broken link is taken for a booking that did not run."""
+
+    def told(self, step, result):
+        if isinstance(result, MayHaveRun):
+            return CertainlyNotRun("no_endpoint", result.reason, None)
+        return result
+
+
+class OptimisticClaims(Mapped):
+    """A lost answer of the store is taken for a claim."""
+
+    def told(self, step, result):
+        if isinstance(step, WriteRecord) and isinstance(result, StoreFailure):
+            return bookings.Ok(1)
+        return result
+
+
+class UnknownAsNotRun(Mapped):
+    """A caller is told not-run although its booking may have run."""
+
+    def ends(self, result):
+        if isinstance(result, BookingUnknown):
+            return NotBooked("no_endpoint", result.reason, None)
+        return result
+
+
+class EmptyAnswers(BookingModel):
+    """A sidecar does not keep the answer that it delivered."""
+
+    def resolve(self, sidecar, token):
+        found = super().resolve(sidecar, token)
+        if isinstance(found, RanWhole):
+            return RanWhole(replace(found.answer, body=b""))
+        return found
+
+
+class WrongAnswers(BookingModel):
+    """A sidecar delivers something else than the endpoint's answer."""
+
+    def collect(self, token: str, target: Target):
+        found = super().collect(token, target)
+        if isinstance(found, RanWhole):
+            return RanWhole(replace(found.answer, body=b"other"))
+        return found
+
+
+@pytest.mark.parametrize(
+    ("model", "faults", "others", "messages"),
+    [
+        (ForbidsNothing, {}, {}, TWICE),
+        (AnyIncarnation, {}, RESTART, TWICE),
+        (RunsCopies, LATE, {}, TWICE),
+        (IgnoresVersions, {}, {}, TWICE),
+        (OptimisticRuns, LOST, {}, TWICE | FALSE_NOT_RUN),
+        (OptimisticClaims, UNSENT, {}, TWICE),
+        (UnknownAsNotRun, LOST, {}, FALSE_NOT_RUN),
+        (EmptyAnswers, {Fault.CRASH: 1}, {}, WRONG_ANSWER),
+        (EmptyAnswers, LOST, {}, WRONG_ANSWER),
+        (WrongAnswers, {}, {}, WRONG_ANSWER),
+    ],
+)
+def test_a_broken_system_is_caught(
+    model: type[BookingModel],
+    faults: dict[Fault, int],
+    others: dict[str, Any],
+    messages: set[str],
+) -> None:
+    result = explored(faults, model, SAME, ("a",), others)
+    assert result.violation is not None
+    assert result.violation.message in messages
+
+
+def test_a_call_alone_is_told_the_truth_at_each_crash_point() -> None:
+    # Guards against a call that ends without one of the four answers of the protocol.
+    seen: set[type] = set()
+
+    class Alone(BookingModel):
+        def ended(self, process, result):
+            super().ended(process, result)
+            seen.add(type(self.result_by_entry.get("anna")))
+
+    faults = LOST | UNSENT | LATE
+    result = explored(faults, Alone, {"anna": "7"}, ("a",), RESTART)
+    assert result.violation is None and result.is_complete
+    assert seen == {type(None), Booked, NotBooked, BookingUnknown}
+
+
+def test_the_steps_of_an_attempt_can_each_meet_a_fault() -> None:
+    # Guards against a model that has become too coarse to find anything.
+    model = BookingModel(SAME)
+    target = Target("a", 1)
+    assert Fault.LATE_CALL in model.faults_of(Deliver("t", target, "7", 0.0))
+    assert Fault.LOST_ANSWER in model.faults_of(Collect("t", target))
--- /dev/null
+++ b/wigeonwind/checking/booking_model.py
@@ -0,0 +1,347 @@
+"""Bookings as a model for the explorer: entries, sidecars, endpoint and store.
+
+Each entry runs the claim protocol itself; a sidecar is its claim memory. Delivery,
+start and end of an attempt are steps of their own, so that questions about the claim,
+restarts and faults come between them. A delayed delivery runs as soon as it arrives:
+the worst case of a late copy.
+"""
+
+from collections.abc import Callable, Generator, Hashable
+from dataclasses import dataclass, field
+from typing import Any
+
+from wigeonwind.checking.explorer import Fault
+from wigeonwind.clock import ManualClock
+from wigeonwind.outcomes import Ok
+from wigeonwind.roles.claim_memory import BookingAnswer, ClaimMemory, TokenState
+from wigeonwind.state.booking_record import RecordedAnswer, RecordState, decode_record
+from wigeonwind.state.booking_steps import (
+    AskClaim,
+    Booked,
+    BookingCall,
+    CertainlyNotRun,
+    ChooseTarget,
+    Forbidden,
+    MayHaveRun,
+    NotBooked,
+    OtherBody,
+    Pause,
+    RanWhole,
+    ReadRecord,
+    RunAttempt,
+    Steps,
+    Target,
+    Unresolved,
+    WriteRecord,
+)
+from wigeonwind.state.bookings import book
+from wigeonwind.state.memory_store import MemoryStore
+from wigeonwind.state.store_types import StoreFailure
+
+RECORD_KEY = "bookings/k"
+LINK_TIMEOUT_MS = 5_000.0
+"""Silence after which a sidecar closes a link; nothing that was sent on it arrives."""
+
+LOST = StoreFailure("no answer", maybe_written=True)
+REFUSED = CertainlyNotRun("booking_conflict", "the sidecar refused it", None)
+
+
+@dataclass(frozen=True)
+class Deliver:
+    """The attempt reaches the sidecar and waits there."""
+
+    token: str
+    target: Target
+    body: str
+    sent_ms: float
+
+
+@dataclass(frozen=True)
+class Start:
+    """The sidecar sends the attempt to the endpoint, which executes it."""
+
+    token: str
+    target: Target
+    body: str
+
+
+@dataclass(frozen=True)
+class Collect:
+    """The sidecar has the whole answer and sends it to the entry."""
+
+    token: str
+    target: Target
+
+
+@dataclass(frozen=True)
+class Restart:
+    """A sidecar is replaced by a new incarnation that remembers nothing."""
+
+    endpoint_id: str
+
+
+@dataclass(frozen=True)
+class Advance:
+    """Time passes for everybody."""
+
+    duration_ms: float
+
+
+@dataclass
+class Sidecar:
+    """One incarnation of a sidecar."""
+
+    clock: ManualClock
+    incarnation: int = 1
+    claims: ClaimMemory = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Start with an empty memory."""
+        self.claims = ClaimMemory(self.clock)
+
+
+@dataclass(frozen=True)
+class Execution:
+    """The endpoint executed a booking; `body` tells the calls apart."""
+
+    token: str
+    body: str
+
+    def answer(self) -> bytes:
+        """Return the answer, which is different for each execution."""
+        return f"{self.token} booked {self.body}".encode()
+
+
+class BookingModel:
+    """Entries that book under one key; `body_by_entry` names them and their calls.
+
+    `others` are further processes: lists of `Restart` and `Advance` steps by name.
+    Subclasses break one rule each, to show that the invariants notice.
+    """
+
+    def __init__(
+        self,
+        body_by_entry: dict[str, str],
+        endpoints: tuple[str, ...] = ("a",),
+        others: dict[str, list[Restart | Advance]] | None = None,
+    ) -> None:
+        self.store = MemoryStore()
+        self.clock = ManualClock()
+        self.sidecar_by_id = {name: Sidecar(self.clock) for name in endpoints}
+        self.executions: list[Execution] = []
+        self.entry_by_token: dict[str, str] = {}
+        self.result_by_entry: dict[str, Any] = {}
+        self._orphans: set[str] = set()
+        self._steps_by_entry = dict.fromkeys(body_by_entry, 0)
+        self._befores: tuple[Hashable, ...] = ()
+        self._body_by_entry = body_by_entry
+        self._endpoints = endpoints
+        self._others = others or {}
+
+    def processes(self) -> dict[str, Generator[Any, Any, Any]]:
+        """Return the processes, freshly started."""
+        entries = {
+            name: self._entry(name, number, body)
+            for number, (name, body) in enumerate(self._body_by_entry.items())
+        }
+        others = {name: _steps_of(steps) for name, steps in self._others.items()}
+        return {**entries, **others}
+
+    def protocol(self, call: BookingCall, new_token: Callable[[], str]) -> Steps:
+        """Return the protocol under test."""
+        return book(call, new_token, self.clock.now_ms)
+
+    def _entry(self, name: str, number: int, body: str) -> Generator[Any, Any, Any]:
+        """Run the protocol; choices and pauses are no steps, as they are local."""
+        steps = self.protocol(
+            BookingCall(RECORD_KEY, body), lambda: self._new_token(name)
+        )
+        chosen = 0
+        result: Any = None
+        while True:
+            try:
+                step = steps.send(result)
+            except StopIteration as stop:
+                return stop.value
+            if isinstance(step, ChooseTarget):
+                result = self._choose(number + chosen)
+                chosen += 1
+            elif isinstance(step, RunAttempt):
+                result = yield from self._run(step, body)
+            else:
+                result = None if isinstance(step, Pause) else (yield step)
+            self._steps_by_entry[name] += 1
+
+    def _new_token(self, entry: str) -> str:
+        names = list(self.entry_by_token.values())
+        token = f"{entry}-{names.count(entry)}"
+        self.entry_by_token[token] = entry
+        return token
+
+    def _choose(self, number: int) -> Target:
+        endpoint_id = self._endpoints[number % len(self._endpoints)]
+        return Target(endpoint_id, self.sidecar_by_id[endpoint_id].incarnation)
+
+    def _run(self, step: RunAttempt, body: str) -> Generator[Any, Any, Any]:
+        token, target = step.claim_token, step.target
+        refused = yield Deliver(token, target, body, self.clock.now_ms())
+        if refused is None:
+            refused = yield Start(token, target, body)
+        return (yield Collect(token, target)) if refused is None else refused
+
+    def perform(self, process: str, call: Any) -> Any:
+        """Let a call take effect and return its result."""
+        match call:
+            case ReadRecord(key=key):
+                return self.store.get(key)
+            case WriteRecord(key=key, value=value, if_version=if_version):
+                return self.store.put(key, value, if_version)
+            case Deliver(token=token):
+                refused = self.deliver(call)
+                if refused is None and token in self._orphans:
+                    self._run_orphan(call)
+                return refused
+            case Start():
+                return self.start(call)
+            case Collect(token=token, target=target):
+                return self.collect(token, target)
+            case AskClaim(claim_token=token, target=target):
+                return self.ask(token, target)
+            case Restart(endpoint_id=endpoint_id):
+                old = self.sidecar_by_id[endpoint_id]
+                new = Sidecar(self.clock, old.incarnation + 1)
+                self.sidecar_by_id[endpoint_id] = new
+            case Advance(duration_ms=duration_ms):
+                # What happened before and what after decides what is forgotten.
+                before = tuple(self._steps_by_entry.items()), self._memory()
+                self._befores += (before,)
+                self.clock.advance(duration_ms)
+        return None
+
+    def _find(self, target: Target) -> Sidecar | None:
+        found = self.sidecar_by_id[target.endpoint_id]
+        return found if found.incarnation == target.incarnation else None
+
+    def deliver(self, call: Deliver) -> CertainlyNotRun | MayHaveRun | None:
+        """Let an attempt wait at its sidecar, under the rules of the intake."""
+        sidecar = self._find(call.target)
+        if self.clock.now_ms() - call.sent_ms > LINK_TIMEOUT_MS:
+            return MayHaveRun("the sidecar has closed the silent link")
+        if sidecar is None or sidecar.claims.state(call.token) is not None:
+            return REFUSED
+        sidecar.claims.add(call.token, (call.token, 0))
+        return None
+
+    def start(self, call: Start) -> CertainlyNotRun | MayHaveRun | None:
+        """Execute an attempt that still waits."""
+        sidecar = self._find(call.target)
+        if sidecar is None:
+            return MayHaveRun("the link broke")
+        if sidecar.claims.state(call.token) is not TokenState.WAITING:
+            return REFUSED
+        sidecar.claims.start(call.token)
+        self.executions.append(Execution(call.token, call.body))
+        return None
+
+    def collect(self, token: str, target: Target) -> RanWhole | MayHaveRun:
+        """Let the answer of an execution reach its sidecar and the entry."""
+        sidecar = self._find(target)
+        if sidecar is None:
+            return MayHaveRun("the link broke")
+        (data,) = [run.answer() for run in self.executions if run.token == token]
+        sidecar.claims.end(token, BookingAnswer(200, [], data))
+        return RanWhole(RecordedAnswer(200, [], data))
+
+    def ask(self, token: str, target: Target) -> Forbidden | RanWhole | Unresolved:
+        """Resolve a claim token at its sidecar."""
+        sidecar = self._find(target)
+        if sidecar is None:
+            return Unresolved("another incarnation")
+        return self.resolve(sidecar, token)
+
+    def resolve(
+        self, sidecar: Sidecar, token: str
+    ) -> Forbidden | RanWhole | Unresolved:
+        """Answer for the incarnation that is named in the claim."""
+        if sidecar.claims.state(token) is TokenState.WAITING:
+            sidecar.claims.never_ran(token)
+        state = sidecar.claims.resolve(token)
+        if state.state == TokenState.FORBIDDEN.value:
+            return Forbidden()
+        if state.state == TokenState.DONE.value:
+            return RanWhole(RecordedAnswer(state.status, [], state.body))
+        return Unresolved(state.state)
+
+    def no_answer(self, call: Any) -> Any:
+        """Return what an entry is sent when it gets no answer."""
+        if isinstance(call, WriteRecord):
+            return LOST
+        if isinstance(call, ReadRecord):
+            return StoreFailure("no answer", maybe_written=False)
+        if isinstance(call, AskClaim):
+            return Unresolved("no answer")
+        if isinstance(call, Deliver):
+            self._orphans.add(call.token)
+            sidecar = self._find(call.target)
+            if sidecar and sidecar.claims.state(call.token) is TokenState.WAITING:
+                self._run_orphan(call)
+        return MayHaveRun("no answer")
+
+    def faults_of(self, call: Any) -> tuple[Fault, ...]:
+        """Return the faults that a call can meet."""
+        if isinstance(call, (WriteRecord, Deliver)):
+            return (Fault.CRASH, Fault.LOST_CALL, Fault.LOST_ANSWER, Fault.LATE_CALL)
+        if isinstance(call, (Restart, Advance)):
+            return ()
+        return (Fault.CRASH, Fault.LOST_CALL, Fault.LOST_ANSWER)
+
+    def _run_orphan(self, call: Deliver) -> None:
+        """Run an attempt to its end although its entry waits no more."""
+        if self.start(Start(call.token, call.target, call.body)) is None:
+            self.collect(call.token, call.target)
+
+    def ended(self, process: str, result: Any) -> None:
+        """Note what the caller of an entry was told."""
+        if process in self._body_by_entry:
+            self.result_by_entry[process] = result
+
+    def check(self) -> str:
+        """Return which invariant is broken now, empty if none is."""
+        if len(self.executions) > 1:
+            return "a booking was executed twice"
+        ran = {self.entry_by_token[run.token] for run in self.executions}
+        answers = [run.answer() for run in self.executions]
+        for entry, result in self.result_by_entry.items():
+            if isinstance(result, (NotBooked, OtherBody)) and entry in ran:
+                return "a caller was told not-run, and its call ran"
+            if isinstance(result, Booked) and [result.answer.body] != answers:
+                return "a caller got an answer that is not that of the execution"
+        return self._check_record(answers)
+
+    def state(self) -> Hashable:
+        """Return all that decides what the processes can meet."""
+        orphans = tuple(sorted(self._orphans))
+        runs = tuple(self.executions)
+        return self._memory(), orphans, runs, self._befores
+
+    def _memory(self) -> Hashable:
+        known = [
+            (name, side.incarnation, side.claims.state(token))
+            for name, side in self.sidecar_by_id.items()
+            for token in sorted(self.entry_by_token)
+        ]
+        return tuple(known), self.store.object_by_key.get(RECORD_KEY)
+
+    def _check_record(self, answers: list[bytes]) -> str:
+        found = self.store.get(RECORD_KEY)
+        record = decode_record(found.value.value) if isinstance(found, Ok) else None
+        if record is None or record.state is not RecordState.DONE:
+            return ""
+        body = record.answer.body if record.answer else None
+        if [body] != answers:
+            return "the record holds an answer that is not that of the execution"
+        return ""
+
+
+def _steps_of(steps: list[Restart | Advance]) -> Generator[Any, Any, None]:
+    yield from steps
--- a/wigeonwind/checking/explorer.py
+++ b/wigeonwind/checking/explorer.py
@@ -4,9 +4,12 @@
 explorer chooses which process goes on and which fault its call meets. It runs the
 model again from the start for each sequence of choices (depth first), so a model needs
 no copying, and the order of runs is always the same.
+
+A model that can describe its own state lets the explorer leave out what follows from a
+state that it has met before. The state of a process is what it was sent so far.
 """
 
-from collections.abc import Callable, Generator, Iterator, Mapping
+from collections.abc import Callable, Generator, Hashable, Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any, Protocol
@@ -116,6 +119,7 @@
         self._process_by_name = dict(model.processes())
         self._call_by_name: dict[str, Any] = {}
         self._late_calls: list[tuple[str, Any]] = []
+        self._story_by_name: dict[str, list[str]] = {}
         self.steps: list[str] = []
         for name in list(self._process_by_name):
             self._send(name, None)
@@ -149,6 +153,7 @@
     def _meet(self, name: str, call: Any, fault: Fault) -> None:
         if fault is Fault.CRASH:
             self._process_by_name.pop(name).close()
+            self._story_by_name[name] = [fault.value]
             return
         result = None
         if fault in (Fault.NONE, Fault.LOST_ANSWER):
@@ -161,12 +166,20 @@
 
     def _send(self, name: str, result: Any) -> None:
         """Let a process go on to its next call or its end."""
+        self._story_by_name.setdefault(name, []).append(repr(result))
         try:
             self._call_by_name[name] = self._process_by_name[name].send(result)
         except StopIteration as stop:
             del self._process_by_name[name]
+            self._story_by_name[name] = [f"ended {stop.value!r}"]
             self._model.ended(name, stop.value)
 
+    def state(self, model_state: Hashable) -> Hashable:
+        """Return all that decides what can follow."""
+        stories = [(name, tuple(told)) for name, told in self._story_by_name.items()]
+        late = sorted(repr(late) for late in self._late_calls)
+        return tuple(stories), tuple(late), tuple(self._budget.items()), model_state
+
     def check(self) -> str:
         """Return which invariant is broken now, empty if none is."""
         return self._model.check()
@@ -182,12 +195,15 @@
     budget: Mapping[Fault, int],
     max_runs: int,
     max_steps: int = 200,
+    state_of: Callable[[Any], Hashable] | None = None,
 ) -> Exploration:
     """Run the model under all sequences of choices until an invariant breaks.
 
     `budget` is how often each fault may happen in one run. `max_runs` and `max_steps`
-    of one run bound the search; the result says whether it was complete.
+    of one run bound the search; the result says whether it was complete. `state_of`
+    returns the whole state of a model outside of its processes.
     """
+    seen: set[Hashable] = set()
     prefix: list[int] | None = []
     runs = steps = 0
     cut_off = False
@@ -195,8 +211,13 @@
         if runs >= max_runs:
             return Exploration(runs, steps, is_complete=False)
         chooser = _Chooser(prefix)
-        run = _Run(make_model(), budget)
-        message, ended = _run_once(run, chooser, max_steps)
+        model = make_model()
+        run = _Run(model, budget)
+
+        def is_new(run: _Run = run, model: Model = model) -> bool:
+            return state_of is None or _add(seen, run.state(state_of(model)))
+
+        message, ended = _run_once(run, chooser, max_steps, is_new)
         runs += 1
         steps += len(run.steps)
         cut_off = cut_off or not ended
@@ -207,8 +228,20 @@
     return Exploration(runs, steps, is_complete=not cut_off)
 
 
-def _run_once(run: _Run, chooser: _Chooser, max_steps: int) -> tuple[str, bool]:
-    """Run to the end; return the broken invariant and whether the end was reached."""
+def _add(seen: set[Hashable], state: Hashable) -> bool:
+    count = len(seen)
+    # Only the hash is kept: a whole state is some kilobytes.
+    seen.add(hash(state))
+    return len(seen) > count
+
+
+def _run_once(
+    run: _Run, chooser: _Chooser, max_steps: int, is_new: Callable[[], bool]
+) -> tuple[str, bool]:
+    """Run to the end or to a state met before.
+
+    Return the broken invariant and whether such an end was reached.
+    """
     try:
         while moves := run.moves():
             if len(run.steps) >= max_steps:
@@ -217,6 +250,9 @@
             message = run.check()
             if message:
                 return message, True
+            # Steps that repeat the run before lead to states that it has met.
+            if len(chooser.taken) >= len(chooser.prefix) and not is_new():
+                return "", True
         return "", True
     finally:
         run.close()
--- a/wigeonwind/roles/booking_call.py
+++ b/wigeonwind/roles/booking_call.py
@@ -127,7 +127,7 @@
         result = AsyncResult()
         self._asked_by_token[token] = (link, result)
         try:
-            if not link.send(ResolveClaim(token)):
+            if not link.send(ResolveClaim(token, target.incarnation)):
                 return Unresolved("the endpoint that may have run it cannot be reached")
             state = result.get(timeout=ASK_TIMEOUT_MS / MS_PER_SECOND)
         except Timeout:
--- a/wigeonwind/state/bookings.py
+++ b/wigeonwind/state/bookings.py
@@ -67,10 +67,22 @@
 cannot tell it from one it never saw; an hour is left for differences of clocks.
 """
 
+MAX_CLAIM_TO_RUN_MS = 3_600_000.0
+"""Longest time between a claim and its attempt: that of the longest request.
+
+A process that was paused for longer may hold a claim that was forbidden so long ago
+that its sidecar has forgotten it and would run it a second time.
+"""
+
 UNKNOWN_RETRY_MS = 5000.0
 """A sidecar that runs a booking or is out of reach may be asked again after this."""
 
 
+_TOO_LATE = CertainlyNotRun(
+    "deadline", "this process was paused after its claim", UNKNOWN_RETRY_MS
+)
+
+
 def record_key(customer: str, service: str, key: str) -> str:
     """Return the store key of a booking."""
     text = "\0".join((customer, service, key)).encode()
@@ -208,7 +220,9 @@
     ) -> Generator[Step, StepResult, BookingResult | None]:
         record = claimed.record
         target = Target(record.endpoint_id, record.incarnation)
-        result = yield RunAttempt(record.claim_token, target)
+        result: StepResult = _TOO_LATE
+        if self._wall_ms() - record.claimed_ms <= MAX_CLAIM_TO_RUN_MS:
+            result = yield RunAttempt(record.claim_token, target)
         match result:
             case RanWhole(answer=answer):
                 yield from self._record_answer(record, claimed.version, answer)
