Roll a model out end to end, paced by failures and judged before it spreads

Cause: the planner was only tested as a pure plan. With a fleet, a version that was 20 times slower spread to all engines, since entries avoid a slow endpoint and it never got the 20 requests that judge it; a failed load (429 of the weight store) was repeated each round; an edited text waited up to 60 s for a look; the next leader's repeated order emptied an endpoint that had the version already; an unreachable endpoint did not count as out of service.

Conclusion: a replaced endpoint still serves its old version until its order comes, at most 60 s; keeping it out of service until then is not done.

--- a/tests/test_rolls.py
+++ b/tests/test_rolls.py
@@ -2,7 +2,9 @@
 
 from dataclasses import replace
 
+from wigeonwind.state.load_pace import LONGEST_WAIT_MS, LoadPace
 from wigeonwind.state.rolls import (
+    LONGEST_SOAKS,
     SOAK_MS,
     EndpointView,
     LoadVersion,
@@ -84,6 +86,18 @@
     assert {view.version for view in views} == {"1"}
 
 
+def test_a_version_that_entries_avoid_is_halted():
+    # Guards against a slow version that spreads because nobody sends it work.
+    planner = RollPlanner("llm")
+    views = make_views(3)
+    views[0] = replace(views[0], version="2", ended=3, attained=0)
+    assert list(planner.plan("2", RUNNING, views, 0.0)) == []
+    views[1:] = [replace(view, ended=200, attained=200) for view in views[1:]]
+    assert list(planner.plan("2", RUNNING, views, SOAK_MS)) == []
+    (step,) = planner.plan("2", RUNNING, views, LONGEST_SOAKS * SOAK_MS)
+    assert step.record.verdict is Verdict.HALTED
+
+
 def test_errors_halt_a_roll():
     views = make_views(5)
     views[0] = replace(views[0], version="2", ended=50, failed=10, attained=40)
@@ -116,3 +130,18 @@
 def test_a_record_survives_storage():
     assert read_roll_record(RUNNING.to_bytes()) == RUNNING
     assert read_roll_record(b"{}") is None
+
+
+def test_refused_loads_are_tried_later_and_fewer_at_a_time():
+    # Guards against a rollout that keeps a rate-limited weight store at its limit.
+    pace, now_ms, waits = LoadPace(1_000.0), 0.0, []
+    for _ in range(10):
+        began = now_ms
+        while not (room := pace.room(now_ms, 0, 16)):
+            now_ms += 500.0
+        waits.append(now_ms - began)
+        for _ in range(room):
+            pace.on_failed(now_ms, room)
+    assert waits[1:5] == [1_000.0, 2_000.0, 4_000.0, 8_000.0]
+    assert max(waits) == LONGEST_WAIT_MS
+    assert room == 1
--- a/wigeonwind/roles/demo.py
+++ b/wigeonwind/roles/demo.py
@@ -27,6 +27,7 @@
 from wigeonwind.standins.engine_types import EngineConfig
 from wigeonwind.standins.object_store_server import ObjectStoreServer
 from wigeonwind.standins.plain_service import PlainServiceServer
+from wigeonwind.state.rolls import RollTimes
 from wigeonwind.state.store_steps import run_steps
 from wigeonwind.state.text import read_text
 from wigeonwind.state.text_store import Accepted, submit_steps
@@ -121,12 +122,19 @@
     process.node.text.offer(result.version, source)
 
 
-def add_entry(fleet: DemoFleet, name: str, zone: str, port: int = 0) -> Process:
+def add_entry(
+    fleet: DemoFleet,
+    name: str,
+    zone: str,
+    port: int = 0,
+    roll_times: RollTimes | None = None,
+) -> Process:
     """Start one more entry."""
     store = str(fleet.store_address)
     process = make_process(
         settings_source(name, "entry", zone, store, fleet.seed_address, port)
     )
+    process.node.roll_times = roll_times or process.node.roll_times
     addresses = process.start()
     fleet.entries.append(process)
     assert addresses.callers is not None
@@ -156,6 +164,8 @@
     entries: int = 1,
     port: int = 0,
     config: EngineConfig = DEMO_ENGINE,
+    roll_times: RollTimes | None = None,
+    weight_store: SocketAddress | None = None,
 ) -> DemoFleet:
     """Start stand-ins, entries and sidecars, and wait until callers are served."""
     zones = ("tartu-a", "viljandi-b", "voru-c")
@@ -163,11 +173,17 @@
     fleet = DemoFleet(store, store.start())
     for number in range(entries):
         add_entry(
-            fleet, f"entry-{number}", zones[number % 3], port if not number else 0
+            fleet,
+            f"entry-{number}",
+            zones[number % 3],
+            port if not number else 0,
+            roll_times,
         )
     submit_text(fleet, text)
     for number in range(engines):
-        engine = EngineServer(ANY_PORT, replace(config, seed=number))
+        engine = EngineServer(
+            ANY_PORT, replace(config, seed=number), weight_store=weight_store
+        )
         fleet.engines.append(engine)
         zone, name = zones[number % 3], f"llm-side-{number}"
         add_side(fleet, name, zone, "wigeon-llm", "model", engine.start())
--- a/wigeonwind/roles/node.py
+++ b/wigeonwind/roles/node.py
@@ -25,6 +25,7 @@
 from wigeonwind.settings import parse_address_list as parse_addresses
 from wigeonwind.state.lease import Lease
 from wigeonwind.state.membership import MemberRecord, Membership, MemberState
+from wigeonwind.state.rolls import RollTimes
 from wigeonwind.state.store_types import Store
 from wigeonwind.state.text_keeper import TextKeeper
 
@@ -132,6 +133,7 @@
         self.role: Role | None = None
         self.endpoint_consumer: EndpointConsumer | None = None
         self.roller: Roller | None = None
+        self.roll_times = RollTimes()
 
     def _own_record(self) -> MemberRecord:
         node = self.settings.node
@@ -198,6 +200,7 @@
             lambda: self.text.catalog,
             lambda service: self.members.live("side", service),
             self.open_link,
+            self.roll_times,
         )
         self._greenlets.append(spawn(self.roller.run))
 
--- a/wigeonwind/roles/orders.py
+++ b/wigeonwind/roles/orders.py
@@ -98,6 +98,8 @@
         self._is_ready = is_ready
         self._highest_fence = 0
         self._is_lease_read = False
+        self._last_done: Order | None = None
+        """None after a failed order, which may still take effect at any time."""
         self._pending: deque[tuple[Link, Order]] = deque()
         self._worker: Greenlet | None = None
         self._reader: Greenlet | None = None
@@ -182,11 +184,26 @@
             return self._give(target, order)
         if order.fence < self._highest_fence:
             return OLD_FENCE
+        if self._is_done_already(target, order):
+            return ""
         self._work_stop.begin()
         try:
-            return self._give(target, order) or self._wait_in_force(target, order)
+            reason = self._give(target, order) or self._wait_in_force(target, order)
         finally:
             self._work_stop.end()
+        self._last_done = None if reason else order
+        return reason
+
+    def _is_done_already(self, target: OrderTarget, order: Order) -> bool:
+        """Return whether the last order, of an earlier leader, has had this effect.
+
+        Stopping the work again would cost capacity for nothing.
+        """
+        last = self._last_done
+        if last is None or _effect(last) != _effect(order):
+            return False
+        load = target.load()
+        return not isinstance(load, EngineFailure) and _is_in_force(order, load)
 
     def _give(self, target: OrderTarget, order: Order) -> str:
         # Checked last: a newer leader may have spoken while the work ended.
@@ -249,6 +266,10 @@
         )
 
 
+def _effect(order: Order) -> tuple[str, str, str, str]:
+    return order.action, order.model, order.version, order.role
+
+
 def _is_in_force(order: Order, load: EngineLoad) -> bool:
     if order.action == "change_role":
         return load.role == order.role
--- a/wigeonwind/roles/roller.py
+++ b/wigeonwind/roles/roller.py
@@ -14,12 +14,14 @@
 from wigeonwind.links.messages import Order, OrderResult
 from wigeonwind.outcomes import Ok
 from wigeonwind.state.lease import RENEW_INTERVAL_MS, Lease
+from wigeonwind.state.load_pace import LoadPace
 from wigeonwind.state.membership import MemberRecord
 from wigeonwind.state.rolls import (
     EndpointView,
     LoadVersion,
     RollPlanner,
     RollRecord,
+    RollTimes,
     WriteRecord,
     read_roll_record,
 )
@@ -31,12 +33,7 @@
 LOAD_TIMEOUT_MS = 600_000.0
 """Time for an endpoint to load a model version."""
 
-ROUND_MS = 5_000.0
-"""Interval between looks at the endpoints while a rollout is under way."""
-
-IDLE_ROUND_MS = 60_000.0
-"""Interval between looks while nothing is to be done; a replaced VM that came up with
-an old version is found within it."""
+DEFAULT_TIMES = RollTimes()
 
 log = get_logger("wigeonwind.roller")
 
@@ -61,7 +58,11 @@
         catalog: Callable[[], Catalog],
         sides: Callable[[str], Iterator[MemberRecord]],
         open_link: Callable[[MemberRecord], Link | None],
+        times: RollTimes = DEFAULT_TIMES,
     ) -> None:
+        self._times = times
+        self._seen_catalog = -1
+        self._pace_by_service: dict[str, LoadPace] = {}
         self._store = store
         self._lease = lease
         self._clock = clock
@@ -86,10 +87,13 @@
             fence = self._lease.step()
             self._note_fence(fence)
             now_ms = self._clock.now_ms()
-            if fence is not None and now_ms >= next_round_ms:
+            if fence is not None and (now_ms >= next_round_ms or self._is_edited()):
+                self._seen_catalog = self._catalog().version
                 busy = self._round()
-                next_round_ms = now_ms + (ROUND_MS if busy else IDLE_ROUND_MS)
-            sleep(min(RENEW_INTERVAL_MS, ROUND_MS) / MS_PER_SECOND)
+                times = self._times
+                wait_ms = times.round_ms if busy else times.idle_round_ms
+                next_round_ms = now_ms + wait_ms
+            sleep(min(RENEW_INTERVAL_MS, self._times.round_ms) / MS_PER_SECOND)
 
     def stop(self) -> None:
         """Stop after the present step and give the lease back."""
@@ -102,6 +106,9 @@
         if waiting is not None:
             waiting.set(result)
 
+    def _is_edited(self) -> bool:
+        return self._catalog().version != self._seen_catalog
+
     def _note_fence(self, fence: int | None) -> None:
         if fence != self._fence_held:
             self._fence_held = fence
@@ -121,19 +128,37 @@
     def _round_of(self, service: Service) -> bool:
         stored = self._read_record(service.name)
         if stored is None:
-            return False
+            # The store is down; a rollout may be under way.
+            return True
         views = list(self._observe(service))
         planner = self._planner_by_service.setdefault(
-            service.name, RollPlanner(service.name)
+            service.name, RollPlanner(service.name, self._times.soak_ms)
         )
         now_ms = self._clock.now_ms()
         target = service.model_version
         steps = list(planner.plan(target, stored.record, views, now_ms))
-        for step in steps:
+        for step in self._paced(service, steps, now_ms):
             self._carry_out(service, step, stored.version)
         running = stored.record is None or stored.record.verdict.value == "running"
         return bool(steps) or running
 
+    def _paced(
+        self,
+        service: Service,
+        steps: list[WriteRecord | LoadVersion],
+        now_ms: float,
+    ) -> list[WriteRecord | LoadVersion]:
+        """Leave out loads that are under way, and those that would come too fast."""
+        loads = [s for s in steps if isinstance(s, LoadVersion)]
+        due = [s for s in loads if s.endpoint_id not in self._loading_ids]
+        pace = self._pace_of(service.name)
+        room = pace.room(now_ms, len(self._loading_ids), len(due))
+        return [s for s in steps if isinstance(s, WriteRecord)] + due[:room]
+
+    def _pace_of(self, service: str) -> LoadPace:
+        pace = LoadPace(self._times.round_ms)
+        return self._pace_by_service.setdefault(service, pace)
+
     def _read_record(self, service: str) -> _StoredRecord | None:
         found = self._store.get(f"rolls/{service}")
         if isinstance(found, Ok):
@@ -151,9 +176,11 @@
         ]
         for record, greenlet in pending:
             result = greenlet.get()
+            member_id = record.member_id
             if result is None:
+                # It counts as out of service, or others would be taken out besides it.
+                yield EndpointView(member_id, record.zone, "", False)
                 continue
-            member_id = record.member_id
             loading = member_id in self._loading_ids
             yield EndpointView(
                 member_id,
@@ -178,20 +205,30 @@
                 verdict=record.verdict.value,
                 reason=record.reason,
             )
-        elif step.endpoint_id not in self._loading_ids:
+        else:
+            self._loading_ids.add(step.endpoint_id)
             spawn(self._load, service, step)
 
     def _load(self, service: Service, step: LoadVersion) -> None:
-        records = self._sides(service.name)
-        named = [r for r in records if r.member_id == step.endpoint_id]
-        if not named:
-            return
-        self._loading_ids.add(step.endpoint_id)
+        pace = self._pace_of(service.name)
         try:
-            self._order(named[0], "load_model", service.models[0], step.version)
+            result = self._give_load(service, step)
+            loading = len(self._loading_ids)
+            if result is not None and result.done:
+                pace.on_loaded()
+            elif result is not None:
+                pace.on_failed(self._clock.now_ms(), loading)
+                log.info("load failed", id=step.endpoint_id, reason=result.reason)
         finally:
             self._loading_ids.discard(step.endpoint_id)
 
+    def _give_load(self, service: Service, step: LoadVersion) -> OrderResult | None:
+        for record in self._sides(service.name):
+            if record.member_id == step.endpoint_id:
+                model = service.models[0]
+                return self._order(record, "load_model", model, step.version)
+        return None
+
     def _order(
         self, record: MemberRecord, action: str, model: str, version: str
     ) -> OrderResult | None:
--- a/wigeonwind/state/rolls.py
+++ b/wigeonwind/state/rolls.py
@@ -19,10 +19,33 @@
 MIN_SAMPLES = 20
 """Ended requests on the new version before it can be judged."""
 
+LONGEST_SOAKS = 10
+"""Soak times for which a version with fewer than MIN_SAMPLES is waited for."""
+
+MIN_WORK_SHARE = 0.25
+"""Work that an endpoint with the new version must have got by then, against the others.
+
+Entries send less to an endpoint that is slower than its peers, so a bad version may
+never collect MIN_SAMPLES while the others are busy.
+"""
+
 MAX_WORSE = 0.05
 """Attainment lost or errors gained, as a share, that halt a rollout."""
 
 
+@dataclass(frozen=True)
+class RollTimes:
+    """Times of a rollout in milliseconds; tests use shorter ones.
+
+    `round_ms` lies between looks at the endpoints during a rollout, `idle_round_ms`
+    between looks while nothing is to be done.
+    """
+
+    soak_ms: float = SOAK_MS
+    round_ms: float = 5_000.0
+    idle_round_ms: float = 60_000.0
+
+
 class Verdict(Enum):
     """State of a rollout."""
 
@@ -58,7 +81,10 @@
 
 @dataclass(frozen=True)
 class EndpointView:
-    """One endpoint as its sidecar described it; counts are since the version loaded."""
+    """One endpoint as its sidecar described it; counts are since the version loaded.
+
+    An endpoint that gave no answer is not ready and has no `version`.
+    """
 
     endpoint_id: str
     zone: str
@@ -106,9 +132,11 @@
 class RollPlanner:
     """Plans the rollout of one service."""
 
-    def __init__(self, service: str) -> None:
+    def __init__(self, service: str, soak_ms: float = SOAK_MS) -> None:
         self._service = service
+        self._soak_ms = soak_ms
         self._first_converted_ms: float | None = None
+        self._ended_before_by_id: dict[str, int] = {}
 
     def plan(
         self,
@@ -145,24 +173,42 @@
     ) -> Iterator[RollStep]:
         new = [view for view in views if view.version == record.target]
         old = [view for view in views if view.version != record.target]
+        soaked_ms = self._soaked_ms(new, old, now_ms)
+        ended = self._ended_since(old)
+        is_judged = _quality(new).ended >= MIN_SAMPLES or not ended
+        is_waited_out = soaked_ms >= LONGEST_SOAKS * self._soak_ms
         reason = _worsened(_quality(new), _quality(old))
+        if is_waited_out and not is_judged and _is_avoided(new, ended / len(old)):
+            reason = "entries send little work to the new version"
         if reason:
             halted = replace(record, verdict=Verdict.HALTED, reason=reason)
             yield WriteRecord(halted)
         elif not old:
             yield WriteRecord(replace(record, verdict=Verdict.DONE))
-        elif self._may_spread(new, now_ms):
+        elif soaked_ms >= self._soak_ms and (is_judged or is_waited_out):
             yield from self._convert(record.target, views, len(views))
         elif not new:
             yield from self._convert(record.target, views, 1)
 
-    def _may_spread(self, new: list[EndpointView], now_ms: float) -> bool:
+    def _soaked_ms(
+        self, new: list[EndpointView], old: list[EndpointView], now_ms: float
+    ) -> float:
+        """Return for how long the new version has served, -1 if it does not."""
         if not any(view.ready for view in new):
             self._first_converted_ms = None
-            return False
+            return -1.0
         if self._first_converted_ms is None:
             self._first_converted_ms = now_ms
-        return now_ms - self._first_converted_ms >= SOAK_MS
+            self._ended_before_by_id = {view.endpoint_id: view.ended for view in old}
+        return now_ms - self._first_converted_ms
+
+    def _ended_since(self, old: list[EndpointView]) -> int:
+        """Return what the others ended since the new version began to serve."""
+        before = self._ended_before_by_id
+        return sum(
+            max(0, view.ended - before.get(view.endpoint_id, view.ended))
+            for view in old
+        )
 
     def _convert(
         self, version: str, views: list[EndpointView], most: int
@@ -190,8 +236,14 @@
 
 
 def _most_common_version(views: list[EndpointView]) -> str:
-    counts = Counter(view.version for view in views)
-    return max(sorted(counts), key=lambda version: counts[version])
+    counts = Counter(view.version for view in views if view.version)
+    return max(sorted(counts), key=lambda version: counts[version], default="")
+
+
+def _is_avoided(new: list[EndpointView], ended_by_each_other: float) -> bool:
+    ended = _quality(new).ended / max(1, len(new))
+    # A single request more or less says nothing.
+    return ended + 1 < MIN_WORK_SHARE * ended_by_each_other
 
 
 def _worsened(new: _Quality, old: _Quality) -> str:
