--- a/bench/choice_policies.py
+++ b/bench/choice_policies.py
@@ -115,7 +115,7 @@
             chooser.on_first_token(endpoint.name, 0.0, now_ms)
         if sent >= tokens:
             endpoint.running -= 1
-            chooser.on_ended(endpoint.name, True, now_ms)
+            chooser.on_ended(endpoint.name, REQUEST, True, now_ms)
             self.start(now_ms, endpoint)
             return
         chunk = min(5, tokens - sent)
