Let the fake sidecar of test_health report its endpoint

Cause: readiness now needs a report of a ready endpoint; the fake sent none. Change: the test sends an unready and a ready report, and asks for both answers.

--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -16,7 +16,15 @@
     answer_words,
 )
 
-from wigeonwind.links.messages import Cancel, Chunk, Failed, Head, Leaving, Submit
+from wigeonwind.links.messages import (
+    Cancel,
+    Chunk,
+    Failed,
+    Head,
+    Leaving,
+    LoadReport,
+    Submit,
+)
 from wigeonwind.roles.health_api import HealthApi
 from wigeonwind.roles.http_call import read_call
 from wigeonwind.roles.openai_request import prefix_keys
@@ -223,7 +231,11 @@
 def test_health(entry: EntryUnderTest) -> None:
     # Guards against traffic from the balancer before the entry can serve it.
     assert entry.call("GET", "/readyz").status == 503
-    entry.add_side(answer_words("x"))
+    side = entry.add_side(answer_words("x"))
+    # A link to a sidecar whose endpoint is down must not draw traffic either.
+    side.reply(LoadReport("side-0", 0, 8, [], 0, 0.0, 0.0, 0.0, 0, False))
+    assert entry.call("GET", "/readyz").status == 503
+    side.reply(LoadReport("side-0", 0, 8, [], 0, 0.0, 0.0, 0.0, 0, True))
     assert entry.call("GET", "/readyz").status == 200
     assert entry.call("GET", "/healthz").status == 200
     assert entry.call("GET", "/metrics").body == b"metrics 1\n"
