Keep the weight store busy until a load was refused

Cause: test_a_rollout_goes_on_after_the_weight_store_refused kept the store busy for one second; since the fleet waits for ready endpoints, the order came later, nothing was refused, and the test waited for ever for the refusal it needs. Change: the store stays busy until the refusal has been seen, which is as strict and does not depend on time. Conclusion: the product was right.

--- a/tests/test_rollout_end_to_end.py
+++ b/tests/test_rollout_end_to_end.py
@@ -162,12 +162,13 @@
     # The waits between the tries are tested in test_rolls with virtual time.
     weights = WeightStoreServer(ANY_PORT, WeightLimits(300.0, parallel=1, queue=0))
     address = weights.start()
-    # Somebody else's fetch keeps the store busy.
-    weights.store._ends_ms.append(weights.clock.now_ms() + 1_000.0)
+    # Somebody else's fetch keeps the store busy until a load was refused.
+    weights.store._ends_ms.append(weights.clock.now_ms() + 600_000.0)
     fleet = make_fleet(engines=3, weight_store=address)
     submit(fleet, NEXT)
     wait_until(lambda: leader(fleet).node.roller._pace_by_service["wigeon-llm"]._most)
     assert set(versions(fleet)) == {"1"}
+    weights.store._ends_ms.clear()
     wait_until(lambda: is_done(fleet, "2"))
     assert weights.store.fetches == 3
     weights.stop()
