Bound what the roller and the VM list cost at the target size

Cause: docs/CAPACITY.md listed three misses: every entry tried for the lease (78 store reads/s at 390), every process read the VM list each 5 s (238 calls/s), and a look at 800 sidecars opened all links at once, once a minute, in the loop that also renewed the lease. Change: two entries of each zone are candidates and read the list often, others once a minute; the lease has a loop of its own; looks go 20 at a time, and idle looks are 375 ms apart for each sidecar. Figures, worked out: lease 78 -> 3 reads/s, VM list 238 -> 23 calls/s, about 2% -> 0.4% of a core for the roller. Rollout and lease tests pass (17). Conclusion: within the budgets; not measured with 800 sidecars.

--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,8 +1,13 @@
 """The lease: one holder at a time, whatever answers are lost and who is paused."""
 
+import gevent
+
+from wigeonwind.catalog import Catalog
 from wigeonwind.clock import ManualClock
 from wigeonwind.outcomes import Ok
+from wigeonwind.roles.roller import Roller
 from wigeonwind.state.lease import LEASE_KEY, LEASE_MS, TAKEOVER_MS, Lease
+from wigeonwind.state.rolls import RollTimes
 from wigeonwind.state.store_types import Conflict, NotFound, StoredObject, StoreFailure
 
 
@@ -136,3 +141,35 @@
     clock.advance(TAKEOVER_MS - LEASE_MS)
     assert second.step() == 2
     assert first.step() is None
+
+
+def test_only_a_candidate_reads_the_store_for_the_lease():
+    # 390 entries that all try would cost the store 78 reads a second.
+    class CountingStore(OneObjectStore):
+        reads = 0
+
+        def get(self, key):
+            self.reads += 1
+            return super().get(key)
+
+    def run_some(is_candidate):
+        store, clock = CountingStore(), ManualClock()
+        lease = Lease(store, "e1", clock)
+        roller = Roller(
+            store,
+            lease,
+            clock,
+            lambda: Catalog(0),
+            lambda service: iter(()),
+            lambda record: None,
+            RollTimes(round_ms=1.0),
+            lambda: is_candidate,
+        )
+        loop = gevent.spawn(roller.keep_lease)
+        gevent.sleep(0.01)
+        loop.kill()
+        return store.reads, roller.holds_lease
+
+    assert run_some(False) == (0, False)
+    reads, holds = run_some(True)
+    assert reads > 0 and holds
--- a/wigeonwind/roles/node.py
+++ b/wigeonwind/roles/node.py
@@ -30,11 +30,16 @@
 from wigeonwind.state.membership import MemberRecord, Membership, MemberState
 from wigeonwind.state.rolls import RollTimes
 from wigeonwind.state.store_types import Store
+from wigeonwind.state.subset import is_store_watcher
 from wigeonwind.state.text_keeper import TextKeeper
 
 PEERING_MS = 250.0
 """Interval between looks at the links that are missing."""
 
+WATCHERS_PER_ZONE = 2
+"""Entries of each availability zone that watch the store and the VM list and try for
+the roller lease; one may be restarting."""
+
 ENTRIES_LIMIT_MS = 5_000.0
 """Time for entries to close their links to a leaving sidecar; they do it at their next
 look, but one that is paused must not hold up the stop."""
@@ -209,9 +214,18 @@
             lambda service: self.members.live("side", service),
             self.open_link,
             self.roll_times,
+            self.is_watcher,
         )
+        self.loops.start(self.roller.keep_lease)
         self.loops.start(self.roller.run)
 
+    def is_watcher(self) -> bool:
+        """Return whether this is one of the few processes that watch the platform."""
+        own = self.members.own
+        peers = self.members.live(own.role)
+        watches = is_store_watcher(own.member_id, own.zone, peers, WATCHERS_PER_ZONE)
+        return own.role == "entry" and watches
+
     def stop(self) -> None:
         """Close all links and stop at once."""
         self._stopped.set()
--- a/wigeonwind/roles/process.py
+++ b/wigeonwind/roles/process.py
@@ -44,15 +44,15 @@
 from wigeonwind.state.booking_sweep import BookingSweep, ListingStore, SweepStep
 from wigeonwind.state.membership import MemberState
 from wigeonwind.state.store_client import StoreClient
-from wigeonwind.state.subset import is_store_watcher
 from wigeonwind.state.text_follower import TextFollower
 
 VM_LIST_MS = 5_000.0
 """Mean interval between reads of the VM list; leaving VMs are learnt over links, so
 the list only finds new VMs and those that died."""
 
-WATCHERS_PER_ZONE = 2
-"""Processes of a zone that watch the store for a new text."""
+VM_LIST_RARELY_MS = 60_000.0
+"""The same for a process that is linked and no watcher: it hears of VMs from its peers.
+With 1,190 processes the list is read 23 times a second instead of 238."""
 
 ROLE_CHECK_MS = 5_000.0
 """Interval at which a process looks whether it is one of the watchers."""
@@ -257,15 +257,9 @@
         log.info("stopped", id=self.settings.node.id)
         self.stopped.set()
 
-    def _is_watcher(self) -> bool:
-        own = self.node.members.own
-        peers = self.node.members.live(own.role)
-        watches = is_store_watcher(own.member_id, own.zone, peers, WATCHERS_PER_ZONE)
-        return own.role == "entry" and watches
-
     def _watch_loop(self) -> None:
         while True:
-            if self._is_watcher():
+            if self.node.is_watcher():
                 _sleep_ms(self._follower.watch_step())
             else:
                 _sleep_ms(ROLE_CHECK_MS)
@@ -311,7 +305,9 @@
                     answer.value.vms, answer.value.as_of_ms, node.clock.now_ms()
                 )
                 node.spread.announce(rows)
-            _sleep_ms(self.node.rng.uniform(0.5, 1.5) * VM_LIST_MS)
+            often = self.node.is_watcher() or not len(self.node.links)
+            mean_ms = VM_LIST_MS if often else VM_LIST_RARELY_MS
+            _sleep_ms(self.node.rng.uniform(0.5, 1.5) * mean_ms)
 
 
 def sweep_if_leader(roller: Roller | None, sweep: BookingSweep) -> SweepStep | None:
--- a/wigeonwind/roles/roller.py
+++ b/wigeonwind/roles/roller.py
@@ -5,6 +5,7 @@
 
 from gevent import Timeout, sleep, spawn
 from gevent.event import AsyncResult
+from gevent.pool import Pool
 from structlog import get_logger
 
 from wigeonwind.catalog import Catalog, Service, ServiceKind
@@ -33,6 +34,14 @@
 LOAD_TIMEOUT_MS = 600_000.0
 """Time for an endpoint to load a model version."""
 
+PARALLEL_LOOKS = 20
+"""Sidecars that are looked at at a time; at 800, links opened all at once would hold up
+the requests of this entry."""
+
+IDLE_MS_PER_SIDE = 375.0
+"""Time between idle looks for each sidecar: five minutes at 800, where opening a link
+to each costs the roller about a second of a core."""
+
 DEFAULT_TIMES = RollTimes()
 
 log = get_logger("wigeonwind.roller")
@@ -47,7 +56,8 @@
 class Roller:
     """Carries out rollouts while it holds the lease.
 
-    `open_link` returns a link to a sidecar, in use or opened for the purpose.
+    `open_link` returns a link to a sidecar, in use or opened for the purpose. Only a
+    candidate tries for the lease: each try costs the store a read.
     """
 
     def __init__(
@@ -59,7 +69,10 @@
         sides: Callable[[str], Iterator[MemberRecord]],
         open_link: Callable[[MemberRecord], Link | None],
         times: RollTimes = DEFAULT_TIMES,
+        is_candidate: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._is_candidate = is_candidate
+        self._looks = Pool(PARALLEL_LOOKS)
         self._times = times
         self._seen_catalog = -1
         self._pace_by_service: dict[str, LoadPace] = {}
@@ -80,20 +93,38 @@
         """Return whether this process certainly holds the lease now."""
         return self._lease.fence() is not None
 
+    def keep_lease(self) -> None:
+        """Try for the lease and renew it until `stop`; blocks.
+
+        This loop is apart from `run`: a look at many endpoints that do not answer takes
+        longer than the lease.
+        """
+        while not self._stopped:
+            if self.holds_lease or self._is_candidate():
+                self._note_fence(self._lease.step())
+            self._pause()
+
     def run(self) -> None:
-        """Renew the lease and carry out rollouts until `stop`; blocks."""
+        """Carry out rollouts while the lease is held, until `stop`; blocks."""
         next_round_ms = 0.0
         while not self._stopped:
-            fence = self._lease.step()
-            self._note_fence(fence)
             now_ms = self._clock.now_ms()
-            if fence is not None and (now_ms >= next_round_ms or self._is_edited()):
+            if self.holds_lease and (now_ms >= next_round_ms or self._is_edited()):
                 self._seen_catalog = self._catalog().version
                 busy = self._round()
-                times = self._times
-                wait_ms = times.round_ms if busy else times.idle_round_ms
-                next_round_ms = now_ms + wait_ms
-            sleep(min(RENEW_INTERVAL_MS, self._times.round_ms) / MS_PER_SECOND)
+                next_round_ms = now_ms + self._wait_ms(busy)
+            self._pause()
+
+    def _pause(self) -> None:
+        sleep(min(RENEW_INTERVAL_MS, self._times.round_ms) / MS_PER_SECOND)
+
+    def _wait_ms(self, busy: bool) -> float:
+        """Return the time to the next look."""
+        if busy:
+            return self._times.round_ms
+        services = self._catalog().service_by_name
+        sides = sum(len(list(self._sides(name))) for name in services)
+        return max(self._times.idle_round_ms, sides * IDLE_MS_PER_SIDE)
 
     def stop(self) -> None:
         """Stop after the present step and give the lease back."""
@@ -171,7 +202,7 @@
     def _observe(self, service: Service) -> Iterator[EndpointView]:
         model = service.models[0] if service.models else ""
         pending = [
-            (record, spawn(self._order, record, "observe", model, ""))
+            (record, self._looks.spawn(self._order, record, "observe", model, ""))
             for record in list(self._sides(service.name))
         ]
         for record, greenlet in pending:
