--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 install: .venv/installed  ## install into .venv
 
 demo: install  ## run the whole path on loopback (PORT=8080)
-	PORT=$(PORT) $(BIN)/python -m wigeonwind.roles.demo
+	PORT=$(PORT) $(BIN)/python -m wigeonwind.runtime.demo
 
 test: install  ## run the tests
 	$(BIN)/python -m pytest
--- a/bench/control.py
+++ b/bench/control.py
@@ -24,7 +24,7 @@
 from wigeonwind.links.link import link_options  # noqa: E402
 from wigeonwind.links.messages import LoadReport  # noqa: E402
 from wigeonwind.outcomes import Ok  # noqa: E402
-from wigeonwind.roles.node import Node  # noqa: E402
+from wigeonwind.runtime.node import Node  # noqa: E402
 from wigeonwind.settings import read_settings  # noqa: E402
 from wigeonwind.state.store_types import StoreFailure  # noqa: E402
 
--- a/bench/links.py
+++ b/bench/links.py
@@ -45,9 +45,9 @@
 from wigeonwind.links.link import LinkOptions, LinkServer, connect_link  # noqa: E402
 from wigeonwind.links.messages import Chunk, Finished, Hello, Submit  # noqa: E402
 from wigeonwind.outcomes import Ok  # noqa: E402
-from wigeonwind.roles.metrics import Metrics  # noqa: E402
-from wigeonwind.roles.side import SideRole  # noqa: E402
+from wigeonwind.runtime.metrics import Metrics  # noqa: E402
 from wigeonwind.settings import SocketAddress, read_settings  # noqa: E402
+from wigeonwind.side.role import SideRole  # noqa: E402
 from wigeonwind.state.store_types import NotFound  # noqa: E402
 
 FLAGS = flags.FLAGS
--- a/bench/text.py
+++ b/bench/text.py
@@ -26,7 +26,7 @@
     TextVersion,
 )
 from wigeonwind.outcomes import Ok
-from wigeonwind.roles.operators_api import OperatorsApi
+from wigeonwind.runtime.operators_api import OperatorsApi
 from wigeonwind.state.memory_store import MemoryStore
 from wigeonwind.state.text import Text, read_text
 from wigeonwind.state.text_head import Head, StoredText, store_text
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -24,6 +24,7 @@
 from wigeonwind.decisions.interfaces import EndpointInfo
 from wigeonwind.decisions.limits import CustomerLimiter
 from wigeonwind.decisions.retry import RetryPolicy
+from wigeonwind.entry.role import EntryRole
 from wigeonwind.links.messages import (
     Chunk,
     Finished,
@@ -34,8 +35,7 @@
     Submit,
 )
 from wigeonwind.outcomes import Ok
-from wigeonwind.roles.entry import EntryRole
-from wigeonwind.roles.tracing import PassingTracer, Tracer
+from wigeonwind.runtime.tracing import PassingTracer, Tracer
 from wigeonwind.settings import Settings, SocketAddress, read_settings
 from wigeonwind.state.store_types import Conflict, NotFound, StoredObject, StoreFailure
 
--- a/tests/side_fakes.py
+++ b/tests/side_fakes.py
@@ -24,9 +24,9 @@
 )
 from wigeonwind.links.messages import Hello, Submit
 from wigeonwind.outcomes import Ok
-from wigeonwind.roles.metrics import Metrics
-from wigeonwind.roles.side import SideRole
+from wigeonwind.runtime.metrics import Metrics
 from wigeonwind.settings import read_settings
+from wigeonwind.side.role import SideRole
 from wigeonwind.state.store_types import NotFound, StoredObject, StoreFailure
 
 LIMIT_S = 5.0
--- a/tests/test_bookings_interleavings.py
+++ b/tests/test_bookings_interleavings.py
@@ -16,7 +16,7 @@
     Restart,
 )
 from wigeonwind.checking.explorer import Exploration, Fault, explore
-from wigeonwind.roles.claim_memory import KEEP_ANSWER_MS, KEEP_TOKEN_MS
+from wigeonwind.side.claim_memory import KEEP_ANSWER_MS, KEEP_TOKEN_MS
 from wigeonwind.state import bookings
 from wigeonwind.state.booking_steps import (
     Booked,
--- a/tests/test_cache_feed.py
+++ b/tests/test_cache_feed.py
@@ -8,15 +8,15 @@
 from wigeonwind.clock import ManualClock
 from wigeonwind.links.codec import decode, encode
 from wigeonwind.links.messages import CacheEvents
-from wigeonwind.roles.cache_feed import (
+from wigeonwind.runtime.demo import TEXT_PATH, start_fleet
+from wigeonwind.side.cache_feed import (
     BURST_S,
     LINGER_MS,
     LINK_KEYS_PER_S,
     POLL_MS,
     CacheFeed,
 )
-from wigeonwind.roles.demo import TEXT_PATH, start_fleet
-from wigeonwind.roles.engine_client import EngineCacheEvents, EngineFailure
+from wigeonwind.side.engine_client import EngineCacheEvents, EngineFailure
 
 
 class FakeEngine:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,11 +7,11 @@
 from test_end_to_end import book, call, chat, client_of
 
 from wigeonwind import daemon
+from wigeonwind.entry.metrics_sink import TEXT_BY_NAME
+from wigeonwind.entry.replies import HTTP_STATUS_BY_CODE
 from wigeonwind.outcomes import ErrorCode, Outcome
-from wigeonwind.roles import process
-from wigeonwind.roles.demo import TEXT_PATH, start_fleet
-from wigeonwind.roles.metrics_sink import TEXT_BY_NAME
-from wigeonwind.roles.replies import HTTP_STATUS_BY_CODE
+from wigeonwind.runtime import process
+from wigeonwind.runtime.demo import TEXT_PATH, start_fleet
 from wigeonwind.settings import settings_reference
 from wigeonwind.tool.commands import ExitCode
 
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -9,7 +9,7 @@
 from openai import APIStatusError, OpenAI
 
 from wigeonwind.outcomes import Ok
-from wigeonwind.roles.demo import TEXT_PATH, start_fleet
+from wigeonwind.runtime.demo import TEXT_PATH, start_fleet
 from wigeonwind.standins.answer_text import check_whole_answer
 from wigeonwind.standins.faults import Crash, LoseAnswers, Outage
 
--- a/tests/test_entry_dispatch.py
+++ b/tests/test_entry_dispatch.py
@@ -17,6 +17,7 @@
 )
 
 from wigeonwind.clock import ManualClock
+from wigeonwind.entry.moves import Moves
 from wigeonwind.links.messages import (
     Cancel,
     Chunk,
@@ -29,14 +30,13 @@
     Withdraw,
     WithdrawResult,
 )
-from wigeonwind.roles.moves import Moves
 
 Handler = Callable[[FakeSide, Submit], None]
 
 
 @pytest.fixture(autouse=True)
 def quick_checks(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("wigeonwind.roles.attempt.MOVE_CHECK_MS", 5.0)
+    monkeypatch.setattr("wigeonwind.entry.attempt.MOVE_CHECK_MS", 5.0)
 
 
 @pytest.fixture
--- a/tests/test_entry_grants.py
+++ b/tests/test_entry_grants.py
@@ -6,8 +6,8 @@
 from wigeonwind.clock import ManualClock
 from wigeonwind.decisions.interfaces import Allowed
 from wigeonwind.decisions.limits import CustomerLimiter
+from wigeonwind.entry.grant_exchange import TICK_MS, GrantExchange
 from wigeonwind.links.messages import Hello, Ping
-from wigeonwind.roles.grant_exchange import TICK_MS, GrantExchange
 
 RATE = 40.0
 ENTRIES = ("entry-1", "entry-2")
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -16,6 +16,9 @@
     answer_words,
 )
 
+from wigeonwind.entry.health_api import HealthApi
+from wigeonwind.entry.http_call import read_call
+from wigeonwind.entry.openai_request import prefix_keys
 from wigeonwind.links.messages import (
     Cancel,
     Chunk,
@@ -25,9 +28,6 @@
     LoadReport,
     Submit,
 )
-from wigeonwind.roles.health_api import HealthApi
-from wigeonwind.roles.http_call import read_call
-from wigeonwind.roles.openai_request import prefix_keys
 from wigeonwind.standins.answer_text import prefix_keys as engine_prefix_keys
 
 POST = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Customer: named\r\n"
@@ -307,7 +307,7 @@
     entry: EntryUnderTest, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Guards against memory that grows with what one caller does not read.
-    monkeypatch.setattr("wigeonwind.roles.pending.MAX_UNREAD_BYTES", 100_000)
+    monkeypatch.setattr("wigeonwind.entry.pending.MAX_UNREAD_BYTES", 100_000)
     side = entry.add_side(lambda side, submit: None)
     body = json.dumps({**CHAT, "stream": True})
     with connect(entry) as sock:
@@ -342,7 +342,7 @@
     entry: EntryUnderTest, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Guards against bodies within their own bound that fill the memory together.
-    monkeypatch.setattr("wigeonwind.roles.entry_http.MAX_LARGE_BODIES_BYTES", 20_000)
+    monkeypatch.setattr("wigeonwind.entry.entry_http.MAX_LARGE_BODIES_BYTES", 20_000)
     entry.add_side(answer_words("x"))
     for _ in range(2):
         refused = entry.chat(padding="x" * 90_000)
--- a/tests/test_entry_identity.py
+++ b/tests/test_entry_identity.py
@@ -3,7 +3,7 @@
 import hashlib
 
 from wigeonwind.catalog import Catalog, Customer
-from wigeonwind.roles.caller_identity import (
+from wigeonwind.entry.caller_identity import (
     REBUILD_MARGIN,
     CustomerDirectory,
     KeyIndex,
--- a/tests/test_entry_tracing.py
+++ b/tests/test_entry_tracing.py
@@ -6,9 +6,9 @@
 from entry_fakes import KEY, EntryUnderTest, answer_words
 
 from wigeonwind.clock import ManualClock
-from wigeonwind.roles.metrics import Metrics
-from wigeonwind.roles.metrics_sink import PrometheusSink
-from wigeonwind.roles.tracing import PassingTracer, make_tracer
+from wigeonwind.entry.metrics_sink import PrometheusSink
+from wigeonwind.runtime.metrics import Metrics
+from wigeonwind.runtime.tracing import PassingTracer, make_tracer
 from wigeonwind.settings import TraceSettings
 
 PARENT = "00-0123456789abcdef0123456789abcdef-0123456789abcdef-01"
--- a/tests/test_fuzz_inputs.py
+++ b/tests/test_fuzz_inputs.py
@@ -11,11 +11,11 @@
 
 from wigeonwind.links.codec import decode, encode
 from wigeonwind.links.messages import Chunk, Hello, Submit
-from wigeonwind.roles.demo import TEXT_PATH, settings_source
-from wigeonwind.roles.engine_client import EngineClient
-from wigeonwind.roles.sse import TokenStream
-from wigeonwind.roles.vm_list_client import VmListClient
+from wigeonwind.runtime.demo import TEXT_PATH, settings_source
+from wigeonwind.runtime.vm_list_client import VmListClient
 from wigeonwind.settings import SocketAddress, read_settings
+from wigeonwind.side.engine_client import EngineClient
+from wigeonwind.side.sse import TokenStream
 from wigeonwind.state.store_client import StoreClient
 from wigeonwind.state.text import read_text
 from wigeonwind.state.text_head import decode_head
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -11,7 +11,7 @@
 from wigeonwind.load.arrivals import ARRIVALS, LoadStage, arrival_times
 from wigeonwind.load.plan import ClassMix, LoadPlan, Planner
 from wigeonwind.load.report import make_report
-from wigeonwind.roles.demo import TEXT_PATH, start_fleet
+from wigeonwind.runtime.demo import TEXT_PATH, start_fleet
 from wigeonwind.tool.commands import ExitCode
 from wigeonwind.tool.main import run
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,13 +6,13 @@
 from entry_fakes import MemoryStore
 from structlog.testing import capture_logs
 
-from wigeonwind.roles.demo import (
+from wigeonwind.runtime.demo import (
     ANY_PORT,
     endpoint_source,
     make_process,
     settings_source,
 )
-from wigeonwind.roles.process import EXIT_BROKEN, sweep_if_leader
+from wigeonwind.runtime.process import EXIT_BROKEN, sweep_if_leader
 from wigeonwind.standins.object_store_server import ObjectStoreServer
 from wigeonwind.standins.plain_service import PlainServiceServer
 from wigeonwind.state.booking_sweep import BookingSweep
--- a/tests/test_rollout_end_to_end.py
+++ b/tests/test_rollout_end_to_end.py
@@ -7,7 +7,7 @@
 
 from wigeonwind.links.messages import Order, OrderResult
 from wigeonwind.outcomes import Ok
-from wigeonwind.roles.demo import (
+from wigeonwind.runtime.demo import (
     ANY_PORT,
     DEMO_ENGINE,
     TEXT_PATH,
@@ -217,5 +217,14 @@
     engine = EngineServer(ANY_PORT, QUICK_ENGINE)
     fleet.engines.append(engine)
     side = add_side(fleet, "llm-new", "voru-c", "wigeon-llm", "model", engine.start())
-    wait_until(lambda: engine.model.orders.version == "2")
+    ready_versions = set()
+
+    def sees_new_version():
+        if side.side._reporter.is_ready():
+            ready_versions.add(engine.model.orders.version)
+        return engine.model.orders.version == "2"
+
+    wait_until(sees_new_version)
     wait_until(side.side._reporter.is_ready)
+    # Its old version must never take work once another is in force.
+    assert ready_versions <= {"2"}
--- a/tests/test_security.py
+++ b/tests/test_security.py
@@ -14,8 +14,8 @@
 from wigeonwind.links.link import LinkOptions, connect_link
 from wigeonwind.links.messages import Hello, Order
 from wigeonwind.outcomes import Failure, Invalid, Ok
-from wigeonwind.roles.demo import TEXT_PATH, settings_source, start_fleet
-from wigeonwind.roles.process import build_process
+from wigeonwind.runtime.demo import TEXT_PATH, settings_source, start_fleet
+from wigeonwind.runtime.process import build_process
 from wigeonwind.settings import read_settings
 
 CALLER_KEY = "example key of tartu-maltsters"
@@ -217,13 +217,13 @@
     tmp_path, monkeypatch, capfd
 ):
     # Guards against keys in logs and traces, which more people read than may call.
-    from wigeonwind.roles.tracing import make_tracer
+    from wigeonwind.runtime.tracing import make_tracer
     from wigeonwind.settings import TraceSettings
 
     spans = tmp_path / "spans.jsonl"
     traced = TraceSettings(file=str(spans))
     monkeypatch.setattr(
-        "wigeonwind.roles.process.make_tracer",
+        "wigeonwind.runtime.process.make_tracer",
         lambda _, name, role: make_tracer(traced, name, role),
     )
     key = "very-secret-key"
--- a/tests/test_side_orders.py
+++ b/tests/test_side_orders.py
@@ -13,14 +13,14 @@
     OrderResult,
     Refused,
 )
-from wigeonwind.roles.claim_memory import (
+from wigeonwind.runtime.metrics import Metrics
+from wigeonwind.side.claim_memory import (
     MAX_ANSWER_BYTES,
     BookingRecorder,
     ClaimMemory,
 )
-from wigeonwind.roles.metrics import Metrics
-from wigeonwind.roles.side_drain import GRACE_MS
-from wigeonwind.roles.work_table import Known, WorkTable
+from wigeonwind.side.side_drain import GRACE_MS
+from wigeonwind.side.work_table import Known, WorkTable
 
 
 @pytest.fixture
--- a/tests/test_side_schedules.py
+++ b/tests/test_side_schedules.py
@@ -22,8 +22,8 @@
     Withdraw,
     WithdrawResult,
 )
-from wigeonwind.roles.endpoint_http import HttpFailure, HttpHead
-from wigeonwind.roles.plain_client import PlainClient, PlainEnd
+from wigeonwind.side.endpoint_http import HttpFailure, HttpHead
+from wigeonwind.side.plain_client import PlainClient, PlainEnd
 
 STEPS = 120
 """Steps of one schedule."""
--- a/tests/test_side_work.py
+++ b/tests/test_side_work.py
@@ -365,7 +365,8 @@
     bed.endpoint.load = {"kv_limit_tokens": 4000}
     for _ in range(2):
         bed.side._reporter.look()
-    assert [each.paused_limit_tokens for each in costs] == [1000]
+    limits = [(each.paused_limit_tokens, each.kv_limit_tokens) for each in costs]
+    assert limits == [(1000, 4000)]
 
 
 @pytest.mark.parametrize("finish_late", [True, False])
--- a/tests/test_standins_engine_server.py
+++ b/tests/test_standins_engine_server.py
@@ -10,8 +10,8 @@
 from xxhash import xxh64
 
 from wigeonwind.clock import ManualClock
+from wigeonwind.entry.openai_request import prefix_keys as entry_prefix_keys
 from wigeonwind.outcomes import Ok
-from wigeonwind.roles.openai_request import prefix_keys as entry_prefix_keys
 from wigeonwind.settings import SocketAddress
 from wigeonwind.standins.answer_text import (
     AnswerFault,
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -7,8 +7,8 @@
 from openai import OpenAI
 
 from wigeonwind.clock import ManualClock
-from wigeonwind.roles.demo import TEXT_PATH, start_fleet
-from wigeonwind.roles.recent_classes import WINDOW_MS, RecentClasses
+from wigeonwind.entry.recent_classes import WINDOW_MS, RecentClasses
+from wigeonwind.runtime.demo import TEXT_PATH, start_fleet
 from wigeonwind.tool.commands import ExitCode
 from wigeonwind.tool.main import run
 
--- a/tests/test_text_gate.py
+++ b/tests/test_text_gate.py
@@ -2,7 +2,7 @@
 
 from wigeonwind.catalog import Catalog
 from wigeonwind.clock import ManualClock
-from wigeonwind.roles.text_gate import SETTLE_MS, TextGate
+from wigeonwind.runtime.text_gate import SETTLE_MS, TextGate
 
 
 def make_gate(announced=0):
--- a/tests/test_text_operators_api.py
+++ b/tests/test_text_operators_api.py
@@ -6,7 +6,7 @@
 
 from test_text_parse import GOOD
 
-from wigeonwind.roles.operators_api import OperatorsApi
+from wigeonwind.runtime.operators_api import OperatorsApi
 from wigeonwind.state.memory_store import MemoryStore
 from wigeonwind.state.text_keeper import TextKeeper
 
--- a/tests/test_trace_hops.py
+++ b/tests/test_trace_hops.py
@@ -9,8 +9,8 @@
 from test_entry_tracing import PARENT
 
 from wigeonwind.links.messages import Finished
-from wigeonwind.roles.demo import TEXT_PATH, start_fleet
-from wigeonwind.roles.tracing import PassingTracer, make_tracer
+from wigeonwind.runtime.demo import TEXT_PATH, start_fleet
+from wigeonwind.runtime.tracing import PassingTracer, make_tracer
 from wigeonwind.settings import TraceSettings
 from wigeonwind.tool.main import run
 from wigeonwind.tool.trace_command import read_spans, tree_lines
@@ -49,7 +49,7 @@
     path = tmp_path / "spans.jsonl"
     traced = TraceSettings(file=str(path))
     monkeypatch.setattr(
-        "wigeonwind.roles.process.make_tracer",
+        "wigeonwind.runtime.process.make_tracer",
         lambda _, name, role: make_tracer(traced, name, role),
     )
     fleet = start_fleet(TEXT_PATH.read_text())
--- a/wigeonwind/checking/booking_model.py
+++ b/wigeonwind/checking/booking_model.py
@@ -13,7 +13,7 @@
 from wigeonwind.checking.explorer import Fault
 from wigeonwind.clock import ManualClock
 from wigeonwind.outcomes import Ok
-from wigeonwind.roles.claim_memory import BookingAnswer, ClaimMemory, TokenState
+from wigeonwind.side.claim_memory import BookingAnswer, ClaimMemory, TokenState
 from wigeonwind.state.booking_record import RecordedAnswer, RecordState, decode_record
 from wigeonwind.state.booking_steps import (
     AskClaim,
--- a/wigeonwind/checking/process_fleet.py
+++ b/wigeonwind/checking/process_fleet.py
@@ -14,8 +14,8 @@
 from wigeonwind.checking.history import MemberChange, MemberSeen, Record
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.load.caller import wall_ms
-from wigeonwind.roles.endpoint_http import HttpExchange, HttpFailure
 from wigeonwind.settings import parse_address
+from wigeonwind.side.endpoint_http import HttpExchange, HttpFailure
 
 READY_POLL_S = 0.05
 READY_LIMIT_S = 30.0
--- a/wigeonwind/daemon.py
+++ b/wigeonwind/daemon.py
@@ -13,8 +13,8 @@
 from structlog import get_logger
 
 from wigeonwind.outcomes import Invalid, Ok
-from wigeonwind.roles.logs import configure_logs
-from wigeonwind.roles.process import EXIT_OK, Process, build_process
+from wigeonwind.runtime.logs import configure_logs
+from wigeonwind.runtime.process import EXIT_OK, Process, build_process
 from wigeonwind.settings import Settings, read_settings
 
 EXIT_BAD_SETTINGS = 2
--- /dev/null
+++ b/wigeonwind/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: callers' HTTP, dispatch to sidecars, bookings."""
--- a/wigeonwind/roles/admission.py
+++ b/wigeonwind/entry/admission.py
@@ -5,17 +5,17 @@
 from wigeonwind.catalog import Catalog, RequestClass, Service
 from wigeonwind.clock import Clock
 from wigeonwind.decisions.interfaces import LimitDecisions, Limited
-from wigeonwind.outcomes import ErrorCode, Failure, Ok
-from wigeonwind.roles.answer import CallerRequest
-from wigeonwind.roles.caller_identity import (
+from wigeonwind.entry.answer import CallerRequest
+from wigeonwind.entry.caller_identity import (
     Caller,
     CustomerDirectory,
     KeyIndex,
     choose_class,
     identify,
 )
-from wigeonwind.roles.http_call import HttpCall
-from wigeonwind.roles.replies import refusal
+from wigeonwind.entry.http_call import HttpCall
+from wigeonwind.entry.replies import refusal
+from wigeonwind.outcomes import ErrorCode, Failure, Ok
 
 TIMEOUT_HEADER = "x-request-timeout-ms"
 CLASS_HEADER = "x-request-class"
--- a/wigeonwind/roles/attempt.py
+++ b/wigeonwind/entry/attempt.py
@@ -4,6 +4,14 @@
 from dataclasses import dataclass
 
 from wigeonwind.clock import Clock
+from wigeonwind.entry.answer import (
+    AnswerEnd,
+    AnswerHead,
+    AnswerParts,
+    AnswerSoFar,
+    CallerRequest,
+)
+from wigeonwind.entry.pending import LinkLost, Mailbox
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import (
     Cancel,
@@ -19,14 +27,6 @@
     WithdrawResult,
 )
 from wigeonwind.outcomes import ErrorCode
-from wigeonwind.roles.answer import (
-    AnswerEnd,
-    AnswerHead,
-    AnswerParts,
-    AnswerSoFar,
-    CallerRequest,
-)
-from wigeonwind.roles.pending import LinkLost, Mailbox
 
 WITHDRAW_WAIT_MS = 500.0
 """Time a sidecar has to confirm a withdrawal when the deadline has passed."""
--- a/wigeonwind/roles/booking_call.py
+++ b/wigeonwind/entry/booking_call.py
@@ -8,19 +8,19 @@
 from gevent.timeout import Timeout
 
 from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.entry.answer import AnswerEnd, AnswerHead, AnswerParts, CallerRequest
+from wigeonwind.entry.attempt import failure_code
+from wigeonwind.entry.dispatch import Dispatcher
+from wigeonwind.entry.http_call import HttpCall
+from wigeonwind.entry.plain_headers import reply_headers
+from wigeonwind.entry.replies import Reply, failure, failure_reply, status_line
+from wigeonwind.entry.request_run import RequestRun
+from wigeonwind.entry.run import Running
 from wigeonwind.ids import new_id
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import ClaimState, ResolveClaim
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
-from wigeonwind.roles.answer import AnswerEnd, AnswerHead, AnswerParts, CallerRequest
-from wigeonwind.roles.attempt import failure_code
-from wigeonwind.roles.dispatch import Dispatcher
-from wigeonwind.roles.http_call import HttpCall
-from wigeonwind.roles.plain_headers import reply_headers
-from wigeonwind.roles.replies import Reply, failure, failure_reply, status_line
-from wigeonwind.roles.request_run import RequestRun
-from wigeonwind.roles.run import Running
-from wigeonwind.roles.tracing import Tracer
+from wigeonwind.runtime.tracing import Tracer
 from wigeonwind.state.booking_record import RecordedAnswer
 from wigeonwind.state.booking_steps import (
     AskClaim,
--- a/wigeonwind/roles/caller_identity.py
+++ b/wigeonwind/entry/caller_identity.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 from wigeonwind.catalog import Catalog, Customer, RequestClass, Service, ServiceKind
+from wigeonwind.entry.replies import refusal
 from wigeonwind.outcomes import ErrorCode, Failure, Ok
-from wigeonwind.roles.replies import refusal
 
 ANONYMOUS = "anonymous"
 """Customer of callers that give no key and no name, where the text allows them."""
--- a/wigeonwind/roles/dispatch.py
+++ b/wigeonwind/entry/dispatch.py
@@ -1,5 +1,10 @@
 """The requests in flight of one entry, and the messages that belong to them."""
 
+from wigeonwind.entry.answer import CallerRequest
+from wigeonwind.entry.metrics_sink import NO_LABELS
+from wigeonwind.entry.pending import Mailbox
+from wigeonwind.entry.request_run import Events, RequestRun
+from wigeonwind.entry.run_context import RunContext
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import (
     Chunk,
@@ -11,11 +16,6 @@
     Started,
     WithdrawResult,
 )
-from wigeonwind.roles.answer import CallerRequest
-from wigeonwind.roles.metrics_sink import NO_LABELS
-from wigeonwind.roles.pending import Mailbox
-from wigeonwind.roles.request_run import Events, RequestRun
-from wigeonwind.roles.run_context import RunContext
 
 REQUEST_MESSAGES = (
     Chunk,
--- a/wigeonwind/roles/entry_http.py
+++ b/wigeonwind/entry/entry_http.py
@@ -13,8 +13,7 @@
 from gevent.pywsgi import MAX_REQUEST_LINE, Input, WSGIHandler, WSGIServer
 
 from wigeonwind.clock import MS_PER_SECOND
-from wigeonwind.outcomes import ErrorCode, Failure, Outcome
-from wigeonwind.roles.http_bounds import (
+from wigeonwind.entry.http_bounds import (
     BoundedHead,
     RequestRefusedError,
     body_too_large,
@@ -22,14 +21,15 @@
     refused,
     send_refusal,
 )
-from wigeonwind.roles.http_call import (
+from wigeonwind.entry.http_call import (
     BODY_KEY,
     HEADERS_KEY,
     SOCKET_KEY,
     TARGET_KEY,
     ReplyAbortedError,
 )
-from wigeonwind.roles.replies import failure, refusal
+from wigeonwind.entry.replies import failure, refusal
+from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.settings import LimitSettings, SocketAddress
 
 IDLE_TIMEOUT_S = 60.0
--- a/wigeonwind/roles/entry_status.py
+++ b/wigeonwind/entry/entry_status.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from wigeonwind.decisions.interfaces import EndpointInfo, EndpointLoad
-from wigeonwind.roles.recent_classes import RecentClasses
+from wigeonwind.entry.recent_classes import RecentClasses
 
 EndpointRow = tuple[EndpointInfo, EndpointLoad | None, bool]
 """An endpoint, its last load report, and whether it gets no new work."""
--- a/wigeonwind/roles/health_api.py
+++ b/wigeonwind/entry/health_api.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-from wigeonwind.roles.http_call import Body, HttpCall
-from wigeonwind.roles.replies import Reply
+from wigeonwind.entry.http_call import Body, HttpCall
+from wigeonwind.entry.replies import Reply
 
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 HEALTH_PATHS = frozenset({"/healthz", "/readyz", "/metrics"})
--- a/wigeonwind/roles/http_bounds.py
+++ b/wigeonwind/entry/http_bounds.py
@@ -7,9 +7,9 @@
 
 import gevent
 
+from wigeonwind.entry.replies import failure_reply, raw_reply, refusal
 from wigeonwind.ids import new_id
 from wigeonwind.outcomes import ErrorCode, Failure
-from wigeonwind.roles.replies import failure_reply, raw_reply, refusal
 
 LINGER_S = 0.5
 LINGER_BYTES = 1_000_000
--- a/wigeonwind/roles/http_call.py
+++ b/wigeonwind/entry/http_call.py
@@ -7,8 +7,8 @@
 
 from gevent import get_hub
 
+from wigeonwind.entry.replies import Headers, Reply, status_line
 from wigeonwind.ids import new_id
-from wigeonwind.roles.replies import Headers, Reply, status_line
 
 BODY_KEY = "wigeonwind.body"
 TARGET_KEY = "wigeonwind.target"
--- a/wigeonwind/roles/metrics_sink.py
+++ b/wigeonwind/entry/metrics_sink.py
@@ -5,7 +5,7 @@
 
 from prometheus_client import Counter
 
-from wigeonwind.roles.metrics import Latency, Metrics
+from wigeonwind.runtime.metrics import Latency, Metrics
 
 TEXT_BY_NAME = {
     "entry_requests": "Admitted requests by service, class and outcome.",
--- a/wigeonwind/roles/moves.py
+++ b/wigeonwind/entry/moves.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from wigeonwind.catalog import RequestClass
+from wigeonwind.entry.run_context import KnowsEjected, KnowsLoad, RunContext
 from wigeonwind.outcomes import ErrorCode
-from wigeonwind.roles.run_context import KnowsEjected, KnowsLoad, RunContext
 
 MAX_MOVES = 2
 """Times a request is moved before its class's longest wait at an endpoint is over."""
--- a/wigeonwind/roles/openai_api.py
+++ b/wigeonwind/entry/openai_api.py
@@ -4,19 +4,19 @@
 from collections.abc import Generator
 from dataclasses import dataclass
 
-from wigeonwind.outcomes import ErrorCode, Failure, Ok
-from wigeonwind.roles.admission import Admission, Known, Work
-from wigeonwind.roles.answer import AnswerEnd, AnswerHead, AnswerParts, CallerRequest
-from wigeonwind.roles.http_call import Body, HttpCall
-from wigeonwind.roles.openai_format import (
+from wigeonwind.entry.admission import Admission, Known, Work
+from wigeonwind.entry.answer import AnswerEnd, AnswerHead, AnswerParts, CallerRequest
+from wigeonwind.entry.http_call import Body, HttpCall
+from wigeonwind.entry.openai_format import (
     AnswerFormat,
     ChatFormat,
     CompletionFormat,
     error_event,
 )
-from wigeonwind.roles.openai_request import ModelRequest, read_model_request
-from wigeonwind.roles.replies import Headers, failure_reply, json_reply, refusal
-from wigeonwind.roles.run import Runner, Running
+from wigeonwind.entry.openai_request import ModelRequest, read_model_request
+from wigeonwind.entry.replies import Headers, failure_reply, json_reply, refusal
+from wigeonwind.entry.run import Runner, Running
+from wigeonwind.outcomes import ErrorCode, Failure, Ok
 
 CHAT_PATH = "/v1/chat/completions"
 COMPLETIONS_PATH = "/v1/completions"
--- a/wigeonwind/roles/openai_format.py
+++ b/wigeonwind/entry/openai_format.py
@@ -6,9 +6,9 @@
 from functools import cached_property
 from json.encoder import encode_basestring_ascii
 
+from wigeonwind.entry.answer import AnswerEnd
+from wigeonwind.entry.replies import error_body
 from wigeonwind.outcomes import Failure
-from wigeonwind.roles.answer import AnswerEnd
-from wigeonwind.roles.replies import error_body
 
 DONE_EVENT = b"data: [DONE]\n\n"
 
--- a/wigeonwind/roles/openai_request.py
+++ b/wigeonwind/entry/openai_request.py
@@ -6,8 +6,8 @@
 
 import xxhash
 
+from wigeonwind.entry.replies import refusal
 from wigeonwind.outcomes import ErrorCode, Failure, Ok
-from wigeonwind.roles.replies import refusal
 
 CHARACTERS_PER_TOKEN = 4
 """Usual length of a token in English text; only estimates depend on it."""
--- a/wigeonwind/roles/plain_api.py
+++ b/wigeonwind/entry/plain_api.py
@@ -3,18 +3,18 @@
 from collections.abc import Callable, Generator
 
 from wigeonwind.catalog import BookingMode, ServiceKind
-from wigeonwind.outcomes import ErrorCode, Failure, Ok
-from wigeonwind.roles.admission import Admission, Known, Work
-from wigeonwind.roles.answer import AnswerEnd, AnswerHead, AnswerParts, CallerRequest
-from wigeonwind.roles.http_call import Body, HttpCall, ReplyAbortedError
-from wigeonwind.roles.plain_headers import reply_headers, request_headers
-from wigeonwind.roles.replies import (
+from wigeonwind.entry.admission import Admission, Known, Work
+from wigeonwind.entry.answer import AnswerEnd, AnswerHead, AnswerParts, CallerRequest
+from wigeonwind.entry.http_call import Body, HttpCall, ReplyAbortedError
+from wigeonwind.entry.plain_headers import reply_headers, request_headers
+from wigeonwind.entry.replies import (
     Headers,
     failure_reply,
     refusal,
     status_line,
 )
-from wigeonwind.roles.run import Runner, Running
+from wigeonwind.entry.run import Runner, Running
+from wigeonwind.outcomes import ErrorCode, Failure, Ok
 
 PREFIX = "/svc/"
 BOOKING_HEADER = "idempotency-key"
--- a/wigeonwind/roles/request_run.py
+++ b/wigeonwind/entry/request_run.py
@@ -8,19 +8,14 @@
     RetryCause,
     RouteRequest,
 )
-from wigeonwind.links.link_types import Link
-from wigeonwind.links.messages import (
-    Submit,
-)
-from wigeonwind.outcomes import ErrorCode, Failure, Outcome
-from wigeonwind.roles.answer import (
+from wigeonwind.entry.answer import (
     AnswerEnd,
     AnswerHead,
     AnswerParts,
     AnswerSoFar,
     CallerRequest,
 )
-from wigeonwind.roles.attempt import (
+from wigeonwind.entry.attempt import (
     Attempt,
     AttemptEnd,
     Broken,
@@ -30,11 +25,16 @@
     Withdrawn,
     failure_code,
 )
-from wigeonwind.roles.metrics_sink import NO_LABELS
-from wigeonwind.roles.moves import Moves
-from wigeonwind.roles.pending import Mailbox
-from wigeonwind.roles.replies import failure
-from wigeonwind.roles.run_context import RunContext
+from wigeonwind.entry.metrics_sink import NO_LABELS
+from wigeonwind.entry.moves import Moves
+from wigeonwind.entry.pending import Mailbox
+from wigeonwind.entry.replies import failure
+from wigeonwind.entry.run_context import RunContext
+from wigeonwind.links.link_types import Link
+from wigeonwind.links.messages import (
+    Submit,
+)
+from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 
 MAX_ATTEMPTS = 8
 """Attempts of one request, whatever the retry decisions allow."""
--- a/wigeonwind/roles/entry.py
+++ b/wigeonwind/entry/role.py
@@ -16,28 +16,28 @@
     LimitDecisions,
     RetryDecisions,
 )
+from wigeonwind.entry.admission import Admission
+from wigeonwind.entry.booking_call import BookingCalls
+from wigeonwind.entry.dispatch import Dispatcher
+from wigeonwind.entry.endpoint_links import EndpointLinks
+from wigeonwind.entry.entry_http import CallerServer
+from wigeonwind.entry.entry_status import EndpointRow, entry_status
+from wigeonwind.entry.grant_exchange import GrantExchange
+from wigeonwind.entry.health_api import HealthApi
+from wigeonwind.entry.http_call import HttpCall, StartResponse, read_call
+from wigeonwind.entry.metrics_sink import MetricsSink
+from wigeonwind.entry.openai_api import OpenAiApi
+from wigeonwind.entry.pending import PendingAttempts
+from wigeonwind.entry.plain_api import PREFIX as PLAIN_PREFIX
+from wigeonwind.entry.plain_api import PlainApi
+from wigeonwind.entry.replies import failure_reply, refusal
+from wigeonwind.entry.run import Runner
+from wigeonwind.entry.run_context import ListsEndpoints, RunContext
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import CacheEvents, ClaimState, Leaving, LoadReport
 from wigeonwind.outcomes import ErrorCode
-from wigeonwind.roles.admission import Admission
-from wigeonwind.roles.booking_call import BookingCalls
-from wigeonwind.roles.dispatch import Dispatcher
-from wigeonwind.roles.endpoint_links import EndpointLinks
-from wigeonwind.roles.entry_http import CallerServer
-from wigeonwind.roles.entry_status import EndpointRow, entry_status
-from wigeonwind.roles.grant_exchange import GrantExchange
-from wigeonwind.roles.health_api import HealthApi
-from wigeonwind.roles.http_call import HttpCall, StartResponse, read_call
-from wigeonwind.roles.loops import Loops
-from wigeonwind.roles.metrics_sink import MetricsSink
-from wigeonwind.roles.openai_api import OpenAiApi
-from wigeonwind.roles.pending import PendingAttempts
-from wigeonwind.roles.plain_api import PREFIX as PLAIN_PREFIX
-from wigeonwind.roles.plain_api import PlainApi
-from wigeonwind.roles.replies import failure_reply, refusal
-from wigeonwind.roles.run import Runner
-from wigeonwind.roles.run_context import ListsEndpoints, RunContext
-from wigeonwind.roles.tracing import Tracer
+from wigeonwind.runtime.loops import Loops
+from wigeonwind.runtime.tracing import Tracer
 from wigeonwind.settings import Settings, SocketAddress, parse_address
 from wigeonwind.state.store_types import Store
 
--- a/wigeonwind/roles/run.py
+++ b/wigeonwind/entry/run.py
@@ -3,16 +3,16 @@
 from collections.abc import Mapping
 
 from wigeonwind.clock import Clock
+from wigeonwind.entry.admission import Admission
+from wigeonwind.entry.answer import AnswerEnd, AnswerParts, CallerRequest
+from wigeonwind.entry.dispatch import Dispatcher
+from wigeonwind.entry.http_call import CallerWatch, HttpCall
+from wigeonwind.entry.metrics_sink import MetricsSink
+from wigeonwind.entry.pending import Mailbox
+from wigeonwind.entry.recent_classes import RecentClasses, is_attained
+from wigeonwind.entry.request_run import Event, Events
 from wigeonwind.outcomes import Failure
-from wigeonwind.roles.admission import Admission
-from wigeonwind.roles.answer import AnswerEnd, AnswerParts, CallerRequest
-from wigeonwind.roles.dispatch import Dispatcher
-from wigeonwind.roles.http_call import CallerWatch, HttpCall
-from wigeonwind.roles.metrics_sink import MetricsSink
-from wigeonwind.roles.pending import Mailbox
-from wigeonwind.roles.recent_classes import RecentClasses, is_attained
-from wigeonwind.roles.request_run import Event, Events
-from wigeonwind.roles.tracing import Span, Tracer
+from wigeonwind.runtime.tracing import Span, Tracer
 
 
 class Running:
--- a/wigeonwind/roles/run_context.py
+++ b/wigeonwind/entry/run_context.py
@@ -12,9 +12,9 @@
     LimitDecisions,
     RetryDecisions,
 )
-from wigeonwind.roles.endpoint_links import EndpointLinks
-from wigeonwind.roles.metrics_sink import MetricsSink
-from wigeonwind.roles.pending import PendingAttempts
+from wigeonwind.entry.endpoint_links import EndpointLinks
+from wigeonwind.entry.metrics_sink import MetricsSink
+from wigeonwind.entry.pending import PendingAttempts
 
 
 @runtime_checkable
--- a/wigeonwind/load/caller.py
+++ b/wigeonwind/load/caller.py
@@ -7,8 +7,8 @@
 from wigeonwind.checking.history import End, Piece, RequestSeen
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.load.plan import PlannedRequest
-from wigeonwind.roles.endpoint_http import HttpExchange, HttpFailure, HttpHead
 from wigeonwind.settings import SocketAddress
+from wigeonwind.side.endpoint_http import HttpExchange, HttpFailure, HttpHead
 
 NUMBER_HEADER = "X-Load-Number"
 """Passed on to plain services, whose records name the request by it."""
--- a/wigeonwind/load/runner.py
+++ b/wigeonwind/load/runner.py
@@ -10,8 +10,8 @@
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.load.caller import Caller, wall_ms
 from wigeonwind.load.plan import LoadPlan, PlannedRequest, Planner
-from wigeonwind.roles.endpoint_http import HttpExchange, HttpHead
 from wigeonwind.settings import SocketAddress
+from wigeonwind.side.endpoint_http import HttpExchange, HttpHead
 
 READY_POLL_MS = 100.0
 READY_TIMEOUT_MS = 1_000.0
--- a/wigeonwind/roles/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The roles a daemon can take, and what they share."""
--- /dev/null
+++ b/wigeonwind/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The runtime of a process: links, members, text, roller, metrics and logs."""
--- a/wigeonwind/roles/demo.py
+++ b/wigeonwind/runtime/demo.py
@@ -20,8 +20,8 @@
 
 from wigeonwind.ids import new_id
 from wigeonwind.outcomes import Invalid, Ok
-from wigeonwind.roles.logs import configure_logs
-from wigeonwind.roles.process import Process, build_process
+from wigeonwind.runtime.logs import configure_logs
+from wigeonwind.runtime.process import Process, build_process
 from wigeonwind.settings import SocketAddress, read_settings
 from wigeonwind.standins.engine_server import EngineServer
 from wigeonwind.standins.engine_types import EngineConfig
--- a/wigeonwind/roles/dialer.py
+++ b/wigeonwind/runtime/dialer.py
@@ -9,8 +9,8 @@
 from wigeonwind.clock import Clock
 from wigeonwind.links.link_types import Link
 from wigeonwind.outcomes import Failure, Ok
-from wigeonwind.roles.link_table import LinkTable
-from wigeonwind.roles.peering import DialBackoff, Peering, address_of
+from wigeonwind.runtime.link_table import LinkTable
+from wigeonwind.runtime.peering import DialBackoff, Peering, address_of
 from wigeonwind.settings import SocketAddress, parse_address
 from wigeonwind.state.membership import MemberRecord
 
--- a/wigeonwind/roles/node.py
+++ b/wigeonwind/runtime/node.py
@@ -17,13 +17,13 @@
 from wigeonwind.links.link_types import Link, LinkOptions
 from wigeonwind.links.messages import Hello, Leaving, OrderResult
 from wigeonwind.outcomes import Failure, Ok
-from wigeonwind.roles.dialer import Dialer
-from wigeonwind.roles.link_table import LinkTable
-from wigeonwind.roles.loops import Loops
-from wigeonwind.roles.peering import Peering, address_of
-from wigeonwind.roles.roller import Roller
-from wigeonwind.roles.spread import ANTI_ENTROPY_MS, Spread
-from wigeonwind.roles.text_gate import TextGate
+from wigeonwind.runtime.dialer import Dialer
+from wigeonwind.runtime.link_table import LinkTable
+from wigeonwind.runtime.loops import Loops
+from wigeonwind.runtime.peering import Peering, address_of
+from wigeonwind.runtime.roller import Roller
+from wigeonwind.runtime.spread import ANTI_ENTROPY_MS, Spread
+from wigeonwind.runtime.text_gate import TextGate
 from wigeonwind.settings import Settings, SocketAddress, parse_address
 from wigeonwind.settings import parse_address_list as parse_addresses
 from wigeonwind.state.lease import Lease
--- a/wigeonwind/roles/node_status.py
+++ b/wigeonwind/runtime/node_status.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from wigeonwind.roles.node import Node
+from wigeonwind.runtime.node import Node
 from wigeonwind.state.membership import MemberRecord
 
 
--- a/wigeonwind/roles/process.py
+++ b/wigeonwind/runtime/process.py
@@ -17,30 +17,30 @@
 from wigeonwind.decisions.endpoint_queue import EndpointQueue
 from wigeonwind.decisions.limits import CustomerLimiter
 from wigeonwind.decisions.retry import RetryPolicy
+from wigeonwind.entry.grant_exchange import GrantExchange
+from wigeonwind.entry.health_api import HealthApi
+from wigeonwind.entry.http_call import StartResponse, read_call
+from wigeonwind.entry.metrics_sink import PrometheusSink
+from wigeonwind.entry.role import EntryRole
 from wigeonwind.links.link import link_options
 from wigeonwind.outcomes import Invalid, Ok, Problem
-from wigeonwind.roles.entry import EntryRole
-from wigeonwind.roles.grant_exchange import GrantExchange
-from wigeonwind.roles.health_api import HealthApi
-from wigeonwind.roles.http_call import StartResponse, read_call
-from wigeonwind.roles.key_files import (
+from wigeonwind.runtime.key_files import (
     caller_tls,
     load_certificate,
     missing_keys,
     operators_key,
     reload_links,
 )
-from wigeonwind.roles.loops import Loops
-from wigeonwind.roles.metrics import Metrics
-from wigeonwind.roles.metrics_sink import PrometheusSink
-from wigeonwind.roles.node import Node
-from wigeonwind.roles.node_status import node_status
-from wigeonwind.roles.operators_api import OperatorsApi
-from wigeonwind.roles.roller import Roller
-from wigeonwind.roles.side import SideRole
-from wigeonwind.roles.tracing import make_tracer
-from wigeonwind.roles.vm_list_client import VmListClient
+from wigeonwind.runtime.loops import Loops
+from wigeonwind.runtime.metrics import Metrics
+from wigeonwind.runtime.node import Node
+from wigeonwind.runtime.node_status import node_status
+from wigeonwind.runtime.operators_api import OperatorsApi
+from wigeonwind.runtime.roller import Roller
+from wigeonwind.runtime.tracing import make_tracer
+from wigeonwind.runtime.vm_list_client import VmListClient
 from wigeonwind.settings import Settings, SocketAddress, parse_address
+from wigeonwind.side.role import SideRole
 from wigeonwind.state.booking_sweep import BookingSweep, ListingStore, SweepStep
 from wigeonwind.state.membership import MemberState
 from wigeonwind.state.store_client import StoreClient
--- a/wigeonwind/roles/spread.py
+++ b/wigeonwind/runtime/spread.py
@@ -16,7 +16,7 @@
     TextVersion,
 )
 from wigeonwind.registry import Registry
-from wigeonwind.roles.link_table import LinkTable
+from wigeonwind.runtime.link_table import LinkTable
 from wigeonwind.state.membership import (
     MemberRecord,
     Membership,
--- /dev/null
+++ b/wigeonwind/side/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar role: queue, endpoint clients, claims and orders."""
--- a/wigeonwind/roles/attempt_runner.py
+++ b/wigeonwind/side/attempt_runner.py
@@ -13,20 +13,20 @@
 )
 from wigeonwind.links.messages import Chunk, Failed, Finished, Head, Started
 from wigeonwind.outcomes import ErrorCode
-from wigeonwind.roles.claim_memory import BookingRecorder, ClaimMemory
-from wigeonwind.roles.endpoint_http import HttpFailure, HttpHead
-from wigeonwind.roles.engine_client import (
+from wigeonwind.runtime.tracing import Tracer
+from wigeonwind.side.claim_memory import BookingRecorder, ClaimMemory
+from wigeonwind.side.endpoint_http import HttpFailure, HttpHead
+from wigeonwind.side.engine_client import (
     EngineClient,
     EngineFailure,
     engine_body,
     engine_request_id,
 )
-from wigeonwind.roles.plain_client import PlainClient, PlainEnd
-from wigeonwind.roles.side_metrics import SideMetrics
-from wigeonwind.roles.side_spans import AttemptSpans
-from wigeonwind.roles.sse import StreamEnd, TokenBatch
-from wigeonwind.roles.tracing import Tracer
-from wigeonwind.roles.work_table import Attempt, WorkTable
+from wigeonwind.side.plain_client import PlainClient, PlainEnd
+from wigeonwind.side.side_metrics import SideMetrics
+from wigeonwind.side.side_spans import AttemptSpans
+from wigeonwind.side.sse import StreamEnd, TokenBatch
+from wigeonwind.side.work_table import Attempt, WorkTable
 
 RESUME = "resume"
 """Control call that lets a paused answer go on; any other names the KV treatment."""
--- a/wigeonwind/roles/cache_feed.py
+++ b/wigeonwind/side/cache_feed.py
@@ -8,7 +8,7 @@
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import CacheEvents
-from wigeonwind.roles.engine_client import EngineCacheEvents, EngineClient
+from wigeonwind.side.engine_client import EngineCacheEvents, EngineClient
 
 POLL_MS = 500.0
 """Interval between reads of the engine's events while there is work."""
--- a/wigeonwind/roles/engine_client.py
+++ b/wigeonwind/side/engine_client.py
@@ -6,13 +6,13 @@
 from typing import Any
 
 from wigeonwind.links.messages import Order, Submit
-from wigeonwind.roles.endpoint_http import (
+from wigeonwind.settings import SocketAddress
+from wigeonwind.side.endpoint_http import (
     HttpExchange,
     HttpFailure,
     trace_headers,
 )
-from wigeonwind.roles.sse import StreamEnd, StreamError, TokenBatch, TokenStream
-from wigeonwind.settings import SocketAddress
+from wigeonwind.side.sse import StreamEnd, StreamError, TokenBatch, TokenStream
 
 CONTROL_TIMEOUT_MS = 5_000.0
 """Time for a control call or a load report."""
--- a/wigeonwind/roles/intake.py
+++ b/wigeonwind/side/intake.py
@@ -19,10 +19,10 @@
     WithdrawResult,
 )
 from wigeonwind.outcomes import ErrorCode
-from wigeonwind.roles.claim_memory import ClaimMemory, TokenState
-from wigeonwind.roles.pause_detector import PauseDetector
-from wigeonwind.roles.side_metrics import SideMetrics
-from wigeonwind.roles.work_table import Attempt, Known, WorkTable
+from wigeonwind.side.claim_memory import ClaimMemory, TokenState
+from wigeonwind.side.pause_detector import PauseDetector
+from wigeonwind.side.side_metrics import SideMetrics
+from wigeonwind.side.work_table import Attempt, Known, WorkTable
 
 FULL_RETRY_MS = 1_000.0
 """Wait proposed when a memory is full."""
--- a/wigeonwind/roles/late_work.py
+++ b/wigeonwind/side/late_work.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator
 
 from wigeonwind.catalog import Catalog, RequestClass, TargetKind
-from wigeonwind.roles.work_table import Attempt
+from wigeonwind.side.work_table import Attempt
 
 
 def late_attempts(
--- a/wigeonwind/roles/load_reporter.py
+++ b/wigeonwind/side/load_reporter.py
@@ -8,15 +8,15 @@
 from wigeonwind.decisions.interfaces import EndpointQueueDecisions
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import LoadReport
-from wigeonwind.roles.endpoint_http import HttpExchange
-from wigeonwind.roles.engine_client import (
+from wigeonwind.runtime.loops import Loops
+from wigeonwind.settings import SocketAddress
+from wigeonwind.side.endpoint_http import HttpExchange
+from wigeonwind.side.engine_client import (
     CONTROL_TIMEOUT_MS,
     EngineClient,
     EngineFailure,
     EngineLoad,
 )
-from wigeonwind.roles.loops import Loops
-from wigeonwind.settings import SocketAddress
 
 STALE_INTERVALS = 3
 """Report intervals without an answer after which the endpoint is not ready."""
@@ -68,6 +68,11 @@
         if link in self._links:
             self._links.remove(link)
 
+    @property
+    def version(self) -> str:
+        """Return the model version of the engine's last report, empty before it."""
+        return self._load.version if self._load else ""
+
     def is_ready(self) -> bool:
         """Return whether new work may be sent here."""
         if not self._takes_work() or self._read_ms is None:
--- a/wigeonwind/roles/orders.py
+++ b/wigeonwind/side/orders.py
@@ -12,7 +12,7 @@
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import Order, OrderResult
 from wigeonwind.outcomes import Ok
-from wigeonwind.roles.engine_client import (
+from wigeonwind.side.engine_client import (
     ORDER_TIMEOUT_MS,
     EngineFailure,
     EngineLoad,
--- a/wigeonwind/roles/plain_client.py
+++ b/wigeonwind/side/plain_client.py
@@ -4,13 +4,13 @@
 from dataclasses import dataclass
 
 from wigeonwind.links.messages import Submit
-from wigeonwind.roles.endpoint_http import (
+from wigeonwind.settings import SocketAddress
+from wigeonwind.side.endpoint_http import (
     HttpExchange,
     HttpFailure,
     HttpHead,
     trace_headers,
 )
-from wigeonwind.settings import SocketAddress
 
 HOP_HEADERS = frozenset(
     {
--- a/wigeonwind/roles/side.py
+++ b/wigeonwind/side/role.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any, Protocol, runtime_checkable
 
-from gevent import sleep
+from gevent import sleep, spawn
 
 from wigeonwind.catalog import Catalog
 from wigeonwind.clock import MS_PER_SECOND, Clock
@@ -29,23 +29,24 @@
     Withdraw,
 )
 from wigeonwind.outcomes import ErrorCode
-from wigeonwind.roles.attempt_runner import AttemptRunner
-from wigeonwind.roles.cache_feed import CacheFeed
-from wigeonwind.roles.claim_memory import ClaimMemory
-from wigeonwind.roles.engine_client import EngineClient, EngineLoad
-from wigeonwind.roles.intake import Intake
-from wigeonwind.roles.late_work import late_attempts
-from wigeonwind.roles.load_reporter import LoadReporter
-from wigeonwind.roles.loops import Loops
-from wigeonwind.roles.metrics import Metrics
-from wigeonwind.roles.orders import OrderGate, VersionCounts
-from wigeonwind.roles.pause_detector import TICK_MS, PauseDetector
-from wigeonwind.roles.plain_client import PlainClient
-from wigeonwind.roles.side_drain import EndpointPause, WorkEnd
-from wigeonwind.roles.side_metrics import SideMetrics
-from wigeonwind.roles.tracing import PassingTracer, Tracer
-from wigeonwind.roles.work_table import Attempt, WorkTable
+from wigeonwind.runtime.loops import Loops
+from wigeonwind.runtime.metrics import Metrics
+from wigeonwind.runtime.tracing import PassingTracer, Tracer
 from wigeonwind.settings import Settings, SocketAddress, parse_address
+from wigeonwind.side.attempt_runner import AttemptRunner
+from wigeonwind.side.cache_feed import CacheFeed
+from wigeonwind.side.claim_memory import ClaimMemory
+from wigeonwind.side.engine_client import EngineClient, EngineLoad
+from wigeonwind.side.intake import Intake
+from wigeonwind.side.late_work import late_attempts
+from wigeonwind.side.load_reporter import LoadReporter
+from wigeonwind.side.orders import OrderGate, VersionCounts
+from wigeonwind.side.pause_detector import TICK_MS, PauseDetector
+from wigeonwind.side.plain_client import PlainClient
+from wigeonwind.side.side_drain import EndpointPause, WorkEnd
+from wigeonwind.side.side_metrics import SideMetrics
+from wigeonwind.side.version_hold import VersionHold
+from wigeonwind.side.work_table import Attempt, WorkTable
 from wigeonwind.state.store_types import Store
 
 LEAST_URGENT = 99
@@ -88,6 +89,8 @@
         self._links: list[Link] = []
         self._is_draining = False
         self._kv_limit_tokens = 0
+        self._hold: VersionHold | None = None
+        self._store = store
         self.loops = Loops(self.stop)
         self._pauses = PauseDetector(clock)
         self._table = WorkTable(clock)
@@ -131,10 +134,15 @@
             self._engine,
             address,
             self._settings.links.report_ms,
-            lambda: not self._is_draining and not self._pause.is_on,
+            self._takes_work,
             self._on_load,
         )
 
+    def _takes_work(self) -> bool:
+        if self._is_draining or self._pause.is_on:
+            return False
+        return self._hold is None or not self._hold.holds(self._reporter.version)
+
     def _make_cache_feed(self) -> CacheFeed | None:
         if self._engine is None:
             return None
@@ -173,6 +181,9 @@
         """Start to watch the endpoint, to report, and to read the lease."""
         self._reporter.start(self.loops)
         self._orders.start()
+        if self._engine is not None:
+            self._hold = VersionHold(self._clock, self._store, self._endpoint.service)
+            spawn(self._hold.read)
         self.loops.start(self._tick_loop)
         if self._cache_feed is not None:
             self.loops.start(self._cache_feed.run)
@@ -258,7 +269,8 @@
         if limit != self._kv_limit_tokens and isinstance(self._queue, UsesKvCosts):
             self._kv_limit_tokens = limit
             room = int(limit * PAUSED_KV_SHARE)
-            self._queue.set_kv_costs(KvCosts(paused_limit_tokens=room))
+            costs = KvCosts(paused_limit_tokens=room, kv_limit_tokens=limit)
+            self._queue.set_kv_costs(costs)
 
     def _refuse_new(self) -> Rejected | None:
         """Return why no new work is taken now, if so."""
--- a/wigeonwind/roles/side_drain.py
+++ b/wigeonwind/side/side_drain.py
@@ -8,7 +8,7 @@
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.interfaces import Rejected
 from wigeonwind.outcomes import ErrorCode
-from wigeonwind.roles.work_table import Attempt, WorkTable
+from wigeonwind.side.work_table import Attempt, WorkTable
 
 BREAK_OFF_MS = 1_000.0
 """Time for broken-off attempts to report their end."""
--- a/wigeonwind/roles/side_metrics.py
+++ b/wigeonwind/side/side_metrics.py
@@ -3,9 +3,9 @@
 from wigeonwind.catalog import Catalog, TargetKind
 from wigeonwind.clock import Clock
 from wigeonwind.outcomes import ErrorCode
-from wigeonwind.roles.metrics import Metrics
-from wigeonwind.roles.orders import VersionCounts
-from wigeonwind.roles.work_table import Attempt
+from wigeonwind.runtime.metrics import Metrics
+from wigeonwind.side.orders import VersionCounts
+from wigeonwind.side.work_table import Attempt
 
 
 class SideMetrics:
--- a/wigeonwind/roles/work_table.py
+++ b/wigeonwind/side/work_table.py
@@ -18,7 +18,7 @@
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import Submit
 from wigeonwind.outcomes import ErrorCode
-from wigeonwind.roles.key_memory import KeyMemory
+from wigeonwind.side.key_memory import KeyMemory
 
 REMEMBER_MS = 600_000.0
 """Time for which an attempt that must not run again is remembered: 10 minutes."""
