Keep the list of hop-by-hop headers once

Cause: entry and sidecar each held the list and the reading of the Connection header; a header added to one of them only would pass or be lost at the other hop. Ruled out as duplicates to mend: typed messages and settings, whose fields are alike in shape only, and imports. Change: wigeonwind/hop_headers.py holds both; a poll interval that now serves two waits is named for what it looks at. Conclusion: behaviour is unchanged.

--- a/wigeonwind/entry/plain_headers.py
+++ b/wigeonwind/entry/plain_headers.py
@@ -1,19 +1,6 @@
 """Headers that pass between a caller and an endpoint."""
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers that concern one connection only (RFC 9110 section 7.6.1)."""
+from wigeonwind.hop_headers import HOP_BY_HOP, connection_names
 
 CONSUMED = frozenset(
     {
@@ -32,22 +19,13 @@
 """Reply headers that only the entry may set."""
 
 
-def _connection_names(headers: list[list[str]]) -> set[str]:
-    """Return the headers that a Connection header declares hop-by-hop."""
-    names: set[str] = set()
-    for name, value in headers:
-        if name.lower() == "connection":
-            names |= {part.strip().lower() for part in value.split(",")}
-    return names
-
-
 def request_headers(headers: list[list[str]]) -> list[list[str]]:
     """Return the request headers an endpoint gets; API keys do not pass.
 
     >>> request_headers([["Authorization", "Bearer k"], ["Accept", "*/*"]])
     [['Accept', '*/*']]
     """
-    dropped = HOP_BY_HOP | CONSUMED | _connection_names(headers)
+    dropped = HOP_BY_HOP | CONSUMED | connection_names(headers)
     return [
         [name, value]
         for name, value in headers
@@ -65,7 +43,7 @@
     >>> reply_headers([["Connection", "X-Hop"], ["X-Hop", "1"], ["ETag", "e"]])
     [('ETag', 'e')]
     """
-    dropped = HOP_BY_HOP | OURS | _connection_names(headers)
+    dropped = HOP_BY_HOP | OURS | connection_names(headers)
     return [
         (name, value)
         for name, value in headers
--- a/wigeonwind/runtime/node.py
+++ b/wigeonwind/runtime/node.py
@@ -44,8 +44,8 @@
 """Time for entries to close their links to a leaving sidecar; they do it at their next
 look, but one that is paused must not hold up the stop."""
 
-CONFIRM_POLL_MS = 20.0
-"""Interval between looks at what peers have confirmed."""
+LINKS_POLL_MS = 20.0
+"""Interval between looks at what linked peers have confirmed or closed."""
 
 log = get_logger("wigeonwind.node")
 
@@ -261,7 +261,7 @@
         while self.clock.now_ms() < deadline_ms:
             if not any(link.hello.role == "entry" for link in self.links.used()):
                 return
-            sleep(CONFIRM_POLL_MS / MS_PER_SECOND)
+            sleep(LINKS_POLL_MS / MS_PER_SECOND)
 
     def on_up(self, link: Link) -> None:
         """Take a link that has come up."""
@@ -345,7 +345,7 @@
             confirmed = self.spread.zones_with_text(version)
             if linked <= confirmed or self.clock.now_ms() >= deadline_ms:
                 return sorted(confirmed)
-            sleep(CONFIRM_POLL_MS / MS_PER_SECOND)
+            sleep(LINKS_POLL_MS / MS_PER_SECOND)
 
     def _spread_loop(self) -> None:
         while not self._stopped.is_set():
--- a/wigeonwind/side/plain_client.py
+++ b/wigeonwind/side/plain_client.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
+from wigeonwind.hop_headers import HOP_BY_HOP, connection_names
 from wigeonwind.links.messages import Submit
 from wigeonwind.settings import SocketAddress
 from wigeonwind.side.endpoint_http import (
@@ -12,21 +13,6 @@
     trace_headers,
 )
 
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers that belong to one connection (RFC 9110 section 7.6.1)."""
-
 REQUEST_ONLY_HERE = frozenset({"host", "content-length", "expect"})
 """Request headers that are written anew; the whole body is here already, so the
 service need not be asked whether it wants it."""
@@ -47,10 +33,7 @@
     [['Accept', '*']]
     """
     pairs = list(headers)
-    dropped = set(HOP_HEADERS)
-    for name, value in pairs:
-        if name.lower() == "connection":
-            dropped.update(part.strip().lower() for part in value.split(","))
+    dropped = HOP_BY_HOP | connection_names(pairs)
     return [[name, value] for name, value in pairs if name.lower() not in dropped]
 
 
