Move socket addresses out of the settings module

Cause: the store client and everything that opens a socket import the settings, and with them pydantic (most of the start time of a process that needs none of it).

--- a/bench/engine_server_speed.py
+++ b/bench/engine_server_speed.py
@@ -20,7 +20,7 @@
 from absl import app, flags
 from gevent import subprocess
 
-from wigeonwind.settings import SocketAddress, parse_address
+from wigeonwind.addresses import SocketAddress, parse_address
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("streams", 32, "Streams at a time.")
--- a/bench/hostile_callers.py
+++ b/bench/hostile_callers.py
@@ -22,9 +22,9 @@
 from gevent import socket
 from geventhttpclient import HTTPClient
 
+from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.checking.child_process import ChildProcess
 from wigeonwind.checking.process_fleet import call_json
-from wigeonwind.settings import SocketAddress, parse_address
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("seed", 1, "Seed of the attacks.")
--- a/bench/links.py
+++ b/bench/links.py
@@ -32,6 +32,7 @@
 from gevent.event import Event  # noqa: E402
 from gevent.server import StreamServer  # noqa: E402
 
+from wigeonwind.addresses import SocketAddress  # noqa: E402
 from wigeonwind.catalog import (  # noqa: E402
     Catalog,
     LatencyTarget,
@@ -46,7 +47,7 @@
 from wigeonwind.links.messages import Chunk, Finished, Hello, Submit  # noqa: E402
 from wigeonwind.outcomes import Ok  # noqa: E402
 from wigeonwind.runtime.metrics import Metrics  # noqa: E402
-from wigeonwind.settings import SocketAddress, read_settings  # noqa: E402
+from wigeonwind.settings import read_settings  # noqa: E402
 from wigeonwind.side.role import SideRole  # noqa: E402
 from wigeonwind.state.store_types import NotFound  # noqa: E402
 
--- a/bench/path.py
+++ b/bench/path.py
@@ -22,8 +22,8 @@
 from geventhttpclient import HTTPClient  # noqa: E402
 from hdrh.histogram import HdrHistogram  # noqa: E402
 
+from wigeonwind.addresses import SocketAddress, parse_address  # noqa: E402
 from wigeonwind.runtime.demo import TEXT_PATH  # noqa: E402
-from wigeonwind.settings import SocketAddress, parse_address  # noqa: E402
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("seed", 1, "Seed of the prompts.")
--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -10,6 +10,7 @@
 
 import gevent
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.catalog import (
     Catalog,
     Customer,
@@ -36,7 +37,7 @@
 )
 from wigeonwind.outcomes import Ok
 from wigeonwind.runtime.tracing import PassingTracer, Tracer
-from wigeonwind.settings import Settings, SocketAddress, read_settings
+from wigeonwind.settings import Settings, read_settings
 from wigeonwind.state.store_types import Conflict, NotFound, StoredObject, StoreFailure
 
 MODEL = "barley-7b"
--- a/tests/test_fuzz_inputs.py
+++ b/tests/test_fuzz_inputs.py
@@ -9,11 +9,12 @@
 from gevent.server import StreamServer
 from test_entry_http import CHUNKED, POST
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.links.codec import decode, encode
 from wigeonwind.links.messages import Chunk, Hello, Submit
 from wigeonwind.runtime.demo import TEXT_PATH, settings_source
 from wigeonwind.runtime.vm_list_client import VmListClient
-from wigeonwind.settings import SocketAddress, read_settings
+from wigeonwind.settings import read_settings
 from wigeonwind.side.engine_client import EngineClient
 from wigeonwind.side.sse import TokenStream
 from wigeonwind.state.store_client import StoreClient
--- a/tests/test_links_link.py
+++ b/tests/test_links_link.py
@@ -7,12 +7,13 @@
 from gevent.event import Event
 from gevent.queue import Queue
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.links.handshake import open_client
 from wigeonwind.links.link import LinkOptions, LinkServer, connect_link, link_options
 from wigeonwind.links.messages import Chunk, Hello, Leaving, Ping
 from wigeonwind.links.websocket import WebsocketLink
 from wigeonwind.outcomes import Failure, Invalid, Ok
-from wigeonwind.settings import LinkSettings, SocketAddress
+from wigeonwind.settings import LinkSettings
 
 LIMIT_S = 5.0
 """Only bounds a test that fails."""
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -3,13 +3,13 @@
 from dataclasses import replace
 from random import Random
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import ManualClock
 from wigeonwind.links.messages import Hello
 from wigeonwind.runtime.dialer import UNUSED_LIMIT_MS, Dialer
 from wigeonwind.runtime.link_table import LinkTable
 from wigeonwind.runtime.peering import MAX_RETRY_MS, DialBackoff, Peering
 from wigeonwind.runtime.spread import Spread
-from wigeonwind.settings import SocketAddress
 from wigeonwind.state.membership import MemberRecord, Membership, MemberState
 from wigeonwind.state.text_keeper import TextKeeper
 
--- a/tests/test_standins_engine_server.py
+++ b/tests/test_standins_engine_server.py
@@ -9,10 +9,10 @@
 import pytest
 from xxhash import xxh64
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import ManualClock
 from wigeonwind.entry.openai_request import prefix_keys as entry_prefix_keys
 from wigeonwind.outcomes import Ok
-from wigeonwind.settings import SocketAddress
 from wigeonwind.standins.answer_text import (
     AnswerFault,
     answer_text,
--- a/tests/test_standins_services.py
+++ b/tests/test_standins_services.py
@@ -11,9 +11,9 @@
 import pytest
 from gevent import subprocess
 
+from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.clock import ManualClock
 from wigeonwind.outcomes import Ok
-from wigeonwind.settings import SocketAddress, parse_address
 from wigeonwind.standins.faults import (
     Crash,
     Lag,
--- a/tests/test_store_client.py
+++ b/tests/test_store_client.py
@@ -13,8 +13,8 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.outcomes import Ok
-from wigeonwind.settings import SocketAddress
 from wigeonwind.state.memory_store import MemoryStore
 from wigeonwind.state.store_client import StoreClient, StoreLimits
 from wigeonwind.state.store_http import BreakerLimits, LaneLimits, _http_client
--- a/tests/test_store_recovery.py
+++ b/tests/test_store_recovery.py
@@ -5,8 +5,8 @@
 import gevent
 from gevent.event import Event
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import ManualClock
-from wigeonwind.settings import SocketAddress
 from wigeonwind.state.store_http import LaneLimits, Reply, StoreLane
 from wigeonwind.state.store_types import StoreFailure
 
--- a/tests/test_store_standin.py
+++ b/tests/test_store_standin.py
@@ -8,10 +8,10 @@
 from test_text_parse import GOOD
 from test_text_store import EDITED, large_text
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.links.codec import decode, encode
 from wigeonwind.links.messages import TextChange
 from wigeonwind.outcomes import Ok
-from wigeonwind.settings import SocketAddress
 from wigeonwind.standins.faults import LoseAnswers, Outage
 from wigeonwind.standins.object_store_server import ObjectStoreServer
 from wigeonwind.state.store_client import StoreClient
--- /dev/null
+++ b/wigeonwind/addresses.py
@@ -0,0 +1,46 @@
+"""Socket addresses: IP numbers with a port."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SocketAddress:
+    """An IP number and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return host:port."""
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> SocketAddress:
+    """Split `host:port`; raise ValueError if there is no port number.
+
+    >>> parse_address("127.0.0.1:80")
+    SocketAddress(host='127.0.0.1', port=80)
+    """
+    host, _, port = text.rpartition(":")
+    return SocketAddress(host, int(port))
+
+
+def parse_address_list(text: str) -> tuple[SocketAddress, ...]:
+    """Split a comma-separated list of addresses.
+
+    >>> [str(a) for a in parse_address_list("127.0.0.1:1, 127.0.0.1:2")]
+    ['127.0.0.1:1', '127.0.0.1:2']
+    """
+    parts = [part.strip() for part in text.split(",")]
+    return tuple(parse_address(part) for part in parts if part)
+
+
+def is_valid_address(address: SocketAddress) -> bool:
+    """Return whether the host is an IPv4 number and the port is in range.
+
+    >>> is_valid_address(SocketAddress("10.0.0.256", 80))
+    False
+    """
+    octets = [int(part) for part in address.host.split(".") if part.isdigit()]
+    in_range = len(octets) == 4 and all(octet <= 255 for octet in octets)
+    return in_range and 0 <= address.port <= 65535
--- a/wigeonwind/checking/fleet_run.py
+++ b/wigeonwind/checking/fleet_run.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent.pool import Group
 
+from wigeonwind.addresses import parse_address
 from wigeonwind.catalog import Catalog, ServiceKind
 from wigeonwind.checking import fault_actions as fault_actions
 from wigeonwind.checking.check import check_history
@@ -35,7 +36,6 @@
 from wigeonwind.load.plan import LoadPlan
 from wigeonwind.load.runner import LoadRunner
 from wigeonwind.outcomes import Ok
-from wigeonwind.settings import parse_address
 from wigeonwind.state.text import parse_text
 
 WATCH_INTERVAL_S = 0.25
--- a/wigeonwind/checking/process_fleet.py
+++ b/wigeonwind/checking/process_fleet.py
@@ -10,11 +10,11 @@
 
 import gevent
 
+from wigeonwind.addresses import parse_address
 from wigeonwind.checking.child_process import ChildProcess, StartError
 from wigeonwind.checking.history import MemberChange, MemberSeen, Record
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.load.caller import wall_ms
-from wigeonwind.settings import parse_address
 from wigeonwind.side.endpoint_http import HttpExchange, HttpFailure
 
 READY_POLL_S = 0.05
--- a/wigeonwind/entry/entry_http.py
+++ b/wigeonwind/entry/entry_http.py
@@ -12,6 +12,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import MAX_REQUEST_LINE, Input, WSGIHandler, WSGIServer
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.entry.http_bounds import (
     BoundedHead,
@@ -30,7 +31,7 @@
 )
 from wigeonwind.entry.replies import failure, refusal
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
-from wigeonwind.settings import LimitSettings, SocketAddress
+from wigeonwind.settings import LimitSettings
 
 IDLE_TIMEOUT_S = 60.0
 """Longest silence of a connection between requests, and of a caller that should read.
--- a/wigeonwind/entry/role.py
+++ b/wigeonwind/entry/role.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.catalog import Catalog
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.interfaces import (
@@ -38,7 +39,7 @@
 from wigeonwind.outcomes import ErrorCode
 from wigeonwind.runtime.loops import Loops
 from wigeonwind.runtime.tracing import Tracer
-from wigeonwind.settings import Settings, SocketAddress, parse_address
+from wigeonwind.settings import Settings
 from wigeonwind.state.store_types import Store
 
 DRAIN_POLL_MS = 20.0
--- a/wigeonwind/links/link.py
+++ b/wigeonwind/links/link.py
@@ -17,13 +17,14 @@
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.links.handshake import OpeningError
 from wigeonwind.links.link_types import Link, LinkCounts, LinkHandler, LinkOptions
 from wigeonwind.links.messages import Hello
 from wigeonwind.links.websocket import MAX_HELLO_BYTES, SOCKET_ERRORS, WebsocketLink
 from wigeonwind.outcomes import ErrorCode, Failure, Invalid, Ok, Outcome, Problem
-from wigeonwind.settings import LinkSettings, SocketAddress
+from wigeonwind.settings import LinkSettings
 
 __all__ = [
     "Link",
--- a/wigeonwind/load/caller.py
+++ b/wigeonwind/load/caller.py
@@ -4,10 +4,10 @@
 import time
 from collections.abc import Iterator
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.checking.history import End, Piece, RequestSeen
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.load.plan import PlannedRequest
-from wigeonwind.settings import SocketAddress
 from wigeonwind.side.endpoint_http import HttpExchange, HttpFailure, HttpHead
 
 NUMBER_HEADER = "X-Load-Number"
--- a/wigeonwind/load/runner.py
+++ b/wigeonwind/load/runner.py
@@ -6,11 +6,11 @@
 import gevent
 from gevent.pool import Pool
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.checking.history import End, RequestSeen
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.load.caller import Caller, wall_ms
 from wigeonwind.load.plan import LoadPlan, PlannedRequest, Planner
-from wigeonwind.settings import SocketAddress
 from wigeonwind.side.endpoint_http import HttpExchange, HttpHead
 
 READY_POLL_MS = 100.0
--- a/wigeonwind/runtime/demo.py
+++ b/wigeonwind/runtime/demo.py
@@ -18,11 +18,12 @@
 import gevent
 from gevent.event import Event
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.ids import new_id
 from wigeonwind.outcomes import Invalid, Ok
 from wigeonwind.runtime.logs import configure_logs
 from wigeonwind.runtime.process import Process, build_process
-from wigeonwind.settings import SocketAddress, read_settings
+from wigeonwind.settings import read_settings
 from wigeonwind.standins.engine_server import EngineServer
 from wigeonwind.standins.engine_types import EngineConfig
 from wigeonwind.standins.object_store_server import ObjectStoreServer
--- a/wigeonwind/runtime/dialer.py
+++ b/wigeonwind/runtime/dialer.py
@@ -6,12 +6,12 @@
 
 from gevent import spawn
 
+from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.clock import Clock
 from wigeonwind.links.link_types import Link
 from wigeonwind.outcomes import Failure, Ok
 from wigeonwind.runtime.link_table import LinkTable
 from wigeonwind.runtime.peering import DialBackoff, Peering, address_of
-from wigeonwind.settings import SocketAddress, parse_address
 from wigeonwind.state.membership import MemberRecord
 
 UNUSED_LIMIT_MS = 30_000.0
--- a/wigeonwind/runtime/key_files.py
+++ b/wigeonwind/runtime/key_files.py
@@ -4,10 +4,11 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from wigeonwind.addresses import parse_address
 from wigeonwind.links.link import read_keys
 from wigeonwind.links.link_types import LinkOptions
 from wigeonwind.outcomes import Invalid, Ok, Problem
-from wigeonwind.settings import LinkSettings, ListenSettings, Settings, parse_address
+from wigeonwind.settings import LinkSettings, ListenSettings, Settings
 
 LOOPBACK_PREFIX = "127."
 
--- a/wigeonwind/runtime/node.py
+++ b/wigeonwind/runtime/node.py
@@ -9,6 +9,8 @@
 from gevent.event import Event
 from structlog import get_logger
 
+from wigeonwind.addresses import SocketAddress, parse_address
+from wigeonwind.addresses import parse_address_list as parse_addresses
 from wigeonwind.catalog import Catalog, ServiceKind
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.interfaces import EndpointInfo
@@ -24,8 +26,7 @@
 from wigeonwind.runtime.roller import Roller
 from wigeonwind.runtime.spread import ANTI_ENTROPY_MS, Spread
 from wigeonwind.runtime.text_gate import TextGate
-from wigeonwind.settings import Settings, SocketAddress, parse_address
-from wigeonwind.settings import parse_address_list as parse_addresses
+from wigeonwind.settings import Settings
 from wigeonwind.state.lease import Lease
 from wigeonwind.state.membership import MemberRecord, Membership, MemberState
 from wigeonwind.state.rolls import RollTimes
--- a/wigeonwind/runtime/peering.py
+++ b/wigeonwind/runtime/peering.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from wigeonwind.settings import SocketAddress, parse_address
+from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.state.membership import MemberRecord, Membership, MemberState
 from wigeonwind.state.subset import (
     choose_entry_peers,
--- a/wigeonwind/runtime/process.py
+++ b/wigeonwind/runtime/process.py
@@ -12,6 +12,7 @@
 from gevent.pywsgi import WSGIServer
 from structlog import get_logger
 
+from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.clock import MS_PER_SECOND, SystemClock
 from wigeonwind.decisions.choice import EndpointChooser
 from wigeonwind.decisions.endpoint_queue import EndpointQueue
@@ -39,7 +40,7 @@
 from wigeonwind.runtime.roller import Roller
 from wigeonwind.runtime.tracing import make_tracer
 from wigeonwind.runtime.vm_list_client import VmListClient
-from wigeonwind.settings import Settings, SocketAddress, parse_address
+from wigeonwind.settings import Settings
 from wigeonwind.side.role import SideRole
 from wigeonwind.state.booking_sweep import BookingSweep, ListingStore, SweepStep
 from wigeonwind.state.membership import MemberState
--- a/wigeonwind/runtime/vm_list_client.py
+++ b/wigeonwind/runtime/vm_list_client.py
@@ -7,9 +7,9 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.outcomes import ErrorCode, Failure, Ok, Outcome
-from wigeonwind.settings import SocketAddress
 from wigeonwind.state.membership import ListedVm
 
 VM_LIST_PATH = "/v1/vms"
--- a/wigeonwind/settings.py
+++ b/wigeonwind/settings.py
@@ -3,11 +3,11 @@
 import re
 from configparser import ConfigParser
 from configparser import Error as ConfigError
-from dataclasses import dataclass
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from wigeonwind.addresses import is_valid_address, parse_address_list
 from wigeonwind.outcomes import Invalid, Ok, Problem
 
 ADDRESS_PATTERN = r"^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$"
@@ -153,38 +153,6 @@
     trace: TraceSettings = TraceSettings()
 
 
-@dataclass(frozen=True)
-class SocketAddress:
-    """An IP number and a TCP port."""
-
-    host: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return host:port."""
-        return f"{self.host}:{self.port}"
-
-
-def parse_address(text: str) -> SocketAddress:
-    """Split `host:port`; the text has passed the settings' check.
-
-    >>> parse_address("127.0.0.1:80")
-    SocketAddress(host='127.0.0.1', port=80)
-    """
-    host, _, port = text.rpartition(":")
-    return SocketAddress(host, int(port))
-
-
-def parse_address_list(text: str) -> tuple[SocketAddress, ...]:
-    """Split a comma-separated list of addresses.
-
-    >>> [str(a) for a in parse_address_list("127.0.0.1:1, 127.0.0.1:2")]
-    ['127.0.0.1:1', '127.0.0.1:2']
-    """
-    parts = [part.strip() for part in text.split(",")]
-    return tuple(parse_address(part) for part in parts if part)
-
-
 def read_settings(source: str) -> Ok[Settings] | Invalid:
     """Check the text of a settings file and return it typed, or all its mistakes."""
     parser = ConfigParser(interpolation=None, inline_comment_prefixes=(";",))
@@ -242,7 +210,7 @@
         problems.append(Problem("links", "timeout_ms", value, expected))
     for section, key, text in _addresses(settings):
         for address in parse_address_list(text):
-            if not _is_valid(address):
+            if not is_valid_address(address):
                 problems.append(Problem(section, key, text, "an IP number and a port"))
     return problems
 
@@ -263,12 +231,6 @@
     ]
 
 
-def _is_valid(address: SocketAddress) -> bool:
-    octets = [int(part) for part in address.host.split(".") if part.isdigit()]
-    in_range = len(octets) == 4 and all(octet <= 255 for octet in octets)
-    return in_range and address.port <= 65535
-
-
 def settings_reference() -> str:
     """Return docs/settings.md, generated so that it cannot differ from the checks."""
     lines = [
--- a/wigeonwind/side/endpoint_http.py
+++ b/wigeonwind/side/endpoint_http.py
@@ -17,8 +17,8 @@
 from geventhttpclient.header import Headers
 from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
-from wigeonwind.settings import SocketAddress
 
 READ_BYTES = 65_536
 """Most bytes taken from a connection at a time."""
--- a/wigeonwind/side/engine_client.py
+++ b/wigeonwind/side/engine_client.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.links.messages import Order, Submit
-from wigeonwind.settings import SocketAddress
 from wigeonwind.side.endpoint_http import (
     HttpExchange,
     HttpFailure,
--- a/wigeonwind/side/load_reporter.py
+++ b/wigeonwind/side/load_reporter.py
@@ -4,12 +4,12 @@
 
 from gevent import sleep
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.interfaces import EndpointQueueDecisions
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import LoadReport
 from wigeonwind.runtime.loops import Loops
-from wigeonwind.settings import SocketAddress
 from wigeonwind.side.endpoint_http import HttpExchange
 from wigeonwind.side.engine_client import (
     CONTROL_TIMEOUT_MS,
--- a/wigeonwind/side/plain_client.py
+++ b/wigeonwind/side/plain_client.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.hop_headers import HOP_BY_HOP, connection_names
 from wigeonwind.links.messages import Submit
-from wigeonwind.settings import SocketAddress
 from wigeonwind.side.endpoint_http import (
     HttpExchange,
     HttpFailure,
--- a/wigeonwind/side/role.py
+++ b/wigeonwind/side/role.py
@@ -5,6 +5,7 @@
 
 from gevent import sleep, spawn
 
+from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.catalog import Catalog
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.interfaces import (
@@ -32,7 +33,7 @@
 from wigeonwind.runtime.loops import Loops
 from wigeonwind.runtime.metrics import Metrics
 from wigeonwind.runtime.tracing import PassingTracer, Tracer
-from wigeonwind.settings import Settings, SocketAddress, parse_address
+from wigeonwind.settings import Settings
 from wigeonwind.side.attempt_runner import AttemptRunner
 from wigeonwind.side.cache_feed import CacheFeed
 from wigeonwind.side.claim_memory import ClaimMemory
--- a/wigeonwind/standins/engine_control.py
+++ b/wigeonwind/standins/engine_control.py
@@ -5,7 +5,7 @@
 from gevent import sleep
 from geventhttpclient import HTTPClient
 
-from wigeonwind.settings import SocketAddress
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.standins.engine_log import EngineLog
 from wigeonwind.standins.engine_model import EngineModel
 from wigeonwind.standins.engine_orders import LOAD_MODEL
--- a/wigeonwind/standins/engine_server.py
+++ b/wigeonwind/standins/engine_server.py
@@ -6,9 +6,9 @@
 from gevent import Greenlet, killall, sleep, spawn
 from gevent.event import Event
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.outcomes import Invalid
-from wigeonwind.settings import SocketAddress
 from wigeonwind.standins.completion import AnswerWriter, Completion, read_completion
 from wigeonwind.standins.engine_control import EngineControl
 from wigeonwind.standins.engine_log import EngineLog
--- a/wigeonwind/standins/http_server.py
+++ b/wigeonwind/standins/http_server.py
@@ -12,9 +12,9 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock, SystemClock
 from wigeonwind.outcomes import Invalid
-from wigeonwind.settings import SocketAddress
 from wigeonwind.standins.faults import (
     FAULTS,
     ActiveFaults,
--- a/wigeonwind/standins/main.py
+++ b/wigeonwind/standins/main.py
@@ -16,9 +16,9 @@
 from absl import app, flags
 from gevent.event import Event
 
+from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.outcomes import Invalid
 from wigeonwind.registry import Registry
-from wigeonwind.settings import SocketAddress, parse_address
 from wigeonwind.standins.engine_server import EngineServer
 from wigeonwind.standins.engine_types import EngineConfig
 from wigeonwind.standins.faults import read_fault
--- a/wigeonwind/standins/object_store_server.py
+++ b/wigeonwind/standins/object_store_server.py
@@ -6,9 +6,9 @@
 
 from gevent.event import Event
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.outcomes import Ok
-from wigeonwind.settings import SocketAddress
 from wigeonwind.standins.faults import Fault, Outage
 from wigeonwind.standins.http_server import (
     CLIENT_CHECK_INTERVAL_S,
--- a/wigeonwind/standins/plain_service.py
+++ b/wigeonwind/standins/plain_service.py
@@ -10,8 +10,8 @@
 
 from gevent import sleep
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
-from wigeonwind.settings import SocketAddress
 from wigeonwind.standins.faults import Crash
 from wigeonwind.standins.http_server import (
     Call,
--- a/wigeonwind/standins/vm_list.py
+++ b/wigeonwind/standins/vm_list.py
@@ -4,8 +4,8 @@
 from time import time
 from typing import Any
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
-from wigeonwind.settings import SocketAddress
 from wigeonwind.standins.faults import Fault, Lag
 from wigeonwind.standins.http_server import (
     Call,
--- a/wigeonwind/standins/weight_store.py
+++ b/wigeonwind/standins/weight_store.py
@@ -4,8 +4,8 @@
 
 from gevent import sleep
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
-from wigeonwind.settings import SocketAddress
 from wigeonwind.standins.http_server import (
     Call,
     Reply,
--- a/wigeonwind/state/store_client.py
+++ b/wigeonwind/state/store_client.py
@@ -11,9 +11,9 @@
 
 from gevent.event import AsyncResult
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import Clock, SystemClock
 from wigeonwind.outcomes import Ok
-from wigeonwind.settings import SocketAddress
 from wigeonwind.state.store_http import BreakerLimits, LaneLimits, Reply, StoreLane
 from wigeonwind.state.store_types import (
     Conflict,
--- a/wigeonwind/state/store_http.py
+++ b/wigeonwind/state/store_http.py
@@ -16,8 +16,8 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
-from wigeonwind.settings import SocketAddress
 from wigeonwind.state.store_types import StoreFailure
 
 FIRST_BACKOFF_MS = 50.0
--- a/wigeonwind/tool/entry_client.py
+++ b/wigeonwind/tool/entry_client.py
@@ -10,9 +10,10 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
+from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.key_file import read_key_file
 from wigeonwind.outcomes import Invalid, Ok, Problem
-from wigeonwind.settings import ADDRESS_PATTERN, SocketAddress, parse_address
+from wigeonwind.settings import ADDRESS_PATTERN
 from wigeonwind.tool.commands import ExitCode, print_error
 
 CONNECT_TIMEOUT_S = 2.0
--- a/wigeonwind/tool/load_command.py
+++ b/wigeonwind/tool/load_command.py
@@ -12,6 +12,7 @@
 import gevent
 from absl import flags
 
+from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.catalog import Catalog, LatencyTarget
 from wigeonwind.checking.history import RequestSeen, write_history
 from wigeonwind.load.arrivals import ARRIVALS, LoadStage, read_stages
@@ -20,7 +21,7 @@
 from wigeonwind.load.report import TABLE_TITLES, LoadReport, make_report, table_rows
 from wigeonwind.load.runner import LoadRunner
 from wigeonwind.outcomes import Invalid, Ok
-from wigeonwind.settings import ADDRESS_PATTERN, SocketAddress, parse_address
+from wigeonwind.settings import ADDRESS_PATTERN
 from wigeonwind.state.text import parse_text
 from wigeonwind.tool.commands import ExitCode, command, format_table, print_error
 
