--- a/wigeonwind/decisions/retry.py
+++ b/wigeonwind/decisions/retry.py
@@ -39,6 +39,16 @@
 """Remaining wait, relative to that elsewhere, from which moving pays."""
 
 
+@dataclass(frozen=True, slots=True)
+class RetryLimits:
+    """Bounds of a retry policy; see the constants of the same names."""
+
+    budget_share: float = BUDGET_SHARE
+    budget_floor_per_s: float = BUDGET_FLOOR_PER_S
+    base_delay_ms: float = BASE_DELAY_MS
+    unbudgeted: frozenset[RetryCause] = UNBUDGETED
+
+
 @dataclass(slots=True)
 class _Second:
     """Counts of one second of the window."""
@@ -52,12 +62,13 @@
     """Retry budget over a sliding window, exponential delay with full jitter.
 
     Invariant: in any WINDOW_S whole seconds, budgeted retries are at most the larger of
-    BUDGET_SHARE of the first attempts and BUDGET_FLOOR_PER_S a second. Only the entry
-    retries, so the budgets of several hops never multiply.
+    the budget's share of the first attempts and its floor. Only the entry retries, so
+    the budgets of several hops never multiply.
     """
 
-    def __init__(self, rng: Random) -> None:
+    def __init__(self, rng: Random, limits: RetryLimits | None = None) -> None:
         self._rng = rng
+        self._limits = limits or RetryLimits()
         self._seconds: deque[_Second] = deque()
         self._requests = 0
         self._retries = 0
@@ -95,10 +106,13 @@
         delay_ms = self._delay_ms(attempt)
         if remaining_ms is not None and delay_ms >= remaining_ms:
             return GiveUp("the deadline comes before the next attempt")
-        if cause in UNBUDGETED:
+        if cause in self._limits.unbudgeted:
             return Resend(delay_ms)
         second = self._second(now_ms)
-        budget = max(BUDGET_SHARE * self._requests, BUDGET_FLOOR_PER_S * WINDOW_S)
+        budget = max(
+            self._limits.budget_share * self._requests,
+            self._limits.budget_floor_per_s * WINDOW_S,
+        )
         if self._retries + 1 > budget:
             return GiveUp("the retry budget is used up")
         second.retries += 1
@@ -106,7 +120,7 @@
         return Resend(delay_ms)
 
     def _delay_ms(self, attempt: int) -> float:
-        bound_ms = min(MAX_DELAY_MS, BASE_DELAY_MS * 2.0**attempt)
+        bound_ms = min(MAX_DELAY_MS, self._limits.base_delay_ms * 2.0**attempt)
         return self._rng.uniform(0.0, bound_ms)
 
 
--- /dev/null
+++ b/wigeonwind/decisions/work_choice.py
@@ -0,0 +1,351 @@
+"""Choice of an endpoint by the time until it would answer, KV cache included.
+
+It serves entries that send straight to endpoints, without a sidecar that owns the
+queue: all that is known is this entry's own work and what its answers tell.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from random import Random
+
+from wigeonwind.decisions.interfaces import Chosen, NoEndpoint
+from wigeonwind.decisions.prefix_index import PrefixIndex
+from wigeonwind.hashing import hash_text
+
+TOKENS_PER_MS = 150.0
+"""Prompt tokens that an engine reads in a millisecond; the sheets give 157. Only the
+relation between prompt and fixed costs depends on it."""
+
+FIRST_EVENT_MS = 35.0
+"""Time to the first event of an engine that is idle, apart from reading the prompt."""
+
+RUNNING_MS = 0.5
+"""Delay of a first event for each running request: a step takes longer, and several
+steps pass before the event is full."""
+
+LOWER_WORK_WEIGHT = 0.5
+"""Weight of unread prompts of lower priority. They yield, but the part that is being
+read is finished first."""
+
+CALL_MS = 30.0
+"""Latency of a call to a plain endpoint that has not answered yet."""
+
+HOME_CACHE_SHARE = 0.5
+"""Share of a shared prefix assumed cached at its home endpoint while nothing is known:
+other entries send the same prefix there."""
+
+SPEED_WEIGHT = 0.15
+"""Weight of one measurement in an endpoint's relative speed."""
+
+SPEED_RANGE = (0.5, 8.0)
+"""Bounds of a relative latency; beyond them the estimate says nothing more."""
+
+SPEED_HALF_LIFE_MS = 4_000.0
+"""Age at which a measured speed counts half; a busy spell is over sooner than that."""
+
+ERROR_WEIGHT = 0.1
+"""Weight of one answer in an endpoint's error rate."""
+
+ERROR_PENALTY_MS = 400.0
+"""Cost of a failed answer: about the time until a caller tries again."""
+
+ERROR_HALF_LIFE_MS = 5_000.0
+"""Age at which errors count half, so that an endpoint is tried again."""
+
+OTHER_ZONE_MS = 2.0
+"""Cost of another availability zone: the round trip."""
+
+SILENT_MS = 700.0
+"""Silence with outstanding work after which an endpoint gets no new work. Engines that
+live send events of running requests several times in this time."""
+
+UNREACHABLE_MS = 500.0
+"""Time without new work after a failed connection; it doubles with each one."""
+
+MAX_UNREACHABLE_MS = 4_000.0
+
+FULL_MS = 100.0
+"""Time for which an endpoint that refused for lack of room is the last choice."""
+
+RETRY_AFTER_MS = 300.0
+"""Retry-After where no endpoint can be chosen; discovery changes within a second."""
+
+JITTER_MS = 2.0
+"""Random part of a cost, so that entries with the same view spread their choices."""
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What the choice depends on.
+
+    `prefix_keys` name growing prefixes of the prompt, `prefix_tokens` their lengths;
+    `shared_prefixes` of them occur in other requests, too.
+    """
+
+    service: str
+    priority: int
+    prompt_tokens: int = 0
+    prefix_keys: tuple[int, ...] = ()
+    prefix_tokens: tuple[int, ...] = ()
+    shared_prefixes: int = 0
+    is_generation: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """An endpoint as discovery reports it."""
+
+    endpoint_id: str
+    service: str
+    zone: str
+    slots: int
+    warmup_ms: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class SentWork:
+    """One request on its way; `unread_tokens` of its prompt are not in the cache."""
+
+    work: Work
+    endpoint_id: str
+    sent_ms: float
+    unread_tokens: int
+    expected_ms: float
+    is_started: bool = False
+
+
+class _Endpoint:
+    """What this entry knows of one endpoint."""
+
+    __slots__ = (
+        "candidate",
+        "error_rate",
+        "errors_ms",
+        "failures",
+        "full_until_ms",
+        "heard_ms",
+        "latency",
+        "measured_ms",
+        "outstanding",
+        "running",
+        "unreachable_until_ms",
+        "unread_by_priority",
+    )
+
+    def __init__(self, candidate: Candidate, now_ms: float) -> None:
+        self.candidate = candidate
+        self.outstanding: set[SentWork] = set()
+        self.running = 0
+        self.unread_by_priority: dict[int, int] = {}
+        self.heard_ms = now_ms
+        self.latency = 1.0
+        self.measured_ms = now_ms
+        self.error_rate = 0.0
+        self.errors_ms = now_ms
+        self.failures = 0
+        self.unreachable_until_ms = float("-inf")
+        self.full_until_ms = float("-inf")
+
+    def unread_tokens(self, priority: int) -> float:
+        """Return the unread prompt tokens that a request of this priority waits for."""
+        return sum(
+            tokens if other <= priority else tokens * LOWER_WORK_WEIGHT
+            for other, tokens in self.unread_by_priority.items()
+        )
+
+    def relative_latency(self, now_ms: float) -> float:
+        """Return measured over expected latency, which approaches 1 with its age."""
+        age_ms = max(0.0, now_ms - self.measured_ms)
+        return 1.0 + (self.latency - 1.0) * 0.5 ** (age_ms / SPEED_HALF_LIFE_MS)
+
+    def recent_error_rate(self, now_ms: float) -> float:
+        """Return the error rate (0 to 1), which falls with its age."""
+        age_ms = max(0.0, now_ms - self.errors_ms)
+        return self.error_rate * 0.5 ** (age_ms / ERROR_HALF_LIFE_MS)
+
+    def silence_ms(self, now_ms: float) -> float:
+        """Return for how long work is outstanding without a byte from the endpoint."""
+        if not self.outstanding:
+            return 0.0
+        oldest_ms = min(sent.sent_ms for sent in self.outstanding)
+        return now_ms - max(oldest_ms, self.heard_ms)
+
+    def is_avoided(self, now_ms: float) -> bool:
+        """Return whether it gets new work only if there is no other."""
+        if now_ms < self.unreachable_until_ms:
+            return True
+        return self.silence_ms(now_ms) > SILENT_MS
+
+
+class WorkChooser:
+    """Sends each request where its first event is expected soonest.
+
+    The estimate counts the unread prompts that this entry has sent to an endpoint, the
+    part of the prompt that is not cached there, and how its recent answers compare
+    with such estimates. Prefixes are remembered where they were read; one that is not
+    known anywhere has a home endpoint that all entries derive from its hash.
+    """
+
+    def __init__(self, own_zone: str, rng: Random) -> None:
+        self._own_zone = own_zone
+        self._rng = rng
+        self._endpoint_by_id: dict[str, _Endpoint] = {}
+        self._ids_by_service: dict[str, list[str]] = {}
+        self._prefixes = PrefixIndex()
+
+    def set_candidates(self, candidates: Iterable[Candidate], now_ms: float) -> None:
+        """Replace the endpoints that may get new work."""
+        old_by_id = self._endpoint_by_id
+        self._endpoint_by_id = {}
+        self._ids_by_service = {}
+        for candidate in candidates:
+            name = candidate.endpoint_id
+            known = old_by_id.get(name) or _Endpoint(candidate, now_ms)
+            known.candidate = candidate
+            self._endpoint_by_id[name] = known
+            self._ids_by_service.setdefault(candidate.service, []).append(name)
+
+    def choose(
+        self, work: Work, now_ms: float, exclude: frozenset[str]
+    ) -> Chosen | NoEndpoint:
+        """Choose an endpoint that is not in `exclude`."""
+        ids = self._ids_by_service.get(work.service, ())
+        pool = [self._endpoint_by_id[name] for name in ids if name not in exclude]
+        if not pool:
+            reason = f"no endpoint of {work.service} is known or left"
+            return NoEndpoint(reason, RETRY_AFTER_MS * (1.0 + self._rng.random()))
+        usable = [each for each in pool if not each.is_avoided(now_ms)] or pool
+        with_room = [each for each in usable if each.full_until_ms <= now_ms] or usable
+        home = self._home(work, with_room)
+        cost = self._cost_of(work, home, now_ms)
+        best = min(with_room, key=cost)
+        return Chosen(best.candidate.endpoint_id)
+
+    def _home(self, work: Work, pool: list[_Endpoint]) -> _Endpoint | None:
+        """Return the endpoint that all entries prefer for the longest shared prefix."""
+        if not work.shared_prefixes or len(pool) == 1:
+            return None
+        key = work.prefix_keys[work.shared_prefixes - 1]
+        return max(pool, key=lambda each: _score(key, each.candidate.endpoint_id))
+
+    def _cost_of(
+        self, work: Work, home: _Endpoint | None, now_ms: float
+    ) -> Callable[[_Endpoint], float]:
+        """Return the function that estimates the cost of an endpoint in ms."""
+        cached_by_id = self._cached_tokens(work, now_ms)
+        home_tokens = 0.0
+        if home is not None:
+            shared_tokens = work.prefix_tokens[work.shared_prefixes - 1]
+            home_tokens = HOME_CACHE_SHARE * shared_tokens
+
+        def cost(endpoint: _Endpoint) -> float:
+            cached = cached_by_id.get(endpoint.candidate.endpoint_id, 0.0)
+            if endpoint is home:
+                cached = max(cached, home_tokens)
+            total = self._expected_ms(endpoint, work, cached)
+            total *= endpoint.relative_latency(now_ms)
+            total += endpoint.recent_error_rate(now_ms) * ERROR_PENALTY_MS
+            if endpoint.candidate.zone != self._own_zone:
+                total += OTHER_ZONE_MS
+            return total + JITTER_MS * self._rng.random()
+
+        return cost
+
+    def _expected_ms(self, endpoint: _Endpoint, work: Work, cached: float) -> float:
+        """Return the expected time to the first event, or of a whole plain call."""
+        outstanding = len(endpoint.outstanding)
+        if not work.is_generation:
+            return CALL_MS * (1.0 + outstanding / max(1, endpoint.candidate.slots))
+        unread = endpoint.unread_tokens(work.priority)
+        unread += max(0.0, work.prompt_tokens - cached)
+        waiting_ms = unread / TOKENS_PER_MS
+        return FIRST_EVENT_MS + waiting_ms + RUNNING_MS * outstanding
+
+    def _cached_tokens(self, work: Work, now_ms: float) -> dict[str, float]:
+        """Return by endpoint how many tokens of the prompt it holds."""
+        cached_by_id: dict[str, float] = {}
+        for index, name in self._prefixes.holders(work.prefix_keys, now_ms):
+            cached_by_id.setdefault(name, float(work.prefix_tokens[index]))
+        return cached_by_id
+
+    def on_sent(self, endpoint_id: str, work: Work, now_ms: float) -> SentWork:
+        """Record that a request is sent; the result is passed to the other calls."""
+        cached = self._cached_tokens(work, now_ms).get(endpoint_id, 0.0)
+        unread = max(0, work.prompt_tokens - int(cached))
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is None:
+            return SentWork(work, endpoint_id, now_ms, unread, FIRST_EVENT_MS)
+        expected_ms = self._expected_ms(endpoint, work, cached)
+        sent = SentWork(work, endpoint_id, now_ms, unread, expected_ms)
+        endpoint.outstanding.add(sent)
+        by_priority = endpoint.unread_by_priority
+        by_priority[work.priority] = by_priority.get(work.priority, 0) + unread
+        # Requests that follow at once would otherwise read the same prefix elsewhere.
+        for key in work.prefix_keys:
+            self._prefixes.add(key, endpoint_id, now_ms)
+        return sent
+
+    def on_heard(self, sent: SentWork, now_ms: float) -> None:
+        """Record that bytes of an answer arrived."""
+        endpoint = self._endpoint_by_id.get(sent.endpoint_id)
+        if endpoint is not None:
+            endpoint.heard_ms = now_ms
+            endpoint.failures = 0
+            endpoint.unreachable_until_ms = float("-inf")
+
+    def on_started(self, sent: SentWork, now_ms: float) -> None:
+        """Record the first event of a stream, or the answer of a plain call."""
+        endpoint = self._endpoint_by_id.get(sent.endpoint_id)
+        if endpoint is None or sent.is_started:
+            return
+        self._mark_read(endpoint, sent)
+        ratio = (now_ms - sent.sent_ms) / sent.expected_ms
+        ratio = min(max(ratio, SPEED_RANGE[0]), SPEED_RANGE[1])
+        latency = endpoint.relative_latency(now_ms)
+        endpoint.latency = latency + SPEED_WEIGHT * (ratio - latency)
+        endpoint.measured_ms = now_ms
+
+    def _mark_read(self, endpoint: _Endpoint, sent: SentWork) -> None:
+        if not sent.is_started:
+            sent.is_started = True
+            by_priority = endpoint.unread_by_priority
+            by_priority[sent.work.priority] -= sent.unread_tokens
+
+    def on_ended(self, sent: SentWork, ok: bool, now_ms: float) -> None:
+        """Record the end; `ok` False says that the endpoint failed the request."""
+        endpoint = self._endpoint_by_id.get(sent.endpoint_id)
+        if endpoint is None or sent not in endpoint.outstanding:
+            return
+        endpoint.outstanding.discard(sent)
+        self._mark_read(endpoint, sent)
+        rate = endpoint.recent_error_rate(now_ms)
+        endpoint.error_rate = rate + ERROR_WEIGHT * ((0.0 if ok else 1.0) - rate)
+        endpoint.errors_ms = now_ms
+
+    def on_refused(self, sent: SentWork, now_ms: float) -> None:
+        """Record that the endpoint had no room; it certainly did not run it."""
+        endpoint = self._endpoint_by_id.get(sent.endpoint_id)
+        if endpoint is None:
+            return
+        endpoint.outstanding.discard(sent)
+        self._mark_read(endpoint, sent)
+        endpoint.full_until_ms = now_ms + FULL_MS
+        for key in sent.work.prefix_keys:
+            self._prefixes.remove(key, sent.endpoint_id)
+
+    def on_unreachable(self, endpoint_id: str, now_ms: float) -> None:
+        """Record that no connection could be opened."""
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        if endpoint is not None:
+            wait_ms = min(UNREACHABLE_MS * 2.0**endpoint.failures, MAX_UNREACHABLE_MS)
+            endpoint.failures += 1
+            endpoint.unreachable_until_ms = now_ms + wait_ms
+
+    def silence_ms(self, endpoint_id: str, now_ms: float) -> float:
+        """Return for how long an endpoint with outstanding work has sent nothing."""
+        endpoint = self._endpoint_by_id.get(endpoint_id)
+        return float("inf") if endpoint is None else endpoint.silence_ms(now_ms)
+
+
+def _score(key: int, endpoint_id: str) -> int:
+    return hash_text(f"{key}|{endpoint_id}")
--- /dev/null
+++ b/wigeonwind/platform/__main__.py
@@ -0,0 +1,114 @@
+"""The routing process on the platform's machines: `python -m wigeonwind.platform`."""
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import os
+import signal
+import sys
+from pathlib import Path
+from random import Random
+
+import gevent
+
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.clock import SystemClock
+from wigeonwind.outcomes import Invalid, Ok, Problem
+from wigeonwind.platform.configuration import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_PREFIX,
+    read_configuration,
+)
+from wigeonwind.platform.endpoint_entries import (
+    ENDPOINTS_PREFIX,
+    endpoint_id,
+    read_endpoint,
+)
+from wigeonwind.platform.headers import PlatformWire
+from wigeonwind.platform.node_file import (
+    PATH_VARIABLE,
+    NodeSettings,
+    read_node_file,
+)
+from wigeonwind.platform.store_format import PlatformStoreFormat
+from wigeonwind.routing.router import Router, RouterSettings
+from wigeonwind.routing.routing_state import StoreSchema
+from wigeonwind.runtime.logs import configure_logs
+from wigeonwind.state.store_client import StoreClient, StoreLimits
+from wigeonwind.state.store_http import LaneLimits
+
+EXIT_BAD_SETTINGS = 2
+EXIT_ADDRESS_TAKEN = 3
+
+METRICS_PORT = 9464
+"""Port that deploy/system.toml names for metrics."""
+
+STORE_LIMITS = StoreLimits(
+    reads=LaneLimits(2, 20, 1_500, longest_backoff_ms=300),
+    writes=LaneLimits(2, 10, 1_500, longest_backoff_ms=300),
+    watches=LaneLimits(4, 30, 800, hold_ms=30_000, longest_backoff_ms=300),
+)
+"""A call takes 4 ms; a watch is given up 0.8 s after the store should have ended it.
+The backoff is short, since an entry without news breaks bounds of 2 s."""
+
+SCHEMA = StoreSchema(
+    CONFIGURATION_PREFIX,
+    CONFIGURATION_KEY,
+    ENDPOINTS_PREFIX,
+    read_configuration,
+    read_endpoint,
+    endpoint_id,
+)
+
+
+def load_settings() -> Ok[NodeSettings] | Invalid:
+    """Read the settings file that the environment names."""
+    path = os.environ.get(PATH_VARIABLE, "")
+    try:
+        return read_node_file(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        return Invalid((Problem("", PATH_VARIABLE, path, f"a file: {error}"),))
+
+
+def build_router(settings: NodeSettings) -> Router:
+    """Connect the product to the platform."""
+    clock, rng = SystemClock(), Random()
+    store = StoreClient(
+        settings.store, STORE_LIMITS, clock, rng, format=PlatformStoreFormat()
+    )
+    metrics = SocketAddress(settings.ip, METRICS_PORT)
+    router_settings = RouterSettings(
+        settings.node_id,
+        settings.zone,
+        settings.callers,
+        settings.readiness,
+        metrics,
+        settings.stop_limit_ms,
+    )
+    return Router(router_settings, clock, rng, PlatformWire(), SCHEMA, store)
+
+
+def main() -> int:
+    """Serve until a signal ends the process."""
+    found = load_settings()
+    if isinstance(found, Invalid):
+        for problem in found.problems:
+            print(problem, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    configure_logs()
+    router = build_router(found.value)
+    gevent.signal_handler(signal.SIGTERM, router.drain)
+    gevent.signal_handler(signal.SIGINT, router.drain)
+    gevent.signal_handler(signal.SIGHUP, lambda: None)
+    try:
+        router.start()
+    except OSError as error:
+        print(f"cannot listen: {error}", file=sys.stderr)
+        return EXIT_ADDRESS_TAKEN
+    router.stopped.wait()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/wigeonwind/platform/configuration.py
@@ -0,0 +1,146 @@
+"""The operators' configuration object, decoded into a route table."""
+
+import msgspec
+
+from wigeonwind.outcomes import Invalid, Ok, Problem
+from wigeonwind.routing.routes import (
+    CallerLimits,
+    EngineInfo,
+    HttpCustomer,
+    HttpRoute,
+    HttpService,
+    Repetition,
+    RouteTable,
+    ServiceShare,
+)
+
+CONFIGURATION_PREFIX = "config/"
+CONFIGURATION_KEY = "config/main"
+
+STREAMING = "streaming"
+SAFE = "safe"
+
+
+class _Split(msgspec.Struct):
+    backend: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: str
+    """`safe`, `unsafe` or `streaming`."""
+    timeout_ms: float
+    slo_ms: float
+    """Time up to which an answer earns its full worth."""
+    priority: int = 5
+    backend: str = ""
+    split: list[_Split] = []
+    """Takes the place of `backend` where a route has several services."""
+    attempts: int = 1
+    """Endpoints that a request may be sent to."""
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+    """Longest pause between events of a stream that is on time."""
+
+
+class _Engine(msgspec.Struct):
+    capacity: int = 1
+    """Requests that run at a time."""
+    kv_capacity: int = 0
+    """Tokens of KV cache."""
+
+
+class _Backend(msgspec.Struct):
+    name: str
+    max_conns: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    backends: list[_Backend] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
+
+
+_decode = msgspec.json.Decoder(_Configuration, strict=False).decode
+
+
+def read_configuration(value: bytes) -> Ok[RouteTable] | Invalid:
+    """Decode the configuration object."""
+    try:
+        found = _decode(value)
+    except msgspec.DecodeError as error:
+        shown = value[:40].decode(errors="replace")
+        return Invalid((Problem("", CONFIGURATION_KEY, shown, str(error)),))
+    tenants = found.tenants or []
+    return Ok(
+        RouteTable(
+            found.version,
+            tuple(_route(each) for each in found.routes),
+            {each.name: _service(each) for each in found.backends},
+            {
+                key: HttpCustomer(tenant.name, tenant.priority)
+                for tenant in tenants
+                for key in tenant.api_keys
+            },
+            bool(tenants),
+            CallerLimits(
+                found.limits.max_header_bytes,
+                found.limits.max_body_bytes,
+                found.limits.header_timeout_ms,
+                found.limits.idle_timeout_ms,
+            ),
+        )
+    )
+
+
+def _route(route: _Route) -> HttpRoute:
+    shares = tuple(ServiceShare(each.backend, each.weight) for each in route.split)
+    return HttpRoute(
+        route.name,
+        route.hostname,
+        route.path_prefix,
+        _repetition(route),
+        route.route_type == STREAMING,
+        shares or (ServiceShare(route.backend, 1.0),),
+        route.priority,
+        route.timeout_ms,
+        route.slo_ms,
+        max(1, route.attempts),
+        route.public,
+        route.gap_aim_ms,
+    )
+
+
+def _repetition(route: _Route) -> Repetition:
+    if route.route_type == SAFE:
+        return Repetition.SAFE
+    if route.route_type == STREAMING and route.resumable:
+        return Repetition.RESUMABLE
+    return Repetition.ONCE
+
+
+def _service(backend: _Backend) -> HttpService:
+    engine = None
+    if backend.engine is not None:
+        engine = EngineInfo(backend.engine.capacity, backend.engine.kv_capacity)
+    return HttpService(backend.name, backend.max_conns, engine)
--- /dev/null
+++ b/wigeonwind/platform/endpoint_entries.py
@@ -0,0 +1,58 @@
+"""Entries that endpoints keep of themselves in the platform's store."""
+
+from typing import Literal
+
+import msgspec
+
+from wigeonwind.addresses import SocketAddress, is_valid_address, parse_address
+from wigeonwind.routing.endpoints import Endpoint
+
+ENDPOINTS_PREFIX = "servers/"
+
+DRAINING = "draining"
+
+
+class _Entry(msgspec.Struct):
+    backend: str
+    """Service that the endpoint belongs to."""
+    address: str
+    zone: str
+    state: Literal["ready", "draining"]
+    capacity: int
+    """Requests that it runs at a time."""
+    seq: int
+    warmup_left_ms: float = 0.0
+    born: int = 0
+    """Unix time of its start in milliseconds; the same id may start again."""
+
+
+_decode = msgspec.json.Decoder(_Entry).decode
+
+
+def endpoint_id(key: str) -> str:
+    """Return the instance id in an object's key."""
+    return key.removeprefix(ENDPOINTS_PREFIX)
+
+
+def read_endpoint(key: str, value: bytes) -> Endpoint | str:
+    """Decode an entry; a string says why it names no endpoint.
+
+    Entries may come from writers other than endpoints.
+    """
+    try:
+        entry = _decode(value)
+        address = parse_address(entry.address)
+    except (msgspec.DecodeError, ValueError) as error:
+        return str(error)
+    if not is_valid_address(SocketAddress(address.host, address.port)):
+        return f"{entry.address!r} is not an address"
+    return Endpoint(
+        endpoint_id(key),
+        entry.backend,
+        address,
+        entry.zone,
+        entry.born,
+        max(1, entry.capacity),
+        entry.state == DRAINING,
+        entry.warmup_left_ms,
+    )
--- /dev/null
+++ b/wigeonwind/platform/headers.py
@@ -0,0 +1,141 @@
+"""Headers of the platform's requests and answers."""
+
+from collections.abc import Iterator, Sequence
+from math import isfinite
+
+from wigeonwind.hop_headers import HOP_BY_HOP
+from wigeonwind.routing.wire import (
+    AnswerFacts,
+    Header,
+    PromptPart,
+    RequestFacts,
+    SendFacts,
+)
+
+REQUEST_ID = b"request-id"
+API_KEY = b"x-api-key"
+DEADLINE = b"deadline-ms"
+TOKENS = b"token-usage"
+PREFIX = b"prefix-hash"
+LAST_EVENT = b"last-event-id"
+SIGNATURE = b"worker-signature"
+NOT_RUN = b"not-executed"
+MAX_PRIORITY = 9
+
+SYSTEM_HEADERS = frozenset(
+    {
+        API_KEY,
+        DEADLINE,
+        LAST_EVENT,
+        b"tenant",
+        b"expect-instance",
+        b"expect-version",
+        b"request-priority",
+        b"pin-ms",
+        b"hold",
+        b"kv-backup",
+        b"kv-fetch",
+        b"kv-from",
+    }
+)
+"""Headers that only the system sets towards endpoints; those of callers are dropped."""
+
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding", b"expect"})
+
+HOP_HEADERS = frozenset(name.encode() for name in HOP_BY_HOP)
+
+
+class PlatformWire:
+    """Implements `wigeonwind.routing.wire.Wire`."""
+
+    def read_request(self, headers: Sequence[Header]) -> RequestFacts:
+        """Decode the headers of a caller's request; the first of each name counts."""
+        by_name: dict[bytes, bytes] = {}
+        for name, value in headers:
+            by_name.setdefault(name.lower(), value)
+        dropped = SYSTEM_HEADERS | FRAMING_HEADERS | HOP_HEADERS
+        dropped |= _named_by_connection(by_name.get(b"connection", b""))
+        dropped -= {b"host", REQUEST_ID}
+        api_key = by_name.get(API_KEY)
+        prompt, output = _token_counts(by_name.get(TOKENS, b""))
+        return RequestFacts(
+            by_name.get(REQUEST_ID, b"").decode("latin-1"),
+            _host(by_name.get(b"host", b"")),
+            tuple(each for each in headers if each[0].lower() not in dropped),
+            None if api_key is None else api_key.decode("latin-1"),
+            _number(by_name.get(DEADLINE)),
+            prompt,
+            output,
+            tuple(_prompt_parts(by_name.get(PREFIX, b""))),
+            _event_id(by_name.get(LAST_EVENT)),
+        )
+
+    def endpoint_headers(self, facts: RequestFacts, send: SendFacts) -> bytes:
+        """Return the header lines of a request to an endpoint, framing left out."""
+        lines = [b"%s: %s\r\n" % header for header in facts.forwarded]
+        lines.append(b"Deadline-Ms: %d\r\n" % max(1, int(send.time_left_ms)))
+        lines.append(b"Expect-Instance: %s\r\n" % send.instance_id.encode())
+        if send.customer is not None:
+            lines.append(b"Tenant: %s\r\n" % send.customer.encode())
+        if send.priority is not None:
+            priority = min(max(send.priority, 0), MAX_PRIORITY)
+            lines.append(b"Request-Priority: %d\r\n" % priority)
+        if send.after_event is not None:
+            lines.append(b"Last-Event-Id: %d\r\n" % send.after_event)
+        return b"".join(lines)
+
+    def read_answer(self, headers: Sequence[Header]) -> AnswerFacts:
+        """Decode the headers of an endpoint's answer."""
+        by_name = {name.lower(): value for name, value in headers}
+        dropped = FRAMING_HEADERS | HOP_HEADERS
+        dropped |= _named_by_connection(by_name.get(b"connection", b""))
+        content_type = by_name.get(b"content-type", b"")
+        return AnswerFacts(
+            by_name.get(REQUEST_ID, b"").decode("latin-1"),
+            SIGNATURE in by_name,
+            NOT_RUN in by_name,
+            content_type.startswith(b"text/event-stream"),
+            b"content-encoding" in by_name,
+            tuple(each for each in headers if each[0].lower() not in dropped),
+        )
+
+    def own_answer_headers(self, request_id: str) -> Sequence[Header]:
+        """Return the headers of an answer that the system itself makes."""
+        return ((b"Request-Id", request_id.encode("latin-1")),) if request_id else ()
+
+
+def _host(value: bytes) -> str:
+    return value.decode("latin-1").partition(":")[0].strip().lower()
+
+
+def _named_by_connection(value: bytes) -> frozenset[bytes]:
+    return frozenset(part.strip().lower() for part in value.split(b",") if part.strip())
+
+
+def _number(value: bytes | None) -> float | None:
+    try:
+        number = float(value or b"")
+    except ValueError:
+        return None
+    return number if isfinite(number) and number >= 0.0 else None
+
+
+def _event_id(value: bytes | None) -> int | None:
+    number = _number(value)
+    return None if number is None else int(number)
+
+
+def _token_counts(value: bytes) -> tuple[int, int]:
+    """Return prompt tokens and the maximum of output tokens."""
+    prompt, _, output = value.partition(b",")
+    return int(_number(prompt) or 0), int(_number(output) or 0)
+
+
+def _prompt_parts(value: bytes) -> Iterator[PromptPart]:
+    """Yield the ID:TOKENS entries, up to the first that cannot be read."""
+    for entry in value.split(b","):
+        part_id, _, tokens = entry.strip().partition(b":")
+        try:
+            yield PromptPart(int(part_id, 16), int(tokens))
+        except ValueError:
+            return
--- /dev/null
+++ b/wigeonwind/platform/node_file.py
@@ -0,0 +1,74 @@
+"""The settings file that the platform places on each machine (TOML)."""
+
+import tomllib
+from dataclasses import dataclass
+
+import msgspec
+
+from wigeonwind.addresses import SocketAddress, parse_address
+from wigeonwind.outcomes import Invalid, Ok, Problem
+
+PATH_VARIABLE = "WIGEONWIND_NODE_FILE"
+
+
+class _Listen(msgspec.Struct):
+    ingress: str
+    """Address for callers."""
+    ready: str
+    """Address of the readiness check."""
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = 8.0
+    """Time from SIGTERM to SIGKILL."""
+    drain_ms: float = 2_000.0
+    config_apply_ms: float = 2_000.0
+
+
+class _Platform(msgspec.Struct):
+    address: str
+    """The store of objects."""
+
+
+class _NodeFile(msgspec.Struct):
+    node: str
+    zone: str
+    ip: str
+    listen: _Listen
+    platform: _Platform
+    region: str = ""
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+@dataclass(frozen=True)
+class NodeSettings:
+    """What a routing process needs to know of its VM; times in milliseconds."""
+
+    node_id: str
+    zone: str
+    region: str
+    ip: str
+    callers: SocketAddress
+    readiness: SocketAddress
+    store: SocketAddress
+    stop_limit_ms: float
+
+
+def read_node_file(source: str) -> Ok[NodeSettings] | Invalid:
+    """Decode the settings file; fields that are not known are ignored."""
+    try:
+        found = msgspec.convert(tomllib.loads(source), _NodeFile, strict=False)
+        return Ok(
+            NodeSettings(
+                found.node,
+                found.zone,
+                found.region,
+                found.ip,
+                parse_address(found.listen.ingress),
+                parse_address(found.listen.ready),
+                parse_address(found.platform.address),
+                found.bounds.grace_s * 1_000.0,
+            )
+        )
+    except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as error:
+        return Invalid((Problem("", PATH_VARIABLE, "", str(error)),))
--- /dev/null
+++ b/wigeonwind/platform/store_format.py
@@ -0,0 +1,170 @@
+"""Calls to the platform's store of objects, by kind and name."""
+
+from typing import Any
+from urllib.parse import quote, urlencode
+
+import msgspec
+
+from wigeonwind.outcomes import Ok
+from wigeonwind.state.store_format import StoreRequest
+from wigeonwind.state.store_http import Reply
+from wigeonwind.state.store_types import (
+    Conflict,
+    HistoryGone,
+    NotFound,
+    ObjectPage,
+    StoredObject,
+    WatchBatch,
+    WatchEvent,
+)
+
+OBJECTS_PATH = "/api/objects/"
+JSON_HEADERS = {"Content-Type": "application/json"}
+
+
+class _Metadata(msgspec.Struct):
+    name: str
+    revision: int = 0
+    """Store revision at which the object last changed."""
+
+
+class _Object(msgspec.Struct):
+    metadata: _Metadata
+    spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Listing(msgspec.Struct):
+    entries: list[_Object]
+    store_revision: int
+    has_more: bool = False
+
+
+class _Event(msgspec.Struct):
+    object: _Object
+    removed: bool = False
+
+
+class _Changes(msgspec.Struct):
+    events: list[_Event]
+    store_revision: int
+
+
+_read_object = msgspec.json.Decoder(_Object).decode
+_read_listing = msgspec.json.Decoder(_Listing).decode
+_read_changes = msgspec.json.Decoder(_Changes).decode
+
+
+class PlatformStoreFormat:
+    """Keys are `kind/name`, prefixes `kind/`; values are JSON texts of `spec`.
+
+    An object's version is the store revision of its last change.
+    """
+
+    def get(self, key: str) -> StoreRequest:
+        """Return the request that reads one object."""
+        return StoreRequest("GET", OBJECTS_PATH + quote(key, safe="/"))
+
+    def read_get(self, key: str, reply: Reply) -> Ok[StoredObject] | NotFound | None:
+        """Decode the answer to `get`; None if it cannot be used."""
+        if reply.status == 404:
+            return NotFound(key)
+        found = _decoded(_read_object, reply)
+        return None if found is None else Ok(_stored(_kind(key), found))
+
+    def put(self, key: str, value: bytes, if_version: int) -> StoreRequest:
+        """Return the request that creates (version 0) or replaces an object."""
+        kind, _, name = key.partition("/")
+        metadata: dict[str, Any] = {"name": name}
+        if if_version:
+            metadata["revision"] = if_version
+        body = msgspec.json.encode({"metadata": metadata, "spec": msgspec.Raw(value)})
+        if if_version:
+            path = OBJECTS_PATH + quote(key, safe="/")
+            return StoreRequest("PUT", path, body, JSON_HEADERS)
+        return StoreRequest("POST", OBJECTS_PATH + quote(kind), body, JSON_HEADERS)
+
+    def read_put(self, key: str, reply: Reply) -> Ok[int] | Conflict | None:
+        """Decode the answer to `put`; None if it cannot be used."""
+        if reply.status == 404:
+            return Conflict(key, 0)
+        found = _decoded(_read_object, reply, statuses=(200, 201, 409))
+        if found is None:
+            return Conflict(key, 0) if reply.status == 409 else None
+        revision = found.metadata.revision
+        return Conflict(key, revision) if reply.status == 409 else Ok(revision)
+
+    def delete(self, key: str, if_version: int) -> StoreRequest:
+        """Return the request that deletes if the object has `if_version`."""
+        path = OBJECTS_PATH + quote(key, safe="/")
+        return StoreRequest("DELETE", f"{path}?revision={if_version}")
+
+    def read_delete(self, key: str, reply: Reply) -> Ok[None] | Conflict | None:
+        """Decode the answer to `delete`; None if it cannot be used."""
+        if reply.status in (200, 204):
+            return Ok(None)
+        if reply.status == 404:
+            return Conflict(key, 0)
+        found = _decoded(_read_object, reply, statuses=(409,))
+        if found is None:
+            return Conflict(key, 0) if reply.status == 409 else None
+        return Conflict(key, found.metadata.revision)
+
+    def list_page(self, prefix: str, after: str) -> StoreRequest:
+        """Return the request that lists the objects of a kind."""
+        path = OBJECTS_PATH + quote(_kind(prefix))
+        query = "?" + urlencode({"after": after}) if after else ""
+        return StoreRequest("GET", path + query)
+
+    def read_list_page(self, prefix: str, reply: Reply) -> Ok[ObjectPage] | None:
+        """Decode the answer to `list_page`; None if it cannot be used."""
+        listing = _decoded(_read_listing, reply)
+        if listing is None:
+            return None
+        kind = _kind(prefix)
+        objects = tuple(_stored(kind, each) for each in listing.entries)
+        goes_on = listing.has_more and listing.entries
+        after = listing.entries[-1].metadata.name if goes_on else ""
+        return Ok(ObjectPage(objects, listing.store_revision, after))
+
+    def watch(self, prefix: str, after: int, timeout_ms: float) -> StoreRequest:
+        """Return the request that waits for changes after a revision."""
+        query = urlencode({"watch": after, "wait_ms": int(timeout_ms)})
+        return StoreRequest("GET", f"{OBJECTS_PATH}{quote(_kind(prefix))}?{query}")
+
+    def read_watch(
+        self, prefix: str, after: int, reply: Reply
+    ) -> Ok[WatchBatch] | HistoryGone | None:
+        """Decode the answer to `watch`; None if it cannot be used."""
+        if reply.status == 410:
+            return HistoryGone(after)
+        changes = _decoded(_read_changes, reply)
+        if changes is None:
+            return None
+        events = tuple(_event(_kind(prefix), each) for each in changes.events)
+        return Ok(WatchBatch(changes.store_revision, events))
+
+
+def _kind(key: str) -> str:
+    return key.partition("/")[0]
+
+
+def _stored(kind: str, found: _Object) -> StoredObject:
+    metadata = found.metadata
+    return StoredObject(f"{kind}/{metadata.name}", metadata.revision, bytes(found.spec))
+
+
+def _event(kind: str, event: _Event) -> WatchEvent:
+    stored = _stored(kind, event.object)
+    return WatchEvent(
+        stored.key, stored.version, stored.version, event.removed, stored.value
+    )
+
+
+def _decoded(decode: Any, reply: Reply, statuses: tuple[int, ...] = (200,)) -> Any:
+    """Return the body of an answer; None if its status or shape is another."""
+    if reply.status not in statuses:
+        return None
+    try:
+        return decode(reply.body)
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/wigeonwind/routing/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP routing: callers' requests forwarded byte for byte to endpoints."""
--- /dev/null
+++ b/wigeonwind/routing/answer_parser.py
@@ -0,0 +1,106 @@
+"""Endpoints' HTTP answers, parsed as their bytes arrive."""
+
+from collections import deque
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
+
+from wigeonwind.routing.wire import Header
+
+FIRST_FINAL_STATUS = 200
+"""Answers below are interim (RFC 9110 section 15.2)."""
+
+BODYLESS_STATUSES = (204, 304)
+
+
+class Answer:
+    """One answer; `body` holds the pieces that arrived since they were last taken."""
+
+    __slots__ = ("body", "headers", "is_complete", "reason", "status")
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.reason = b""
+        self.headers: list[Header] = []
+        self.body: list[bytes] = []
+        self.is_complete = False
+
+    def take_body(self) -> bytes:
+        """Return the body bytes that arrived since the last call."""
+        body = b"".join(self.body)
+        self.body.clear()
+        return body
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends the body."""
+        names = {name.lower() for name, _ in self.headers}
+        has_length = b"content-length" in names or b"transfer-encoding" in names
+        return not has_length and self.status not in BODYLESS_STATUSES
+
+
+class AnswerParser:
+    r"""Parses the answers on one connection, interim ones left out.
+
+    `heads` holds the answers whose head has arrived. An endpoint at fault may send more
+    answers than it got requests; which of them is whose is for the caller to find out.
+
+    >>> parser = AnswerParser()
+    >>> parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 5")
+    >>> parser.heads[0].status, parser.heads[0].take_body(), parser.is_inside
+    (200, b'ok', True)
+    """
+
+    def __init__(self) -> None:
+        self.heads: deque[Answer] = deque()
+        self.error = ""
+        self.is_inside = False
+        """Part of an answer has arrived, but not all of it."""
+        self.keeps_alive = True
+        self._answer = Answer()
+        self._parser = HttpResponseParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Take the next bytes of the connection; sets `error` where it breaks off."""
+        if self.error:
+            return
+        try:
+            self._parser.feed_data(data)
+        except HttpParserUpgrade:
+            self.error = "the endpoint switched protocols"
+        except HttpParserError as error:
+            self.error = f"not a valid answer: {error}"
+
+    def feed_end(self) -> None:
+        """Note that the endpoint closed the connection in order."""
+        answer = self._answer
+        if not self.error and answer.headers and not answer.is_complete:
+            answer.is_complete = answer.ends_with_connection
+
+    def on_message_begin(self) -> None:
+        """Start an answer (called by the parser)."""
+        self._answer = Answer()
+        self.is_inside = True
+
+    def on_status(self, status: bytes) -> None:
+        """Collect the reason phrase (called by the parser)."""
+        self._answer.reason += status
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header (called by the parser)."""
+        self._answer.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Publish the head (called by the parser)."""
+        self._answer.status = self._parser.get_status_code()
+        self.keeps_alive = self._parser.should_keep_alive()
+        if self._answer.status >= FIRST_FINAL_STATUS:
+            self.heads.append(self._answer)
+
+    def on_body(self, body: bytes) -> None:
+        """Collect part of the body (called by the parser)."""
+        self._answer.body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Finish an answer (called by the parser)."""
+        self._answer.is_complete = True
+        self.is_inside = False
--- /dev/null
+++ b/wigeonwind/routing/caller_connection.py
@@ -0,0 +1,300 @@
+"""One connection of a caller: requests in order, and the answer to each."""
+
+import socket
+import struct
+from collections.abc import Callable, Iterable
+
+from gevent import sleep, spawn
+from gevent import socket as gevent_socket
+from gevent.event import Event
+
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.entry.replies import status_line
+from wigeonwind.outcomes import ErrorCode, Failure, Outcome
+from wigeonwind.routing.own_answers import failure_answer
+from wigeonwind.routing.request_parser import HttpRequest, RequestParser
+from wigeonwind.routing.routes import CallerLimits
+from wigeonwind.routing.wire import Header
+
+READ_BYTES = 65_536
+"""Most bytes taken from a connection at a time."""
+
+MAX_PIPELINED = 16
+"""Requests read ahead of the one that is answered; then reading stops."""
+
+SEND_TIMEOUT_MS = 10_000.0
+"""Time a caller has to read part of an answer; beyond it the caller counts as gone."""
+
+LINGER_MS = 300.0
+"""Time for which bytes are read and dropped after a refusal that ends a connection.
+Closing with unread bytes would reset it, and the caller would lose the refusal."""
+
+RESET_LINGER = struct.pack("ii", 1, 0)
+"""Socket option value with which `close` resets the connection."""
+
+
+class CallerGoneError(OSError):
+    """Raised where an answer can no longer reach its caller."""
+
+
+class CallerConnection:
+    """Reads requests and lets `serve` answer them one after the other.
+
+    A reader greenlet takes bytes as they come, so that the end of the connection is
+    seen while an answer is on its way; `on_gone` is then called, once.
+    """
+
+    def __init__(
+        self,
+        sock: gevent_socket.socket,
+        clock: Clock,
+        limits: Callable[[], CallerLimits],
+        serve: Callable[["CallerConnection", HttpRequest], None],
+    ) -> None:
+        self._sock = sock
+        self._clock = clock
+        self._limits = limits
+        self._serve = serve
+        self._parser = RequestParser(limits())
+        self._wakeup = Event()
+        self._has_room = Event()
+        self._has_room.set()
+        self.on_gone: Callable[[], None] | None = None
+        self.is_gone = False
+        self.was_aborted = False
+        """An answer was broken off by the system, not by the caller."""
+        self.is_serving = False
+        self.is_closing = False
+        """The connection ends after the answer that is due next."""
+        self._head_sent = False
+        self._is_chunked = False
+        self._closes_after_answer = False
+        self._idle_since_ms = clock.now_ms()
+        self._head_since_ms: float | None = None
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(SEND_TIMEOUT_MS / MS_PER_SECOND)
+
+    def run(self) -> None:
+        """Serve the connection until it ends."""
+        reader = spawn(self._read)
+        try:
+            self._answer_all()
+        except CallerGoneError:
+            pass
+        finally:
+            self.is_gone = True
+            reader.kill(block=False)
+            self._sock.close()
+
+    def _answer_all(self) -> None:
+        while not self.is_gone:
+            requests = self._parser.requests
+            if requests:
+                self._answer(requests.popleft())
+                if self._closes_after_answer:
+                    self._finish_closing()
+                    return
+                continue
+            if self._parser.failure is not None:
+                self.refuse(self._parser.failure, "", ())
+                self._finish_closing()
+                return
+            if self.is_closing and not self._parser.is_inside:
+                return
+            self._wakeup.clear()
+            self._has_room.set()
+            self._wakeup.wait(self._wait_s())
+            if not self._parser.requests and self._is_overdue():
+                return
+
+    def _answer(self, request: HttpRequest) -> None:
+        self.is_serving = True
+        self._head_sent = False
+        self._closes_after_answer = self.is_closing or not request.keeps_alive
+        self._is_chunked = request.is_http11
+        try:
+            self._serve(self, request)
+        finally:
+            self.is_serving = False
+            self.on_gone = None
+            self._idle_since_ms = self._clock.now_ms()
+
+    def _wait_s(self) -> float:
+        """Return how long the caller may stay silent from now on."""
+        limits = self._limits()
+        left_ms = limits.idle_timeout_ms + self._idle_since_ms - self._clock.now_ms()
+        if self._head_since_ms is not None:
+            head_ms = limits.header_timeout_ms + self._head_since_ms
+            left_ms = min(left_ms, head_ms - self._clock.now_ms())
+        return max(left_ms, 1.0) / MS_PER_SECOND
+
+    def _is_overdue(self) -> bool:
+        """Return whether the connection is closed for its silence.
+
+        A limit that was shortened meanwhile counts from the next request on: the caller
+        still reuses the connection under the limit that it knows.
+        """
+        limits = self._limits()
+        now_ms = self._clock.now_ms()
+        if self._head_since_ms is not None:
+            return now_ms - self._head_since_ms >= limits.header_timeout_ms
+        idle_ms = now_ms - self._idle_since_ms
+        longest_ms = max(limits.idle_timeout_ms, self._parser.limits.idle_timeout_ms)
+        return idle_ms >= longest_ms
+
+    def _read(self) -> None:
+        """Feed the parser until the connection ends (runs in its own greenlet)."""
+        fileno = self._sock.fileno()
+        try:
+            while not self.is_gone and self._parser.failure is None:
+                self._has_room.wait()
+                gevent_socket.wait_read(fileno)
+                data = self._sock.recv(READ_BYTES)
+                if not data:
+                    break
+                self._feed(data)
+        except OSError:
+            pass
+        if self._parser.failure is None:
+            self._caller_left()
+        self._wakeup.set()
+
+    def _feed(self, data: bytes) -> None:
+        if not self._parser.is_inside:
+            self._head_since_ms = self._clock.now_ms()
+            self._parser.limits = self._limits()
+        self._parser.feed(data)
+        if not self._parser.is_inside:
+            self._head_since_ms = None
+        if self._parser.expects_continue and not self.is_serving:
+            self._parser.expects_continue = False
+            self._sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if len(self._parser.requests) >= MAX_PIPELINED:
+            self._has_room.clear()
+        if self._parser.requests or self._parser.failure is not None:
+            self._wakeup.set()
+
+    def _caller_left(self) -> None:
+        self.is_gone = True
+        if self.on_gone is not None:
+            self.on_gone()
+
+    def send_head(
+        self, status: int, reason: bytes, headers: Iterable[Header], first: bytes
+    ) -> None:
+        """Send status, headers and the first piece of a body of unknown length."""
+        head = self._head(status, reason, headers)
+        if self._is_chunked:
+            head.append(b"Transfer-Encoding: chunked\r\n")
+        else:
+            self._closes_after_answer = True
+        head.append(self._connection_header() + b"\r\n")
+        self._head_sent = True
+        self._send(b"".join(head) + self._piece(first))
+
+    def send_piece(self, data: bytes) -> None:
+        """Send the next piece of the body."""
+        self._send(self._piece(data))
+
+    def send_end(self) -> None:
+        """Mark the body as complete."""
+        if self._is_chunked:
+            self._send(b"0\r\n\r\n")
+
+    def send_whole(
+        self, status: int, reason: bytes, headers: Iterable[Header], body: bytes
+    ) -> None:
+        """Send an answer whose body is known."""
+        head = self._head(status, reason, headers)
+        head.append(b"Content-Length: %d\r\n" % len(body))
+        head.append(self._connection_header() + b"\r\n")
+        self._head_sent = True
+        self._send(b"".join(head) + body)
+
+    def refuse(
+        self, failure: Failure, request_id: str, headers: Iterable[Header]
+    ) -> None:
+        """Send a failure of the system's own."""
+        self._closes_after_answer = self._closes_after_answer or self.is_closing
+        if self._parser.failure is not None:
+            self._closes_after_answer = True
+        closes = self._closes_after_answer
+        self._head_sent = True
+        self._send(failure_answer(failure, request_id, tuple(headers), closes))
+
+    def abort(self) -> None:
+        """Break off an answer that cannot be completed, visibly for the caller.
+
+        The missing last chunk shows it. Without chunks only a reset does, at the price
+        of bytes that have not arrived yet.
+        """
+        if not self._is_chunked:
+            try:
+                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+            except OSError:
+                pass  # The caller has closed it already, which ends the answer too.
+        self.is_gone = True
+        self.was_aborted = True
+        raise CallerGoneError("the answer was broken off")
+
+    @property
+    def head_sent(self) -> bool:
+        """Return whether part of the present answer has been sent."""
+        return self._head_sent
+
+    def _head(
+        self, status: int, reason: bytes, headers: Iterable[Header]
+    ) -> list[bytes]:
+        first = reason or status_line(status).partition(" ")[2].encode()
+        lines = [b"HTTP/1.1 %d %s\r\n" % (status, first)]
+        lines += [b"%s: %s\r\n" % header for header in headers]
+        return lines
+
+    def _connection_header(self) -> bytes:
+        self._closes_after_answer = self._closes_after_answer or self.is_closing
+        return b"Connection: close\r\n" if self._closes_after_answer else b""
+
+    def _piece(self, data: bytes) -> bytes:
+        if not self._is_chunked:
+            return data
+        return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+    def _send(self, data: bytes) -> None:
+        if self.is_gone:
+            raise CallerGoneError("the caller has gone")
+        try:
+            self._sock.sendall(data)
+        except OSError as error:
+            self._caller_left()
+            raise CallerGoneError(str(error)) from error
+
+    def _finish_closing(self) -> None:
+        """Close in order, so that the answer arrives even if the caller still sends."""
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+        deadline_ms = self._clock.now_ms() + LINGER_MS
+        while not self.is_gone and self._clock.now_ms() < deadline_ms:
+            if self._parser.failure is not None and not self._drop_bytes():
+                return
+            sleep(LINGER_MS / 10.0 / MS_PER_SECOND)
+
+    def _drop_bytes(self) -> bool:
+        """Read and drop what has arrived; False at the end of the connection."""
+        try:
+            gevent_socket.wait_read(self._sock.fileno(), LINGER_MS / MS_PER_SECOND)
+            return bool(self._sock.recv(READ_BYTES))
+        except OSError:
+            return False
+
+    def close_if_idle(self) -> None:
+        """End the connection if no request is on its way."""
+        self.is_closing = True
+        if not self.is_serving and not self._parser.is_inside:
+            self._wakeup.set()
+
+
+def bad_request(message: str) -> Failure:
+    """Return the failure of a request that breaks the protocol."""
+    return Failure(Outcome.NOT_RUN, ErrorCode.BAD_REQUEST, message, 400)
--- /dev/null
+++ b/wigeonwind/routing/discovery.py
@@ -0,0 +1,175 @@
+"""The endpoints in service, from the entries that they keep in the platform's store."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from structlog import get_logger
+
+from wigeonwind.clock import Clock
+from wigeonwind.decisions.work_choice import Candidate, WorkChooser
+from wigeonwind.routing.endpoint_connection import EndpointPool
+from wigeonwind.routing.endpoints import Endpoint, EndpointKey
+
+LAPSE_GRACE_MS = 2_200.0
+"""Time after the store's return for which a lapsed entry is still used. Live endpoints
+are back in the store about two seconds after its return."""
+
+STRANGER_MS = 10_000.0
+"""Time for which an address that answered for another endpoint is not used."""
+
+log = get_logger("wigeonwind.discovery")
+
+
+@dataclass(frozen=True, slots=True)
+class _Lapsed:
+    """An entry that vanished while the store could not be trusted to hold it."""
+
+    endpoint: Endpoint
+    until_ms: float
+
+
+class EndpointSet:
+    """Endpoints by key; keeps the choice and the idle connections in step.
+
+    An entry that vanishes means that its endpoint has left, except around an outage of
+    the store, in which entries lapse although their endpoints live. Such entries are
+    used for LAPSE_GRACE_MS after the store's return.
+    """
+
+    def __init__(self, clock: Clock, choice: WorkChooser, pool: EndpointPool) -> None:
+        self._clock = clock
+        self._choice = choice
+        self._pool = pool
+        self._by_id: dict[str, Endpoint] = {}
+        self._lapsed_by_id: dict[str, _Lapsed] = {}
+        self._stranger_until_ms: dict[EndpointKey, float] = {}
+        self._usable_by_key: dict[EndpointKey, Endpoint] = {}
+        self._store_is_lost = False
+        self._trusted_from_ms = float("-inf")
+
+    def __len__(self) -> int:
+        """Return the number of endpoints that may get new work."""
+        return len(self._usable_by_key)
+
+    def get(self, key: EndpointKey) -> Endpoint | None:
+        """Return an endpoint that may get new work."""
+        return self._usable_by_key.get(key)
+
+    def all(self) -> Iterator[Endpoint]:
+        """Yield every endpoint that may get new work."""
+        yield from self._usable_by_key.values()
+
+    def on_store_lost(self) -> None:
+        """Note that the store does not answer."""
+        self._store_is_lost = True
+
+    def on_store_back(self) -> None:
+        """Note that the store answers again; entries may have lapsed meanwhile."""
+        if self._store_is_lost:
+            self._store_is_lost = False
+            self._trusted_from_ms = self._clock.now_ms() + LAPSE_GRACE_MS
+
+    def on_listed(self, endpoints: Iterable[Endpoint]) -> None:
+        """Replace all entries by those of a listing."""
+        listed = {each.instance_id: each for each in endpoints}
+        for name in [name for name in self._by_id if name not in listed]:
+            self._remove(name)
+        for endpoint in listed.values():
+            self._put(endpoint)
+        self._update()
+
+    def on_changed(self, endpoint: Endpoint) -> None:
+        """Take an entry that is new or has changed."""
+        self._put(endpoint)
+        self._update()
+
+    def on_removed(self, instance_id: str) -> None:
+        """Take note that an entry is gone."""
+        if instance_id in self._by_id:
+            self._remove(instance_id)
+            self._update()
+
+    def on_stranger(self, endpoint: Endpoint) -> None:
+        """Stop using an endpoint whose address answers for another one."""
+        until_ms = self._clock.now_ms() + STRANGER_MS
+        self._stranger_until_ms[endpoint.key] = until_ms
+        self._lapsed_by_id.pop(endpoint.instance_id, None)
+        log.warning(
+            "another endpoint answers at an address",
+            endpoint=endpoint.instance_id,
+            address=str(endpoint.address),
+        )
+        self._update()
+
+    def tick(self) -> None:
+        """Drop what has lapsed for good."""
+        now_ms = self._clock.now_ms()
+        over = [
+            name
+            for name, lapsed in self._lapsed_by_id.items()
+            if self._deadline_ms(lapsed) <= now_ms
+        ]
+        strangers = self._stranger_until_ms
+        again = [key for key, until_ms in strangers.items() if until_ms <= now_ms]
+        for name in over:
+            del self._lapsed_by_id[name]
+            log.info("a lapsed endpoint did not return", endpoint=name)
+        for key in again:
+            del strangers[key]
+        if over or again:
+            self._update()
+
+    def _deadline_ms(self, lapsed: _Lapsed) -> float:
+        """Return until when a lapsed entry is used: while the store is away, and on."""
+        if self._store_is_lost:
+            return float("inf")
+        return max(lapsed.until_ms, self._trusted_from_ms)
+
+    def _put(self, endpoint: Endpoint) -> None:
+        known = self._by_id.get(endpoint.instance_id)
+        self._by_id[endpoint.instance_id] = endpoint
+        self._lapsed_by_id.pop(endpoint.instance_id, None)
+        if known is None or known.key != endpoint.key:
+            log.info(
+                "an endpoint has come",
+                endpoint=endpoint.instance_id,
+                service=endpoint.service,
+                address=str(endpoint.address),
+                draining=endpoint.is_draining,
+            )
+        elif known.is_draining != endpoint.is_draining:
+            log.info(
+                "an endpoint changed its state",
+                endpoint=endpoint.instance_id,
+                draining=endpoint.is_draining,
+            )
+
+    def _remove(self, instance_id: str) -> None:
+        endpoint = self._by_id.pop(instance_id)
+        now_ms = self._clock.now_ms()
+        is_trusted = not self._store_is_lost and now_ms >= self._trusted_from_ms
+        if not is_trusted and not endpoint.is_draining:
+            until_ms = max(self._trusted_from_ms, now_ms)
+            self._lapsed_by_id[instance_id] = _Lapsed(endpoint, until_ms)
+        log.info(
+            "an endpoint's entry is gone",
+            endpoint=instance_id,
+            still_used=instance_id in self._lapsed_by_id,
+        )
+
+    def _update(self) -> None:
+        """Tell the choice which endpoints may get new work."""
+        lapsed = [each.endpoint for each in self._lapsed_by_id.values()]
+        present = [each for each in self._by_id.values() if not each.is_draining]
+        usable = {each.key: each for each in [*lapsed, *present]}
+        for key in self._stranger_until_ms:
+            usable.pop(key, None)
+        for key in self._usable_by_key:
+            if key not in usable:
+                self._pool.forget(key)
+        self._usable_by_key = usable
+        candidates = [
+            Candidate(each.key, each.service, each.zone, each.slots, each.warmup_ms)
+            for each in sorted(usable.values(), key=lambda each: each.key)
+        ]
+        self._choice.set_candidates(candidates, self._clock.now_ms())
--- /dev/null
+++ b/wigeonwind/routing/endpoint_connection.py
@@ -0,0 +1,153 @@
+"""Connections to endpoints, kept open between requests."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gevent import socket as gevent_socket
+
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.routing.answer_parser import AnswerParser
+from wigeonwind.routing.endpoints import Endpoint, EndpointKey
+
+READ_BYTES = 65_536
+"""Most bytes taken from a connection at a time."""
+
+CONNECT_TIMEOUT_MS = 400.0
+"""Time to connect. The round trip is a few milliseconds; a lost or dropped opening
+packet is sent again only after a second, so that a second connection is faster."""
+
+IDLE_MARGIN_MS = 500.0
+"""A connection is not used for a request this long before its endpoint closes it."""
+
+MAX_IDLE_MS = 10_000.0
+"""Longest idle time of a connection whose endpoint states none."""
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectFailure:
+    """No connection could be opened; nothing was sent."""
+
+    reason: str
+
+
+class EndpointConnection:
+    """One connection to one endpoint; it carries one request at a time."""
+
+    def __init__(self, endpoint: Endpoint, sock: gevent_socket.socket) -> None:
+        self.endpoint = endpoint
+        self.parser = AnswerParser()
+        self.is_fresh = True
+        self.is_ended = False
+        """The endpoint has closed the connection."""
+        self.usable_until_ms = float("inf")
+        self._sock = sock
+
+    def send(self, data: bytes, timeout_ms: float) -> None:
+        """Send all bytes; raises OSError where the connection is broken or too slow."""
+        self._sock.settimeout(max(timeout_ms, 1.0) / MS_PER_SECOND)
+        self._sock.sendall(data)
+
+    def has_answer(self) -> bool:
+        """Return whether bytes have arrived that were not read yet."""
+        try:
+            self._sock.settimeout(0.0)
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def receive(self, timeout_ms: float) -> bytes:
+        """Return the next bytes, empty at the end; raises OSError, also on timeout."""
+        self._sock.settimeout(max(timeout_ms, 1.0) / MS_PER_SECOND)
+        return self._sock.recv(READ_BYTES)
+
+    def is_quiet(self) -> bool:
+        """Return whether nothing has arrived since the last answer, not even an end."""
+        try:
+            self._sock.settimeout(0.0)
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Close the connection; what waits on it gets an OSError."""
+        self._sock.close()
+
+
+class EndpointPool:
+    """Idle connections by endpoint; the one used last is used first.
+
+    Most of them then age out, and the others are rarely idle for long.
+    """
+
+    def __init__(self, clock: Clock, on_opened: Callable[[], None]) -> None:
+        self._clock = clock
+        self._on_opened = on_opened
+        self._idle_by_key: dict[EndpointKey, list[EndpointConnection]] = {}
+
+    def idle_connection(self, endpoint: Endpoint) -> EndpointConnection | None:
+        """Return a connection that is open and quiet, None if there is none."""
+        idle = self._idle_by_key.get(endpoint.key)
+        now_ms = self._clock.now_ms()
+        while idle:
+            connection = idle.pop()
+            if now_ms < connection.usable_until_ms and connection.is_quiet():
+                connection.is_fresh = False
+                return connection
+            connection.close()
+        return None
+
+    def open(self, endpoint: Endpoint) -> EndpointConnection | ConnectFailure:
+        """Open a new connection."""
+        try:
+            sock = _connect(endpoint.address)
+        except OSError as error:
+            return ConnectFailure(str(error) or type(error).__name__)
+        self._on_opened()
+        return EndpointConnection(endpoint, sock)
+
+    def give_back(
+        self, connection: EndpointConnection, keep_alive_ms: float | None
+    ) -> None:
+        """Keep a connection whose answer was complete and left nothing behind."""
+        idle_ms = MAX_IDLE_MS if keep_alive_ms is None else keep_alive_ms
+        connection.usable_until_ms = self._clock.now_ms() + idle_ms - IDLE_MARGIN_MS
+        connection.parser = AnswerParser()
+        self._idle_by_key.setdefault(connection.endpoint.key, []).append(connection)
+
+    def close_expired(self) -> None:
+        """Close connections that are idle for too long."""
+        now_ms = self._clock.now_ms()
+        for key, idle in list(self._idle_by_key.items()):
+            for connection in idle:
+                if connection.usable_until_ms <= now_ms:
+                    connection.close()
+            idle[:] = [each for each in idle if each.usable_until_ms > now_ms]
+            if not idle:
+                del self._idle_by_key[key]
+
+    def forget(self, key: EndpointKey) -> None:
+        """Close the idle connections of an endpoint that is gone."""
+        for connection in self._idle_by_key.pop(key, ()):
+            connection.close()
+
+    def idle_count(self) -> int:
+        """Return the number of idle connections."""
+        return sum(map(len, self._idle_by_key.values()))
+
+
+def _connect(address: SocketAddress) -> gevent_socket.socket:
+    sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.settimeout(CONNECT_TIMEOUT_MS / MS_PER_SECOND)
+        sock.connect((address.host, address.port))
+        # A request and its last token are short writes that must not be delayed.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/wigeonwind/routing/forwarding_context.py
@@ -0,0 +1,94 @@
+"""What all requests that one process forwards share."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from structlog import get_logger
+
+from wigeonwind.clock import Clock
+from wigeonwind.decisions.interfaces import GiveUp, Resend, RetryCause
+from wigeonwind.decisions.retry import RetryLimits, RetryPolicy
+from wigeonwind.decisions.work_choice import Work, WorkChooser
+from wigeonwind.hashing import hash_text
+from wigeonwind.routing.discovery import EndpointSet
+from wigeonwind.routing.endpoint_connection import EndpointPool
+from wigeonwind.routing.routes import HttpRoute
+from wigeonwind.routing.wire import RequestFacts, Wire
+
+if TYPE_CHECKING:
+    from wigeonwind.routing.exchange import Exchange, SendEnd
+
+RETRY_LIMITS = RetryLimits(
+    budget_share=0.12,
+    budget_floor_per_s=0.2,
+    base_delay_ms=0.0,
+    unbudgeted=frozenset[RetryCause](),
+)
+"""Budget of second sends. The platform allows 0.2 of the requests and a fixed number a
+window for all entries together; the floor is an entry's part of that number where there
+are 30 of them. Another endpoint is tried at once, as deadlines are short."""
+
+Observer = Callable[["Exchange", "SendEnd"], None]
+
+
+@dataclass
+class ForwardingContext:
+    """The parts that every exchange uses."""
+
+    clock: Clock
+    wire: Wire
+    pool: EndpointPool
+    endpoints: EndpointSet
+    choice: WorkChooser
+    rng: Random
+    on_end: Observer
+    on_retry: Callable[["Exchange", "SendEnd", Resend | GiveUp], None]
+    log: Any = field(default_factory=lambda: get_logger("wigeonwind.routing"))
+    _retry_by_service: dict[str, RetryPolicy] = field(default_factory=dict)
+
+    def retry_of(self, service: str) -> RetryPolicy:
+        """Return the retry budget of a service."""
+        policy = self._retry_by_service.get(service)
+        if policy is None:
+            policy = RetryPolicy(self.rng, RETRY_LIMITS)
+            self._retry_by_service[service] = policy
+        return policy
+
+    def pick_service(self, route: HttpRoute) -> str:
+        """Return one of the services of a route, by their weights."""
+        shares = route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        weights = [share.weight for share in shares]
+        return self.rng.choices(shares, weights)[0].service
+
+    def work_of(self, service: str, priority: int, facts: RequestFacts) -> Work:
+        """Return what the choice of an endpoint depends on."""
+        keys, lengths, tokens = [], [], 0
+        key = service
+        for part in facts.prompt_parts:
+            key = f"{key},{part.part_id:x}"
+            tokens += part.tokens
+            keys.append(hash_text(key))
+            lengths.append(tokens)
+        return Work(
+            service,
+            priority,
+            max(facts.prompt_tokens, tokens),
+            tuple(keys),
+            tuple(lengths),
+            max(0, len(keys) - 1),
+            facts.prompt_tokens > 0,
+        )
+
+    def note_retry(
+        self, exchange: "Exchange", end: "SendEnd", decision: Resend | GiveUp
+    ) -> None:
+        """Record that a send failed and whether another follows."""
+        self.on_retry(exchange, end, decision)
+
+    def note_end(self, exchange: "Exchange", end: "SendEnd") -> None:
+        """Record how a request ended."""
+        self.on_end(exchange, end)
--- /dev/null
+++ b/wigeonwind/routing/own_answers.py
@@ -0,0 +1,53 @@
+"""Answers that the system makes itself: refusals and failures."""
+
+import json
+from collections.abc import Sequence
+
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.entry.replies import error_body, status_line
+from wigeonwind.outcomes import Failure
+from wigeonwind.routing.wire import Header
+
+
+def retry_after_value(retry_after_ms: float) -> str:
+    """Return a Retry-After value in seconds with a fraction.
+
+    Callers of this interface read fractions; a whole second is most of a short
+    deadline.
+
+    >>> retry_after_value(250.0)
+    '0.25'
+    """
+    return f"{retry_after_ms / MS_PER_SECOND:.2f}"
+
+
+def failure_answer(
+    failure: Failure, request_id: str, headers: Sequence[Header], closes: bool
+) -> bytes:
+    """Return head and body of an answer to a request that got no whole answer.
+
+    `headers` are those that the platform asks for.
+    """
+    body = error_body(failure, request_id)
+    lines = [
+        f"HTTP/1.1 {status_line(failure.http_status)}",
+        "Content-Type: application/json",
+        f"Content-Length: {len(body)}",
+        f"X-Outcome: {failure.outcome.value}",
+    ]
+    lines += [f"{name.decode()}: {value.decode()}" for name, value in headers]
+    if failure.retry_after_ms is not None:
+        lines.append(f"Retry-After: {retry_after_value(failure.retry_after_ms)}")
+    if closes:
+        lines.append("Connection: close")
+    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+
+
+def status_answer(status: int, document: object) -> bytes:
+    """Return a small JSON answer that ends its connection."""
+    body = json.dumps(document).encode()
+    head = (
+        f"HTTP/1.1 {status_line(status)}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
--- /dev/null
+++ b/wigeonwind/routing/request_parser.py
@@ -0,0 +1,166 @@
+"""Callers' HTTP requests, parsed as their bytes arrive."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+
+from wigeonwind.outcomes import ErrorCode, Failure, Outcome
+from wigeonwind.routing.routes import CallerLimits
+from wigeonwind.routing.wire import Header
+
+MAX_TARGET_BYTES = 8_192
+"""Longest request target; RFC 9110 section 4.1 asks for 8,000 octets at least."""
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One whole request; `target` is path and query as the caller sent them."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    is_http11: bool
+    keeps_alive: bool
+
+    @property
+    def path(self) -> str:
+        """Return the target without its query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+
+def _refused(code: ErrorCode, message: str, status: int) -> Failure:
+    return Failure(Outcome.NOT_RUN, code, message, status)
+
+
+class RequestParser:
+    r"""Turns bytes of one connection into requests, within the callers' limits.
+
+    After `failure` is set the connection cannot be read any further: the rest of its
+    bytes cannot be told apart from a request.
+
+    >>> parser = RequestParser(CallerLimits())
+    >>> parser.feed(b"GET /a/?q HTTP/1.1\r\nHost: x\r\n\r\nGET /b")
+    >>> parser.requests[0].target, parser.is_inside
+    (b'/a/?q', True)
+    """
+
+    def __init__(self, limits: CallerLimits) -> None:
+        self.limits = limits
+        self.requests: deque[HttpRequest] = deque()
+        self.failure: Failure | None = None
+        self.expects_continue = False
+        """The caller waits for an interim answer before it sends the body."""
+        self.is_inside = False
+        """Part of a request has arrived, but not all of it."""
+        self._begin()
+        self._parser = HttpRequestParser(self)
+
+    def _begin(self) -> None:
+        self._target = b""
+        self._headers: list[Header] = []
+        self._body: list[bytes] = []
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._has_head = False
+
+    def feed(self, data: bytes) -> None:
+        """Take the next bytes of the connection."""
+        if self.failure is not None or not data:
+            return
+        self.is_inside = True
+        if not self._has_head:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except HttpParserUpgrade as upgrade:
+            # The request itself is whole; the protocol it offers is not spoken here.
+            self._parser = HttpRequestParser(self)
+            self.feed(data[upgrade.args[0] :])
+        except HttpParserError as error:
+            self._fail(ErrorCode.BAD_REQUEST, f"not valid HTTP: {error}", 400)
+        if not self._has_head and self._head_bytes > self.limits.max_header_bytes:
+            self._fail(ErrorCode.TOO_LARGE, "the request's head is too large", 431)
+
+    def _fail(self, code: ErrorCode, message: str, status: int) -> None:
+        if self.failure is None:
+            self.failure = _refused(code, message, status)
+
+    def on_message_begin(self) -> None:
+        """Start a request (called by the parser)."""
+        self._begin()
+        self.is_inside = True
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target (called by the parser)."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header (called by the parser)."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head (called by the parser)."""
+        self._has_head = True
+        self._check_head()
+        names = {name.lower(): value for name, value in self._headers}
+        self.expects_continue = names.get(b"expect", b"").lower() == b"100-continue"
+
+    def _check_head(self) -> None:
+        size = sum(len(name) + len(value) + 4 for name, value in self._headers)
+        if size + len(self._target) > self.limits.max_header_bytes:
+            self._fail(ErrorCode.TOO_LARGE, "the request's head is too large", 431)
+        if len(self._target) > MAX_TARGET_BYTES:
+            self._fail(ErrorCode.TOO_LARGE, "the request target is too long", 414)
+        values: dict[bytes, list[bytes]] = {}
+        for name, value in self._headers:
+            values.setdefault(name.lower(), []).append(value)
+        encodings = values.get(b"transfer-encoding", [])
+        lengths = values.get(b"content-length", [])
+        if encodings and lengths:
+            message = "Content-Length beside Transfer-Encoding"
+            self._fail(ErrorCode.BAD_REQUEST, message, 400)
+        if encodings and [value.lower() for value in encodings] != [b"chunked"]:
+            message = "the transfer encoding is not supported"
+            self._fail(ErrorCode.BAD_REQUEST, message, 501)
+        if len(lengths) > 1:
+            self._fail(ErrorCode.BAD_REQUEST, "more than one Content-Length", 400)
+        if lengths and lengths[0].isdigit():
+            self._check_body(int(lengths[0]))
+        if self._parser.get_http_version() == "1.1" and (
+            len(values.get(b"host", [])) != 1
+        ):
+            self._fail(ErrorCode.BAD_REQUEST, "HTTP/1.1 needs one Host header", 400)
+
+    def _check_body(self, size: int) -> None:
+        if size > self.limits.max_body_bytes:
+            limit = self.limits.max_body_bytes
+            message = f"the body is larger than {limit} bytes"
+            self._fail(ErrorCode.TOO_LARGE, message, 413)
+
+    def on_body(self, body: bytes) -> None:
+        """Collect part of the body (called by the parser)."""
+        self._body_bytes += len(body)
+        self._check_body(self._body_bytes)
+        if self.failure is None:
+            self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Finish a request (called by the parser)."""
+        self.is_inside = False
+        self._has_head = False
+        self.expects_continue = False
+        self._head_bytes = 0
+        if self.failure is not None:
+            return
+        self.requests.append(
+            HttpRequest(
+                self._parser.get_method(),
+                self._target,
+                tuple(self._headers),
+                b"".join(self._body),
+                self._parser.get_http_version() == "1.1",
+                self._parser.should_keep_alive(),
+            )
+        )
--- /dev/null
+++ b/wigeonwind/routing/router.py
@@ -0,0 +1,308 @@
+"""A routing process: its listeners, its view of the store, and its graceful stop."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+import gevent
+from gevent import socket as gevent_socket
+from gevent.event import Event
+from gevent.server import StreamServer
+from structlog import get_logger
+
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.decisions.work_choice import WorkChooser
+from wigeonwind.outcomes import ErrorCode, Failure, Outcome
+from wigeonwind.routing.caller_connection import CallerConnection, bad_request
+from wigeonwind.routing.discovery import EndpointSet
+from wigeonwind.routing.endpoint_connection import EndpointPool
+from wigeonwind.routing.exchange import Exchange
+from wigeonwind.routing.forwarding_context import ForwardingContext
+from wigeonwind.routing.own_answers import status_answer
+from wigeonwind.routing.request_parser import HttpRequest
+from wigeonwind.routing.routes import CallerLimits, HttpCustomer, HttpRoute, RouteTable
+from wigeonwind.routing.routing_metrics import RoutingMetrics
+from wigeonwind.routing.routing_state import (
+    ConfigurationFollower,
+    EndpointFollower,
+    StoreSchema,
+)
+from wigeonwind.routing.small_http import SmallHttpServer
+from wigeonwind.routing.store_follower import FollowedStore, StoreFollower
+from wigeonwind.routing.wire import RequestFacts, Wire
+from wigeonwind.runtime.loops import Loops
+
+BACKLOG = 1_024
+"""Connections that wait to be accepted; a dropped one is tried again after seconds."""
+
+TICK_MS = 250.0
+"""Interval of housekeeping: idle connections and lapsed endpoints."""
+
+NO_NEW_CALLERS_MS = 3_000.0
+"""Time after a stop signal until idle connections are closed. The load balancer asks
+for readiness every second, and takes an entry out after two misses."""
+
+STOP_MARGIN_MS = 600.0
+"""Time before the limit of a stop at which the process ends on its own."""
+
+DRAIN_POLL_MS = 50.0
+
+NO_CONFIGURATION_RETRY_MS = 300.0
+"""Retry-After of a process that has no configuration yet; it reads it in a moment."""
+
+DEFAULT_LIMITS = CallerLimits()
+
+log = get_logger("wigeonwind.router")
+
+
+@dataclass(frozen=True)
+class RouterSettings:
+    """Where a routing process listens and who it is; times in milliseconds.
+
+    `metrics` is None where metrics are not served.
+    """
+
+    node_id: str
+    zone: str
+    callers: SocketAddress
+    readiness: SocketAddress
+    metrics: SocketAddress | None
+    stop_limit_ms: float
+
+
+class Router:
+    """Accepts callers and forwards their requests until it is told to stop."""
+
+    def __init__(
+        self,
+        settings: RouterSettings,
+        clock: Clock,
+        rng: Random,
+        wire: Wire,
+        schema: StoreSchema,
+        store: FollowedStore,
+    ) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._wire = wire
+        self.metrics = RoutingMetrics(clock)
+        self.pool = EndpointPool(clock, self.metrics.count_connection)
+        choice = WorkChooser(settings.zone, rng)
+        self.endpoints = EndpointSet(clock, choice, self.pool)
+        self.configuration = ConfigurationFollower(schema, self._on_table)
+        self._context = ForwardingContext(
+            clock,
+            wire,
+            self.pool,
+            self.endpoints,
+            choice,
+            rng,
+            self.metrics.on_end,
+            self.metrics.on_retry,
+        )
+        self._followers = [
+            StoreFollower(
+                store,
+                schema.configuration_prefix,
+                self.configuration,
+                self.metrics.on_store_reachable,
+            ),
+            StoreFollower(
+                store,
+                schema.endpoints_prefix,
+                EndpointFollower(schema, self.endpoints),
+                self._on_discovery_reachable,
+            ),
+        ]
+        target = (settings.callers.host, settings.callers.port)
+        self._server = StreamServer(target, self._accept, backlog=BACKLOG)
+        self._readiness = SmallHttpServer(settings.readiness, self._check)
+        self._metrics_server = None
+        if settings.metrics is not None:
+            self._metrics_server = SmallHttpServer(settings.metrics, self._render)
+        self._connections: set[CallerConnection] = set()
+        self._loops = Loops(self.stop)
+        self.is_draining = False
+        self.stopped = Event()
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether new callers may come."""
+        has_view = self.configuration.table is not None and len(self.endpoints) > 0
+        return has_view and not self.is_draining
+
+    @property
+    def callers_address(self) -> SocketAddress:
+        """Return the address for callers in use."""
+        return SocketAddress(self._server.server_host, self._server.server_port)
+
+    @property
+    def readiness_address(self) -> SocketAddress:
+        """Return the address of the readiness check in use."""
+        return self._readiness.address
+
+    def start(self) -> None:
+        """Listen and follow the store; raises OSError if an address is taken."""
+        self._readiness.start()
+        self._server.start()
+        if self._metrics_server is not None:
+            self._metrics_server.start()
+        for follower in self._followers:
+            self._loops.start(follower.run)
+        self._loops.start(self._keep_house)
+        log.info(
+            "started",
+            node=self._settings.node_id,
+            zone=self._settings.zone,
+            callers=str(self.callers_address),
+        )
+
+    def _on_table(self, table: RouteTable) -> None:
+        self.metrics.on_table(table)
+
+    def _on_discovery_reachable(self, is_reachable: bool) -> None:
+        self.metrics.on_store_reachable(is_reachable)
+        if is_reachable:
+            self.endpoints.on_store_back()
+        else:
+            self.endpoints.on_store_lost()
+
+    def _keep_house(self) -> None:
+        while True:
+            gevent.sleep(TICK_MS / MS_PER_SECOND)
+            self.pool.close_expired()
+            self.endpoints.tick()
+
+    def _check(self, _: str) -> bytes:
+        status = 200 if self.is_ready else 503
+        table = self.configuration.table
+        document = {
+            "ready": self.is_ready,
+            "draining": self.is_draining,
+            "version": table.version if table is not None else None,
+            "endpoints": len(self.endpoints),
+        }
+        return status_answer(status, document)
+
+    def _render(self, _: str) -> bytes:
+        body = self.metrics.render()
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\n"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
+        return head.encode() + body
+
+    def _limits(self) -> CallerLimits:
+        table = self.configuration.table
+        return table.limits if table is not None else DEFAULT_LIMITS
+
+    def _accept(self, sock: gevent_socket.socket, _: object) -> None:
+        connection = CallerConnection(sock, self._clock, self._limits, self._serve)
+        connection.is_closing = self.is_draining
+        self._connections.add(connection)
+        try:
+            connection.run()
+        finally:
+            self._connections.discard(connection)
+
+    def _serve(self, caller: CallerConnection, request: HttpRequest) -> None:
+        """Answer one request."""
+        facts = self._wire.read_request(request.headers)
+        table = self.configuration.table
+        if table is None:
+            self._refuse(caller, facts, NO_CONFIGURATION)
+            return
+        if not facts.request_id:
+            self._refuse(caller, facts, bad_request("the request has no id"))
+            return
+        route = table.match(facts.host, request.path)
+        if route is None:
+            self._refuse(caller, facts, NO_ROUTE, table.version)
+            return
+        customer = self._customer(table, route, facts)
+        if isinstance(customer, Failure):
+            self._refuse(caller, facts, customer, table.version)
+            return
+        Exchange(
+            self._context, caller, request, facts, route, customer, table.version
+        ).run()
+
+    def _customer(
+        self, table: RouteTable, route: HttpRoute, facts: RequestFacts
+    ) -> HttpCustomer | Failure | None:
+        """Return who sent a request, None where nobody needs to be known."""
+        if not table.needs_key or route.is_public:
+            return None
+        if facts.api_key is None:
+            return UNAUTHORIZED
+        return table.customer_by_key.get(facts.api_key, UNAUTHORIZED)
+
+    def _refuse(
+        self,
+        caller: CallerConnection,
+        facts: RequestFacts,
+        failure: Failure,
+        version: int | None = None,
+    ) -> None:
+        self.metrics.on_refused(facts, failure, version)
+        headers = self._wire.own_answer_headers(facts.request_id)
+        caller.refuse(failure, facts.request_id, headers)
+
+    def drain(self) -> None:
+        """Stop gracefully: no new callers, whole answers for those that are there."""
+        if self.is_draining:
+            return
+        self.is_draining = True
+        began_ms = self._clock.now_ms()
+        log.info("stopping", connections=len(self._connections))
+        for connection in self._connections:
+            connection.is_closing = True
+        end_ms = began_ms + self._settings.stop_limit_ms - STOP_MARGIN_MS
+        self._wait_until(lambda: False, began_ms + NO_NEW_CALLERS_MS)
+        self._server.close()
+        for connection in list(self._connections):
+            connection.close_if_idle()
+        self._wait_until(lambda: not self._connections, end_ms)
+        log.info(
+            "stopped",
+            cut_off=len(self._connections),
+            after_ms=round(self._clock.now_ms() - began_ms),
+        )
+        self.stop()
+
+    def _wait_until(self, is_done: Callable[[], bool], end_ms: float) -> None:
+        while not is_done() and self._clock.now_ms() < end_ms:
+            gevent.sleep(DRAIN_POLL_MS / MS_PER_SECOND)
+
+    def stop(self) -> None:
+        """Stop at once; what is in flight is cut off."""
+        self._loops.stop()
+        self._server.stop(timeout=0)
+        self._readiness.stop()
+        if self._metrics_server is not None:
+            self._metrics_server.stop()
+        self.stopped.set()
+
+
+NO_CONFIGURATION = Failure(
+    Outcome.NOT_RUN,
+    ErrorCode.STORE_UNAVAILABLE,
+    "no configuration has been read yet",
+    503,
+    NO_CONFIGURATION_RETRY_MS,
+)
+
+NO_ROUTE = Failure(
+    Outcome.NOT_RUN,
+    ErrorCode.UNKNOWN_SERVICE,
+    "no route takes this host and path",
+    404,
+)
+
+UNAUTHORIZED = Failure(
+    Outcome.NOT_RUN,
+    ErrorCode.UNAUTHORIZED,
+    "the API key is missing or unknown",
+    401,
+)
--- /dev/null
+++ b/wigeonwind/routing/routing_metrics.py
@@ -0,0 +1,143 @@
+"""Counters, latencies and log lines of forwarded requests."""
+
+from structlog import get_logger
+
+from wigeonwind.clock import Clock
+from wigeonwind.decisions.interfaces import GiveUp, Resend
+from wigeonwind.outcomes import Failure
+from wigeonwind.routing.exchange import (
+    Broken,
+    CallerGone,
+    Delivered,
+    Exchange,
+    Failed,
+    NotRun,
+    SendEnd,
+    TimedOut,
+)
+from wigeonwind.routing.routes import RouteTable
+from wigeonwind.routing.wire import RequestFacts
+from wigeonwind.runtime.metrics import Metrics
+
+log = get_logger("wigeonwind.requests")
+
+
+def outcome_name(end: SendEnd) -> str:
+    """Return the `outcome` label of how a request or a send ended."""
+    match end:
+        case Delivered():
+            return "delivered"
+        case NotRun():
+            return "not-run"
+        case Failed():
+            return "endpoint-failed"
+        case Broken():
+            return "broken"
+        case TimedOut():
+            return "timed-out"
+        case CallerGone():
+            return "caller-gone"
+
+
+class RoutingMetrics:
+    """Counts and logs what becomes of requests."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._metrics = Metrics(clock)
+        self._requests = self._metrics.counter(
+            "route_requests", "Requests by route and outcome.", ("route", "outcome")
+        )
+        self._refused = self._metrics.counter(
+            "route_refused", "Requests refused before a route took them.", ("code",)
+        )
+        self._retries = self._metrics.counter(
+            "route_retries", "Second sends by decision.", ("service", "decision")
+        )
+        self._connections = self._metrics.counter(
+            "endpoint_connections_opened", "Connections opened to endpoints."
+        )
+        self._version = self._metrics.gauge(
+            "configuration_version", "Version of the configuration in force."
+        )
+        self._reachable = self._metrics.gauge(
+            "store_reachable", "1 while the platform's store answers."
+        )
+        self._first = self._metrics.latency(
+            "route_first_event", "Time to the first event of a stream."
+        )
+        self._whole = self._metrics.latency(
+            "route_whole", "Time to the end of an answer."
+        )
+
+    def render(self) -> bytes:
+        """Return everything as Prometheus text."""
+        return self._metrics.render()
+
+    def count_connection(self) -> None:
+        """Count a connection opened to an endpoint."""
+        self._connections.inc()
+
+    def on_table(self, table: RouteTable) -> None:
+        """Note the configuration in force."""
+        self._version.set(table.version)
+
+    def on_store_reachable(self, is_reachable: bool) -> None:
+        """Note whether the store answers."""
+        self._reachable.set(1 if is_reachable else 0)
+
+    def on_refused(
+        self, facts: RequestFacts, failure: Failure, version: int | None
+    ) -> None:
+        """Record a request that no route took."""
+        self._refused.labels(failure.code.value).inc()
+        log.info(
+            "request refused",
+            request_id=facts.request_id,
+            code=failure.code.value,
+            status=failure.http_status,
+            config_version=version,
+        )
+
+    def on_retry(
+        self, exchange: Exchange, end: SendEnd, decision: Resend | GiveUp
+    ) -> None:
+        """Record a send that failed, and whether another follows."""
+        given_up = isinstance(decision, GiveUp)
+        name = "give-up" if given_up else "resend"
+        self._retries.labels(exchange.service, name).inc()
+        log.info(
+            "send failed",
+            request_id=exchange.facts.request_id,
+            endpoint=exchange.last_endpoint_id,
+            outcome=outcome_name(end),
+            reason=getattr(end, "reason", ""),
+            decision=decision.reason if isinstance(decision, GiveUp) else "resend",
+        )
+
+    def on_end(self, exchange: Exchange, end: SendEnd) -> None:
+        """Record how a request ended."""
+        outcome = outcome_name(end)
+        self._requests.labels(exchange.route.name, outcome).inc()
+        took_ms = self._clock.now_ms() - exchange.began_ms
+        first_ms = exchange.first_event_after_ms
+        if isinstance(end, Delivered):
+            self._whole.record(took_ms)
+            if first_ms is not None:
+                self._first.record(first_ms)
+        log.info(
+            "request ended",
+            request_id=exchange.facts.request_id,
+            route=exchange.route.name,
+            service=exchange.service,
+            endpoint=exchange.last_endpoint_id,
+            priority=exchange.priority,
+            config_version=exchange.config_version,
+            outcome=outcome,
+            status=getattr(end, "status", None),
+            reason=getattr(end, "reason", None),
+            sends=exchange.sends,
+            took_ms=round(took_ms, 1),
+            first_event_ms=None if first_ms is None else round(first_ms, 1),
+            timeout_ms=round(exchange.deadline_ms - exchange.began_ms),
+        )
--- /dev/null
+++ b/wigeonwind/routing/routing_state.py
@@ -0,0 +1,103 @@
+"""The configuration and the endpoints in force, as the platform's store gives them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from structlog import get_logger
+
+from wigeonwind.outcomes import Invalid, Ok
+from wigeonwind.routing.discovery import EndpointSet
+from wigeonwind.routing.endpoints import Endpoint
+from wigeonwind.routing.routes import RouteTable
+from wigeonwind.state.store_types import StoredObject
+
+log = get_logger("wigeonwind.configuration")
+
+
+@dataclass(frozen=True)
+class StoreSchema:
+    """Where a platform keeps configuration and endpoints, and how they are decoded."""
+
+    configuration_prefix: str
+    configuration_key: str
+    endpoints_prefix: str
+    read_configuration: Callable[[bytes], Ok[RouteTable] | Invalid]
+    read_endpoint: Callable[[str, bytes], Endpoint | str]
+    endpoint_id: Callable[[str], str]
+
+
+class ConfigurationFollower:
+    """Keeps the newest configuration; an older or unreadable one changes nothing."""
+
+    def __init__(
+        self, schema: StoreSchema, on_table: Callable[[RouteTable], None]
+    ) -> None:
+        self.table: RouteTable | None = None
+        self._schema = schema
+        self._on_table = on_table
+
+    def on_listed(self, objects: tuple[StoredObject, ...]) -> None:
+        """Take the objects of a listing."""
+        for found in objects:
+            self.on_changed(found)
+
+    def on_changed(self, changed: StoredObject) -> None:
+        """Put a newer configuration in force."""
+        if changed.key != self._schema.configuration_key:
+            return
+        found = self._schema.read_configuration(changed.value)
+        if isinstance(found, Invalid):
+            problems = [str(problem) for problem in found.problems]
+            log.error("a configuration cannot be read", problems=problems)
+            return
+        table = found.value
+        in_force = self.table.version if self.table is not None else None
+        if in_force is not None and table.version <= in_force:
+            return
+        self.table = table
+        log.info(
+            "a configuration is in force",
+            version=table.version,
+            before=in_force,
+            routes=len(table.routes),
+            services=len(table.service_by_name),
+            keys=len(table.customer_by_key),
+        )
+        self._on_table(table)
+
+    def on_removed(self, key: str) -> None:
+        """Keep the configuration in force: operators replace it, never remove it."""
+        if key == self._schema.configuration_key:
+            log.error("the configuration was removed from the store; it stays in force")
+
+
+class EndpointFollower:
+    """Passes the entries of endpoints to an endpoint set."""
+
+    def __init__(self, schema: StoreSchema, endpoints: EndpointSet) -> None:
+        self._schema = schema
+        self._endpoints = endpoints
+
+    def on_listed(self, objects: tuple[StoredObject, ...]) -> None:
+        """Replace all entries by those of a listing."""
+        found = [self._read(each) for each in objects]
+        self._endpoints.on_listed([each for each in found if each is not None])
+
+    def on_changed(self, changed: StoredObject) -> None:
+        """Take an entry that is new or has changed."""
+        endpoint = self._read(changed)
+        if endpoint is None:
+            self.on_removed(changed.key)
+        else:
+            self._endpoints.on_changed(endpoint)
+
+    def on_removed(self, key: str) -> None:
+        """Take note that an entry is gone."""
+        self._endpoints.on_removed(self._schema.endpoint_id(key))
+
+    def _read(self, stored: StoredObject) -> Endpoint | None:
+        found = self._schema.read_endpoint(stored.key, stored.value)
+        if isinstance(found, Endpoint):
+            return found
+        log.warning("an entry names no endpoint", key=stored.key, reason=found)
+        return None
--- /dev/null
+++ b/wigeonwind/routing/small_http.py
@@ -0,0 +1,63 @@
+"""A server for readiness checks and metrics: one short answer a connection."""
+
+from collections.abc import Callable
+
+import gevent
+from gevent import socket as gevent_socket
+from gevent.server import StreamServer
+
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.clock import MS_PER_SECOND
+
+READ_TIMEOUT_MS = 1_000.0
+"""Time to read a request and to send the answer; checks come once a second."""
+
+MAX_HEAD_BYTES = 8_192
+
+BACKLOG = 64
+
+Respond = Callable[[str], bytes]
+
+
+class SmallHttpServer:
+    """Answers each request with what `respond` makes of its path."""
+
+    def __init__(self, address: SocketAddress, respond: Respond) -> None:
+        self._respond = respond
+        target = (address.host, address.port)
+        self._server = StreamServer(target, self._handle, backlog=BACKLOG)
+
+    @property
+    def address(self) -> SocketAddress:
+        """Return the address in use."""
+        return SocketAddress(self._server.server_host, self._server.server_port)
+
+    def start(self) -> None:
+        """Listen; raises OSError if the address is taken."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.stop(timeout=0)
+
+    def _handle(self, sock: gevent_socket.socket, _: object) -> None:
+        try:
+            with gevent.Timeout(READ_TIMEOUT_MS / MS_PER_SECOND, TimeoutError):
+                sock.sendall(self._respond(_read_path(sock)))
+                sock.shutdown(gevent_socket.SHUT_WR)
+        except OSError:
+            pass  # The checker has gone; it will ask again.
+        finally:
+            sock.close()
+
+
+def _read_path(sock: gevent_socket.socket) -> str:
+    """Read a request's head and return its path, empty if there is none."""
+    head = b""
+    while b"\r\n\r\n" not in head and len(head) < MAX_HEAD_BYTES:
+        data = sock.recv(MAX_HEAD_BYTES)
+        if not data:
+            break
+        head += data
+    words = head.partition(b"\r\n")[0].split(b" ")
+    return words[1].decode("latin-1") if len(words) > 1 else ""
--- /dev/null
+++ b/wigeonwind/routing/store_follower.py
@@ -0,0 +1,127 @@
+"""Follows the objects of one kind in the platform's store: list, then watch."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import gevent
+from structlog import get_logger
+
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.outcomes import Ok
+from wigeonwind.state.store_types import (
+    HistoryGone,
+    ObjectPage,
+    StoredObject,
+    StoreFailure,
+    WatchBatch,
+)
+
+WATCH_MS = 4_000.0
+"""Longest wait of one watch. Each costs a call; but a connection may fall silent, and
+what was missed must be noticed within the bounds on configuration changes."""
+
+RETRY_MS = 100.0
+"""Pause after a failed call, on top of the backoff of the store client."""
+
+log = get_logger("wigeonwind.store")
+
+
+class FollowedStore(Protocol):
+    """The calls that following needs."""
+
+    def list_objects(self, prefix: str) -> Ok[ObjectPage] | StoreFailure:
+        """Return all objects under a prefix."""
+        ...
+
+    def watch(
+        self, prefix: str, after: int, timeout_ms: float
+    ) -> Ok[WatchBatch] | HistoryGone | StoreFailure:
+        """Wait for changes under `prefix` after revision `after`."""
+        ...
+
+
+class Follower(Protocol):
+    """Takes what a `StoreFollower` reads."""
+
+    def on_listed(self, objects: tuple[StoredObject, ...]) -> None:
+        """Replace everything by the objects of a listing."""
+        ...
+
+    def on_changed(self, changed: StoredObject) -> None:
+        """Take a new or changed object."""
+        ...
+
+    def on_removed(self, key: str) -> None:
+        """Take note that an object is gone."""
+        ...
+
+
+class StoreFollower:
+    """Keeps a follower up to date with the objects under one prefix.
+
+    After lost history it lists again; nothing that changed meanwhile is missed.
+    """
+
+    def __init__(
+        self,
+        store: FollowedStore,
+        prefix: str,
+        follower: Follower,
+        on_reachable: Callable[[bool], None],
+    ) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._follower = follower
+        self._on_reachable = on_reachable
+        self._is_reachable = True
+        self._revision: int | None = None
+
+    def run(self) -> None:
+        """Follow until the greenlet is killed."""
+        while True:
+            if not self.step():
+                gevent.sleep(RETRY_MS / MS_PER_SECOND)
+
+    def step(self) -> bool:
+        """Make one call; return whether the store answered."""
+        if self._revision is None:
+            return self._list()
+        found = self._store.watch(self._prefix, self._revision, WATCH_MS)
+        if isinstance(found, StoreFailure):
+            return self._on_failure(found)
+        self._on_answer()
+        if isinstance(found, HistoryGone):
+            log.info("history was lost; listing", prefix=self._prefix)
+            self._revision = None
+            return True
+        for event in found.value.events:
+            if event.deleted:
+                self._follower.on_removed(event.key)
+            else:
+                value = event.value or b""
+                changed = StoredObject(event.key, event.version, value)
+                self._follower.on_changed(changed)
+        self._revision = found.value.revision
+        return True
+
+    def _list(self) -> bool:
+        found = self._store.list_objects(self._prefix)
+        if isinstance(found, StoreFailure):
+            return self._on_failure(found)
+        self._on_answer()
+        self._follower.on_listed(found.value.objects)
+        self._revision = found.value.revision
+        return True
+
+    def _on_failure(self, failure: StoreFailure) -> bool:
+        if self._is_reachable:
+            self._is_reachable = False
+            log.warning("the store is lost", prefix=self._prefix, reason=failure.reason)
+            self._on_reachable(False)
+        return False
+
+    def _on_answer(self) -> None:
+        if not self._is_reachable:
+            self._is_reachable = True
+            log.info("the store is back", prefix=self._prefix)
+            self._on_reachable(True)
--- a/wigeonwind/state/store_client.py
+++ b/wigeonwind/state/store_client.py
@@ -1,31 +1,27 @@
 """The client of the object store; implements `Store` over its HTTP interface."""
 
-import json
-from base64 import b64decode
-from binascii import Error as Base64Error
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 from typing import Any
-from urllib.parse import quote, urlencode
 
 from gevent.event import AsyncResult
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import Clock, SystemClock
 from wigeonwind.outcomes import Ok
+from wigeonwind.state.store_format import OwnStoreFormat, StoreFormat, StoreRequest
 from wigeonwind.state.store_http import BreakerLimits, LaneLimits, Reply, StoreLane
 from wigeonwind.state.store_types import (
     Conflict,
+    HistoryGone,
     NotFound,
+    ObjectPage,
     StoredObject,
     StoreFailure,
     WatchBatch,
-    WatchEvent,
 )
 
-CONTENT_TYPE = "application/octet-stream"
-
 
 @dataclass(frozen=True)
 class StoreLimits:
@@ -57,7 +53,9 @@
         clock: Clock | None = None,
         random: Random | None = None,
         sleep_ms: Callable[[float], None] | None = None,
+        format: StoreFormat | None = None,
     ) -> None:
+        self._format = format or OwnStoreFormat()
         limits = limits or StoreLimits()
         clock = clock or SystemClock()
         random = random or Random()
@@ -116,108 +114,80 @@
         return result
 
     def _read(self, key: str) -> Ok[StoredObject] | NotFound | StoreFailure:
-        reply = self.lane_by_kind["reads"].call("GET", _path(key))
+        reply = self._call("reads", self._format.get(key))
         if isinstance(reply, StoreFailure):
-            return StoreFailure(reply.reason, False, reply.retry_after_ms)
-        if reply.status == 404:
-            return NotFound(key)
-        body = _json(reply)
-        try:
-            value = b64decode(body["value"], validate=True)
-            return Ok(StoredObject(key, int(body["version"]), value))
-        except (*ANSWER_ERRORS, Base64Error):
-            return _unusable(reply, maybe_written=False)
+            return _of_read(reply)
+        return self._format.read_get(key, reply) or _unusable(reply, False)
+
+    def _call(
+        self, kind: str, request: StoreRequest, hold_ms: float = 0.0
+    ) -> Reply | StoreFailure:
+        lane = self.lane_by_kind[kind]
+        return lane.call(
+            request.method, request.path, request.body, request.headers, hold_ms
+        )
 
     def list_versions(self, prefix: str) -> Ok[dict[str, int]] | StoreFailure:
         """Return the version of each object whose key begins with `prefix`."""
-        path = "/v1/objects?" + urlencode({"prefix": prefix})
-        reply = self.lane_by_kind["reads"].call("GET", path)
-        if isinstance(reply, StoreFailure):
-            return StoreFailure(reply.reason, False, reply.retry_after_ms)
-        body = _json(reply)
-        rows: Any = body.get("objects") if isinstance(body, dict) else body
-        try:
-            return Ok({row["key"]: int(row["version"]) for row in rows})
-        except ANSWER_ERRORS:
-            return _unusable(reply, maybe_written=False)
+        page = self.list_objects(prefix)
+        if isinstance(page, StoreFailure):
+            return page
+        return Ok({each.key: each.version for each in page.value.objects})
+
+    def list_objects(self, prefix: str) -> Ok[ObjectPage] | StoreFailure:
+        """Return all objects whose key begins with `prefix`, as one page.
+
+        Its revision is that of the first page: changes made while the others were read
+        are seen by a watch from there.
+        """
+        objects: list[StoredObject] = []
+        revision: int | None = None
+        after = ""
+        while True:
+            reply = self._call("reads", self._format.list_page(prefix, after))
+            if isinstance(reply, StoreFailure):
+                return _of_read(reply)
+            page = self._format.read_list_page(prefix, reply)
+            if page is None:
+                return _unusable(reply, maybe_written=False)
+            objects += page.value.objects
+            revision = page.value.revision if revision is None else revision
+            if not page.value.next_after:
+                return Ok(ObjectPage(tuple(objects), revision))
+            after = page.value.next_after
 
     def put(
         self, key: str, value: bytes, if_version: int
     ) -> Ok[int] | Conflict | StoreFailure:
         """Write if the object has `if_version`; the value is the body as it is."""
-        headers = {"If-Match": str(if_version), "Content-Type": CONTENT_TYPE}
-        reply = self.lane_by_kind["writes"].call("PUT", _path(key), value, headers)
+        reply = self._call("writes", self._format.put(key, value, if_version))
         if isinstance(reply, StoreFailure):
             return reply
-        if reply.status == 412:
-            return _conflict(key, reply)
-        version = _version(reply)
-        if reply.status == 200 and isinstance(version, int):
-            return Ok(version)
-        return _unusable(reply, maybe_written=reply.status == 200)
+        found = self._format.read_put(key, reply)
+        return found or _unusable(reply, maybe_written=reply.status == 200)
 
     def delete(self, key: str, if_version: int) -> Ok[None] | Conflict | StoreFailure:
         """Delete if the object has `if_version`."""
-        headers = {"If-Match": str(if_version)}
-        reply = self.lane_by_kind["writes"].call("DELETE", _path(key), b"", headers)
+        reply = self._call("writes", self._format.delete(key, if_version))
         if isinstance(reply, StoreFailure):
             return reply
-        if reply.status == 412:
-            return _conflict(key, reply)
-        if reply.status in (200, 204):
-            return Ok(None)
-        if reply.status == 404:
-            return Conflict(key, 0)
-        return _unusable(reply, maybe_written=False)
+        return self._format.read_delete(key, reply) or _unusable(reply, False)
 
     def watch(
         self, prefix: str, after: int, timeout_ms: float
-    ) -> Ok[WatchBatch] | StoreFailure:
+    ) -> Ok[WatchBatch] | HistoryGone | StoreFailure:
         """Wait for changes; events that the store skips or repeats are passed on so."""
-        lane = self.lane_by_kind["watches"]
-        timeout_ms = min(timeout_ms, lane.limits.hold_ms)
-        fields = {"prefix": prefix, "after": after, "timeout_ms": int(timeout_ms)}
-        path = "/v1/watch?" + urlencode(fields)
-        reply = lane.call("GET", path, hold_ms=timeout_ms)
+        timeout_ms = min(timeout_ms, self.lane_by_kind["watches"].limits.hold_ms)
+        request = self._format.watch(prefix, after, timeout_ms)
+        reply = self._call("watches", request, hold_ms=timeout_ms)
         if isinstance(reply, StoreFailure):
-            return StoreFailure(reply.reason, False, reply.retry_after_ms)
-        body = _json(reply)
-        try:
-            events = tuple(_event(row) for row in body["events"])
-            return Ok(WatchBatch(int(body["revision"]), events))
-        except ANSWER_ERRORS:
-            return _unusable(reply, maybe_written=False)
-
-
-ANSWER_ERRORS = (KeyError, TypeError, ValueError, OverflowError)
-"""What an answer of another shape raises."""
-
-
-def _path(key: str) -> str:
-    return "/v1/objects/" + quote(key, safe="/")
-
-
-def _json(reply: Reply) -> Any:
-    try:
-        return json.loads(reply.body)
-    except (ValueError, RecursionError):
-        return {}
-
-
-def _version(reply: Reply) -> object:
-    """Return the field `version` of an answer, None if it has none."""
-    body = _json(reply)
-    return body.get("version") if isinstance(body, dict) else None
-
-
-def _event(row: Any) -> WatchEvent:
-    revision, version = int(row["revision"]), int(row["version"])
-    return WatchEvent(str(row["key"]), version, revision, bool(row["deleted"]))
+            return _of_read(reply)
+        return self._format.read_watch(prefix, after, reply) or _unusable(reply, False)
 
 
-def _conflict(key: str, reply: Reply) -> Conflict:
-    version = _version(reply)
-    return Conflict(key, version if isinstance(version, int) else 0)
+def _of_read(failure: StoreFailure) -> StoreFailure:
+    """Return the failure of a call that cannot have written anything."""
+    return StoreFailure(failure.reason, False, failure.retry_after_ms)
 
 
 def _unusable(reply: Reply, maybe_written: bool) -> StoreFailure:
--- /dev/null
+++ b/wigeonwind/state/store_format.py
@@ -0,0 +1,191 @@
+"""How calls to the object store are written, and its answers read."""
+
+import json
+from base64 import b64decode
+from binascii import Error as Base64Error
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+from urllib.parse import quote, urlencode
+
+from wigeonwind.outcomes import Ok
+from wigeonwind.state.store_http import Reply
+from wigeonwind.state.store_types import (
+    Conflict,
+    HistoryGone,
+    NotFound,
+    ObjectPage,
+    StoredObject,
+    WatchBatch,
+    WatchEvent,
+)
+
+CONTENT_TYPE = "application/octet-stream"
+
+
+@dataclass(frozen=True)
+class StoreRequest:
+    """One HTTP request to the store."""
+
+    method: str
+    path: str
+    body: bytes = b""
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+class StoreFormat(Protocol):
+    """Requests of one kind of object store, and what its answers mean."""
+
+    def get(self, key: str) -> StoreRequest:
+        """Return the request that reads one object."""
+        ...
+
+    def read_get(self, key: str, reply: Reply) -> Ok[StoredObject] | NotFound | None:
+        """Decode the answer to `get`; None if it cannot be used."""
+        ...
+
+    def put(self, key: str, value: bytes, if_version: int) -> StoreRequest:
+        """Return the request that writes if the object has `if_version`."""
+        ...
+
+    def read_put(self, key: str, reply: Reply) -> Ok[int] | Conflict | None:
+        """Decode the answer to `put`; None if it cannot be used."""
+        ...
+
+    def delete(self, key: str, if_version: int) -> StoreRequest:
+        """Return the request that deletes if the object has `if_version`."""
+        ...
+
+    def read_delete(self, key: str, reply: Reply) -> Ok[None] | Conflict | None:
+        """Decode the answer to `delete`; None if it cannot be used."""
+        ...
+
+    def list_page(self, prefix: str, after: str) -> StoreRequest:
+        """Return the request that lists the objects under a prefix."""
+        ...
+
+    def read_list_page(self, prefix: str, reply: Reply) -> Ok[ObjectPage] | None:
+        """Decode the answer to `list_page`; None if it cannot be used."""
+        ...
+
+    def watch(self, prefix: str, after: int, timeout_ms: float) -> StoreRequest:
+        """Return the request that waits for changes after a revision."""
+        ...
+
+    def read_watch(
+        self, prefix: str, after: int, reply: Reply
+    ) -> Ok[WatchBatch] | HistoryGone | None:
+        """Decode the answer to `watch`; None if it cannot be used."""
+        ...
+
+
+class OwnStoreFormat:
+    """The object API of the project's own deployments and test doubles.
+
+    Its listings give versions without values, and its watches events without values.
+    """
+
+    def get(self, key: str) -> StoreRequest:
+        """Return the request that reads one object."""
+        return StoreRequest("GET", _path(key))
+
+    def read_get(self, key: str, reply: Reply) -> Ok[StoredObject] | NotFound | None:
+        """Decode the answer to `get`; None if it cannot be used."""
+        if reply.status == 404:
+            return NotFound(key)
+        body = _json(reply)
+        try:
+            value = b64decode(body["value"], validate=True)
+            return Ok(StoredObject(key, int(body["version"]), value))
+        except (*ANSWER_ERRORS, Base64Error):
+            return None
+
+    def put(self, key: str, value: bytes, if_version: int) -> StoreRequest:
+        """Return the request that writes; the value is the body as it is."""
+        headers = {"If-Match": str(if_version), "Content-Type": CONTENT_TYPE}
+        return StoreRequest("PUT", _path(key), value, headers)
+
+    def read_put(self, key: str, reply: Reply) -> Ok[int] | Conflict | None:
+        """Decode the answer to `put`; None if it cannot be used."""
+        if reply.status == 412:
+            return _conflict(key, reply)
+        version = _version(reply)
+        if reply.status == 200 and isinstance(version, int):
+            return Ok(version)
+        return None
+
+    def delete(self, key: str, if_version: int) -> StoreRequest:
+        """Return the request that deletes if the object has `if_version`."""
+        headers = {"If-Match": str(if_version)}
+        return StoreRequest("DELETE", _path(key), headers=headers)
+
+    def read_delete(self, key: str, reply: Reply) -> Ok[None] | Conflict | None:
+        """Decode the answer to `delete`; None if it cannot be used."""
+        if reply.status == 412:
+            return _conflict(key, reply)
+        if reply.status in (200, 204):
+            return Ok(None)
+        return Conflict(key, 0) if reply.status == 404 else None
+
+    def list_page(self, prefix: str, after: str) -> StoreRequest:
+        """Return the request that lists all objects; there is one page."""
+        return StoreRequest("GET", "/v1/objects?" + urlencode({"prefix": prefix}))
+
+    def read_list_page(self, prefix: str, reply: Reply) -> Ok[ObjectPage] | None:
+        """Decode the answer to `list_page`; None if it cannot be used."""
+        body = _json(reply)
+        rows: Any = body.get("objects") if isinstance(body, dict) else body
+        try:
+            objects = [
+                StoredObject(str(row["key"]), int(row["version"]), b"") for row in rows
+            ]
+        except ANSWER_ERRORS:
+            return None
+        return Ok(ObjectPage(tuple(objects), 0))
+
+    def watch(self, prefix: str, after: int, timeout_ms: float) -> StoreRequest:
+        """Return the request that waits for changes after a revision."""
+        fields = {"prefix": prefix, "after": after, "timeout_ms": int(timeout_ms)}
+        return StoreRequest("GET", "/v1/watch?" + urlencode(fields))
+
+    def read_watch(
+        self, prefix: str, after: int, reply: Reply
+    ) -> Ok[WatchBatch] | HistoryGone | None:
+        """Decode the answer to `watch`; None if it cannot be used."""
+        body = _json(reply)
+        try:
+            events = tuple(_event(row) for row in body["events"])
+            return Ok(WatchBatch(int(body["revision"]), events))
+        except ANSWER_ERRORS:
+            return None
+
+
+ANSWER_ERRORS = (KeyError, TypeError, ValueError, OverflowError)
+"""What an answer of another shape raises."""
+
+
+def _path(key: str) -> str:
+    return "/v1/objects/" + quote(key, safe="/")
+
+
+def _json(reply: Reply) -> Any:
+    try:
+        return json.loads(reply.body)
+    except (ValueError, RecursionError):
+        return {}
+
+
+def _version(reply: Reply) -> object:
+    """Return the field `version` of an answer, None if it has none."""
+    body = _json(reply)
+    return body.get("version") if isinstance(body, dict) else None
+
+
+def _event(row: Any) -> WatchEvent:
+    revision, version = int(row["revision"]), int(row["version"])
+    return WatchEvent(str(row["key"]), version, revision, bool(row["deleted"]))
+
+
+def _conflict(key: str, reply: Reply) -> Conflict:
+    version = _version(reply)
+    return Conflict(key, version if isinstance(version, int) else 0)
--- a/wigeonwind/state/store_types.py
+++ b/wigeonwind/state/store_types.py
@@ -50,6 +50,27 @@
     version: int
     revision: int
     deleted: bool
+    value: bytes | None = None
+    """The new value, where the store sends it with the event."""
+
+
+@dataclass(frozen=True)
+class ObjectPage:
+    """Part of a listing; `revision` is that of the store when it was made.
+
+    `next_after` is the key after which the listing goes on, empty at its end.
+    """
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+    next_after: str = ""
+
+
+@dataclass(frozen=True)
+class HistoryGone:
+    """The store no longer has the changes after a revision; list again."""
+
+    revision: int
 
 
 @dataclass(frozen=True)
@@ -79,6 +100,6 @@
 
     def watch(
         self, prefix: str, after: int, timeout_ms: float
-    ) -> Ok[WatchBatch] | StoreFailure:
+    ) -> Ok[WatchBatch] | HistoryGone | StoreFailure:
         """Wait for changes under `prefix` after revision `after`."""
         ...
--- a/wigeonwind/state/text_follower.py
+++ b/wigeonwind/state/text_follower.py
@@ -4,7 +4,12 @@
 from random import Random
 
 from wigeonwind.state.store_steps import run_steps
-from wigeonwind.state.store_types import Store, StoreFailure, WatchBatch
+from wigeonwind.state.store_types import (
+    HistoryGone,
+    Store,
+    StoreFailure,
+    WatchBatch,
+)
 from wigeonwind.state.text_head import HEAD_KEY
 from wigeonwind.state.text_keeper import TextKeeper
 from wigeonwind.state.text_parts import cut_parts
@@ -64,6 +69,9 @@
             self._count("watch_failed")
             return self._backoff_ms(result)
         self._failures = 0
+        if isinstance(result, HistoryGone):
+            self._revision = 0
+            return self.poll_step()
         # A repeated batch may carry an older revision than one already seen.
         self._revision = max(self._revision, result.value.revision)
         wanted = _newest_version(result.value)
