Keep long prompts and streams with short pauses on different engines

All classes had the same engine priority, as that of the customer replaces that of the route.

Change: engines are ranked by hash; long prompts begin at one end, short ones at the other, and spread by penalties. A prefix that is not known has a home among the engines without a penalty, and reading a shared prefix again has a price. The engine's priority tells routes apart within a customer's priority.

--- a/wigeonwind/decisions/work_choice.py
+++ b/wigeonwind/decisions/work_choice.py
@@ -30,9 +30,11 @@
 CALL_MS = 30.0
 """Latency of a call to a plain endpoint that has not answered yet."""
 
-HOME_CACHE_SHARE = 0.5
-"""Share of a shared prefix assumed cached at its home endpoint while nothing is known:
-other entries send the same prefix there."""
+REREAD_MS = 0.08
+"""Cost of a token of a shared prefix that is read again at another endpoint."""
+
+HOME_PENALTY_MS = 40.0
+"""Largest penalty of an endpoint that may be the home of a prefix."""
 
 SPEED_WEIGHT = 0.15
 """Weight of one measurement in an endpoint's relative speed."""
@@ -70,6 +72,24 @@
 RETRY_AFTER_MS = 300.0
 """Retry-After where no endpoint can be chosen; discovery changes within a second."""
 
+LONG_PROMPT_TOKENS = 4_000
+"""Prompt from which a request counts as long: an engine reads about that much in one
+step, and streams that run beside several such steps pause too long."""
+
+LONG_PROMPT_SHARE = 0.4
+"""Share of a service's engines on which long prompts cost no penalty."""
+
+LONG_PENALTY = 0.35
+"""Penalty of a long prompt for each engine beyond that share, in its latency targets.
+It spreads over more engines as its own wait grows."""
+
+SHORT_PENALTY = 0.6
+"""Penalty of a short prompt on an engine of that share, in its latency targets."""
+
+SHORT_STEP_MS = 15.0
+"""Penalty of a short prompt for each engine nearer to that share: long prompts that
+spread find the engines with the fewest streams first."""
+
 JITTER_MS = 2.0
 """Random part of a cost, so that entries with the same view spread their choices."""
 
@@ -79,7 +99,8 @@
     """What the choice depends on.
 
     `prefix_keys` name growing prefixes of the prompt, `prefix_tokens` their lengths;
-    `shared_prefixes` of them occur in other requests, too.
+    `shared_prefixes` of them occur in other requests, too. `target_ms` is the time to
+    the first event that is still on time.
     """
 
     service: str
@@ -89,6 +110,7 @@
     prefix_tokens: tuple[int, ...] = ()
     shared_prefixes: int = 0
     is_generation: bool = False
+    target_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,6 +206,9 @@
     part of the prompt that is not cached there, and how its recent answers compare
     with such estimates. Prefixes are remembered where they were read; one that is not
     known anywhere has a home endpoint that all entries derive from its hash.
+
+    Reading a long prompt delays every stream that runs on the same engine. Long prompts
+    begin at one end of the ranking of engines and short ones at the other.
     """
 
     def __init__(self, own_zone: str, rng: Random) -> None:
@@ -216,38 +241,74 @@
             return NoEndpoint(reason, RETRY_AFTER_MS * (1.0 + self._rng.random()))
         usable = [each for each in pool if not each.is_avoided(now_ms)] or pool
         with_room = [each for each in usable if each.full_until_ms <= now_ms] or usable
-        home = self._home(work, with_room)
-        cost = self._cost_of(work, home, now_ms)
-        best = min(with_room, key=cost)
-        return Chosen(best.candidate.endpoint_id)
-
-    def _home(self, work: Work, pool: list[_Endpoint]) -> _Endpoint | None:
+        penalty = self._penalties(work, with_room)
+        cost = self._cost_of(work, with_room, penalty, now_ms)
+        return Chosen(min(with_room, key=cost).candidate.endpoint_id)
+
+    def _penalties(self, work: Work, pool: list[_Endpoint]) -> dict[str, float]:
+        """Return what keeps long prompts and short ones on different engines, in ms.
+
+        All entries rank the engines in the same order, so that they agree without
+        talking to each other.
+        """
+        if not work.is_generation or len(pool) < 2:
+            return {}
+        ranked = sorted(each.candidate.endpoint_id for each in pool)
+        ranked.sort(key=hash_text)
+        last = len(ranked) - 1
+        count = max(1, round(len(ranked) * LONG_PROMPT_SHARE))
+        if work.prompt_tokens >= LONG_PROMPT_TOKENS:
+            step_ms = LONG_PENALTY * work.target_ms
+            return {
+                name: step_ms * max(0, rank - count + 1)
+                for rank, name in enumerate(ranked)
+            }
+        far_ms = SHORT_PENALTY * work.target_ms
+        return {
+            name: SHORT_STEP_MS * (last - rank) + (far_ms if rank < count else 0.0)
+            for rank, name in enumerate(ranked)
+        }
+
+    def _home(
+        self, work: Work, pool: list[_Endpoint], penalty: dict[str, float]
+    ) -> str:
         """Return the endpoint that all entries prefer for the longest shared prefix."""
-        if not work.shared_prefixes or len(pool) == 1:
-            return None
+        if not work.shared_prefixes or len(pool) < 2:
+            return ""
         key = work.prefix_keys[work.shared_prefixes - 1]
-        return max(pool, key=lambda each: _score(key, each.candidate.endpoint_id))
+        names = [each.candidate.endpoint_id for each in pool]
+        limit = max(min(penalty.values(), default=0.0), HOME_PENALTY_MS)
+        near = [name for name in names if penalty.get(name, 0.0) <= limit]
+        return max(near or names, key=lambda name: _score(key, name))
 
     def _cost_of(
-        self, work: Work, home: _Endpoint | None, now_ms: float
+        self,
+        work: Work,
+        pool: list[_Endpoint],
+        penalty: dict[str, float],
+        now_ms: float,
     ) -> Callable[[_Endpoint], float]:
         """Return the function that estimates the cost of an endpoint in ms."""
         cached_by_id = self._cached_tokens(work, now_ms)
-        home_tokens = 0.0
-        if home is not None:
+        shared_tokens = 0
+        if work.shared_prefixes:
             shared_tokens = work.prefix_tokens[work.shared_prefixes - 1]
-            home_tokens = HOME_CACHE_SHARE * shared_tokens
+        if not any(tokens >= shared_tokens for tokens in cached_by_id.values()):
+            home = self._home(work, pool, penalty)
+            if home:
+                cached = max(cached_by_id.get(home, 0.0), float(shared_tokens))
+                cached_by_id[home] = cached
 
         def cost(endpoint: _Endpoint) -> float:
-            cached = cached_by_id.get(endpoint.candidate.endpoint_id, 0.0)
-            if endpoint is home:
-                cached = max(cached, home_tokens)
+            name = endpoint.candidate.endpoint_id
+            cached = cached_by_id.get(name, 0.0)
             total = self._expected_ms(endpoint, work, cached)
             total *= endpoint.relative_latency(now_ms)
+            total += max(0.0, shared_tokens - cached) * REREAD_MS
             total += endpoint.recent_error_rate(now_ms) * ERROR_PENALTY_MS
             if endpoint.candidate.zone != self._own_zone:
                 total += OTHER_ZONE_MS
-            return total + JITTER_MS * self._rng.random()
+            return total + penalty.get(name, 0.0) + JITTER_MS * self._rng.random()
 
         return cost
 
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -38,6 +38,9 @@
 RETRY_AFTER_MS = 250.0
 """Retry-After of a request that endpoints refused; queues of engines move that fast."""
 
+PRIORITIES_PER_LEVEL = 3
+"""Route priorities told apart within one priority of customers."""
+
 RETRY_AFTER_SPREAD = 0.6
 """Random part of Retry-After, so that refused callers do not return together."""
 
@@ -119,9 +122,11 @@
         self.priority = route.priority
         if customer is not None and customer.priority is not None:
             self.priority = customer.priority
-        self.work = context.work_of(self.service, self.priority, facts)
+        self.work = context.work_of(self.service, self.priority, facts, route.target_ms)
         self._events = EventSplitter(facts.after_event)
         self._first_event_ms: float | None = None
+        self._last_event_ms = 0.0
+        self.longest_pause_ms = 0.0
         self._tried: set[str] = set()
         self._sends = 0
         self._endpoints_sent_to = 0
@@ -269,7 +274,11 @@
         request, facts = self.request, self.facts
         after = self._events.last_id if self.route.is_stream else None
         customer = self.customer.name if self.customer is not None else None
-        priority = self.priority if self.work.is_generation else None
+        priority = None
+        if self.work.is_generation:
+            priority = PRIORITIES_PER_LEVEL * self.priority + min(
+                self.route.priority, PRIORITIES_PER_LEVEL - 1
+            )
         send = SendFacts(left_ms, endpoint.instance_id, priority, customer, after)
         head = b"%s %s HTTP/1.1\r\n" % (request.method, request.target)
         head += self.context.wire.endpoint_headers(facts, send)
@@ -415,6 +424,10 @@
             self.context.choice.on_started(sent, now_ms)
         if self._first_event_ms is None:
             self._first_event_ms = now_ms
+        else:
+            pause_ms = now_ms - self._last_event_ms
+            self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
+        self._last_event_ms = now_ms
         if self.caller.head_sent:
             self.caller.send_piece(events)
         else:
@@ -523,6 +536,18 @@
             return None
         return self._first_event_ms - self.began_ms
 
+    def is_on_time(self) -> bool:
+        """Return whether what has been answered met the route's targets."""
+        if not self.route.is_stream:
+            took_ms = self.context.clock.now_ms() - self.began_ms
+            return took_ms <= self.route.target_ms
+        first_ms = self.first_event_after_ms
+        if first_ms is None or first_ms > self.route.target_ms:
+            return False
+        return not self.route.max_pause_ms or (
+            self.longest_pause_ms <= self.route.max_pause_ms
+        )
+
     @property
     def sends(self) -> int:
         """Return how often the request was sent."""
--- a/wigeonwind/routing/forwarding_context.py
+++ b/wigeonwind/routing/forwarding_context.py
@@ -64,7 +64,9 @@
         weights = [share.weight for share in shares]
         return self.rng.choices(shares, weights)[0].service
 
-    def work_of(self, service: str, priority: int, facts: RequestFacts) -> Work:
+    def work_of(
+        self, service: str, priority: int, facts: RequestFacts, target_ms: float
+    ) -> Work:
         """Return what the choice of an endpoint depends on."""
         keys, lengths, tokens = [], [], 0
         key = service
@@ -81,6 +83,7 @@
             tuple(lengths),
             max(0, len(keys) - 1),
             facts.prompt_tokens > 0,
+            target_ms,
         )
 
     def note_retry(
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -139,5 +139,8 @@
             sends=exchange.sends,
             took_ms=round(took_ms, 1),
             first_event_ms=None if first_ms is None else round(first_ms, 1),
+            longest_pause_ms=round(exchange.longest_pause_ms, 1),
+            on_time=exchange.is_on_time(),
+            prompt_tokens=exchange.facts.prompt_tokens,
             timeout_ms=round(exchange.deadline_ms - exchange.began_ms),
         )
--- a/wigeonwind/routing/store_follower.py
+++ b/wigeonwind/routing/store_follower.py
@@ -59,7 +59,8 @@
 class StoreFollower:
     """Keeps a follower up to date with the objects under one prefix.
 
-    After lost history it lists again; nothing that changed meanwhile is missed.
+    After a failure or lost history it lists again; nothing that changed meanwhile is
+    missed.
     """
 
     def __init__(
@@ -114,6 +115,9 @@
         return True
 
     def _on_failure(self, failure: StoreFailure) -> bool:
+        # A listing is answered at once when the store is back; a watch would wait, and
+        # tell neither that it is back nor what lapsed meanwhile.
+        self._revision = None
         if self._is_reachable:
             self._is_reachable = False
             log.warning("the store is lost", prefix=self._prefix, reason=failure.reason)
