--- a/wigeonwind/decisions/work_choice.py
+++ b/wigeonwind/decisions/work_choice.py
@@ -79,7 +79,7 @@
 LONG_PROMPT_SHARE = 0.4
 """Share of a service's engines on which long prompts cost no penalty."""
 
-LONG_PENALTY = 0.35
+LONG_PENALTY = 0.12
 """Penalty of a long prompt for each engine beyond that share, in its latency targets.
 It spreads over more engines as its own wait grows."""
 
