Tell other entries by datagrams what was sent where

Cause: an entry knew its own work only; on the grown spot site (27 entries, 25 engines) the median first event of long prompts took 877 ms while the engines were a third loaded, since entries piled up on the same engines. Ruled out: engines too slow (short prompts beside them took 51 ms).

Change: each routing process sends its work by endpoint and the prefixes it had read to its peers, found in the store and by their own messages; the choice adds it up. Datagrams stay near 120 a second for any number of peers.

--- a/wigeonwind/decisions/work_choice.py
+++ b/wigeonwind/decisions/work_choice.py
@@ -9,6 +9,12 @@
 from random import Random
 
 from wigeonwind.decisions.interfaces import Chosen, NoEndpoint
+from wigeonwind.decisions.peer_loads import (
+    EndpointWork,
+    PeerLoads,
+    short_id,
+    sum_work,
+)
 from wigeonwind.decisions.prefix_index import PrefixIndex
 from wigeonwind.hashing import hash_text
 
@@ -90,6 +96,9 @@
 """Penalty of a short prompt for each engine nearer to that share: long prompts that
 spread find the engines with the fewest streams first."""
 
+MAX_NEW_PREFIXES = 200
+"""Prefixes that wait to be told to peers; more would not fit into a message."""
+
 JITTER_MS = 2.0
 """Random part of a cost, so that entries with the same view spread their choices."""
 
@@ -149,15 +158,19 @@
         "latency",
         "measured_ms",
         "outstanding",
-        "running",
+        "peer_running",
+        "peer_unread",
+        "short_id",
         "unreachable_until_ms",
         "unread_by_priority",
     )
 
     def __init__(self, candidate: Candidate, now_ms: float) -> None:
         self.candidate = candidate
+        self.short_id = short_id(candidate.endpoint_id)
         self.outstanding: set[SentWork] = set()
-        self.running = 0
+        self.peer_running = 0
+        self.peer_unread: dict[int, int] = {}
         self.unread_by_priority: dict[int, int] = {}
         self.heard_ms = now_ms
         self.latency = 1.0
@@ -170,11 +183,17 @@
 
     def unread_tokens(self, priority: int) -> float:
         """Return the unread prompt tokens that a request of this priority waits for."""
+        rows = [*self.unread_by_priority.items(), *self.peer_unread.items()]
         return sum(
             tokens if other <= priority else tokens * LOWER_WORK_WEIGHT
-            for other, tokens in self.unread_by_priority.items()
+            for other, tokens in rows
         )
 
+    @property
+    def outstanding_count(self) -> int:
+        """Return the requests on their way there, those of peers included."""
+        return len(self.outstanding) + self.peer_running
+
     def relative_latency(self, now_ms: float) -> float:
         """Return measured over expected latency, which approaches 1 with its age."""
         age_ms = max(0.0, now_ms - self.measured_ms)
@@ -217,6 +236,9 @@
         self._endpoint_by_id: dict[str, _Endpoint] = {}
         self._ids_by_service: dict[str, list[str]] = {}
         self._prefixes = PrefixIndex()
+        self._peers = PeerLoads()
+        self._id_by_short: dict[int, str] = {}
+        self._new_prefixes: list[tuple[int, int]] = []
 
     def set_candidates(self, candidates: Iterable[Candidate], now_ms: float) -> None:
         """Replace the endpoints that may get new work."""
@@ -229,6 +251,7 @@
             known.candidate = candidate
             self._endpoint_by_id[name] = known
             self._ids_by_service.setdefault(candidate.service, []).append(name)
+        self._id_by_short = {short_id(name): name for name in self._endpoint_by_id}
 
     def choose(
         self, work: Work, now_ms: float, exclude: frozenset[str]
@@ -314,7 +337,7 @@
 
     def _expected_ms(self, endpoint: _Endpoint, work: Work, cached: float) -> float:
         """Return the expected time to the first event, or of a whole plain call."""
-        outstanding = len(endpoint.outstanding)
+        outstanding = endpoint.outstanding_count
         if not work.is_generation:
             return CALL_MS * (1.0 + outstanding / max(1, endpoint.candidate.slots))
         unread = endpoint.unread_tokens(work.priority)
@@ -344,8 +367,51 @@
         # Requests that follow at once would otherwise read the same prefix elsewhere.
         for key in work.prefix_keys:
             self._prefixes.add(key, endpoint_id, now_ms)
+        if len(self._new_prefixes) < MAX_NEW_PREFIXES:
+            shared = work.prefix_keys[: work.shared_prefixes]
+            self._new_prefixes += [(key, endpoint.short_id) for key in shared]
         return sent
 
+    def own_work(self, now_ms: float) -> dict[int, EndpointWork]:
+        """Return what this entry has on its way, by short id of the endpoint."""
+        self._peers.forget_old(now_ms)
+        self._sum_peers()
+        return {
+            each.short_id: EndpointWork(
+                len(each.outstanding),
+                tuple(pair for pair in each.unread_by_priority.items() if pair[1]),
+            )
+            for each in self._endpoint_by_id.values()
+            if each.outstanding
+        }
+
+    def take_new_prefixes(self) -> tuple[tuple[int, int], ...]:
+        """Return the shared prefixes sent since the last call, and where to."""
+        taken = tuple(dict.fromkeys(self._new_prefixes))
+        self._new_prefixes.clear()
+        return taken
+
+    def on_peer_load(
+        self, peer_id: str, work_by_id: dict[int, EndpointWork], now_ms: float
+    ) -> None:
+        """Take another entry's work into account."""
+        self._peers.on_load(peer_id, work_by_id, now_ms)
+        self._sum_peers()
+
+    def _sum_peers(self) -> None:
+        for endpoint in self._endpoint_by_id.values():
+            rows = self._peers.work_at(endpoint.short_id)
+            endpoint.peer_running, endpoint.peer_unread = sum_work(rows)
+
+    def on_peer_prefixes(
+        self, prefixes: Iterable[tuple[int, int]], now_ms: float
+    ) -> None:
+        """Record the prefixes that another entry has sent to endpoints."""
+        for key, number in prefixes:
+            name = self._id_by_short.get(number)
+            if name is not None:
+                self._prefixes.add(key, name, now_ms)
+
     def on_heard(self, sent: SentWork, now_ms: float) -> None:
         """Record that bytes of an answer arrived."""
         endpoint = self._endpoint_by_id.get(sent.endpoint_id)
--- a/wigeonwind/platform/__main__.py
+++ b/wigeonwind/platform/__main__.py
@@ -84,6 +84,7 @@
         settings.callers,
         settings.readiness,
         metrics,
+        settings.peers,
         settings.stop_limit_ms,
     )
     return Router(router_settings, clock, rng, PlatformWire(), SCHEMA, store)
--- a/wigeonwind/platform/node_file.py
+++ b/wigeonwind/platform/node_file.py
@@ -36,6 +36,8 @@
     ip: str
     listen: _Listen
     platform: _Platform
+    port_range: tuple[int, int]
+    """Ports for traffic between processes of the system."""
     region: str = ""
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -51,6 +53,7 @@
     callers: SocketAddress
     readiness: SocketAddress
     store: SocketAddress
+    peers: SocketAddress
     stop_limit_ms: float
 
 
@@ -67,6 +70,7 @@
                 parse_address(found.listen.ingress),
                 parse_address(found.listen.ready),
                 parse_address(found.platform.address),
+                SocketAddress(found.ip, found.port_range[0]),
                 found.bounds.grace_s * 1_000.0,
             )
         )
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -274,11 +274,7 @@
         request, facts = self.request, self.facts
         after = self._events.last_id if self.route.is_stream else None
         customer = self.customer.name if self.customer is not None else None
-        priority = None
-        if self.work.is_generation:
-            priority = PRIORITIES_PER_LEVEL * self.priority + min(
-                self.route.priority, PRIORITIES_PER_LEVEL - 1
-            )
+        priority = self.work.priority if self.work.is_generation else None
         send = SendFacts(left_ms, endpoint.instance_id, priority, customer, after)
         head = b"%s %s HTTP/1.1\r\n" % (request.method, request.target)
         head += self.context.wire.endpoint_headers(facts, send)
--- /dev/null
+++ b/wigeonwind/routing/peer_exchange.py
@@ -0,0 +1,236 @@
+"""Tells other routing processes by datagrams what this one has sent where.
+
+Endpoints see the work of all entries, and an entry only its own. Messages may be lost:
+each replaces the one before. Their number stays below MAX_TARGETS a tick, whatever the
+size of the fleet.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+import gevent
+import msgspec
+from gevent import socket as gevent_socket
+from structlog import get_logger
+
+from wigeonwind.addresses import SocketAddress, is_valid_address, parse_address
+from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.decisions.work_choice import WorkChooser
+from wigeonwind.ids import new_incarnation
+from wigeonwind.outcomes import Ok
+from wigeonwind.routing.peer_messages import (
+    MAX_MESSAGE_BYTES,
+    LoadMessage,
+    decode_load,
+    encode_load,
+)
+from wigeonwind.state.store_types import (
+    Conflict,
+    ObjectPage,
+    StoredObject,
+    StoreFailure,
+)
+
+TICK_MS = 100.0
+"""Interval between messages to a small number of peers; a prompt takes about as long
+to be read."""
+
+PEERS_PER_TICK = 12
+"""Peers from which the interval grows in proportion, so that the messages a process
+sends and receives stay near 120 a second."""
+
+MAX_TARGETS = 48
+"""Most peers that get a message in one tick; more are drawn at random."""
+
+REGISTER_DELAY_MS = 700.0
+"""Time after the start until the directory is read: processes of a fleet start
+together, and all of them should be in it."""
+
+DIRECTORY_MS = 20_000.0
+"""Interval between readings of the directory. New processes make themselves known by
+their messages; the directory only finds those whose messages were lost."""
+
+DIRECTORY_RETRY_MS = 1_000.0
+
+log = get_logger("wigeonwind.peers")
+
+
+class PeerRecord(msgspec.Struct):
+    """What a process keeps of itself in the store."""
+
+    address: str
+
+
+class DirectoryStore(Protocol):
+    """The store calls that the directory needs."""
+
+    def put(
+        self, key: str, value: bytes, if_version: int
+    ) -> Ok[int] | Conflict | StoreFailure:
+        """Write an object if it has a version; 0 means that it must not exist."""
+        ...
+
+    def list_objects(self, prefix: str) -> Ok[ObjectPage] | StoreFailure:
+        """Return all objects under a prefix."""
+        ...
+
+
+@dataclass(slots=True)
+class _Peer:
+    """A process that messages are sent to."""
+
+    address: SocketAddress
+    incarnation: int = 0
+    number: int = 0
+
+
+class PeerExchange:
+    """Sends and receives the messages of one process."""
+
+    def __init__(
+        self,
+        own_id: str,
+        address: SocketAddress,
+        clock: Clock,
+        rng: Random,
+        choice: WorkChooser,
+        store: DirectoryStore,
+        prefix: str,
+    ) -> None:
+        self._own_id = own_id
+        self._address = address
+        self._clock = clock
+        self._rng = rng
+        self._choice = choice
+        self._store = store
+        self._prefix = prefix
+        self._peer_by_id: dict[str, _Peer] = {}
+        self._incarnation = new_incarnation()
+        self._number = 0
+        self._sock = gevent_socket.socket(
+            gevent_socket.AF_INET, gevent_socket.SOCK_DGRAM
+        )
+        self.unreadable = 0
+        """Datagrams received that are no messages."""
+
+    def loops(self) -> tuple[Callable[[], None], ...]:
+        """Return the loops to run."""
+        return (self._receive, self._send, self._keep_directory)
+
+    def start(self) -> None:
+        """Bind the socket; raises OSError if the address is taken."""
+        self._sock.bind((self._address.host, self._address.port))
+
+    def stop(self) -> None:
+        """Close the socket."""
+        self._sock.close()
+
+    @property
+    def address(self) -> SocketAddress:
+        """Return the address in use."""
+        return SocketAddress(*self._sock.getsockname()[:2])
+
+    def peer_count(self) -> int:
+        """Return the number of known peers."""
+        return len(self._peer_by_id)
+
+    def _receive(self) -> None:
+        while True:
+            data, source = self._sock.recvfrom(MAX_MESSAGE_BYTES)
+            message = decode_load(data)
+            if isinstance(message, LoadMessage):
+                self._on_message(message, SocketAddress(*source[:2]))
+                continue
+            self.unreadable += 1
+            log.warning("a datagram cannot be read", source=source[0], reason=message)
+
+    def _on_message(self, message: LoadMessage, source: SocketAddress) -> None:
+        if message.sender == self._own_id:
+            return
+        peer = self._peer_by_id.get(message.sender)
+        if peer is None:
+            peer = self._peer_by_id[message.sender] = _Peer(source)
+            log.info("a peer is known", peer=message.sender, address=str(source))
+        order = (message.incarnation, message.number)
+        if order <= (peer.incarnation, peer.number):
+            return
+        peer.address = source
+        peer.incarnation, peer.number = order
+        now_ms = self._clock.now_ms()
+        self._choice.on_peer_load(message.sender, message.work_by_id, now_ms)
+        self._choice.on_peer_prefixes(message.prefixes, now_ms)
+
+    def _send(self) -> None:
+        while True:
+            count = len(self._peer_by_id)
+            tick_ms = TICK_MS * max(1.0, min(count, MAX_TARGETS) / PEERS_PER_TICK)
+            gevent.sleep(tick_ms / MS_PER_SECOND)
+            self._send_once()
+
+    def _send_once(self) -> None:
+        now_ms = self._clock.now_ms()
+        prefixes = self._choice.take_new_prefixes()
+        if not self._peer_by_id:
+            return
+        self._number += 1
+        work_by_id = self._choice.own_work(now_ms)
+        message = LoadMessage(
+            self._own_id, self._incarnation, self._number, work_by_id, prefixes
+        )
+        data = encode_load(message)
+        peers = list(self._peer_by_id.values())
+        if len(peers) > MAX_TARGETS:
+            peers = self._rng.sample(peers, MAX_TARGETS)
+        for peer in peers:
+            try:
+                self._sock.sendto(data, (peer.address.host, peer.address.port))
+            except OSError as error:
+                # The next message replaces this one.
+                log.debug("a datagram was not sent", reason=str(error))
+
+    def _keep_directory(self) -> None:
+        registered = False
+        while True:
+            registered = registered or self._register()
+            gevent.sleep(REGISTER_DELAY_MS / MS_PER_SECOND)
+            if registered and self._read_directory():
+                gevent.sleep(DIRECTORY_MS / MS_PER_SECOND)
+            else:
+                gevent.sleep(DIRECTORY_RETRY_MS / MS_PER_SECOND)
+
+    def _register(self) -> bool:
+        """Write the own record; a restart on the same VM replaces the old one."""
+        key = self._prefix + self._own_id
+        value = msgspec.json.encode(PeerRecord(str(self.address)))
+        written = self._store.put(key, value, 0)
+        if isinstance(written, Conflict):
+            written = self._store.put(key, value, written.version)
+        if isinstance(written, Ok):
+            return True
+        log.warning("the own record was not written", reason=str(written))
+        return False
+
+    def _read_directory(self) -> bool:
+        page = self._store.list_objects(self._prefix)
+        if isinstance(page, StoreFailure):
+            log.warning("the directory was not read", reason=page.reason)
+            return False
+        for found in page.value.objects:
+            self._on_record(found)
+        return True
+
+    def _on_record(self, found: StoredObject) -> None:
+        name = found.key.removeprefix(self._prefix)
+        if name == self._own_id:
+            return
+        try:
+            record = msgspec.json.decode(found.value, type=PeerRecord)
+            address = parse_address(record.address)
+        except (msgspec.DecodeError, ValueError) as error:
+            log.warning("a record names no peer", key=found.key, reason=str(error))
+            return
+        known = self._peer_by_id.get(name)
+        if is_valid_address(address) and (known is None or not known.number):
+            self._peer_by_id[name] = _Peer(address)
--- /dev/null
+++ b/wigeonwind/routing/peer_messages.py
@@ -0,0 +1,81 @@
+"""Datagrams between routing processes: what each has sent where (CBOR)."""
+
+from dataclasses import dataclass
+
+import cbor2
+
+from wigeonwind.decisions.peer_loads import EndpointWork
+
+MESSAGE_VERSION = 1
+"""First element of each message; others are ignored."""
+
+MAX_MESSAGE_BYTES = 8_192
+"""Largest datagram that is sent or read."""
+
+MAX_ROWS = 600
+"""Most endpoints, and most prefixes, that one message may name."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadMessage:
+    """One process's work by endpoint, and the prefixes it has had read lately.
+
+    Endpoints are named by their short ids. `prefixes` are pairs of prefix key and
+    endpoint. `incarnation` orders the starts of a process, `number` its messages.
+    """
+
+    sender: str
+    incarnation: int
+    number: int
+    work_by_id: dict[int, EndpointWork]
+    prefixes: tuple[tuple[int, int], ...]
+
+
+def encode_load(message: LoadMessage) -> bytes:
+    """Return the datagram of a message."""
+    work = [
+        [name, row.running, [list(pair) for pair in row.unread_by_priority]]
+        for name, row in message.work_by_id.items()
+    ]
+    return cbor2.dumps(
+        [
+            MESSAGE_VERSION,
+            message.sender,
+            message.incarnation,
+            message.number,
+            work,
+            [list(pair) for pair in message.prefixes],
+        ]
+    )
+
+
+def decode_load(data: bytes) -> LoadMessage | str:
+    """Decode a datagram; a string says why it cannot be used.
+
+    >>> decode_load(b"x")[:20]
+    'not a load message: '
+    """
+    try:
+        version, sender, incarnation, number, work, prefixes = cbor2.loads(data)
+        if version != MESSAGE_VERSION:
+            return f"message version {version!r}"
+        if len(work) > MAX_ROWS or len(prefixes) > MAX_ROWS:
+            return "too many rows"
+        rows = {
+            _count(name): EndpointWork(
+                _count(running),
+                tuple((_count(level), _count(tokens)) for level, tokens in unread),
+            )
+            for name, running, unread in work
+        }
+        pairs = tuple((_count(key), _count(name)) for key, name in prefixes)
+        sender_id = str(sender)
+        return LoadMessage(sender_id, _count(incarnation), _count(number), rows, pairs)
+    except (cbor2.CBORError, ValueError, TypeError, RecursionError) as error:
+        return f"not a load message: {error}"
+
+
+def _count(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise ValueError(f"{value!r} is not a count")
+    return value
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import Protocol
 
 import gevent
 from gevent import socket as gevent_socket
@@ -20,6 +21,7 @@
 from wigeonwind.routing.exchange import Exchange
 from wigeonwind.routing.forwarding_context import ForwardingContext
 from wigeonwind.routing.own_answers import status_answer
+from wigeonwind.routing.peer_exchange import DirectoryStore, PeerExchange
 from wigeonwind.routing.request_parser import HttpRequest
 from wigeonwind.routing.routes import CallerLimits, HttpCustomer, HttpRoute, RouteTable
 from wigeonwind.routing.routing_metrics import RoutingMetrics
@@ -60,7 +62,8 @@
 class RouterSettings:
     """Where a routing process listens and who it is; times in milliseconds.
 
-    `metrics` is None where metrics are not served.
+    `metrics` is None where metrics are not served; `peers` takes datagrams of other
+    processes.
     """
 
     node_id: str
@@ -68,9 +71,14 @@
     callers: SocketAddress
     readiness: SocketAddress
     metrics: SocketAddress | None
+    peers: SocketAddress
     stop_limit_ms: float
 
 
+class RouterStore(FollowedStore, DirectoryStore, Protocol):
+    """The store calls of a routing process."""
+
+
 class Router:
     """Accepts callers and forwards their requests until it is told to stop."""
 
@@ -81,7 +89,7 @@
         rng: Random,
         wire: Wire,
         schema: StoreSchema,
-        store: FollowedStore,
+        store: RouterStore,
     ) -> None:
         self._settings = settings
         self._clock = clock
@@ -115,6 +123,15 @@
                 self._on_discovery_reachable,
             ),
         ]
+        self.peers = PeerExchange(
+            settings.node_id,
+            settings.peers,
+            clock,
+            rng,
+            choice,
+            store,
+            schema.peers_prefix,
+        )
         target = (settings.callers.host, settings.callers.port)
         self._server = StreamServer(target, self._accept, backlog=BACKLOG)
         self._readiness = SmallHttpServer(settings.readiness, self._check)
@@ -148,6 +165,9 @@
         self._server.start()
         if self._metrics_server is not None:
             self._metrics_server.start()
+        self.peers.start()
+        for loop in self.peers.loops():
+            self._loops.start(loop)
         for follower in self._followers:
             self._loops.start(follower.run)
         self._loops.start(self._keep_house)
@@ -280,6 +300,7 @@
         self._loops.stop()
         self._server.stop(timeout=0)
         self._readiness.stop()
+        self.peers.stop()
         if self._metrics_server is not None:
             self._metrics_server.stop()
         self.stopped.set()
--- a/wigeonwind/routing/routing_state.py
+++ b/wigeonwind/routing/routing_state.py
@@ -24,6 +24,8 @@
     read_configuration: Callable[[bytes], Ok[RouteTable] | Invalid]
     read_endpoint: Callable[[str, bytes], Endpoint | str]
     endpoint_id: Callable[[str], str]
+    peers_prefix: str = "routers/"
+    """A kind of the system's own: the addresses of its processes."""
 
 
 class ConfigurationFollower:
