Spread work over engines in proportion to their number, and leave full ones

Change: penalties span the ranking, whatever its length, and each request beyond 85% of the slots costs the wait for a slot.

--- a/wigeonwind/decisions/work_choice.py
+++ b/wigeonwind/decisions/work_choice.py
@@ -85,16 +85,24 @@
 LONG_PROMPT_SHARE = 0.4
 """Share of a service's engines on which long prompts cost no penalty."""
 
-LONG_PENALTY = 0.12
-"""Penalty of a long prompt for each engine beyond that share, in its latency targets.
-It spreads over more engines as its own wait grows."""
+LONG_SPAN = 0.36
+"""Penalty of a long prompt on the last engine of the ranking, in its latency targets.
+It falls to nothing towards the engines for long prompts, so that long prompts spread
+over more engines as their own wait grows."""
 
 SHORT_PENALTY = 0.6
-"""Penalty of a short prompt on an engine of that share, in its latency targets."""
+"""Penalty of a short prompt on an engine for long ones, in its latency targets."""
 
-SHORT_STEP_MS = 15.0
-"""Penalty of a short prompt for each engine nearer to that share: long prompts that
-spread find the engines with the fewest streams first."""
+SHORT_SPAN_MS = 30.0
+"""Penalty of a short prompt on the engine next to those for long prompts, falling to
+nothing on the last one: long prompts that spread find few streams first."""
+
+FULL_SHARE = 0.85
+"""Share of an engine's slots from which waiting is expected. Counts of peers are late,
+and a full engine preempts."""
+
+SLOT_WAIT_MS = 60.0
+"""Wait for each request beyond that share: a stream holds one of 32 slots for 2 s."""
 
 MAX_NEW_PREFIXES = 200
 """Prefixes that wait to be told to peers; more would not fit into a message."""
@@ -278,17 +286,18 @@
             return {}
         ranked = sorted(each.candidate.endpoint_id for each in pool)
         ranked.sort(key=hash_text)
-        last = len(ranked) - 1
         count = max(1, round(len(ranked) * LONG_PROMPT_SHARE))
+        others = max(1, len(ranked) - count)
         if work.prompt_tokens >= LONG_PROMPT_TOKENS:
-            step_ms = LONG_PENALTY * work.target_ms
+            step_ms = LONG_SPAN * work.target_ms / others
             return {
                 name: step_ms * max(0, rank - count + 1)
                 for rank, name in enumerate(ranked)
             }
         far_ms = SHORT_PENALTY * work.target_ms
+        step_ms = SHORT_SPAN_MS / others
         return {
-            name: SHORT_STEP_MS * (last - rank) + (far_ms if rank < count else 0.0)
+            name: far_ms if rank < count else step_ms * (len(ranked) - 1 - rank)
             for rank, name in enumerate(ranked)
         }
 
@@ -343,6 +352,8 @@
         unread = endpoint.unread_tokens(work.priority)
         unread += max(0.0, work.prompt_tokens - cached)
         waiting_ms = unread / TOKENS_PER_MS
+        room = FULL_SHARE * endpoint.candidate.slots
+        waiting_ms += max(0.0, outstanding + 1 - room) * SLOT_WAIT_MS
         return FIRST_EVENT_MS + waiting_ms + RUNNING_MS * outstanding
 
     def _cached_tokens(self, work: Work, now_ms: float) -> dict[str, float]:
