Test requests through a routing process; close callers that stop within a head

One found a fault: a caller that stops within the head of its request was closed after the idle timeout (2 s in the test) instead of the header timeout, as the wait under way had been made for an idle connection; and the header timeout covered the body, too.

--- /dev/null
+++ b/tests/routing_fleet.py
@@ -0,0 +1,196 @@
+"""A routing process with test doubles of the platform around it."""
+
+import socket
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import gevent
+
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.clock import SystemClock
+from wigeonwind.platform.__main__ import SCHEMA, STORE_LIMITS
+from wigeonwind.platform.headers import PlatformWire
+from wigeonwind.platform.store_format import PlatformStoreFormat
+from wigeonwind.routing.router import Router, RouterSettings
+from wigeonwind.standins.platform_store import PlatformStore
+from wigeonwind.standins.platform_worker import PlatformWorker
+from wigeonwind.state.store_client import StoreClient
+
+ANY = SocketAddress("127.0.0.1", 0)
+WAIT_S = 5.0
+
+
+def route(name, prefix, kind, **fields):
+    """Return a route of the configuration object."""
+    return {
+        "name": name,
+        "hostname": "a.example",
+        "path_prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 3000,
+        "slo_ms": 250,
+        "priority": 1,
+        "backend": "desk",
+        "attempts": 2,
+        **fields,
+    }
+
+
+def configuration(version=1, **fields):
+    """Return a configuration object with one route of each kind."""
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "/safe/", "safe"),
+            route("once", "/once/", "unsafe"),
+            route("stream", "/stream/", "streaming", gap_aim_ms=200),
+            route("resume", "/resume/", "streaming", resumable=True),
+            route("open", "/open/", "safe", public=True),
+        ],
+        "backends": [{"name": "desk", "max_conns": 100}],
+        "limits": {
+            "max_header_bytes": 4096,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 400,
+            "idle_timeout_ms": 2000,
+        },
+        "tenants": [{"name": "mill", "api_keys": ["key-1"], "priority": 0}],
+        **fields,
+    }
+
+
+def entry(worker, **fields):
+    """Return the entry of a worker in the store."""
+    return {
+        "backend": "desk",
+        "address": str(worker.address),
+        "zone": "tartu-a",
+        "version": "v1",
+        "capacity": 8,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "seq": 1,
+        "born": 1000,
+        **fields,
+    }
+
+
+@dataclass
+class Reply:
+    """An answer as the caller saw it; `is_whole` is False if it was cut off."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+class RoutingFleet:
+    """Store, workers and one routing process on loopback."""
+
+    def __init__(self, workers=2, usual=None, config=None) -> None:
+        self.store = PlatformStore()
+        self.workers = [PlatformWorker(f"w{n}", usual) for n in range(workers)]
+        self.store.put("config", "main", config or configuration())
+        for worker in self.workers:
+            self.store.put("servers", worker.name, entry(worker))
+        self.router = build_router(self.store.address)
+        self.router.start()
+        self.wait_for(lambda: self.router.is_ready)
+        self.wait_for(lambda: len(self.router.endpoints) == workers)
+
+    def wait_for(self, is_true: Any) -> None:
+        """Wait until something is true; fail after WAIT_S."""
+        with gevent.Timeout(WAIT_S):
+            while not is_true():
+                gevent.sleep(0.005)
+
+    def stop(self) -> None:
+        """Stop everything."""
+        self.router.stop()
+        self.store.stop()
+        for worker in self.workers:
+            worker.stop()
+
+    def connect(self) -> socket.socket:
+        """Open a caller's connection."""
+        address = self.router.callers_address
+        return socket.create_connection((address.host, address.port), WAIT_S)
+
+    def call(self, path, method="GET", body=b"", headers=(), request_id="r1") -> Reply:
+        """Send one request on a connection of its own."""
+        with self.connect() as sock:
+            sock.sendall(request_bytes(path, method, body, headers, request_id))
+            return read_reply(sock)
+
+    def received(self) -> int:
+        """Return the number of requests that reached workers."""
+        return sum(len(worker.requests) for worker in self.workers)
+
+
+def build_router(store_address) -> Router:
+    """Return a routing process that uses the platform's formats."""
+    clock, rng = SystemClock(), Random(1)
+    store = StoreClient(
+        store_address, STORE_LIMITS, clock, rng, format=PlatformStoreFormat()
+    )
+    settings = RouterSettings("edge-1", "tartu-a", ANY, ANY, ANY, ANY, 4_000.0)
+    return Router(settings, clock, rng, PlatformWire(), SCHEMA, store)
+
+
+def request_bytes(path, method="GET", body=b"", headers=(), request_id="r1"):
+    """Return a request as clients of the platform send it."""
+    lines = [f"{method} {path} HTTP/1.1", "Host: a.example", "X-Api-Key: key-1"]
+    if request_id:
+        lines.append(f"Request-Id: {request_id}")
+    if not any(line.lower().startswith("deadline-ms") for line in headers):
+        lines.append("Deadline-Ms: 2000")
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    lines = [line for line in lines if _name(line) not in map(_name, headers)]
+    return "\r\n".join([*lines, *headers, "", ""]).encode() + body
+
+
+def _name(line):
+    return line.partition(":")[0].lower()
+
+
+def read_reply(sock) -> Reply:
+    """Read one answer, whole or up to where it breaks off."""
+    data = b""
+    try:
+        while b"\r\n\r\n" not in data:
+            piece = sock.recv(65536)
+            if not piece:
+                return Reply(0, {}, data, False)
+            data += piece
+        head, _, body = data.partition(b"\r\n\r\n")
+        lines = head.decode().split("\r\n")
+        headers = {_name(line): line.partition(": ")[2] for line in lines[1:]}
+        status = int(lines[0].split(" ")[1])
+        if "content-length" in headers:
+            while len(body) < int(headers["content-length"]):
+                piece = sock.recv(65536)
+                if not piece:
+                    return Reply(status, headers, body, False)
+                body += piece
+            return Reply(status, headers, body, True)
+        while not body.endswith(b"0\r\n\r\n"):
+            piece = sock.recv(65536)
+            if not piece:
+                return Reply(status, headers, _unchunked(body), False)
+            body += piece
+        return Reply(status, headers, _unchunked(body), True)
+    except ConnectionResetError:
+        return Reply(0, {}, data, False)
+
+
+def _unchunked(body: bytes) -> bytes:
+    pieces = []
+    while body:
+        size, _, rest = body.partition(b"\r\n")
+        length = int(size or b"0", 16)
+        pieces.append(rest[:length])
+        body = rest[length + 2 :]
+    return b"".join(pieces)
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -160,12 +160,17 @@
         self._wakeup.set()
 
     def _feed(self, data: bytes) -> None:
+        now_ms = self._clock.now_ms()
         if not self._parser.is_inside:
-            self._head_since_ms = self._clock.now_ms()
             self._parser.limits = self._limits()
         self._parser.feed(data)
-        if not self._parser.is_inside:
+        self._idle_since_ms = now_ms
+        if not self._parser.is_inside_head:
             self._head_since_ms = None
+        elif self._head_since_ms is None:
+            self._head_since_ms = now_ms
+            # The wait that is under way was made for an idle connection.
+            self._wakeup.set()
         if self._parser.expects_continue and not self.is_serving:
             self._parser.expects_continue = False
             self._sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/wigeonwind/routing/request_parser.py
+++ b/wigeonwind/routing/request_parser.py
@@ -65,6 +65,11 @@
         self._body_bytes = 0
         self._has_head = False
 
+    @property
+    def is_inside_head(self) -> bool:
+        """Return whether part of a head has arrived, but not all of it."""
+        return self.is_inside and not self._has_head
+
     def feed(self, data: bytes) -> None:
         """Take the next bytes of the connection."""
         if self.failure is not None or not data:
--- /dev/null
+++ b/wigeonwind/standins/platform_store.py
@@ -0,0 +1,199 @@
+"""A test double of the users' platform store: objects by kind and name, over HTTP."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.clock import MS_PER_SECOND
+
+OBJECTS_PATH = "/api/objects/"
+
+CLIENT_CHECK_MS = 50.0
+"""Interval at which a waiting watch looks whether the store was stopped."""
+
+
+@dataclass
+class _Stored:
+    revision: int
+    spec: Any
+
+
+@dataclass(frozen=True)
+class _Change:
+    revision: int
+    kind: str
+    name: str
+    spec: Any
+    is_removed: bool
+
+
+@dataclass
+class PlatformStoreFaults:
+    """What goes wrong from now on.
+
+    `status` answers every call with that status. `is_silent` answers none.
+    `lost_writes` is the number of writes that take effect and are not answered.
+    """
+
+    status: int = 0
+    is_silent: bool = False
+    lost_writes: int = 0
+
+
+@dataclass
+class PlatformStoreState:
+    """The objects, and every change since the last compaction."""
+
+    revision: int = 1
+    by_kind: dict[str, dict[str, _Stored]] = field(default_factory=dict)
+    changes: list[_Change] = field(default_factory=list)
+    oldest: int = 0
+    """Revision before which the history is gone."""
+
+
+class PlatformStore:
+    """Serves the store's calls; tests write objects with `put` and `remove`."""
+
+    def __init__(self, address: SocketAddress | None = None) -> None:
+        address = address or SocketAddress("127.0.0.1", 0)
+        self.state = PlatformStoreState()
+        self.faults = PlatformStoreFaults()
+        self.calls: list[str] = []
+        self._changed = Event()
+        target = (address.host, address.port)
+        self._server = WSGIServer(target, self._application, log=None)
+        self._server.start()
+
+    @property
+    def address(self) -> SocketAddress:
+        """Return the address in use."""
+        return SocketAddress("127.0.0.1", self._server.server_port)
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self._server.stop(timeout=0)
+
+    def put(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object, as an operator or an endpoint does; return its revision."""
+        state = self.state
+        state.revision += 1
+        stored = _Stored(state.revision, spec)
+        state.by_kind.setdefault(kind, {})[name] = stored
+        state.changes.append(_Change(state.revision, kind, name, spec, False))
+        self._wake()
+        return state.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        state = self.state
+        if state.by_kind.get(kind, {}).pop(name, None) is None:
+            return
+        state.revision += 1
+        state.changes.append(_Change(state.revision, kind, name, None, True))
+        self._wake()
+
+    def compact(self) -> None:
+        """Forget the history and end the watches that need it."""
+        self.state.changes.clear()
+        self.state.oldest = self.state.revision
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = Event()
+
+    def _application(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        self.calls.append(f"{method} {path}")
+        body = environ["wsgi.input"].read()
+        while self.faults.is_silent:
+            gevent.sleep(CLIENT_CHECK_MS / MS_PER_SECOND)
+        if self.faults.status:
+            return _reply(start, self.faults.status, {})
+        kind, _, name = unquote(path.removeprefix(OBJECTS_PATH)).partition("/")
+        query = {
+            key: rows[0] for key, rows in parse_qs(environ["QUERY_STRING"]).items()
+        }
+        if method != "GET" and self.faults.lost_writes:
+            self.faults.lost_writes -= 1
+            self._write(method, kind, name, query, body)
+            environ["wsgi.input"].rfile._sock.close()
+            raise ConnectionResetError("the answer of a write is lost")
+        if method == "GET" and "watch" in query:
+            wait_ms = float(query.get("wait_ms", 0))
+            status, reply = self._watch(kind, int(query["watch"]), wait_ms)
+        elif method == "GET":
+            status, reply = self._read(kind, name)
+        else:
+            status, reply = self._write(method, kind, name, query, body)
+        return _reply(start, status, reply)
+
+    def _read(self, kind: str, name: str) -> tuple[int, Any]:
+        objects = self.state.by_kind.get(kind, {})
+        if name:
+            found = objects.get(name)
+            return (404, {}) if found is None else (200, _object(name, found))
+        entries = [_object(each, stored) for each, stored in sorted(objects.items())]
+        page = {"entries": entries, "has_more": False}
+        return 200, {**page, "store_revision": self.state.revision}
+
+    def _watch(self, kind: str, after: int, wait_ms: float) -> tuple[int, Any]:
+        deadline = gevent.get_hub().loop.now() + wait_ms / MS_PER_SECOND
+        while True:
+            state = self.state
+            if after < state.oldest:
+                return 410, {}
+            events = [
+                {
+                    "removed": change.is_removed,
+                    "object": _object(
+                        change.name, _Stored(change.revision, change.spec)
+                    ),
+                }
+                for change in state.changes
+                if change.revision > after and change.kind == kind
+            ]
+            left_s = deadline - gevent.get_hub().loop.now()
+            if events or left_s <= 0:
+                return 200, {"events": events, "store_revision": state.revision}
+            self._changed.wait(left_s)
+            gevent.get_hub().loop.update_now()
+
+    def _write(
+        self, method: str, kind: str, name: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
+        document = json.loads(body) if body else {}
+        metadata = document.get("metadata", {})
+        name = name or metadata.get("name", "")
+        found = self.state.by_kind.get(kind, {}).get(name)
+        wanted = int(query.get("revision") or metadata.get("revision") or 0)
+        if method == "POST" and found is not None:
+            return 409, _object(name, found)
+        if method != "POST" and found is None:
+            return 404, {}
+        if found is not None and wanted and wanted != found.revision:
+            return 409, _object(name, found)
+        if method == "DELETE":
+            self.remove(kind, name)
+            return 200, {}
+        revision = self.put(kind, name, document.get("spec"))
+        return 200, _object(name, _Stored(revision, document.get("spec")))
+
+
+def _object(name: str, stored: _Stored) -> dict[str, Any]:
+    metadata = {"name": name, "revision": stored.revision, "created": 1}
+    return {"metadata": metadata, "spec": stored.spec, "status": None}
+
+
+def _reply(start: Any, status: int, document: Any) -> Iterable[bytes]:
+    body = json.dumps(document).encode()
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    start(f"{status} Status", headers)
+    return [body]
--- /dev/null
+++ b/wigeonwind/standins/platform_worker.py
@@ -0,0 +1,218 @@
+"""A test double of the users' workers: whole answers, event streams, and faults."""
+
+import socket
+import struct
+from collections import deque
+from dataclasses import dataclass
+
+import gevent
+from gevent import socket as gevent_socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.routing.request_parser import HttpRequest, RequestParser
+from wigeonwind.routing.routes import CallerLimits
+
+READ_BYTES = 65_536
+
+RESET_LINGER = struct.pack("ii", 1, 0)
+"""Socket option value with which `close` resets the connection."""
+
+
+@dataclass(frozen=True)
+class Whole:
+    """A whole answer."""
+
+    status: int = 200
+    body: bytes = b"whole"
+    is_signed: bool = True
+    headers: tuple[str, ...] = ()
+    delay_ms: float = 0.0
+
+
+@dataclass(frozen=True)
+class Events:
+    """A stream of `count` events; resumed where the request says so."""
+
+    count: int = 3
+    gap_ms: float = 0.0
+    cut_after: int | None = None
+    """Break off after this many events, in the middle of the next."""
+    has_length: bool = True
+    """False ends the stream with the connection only."""
+
+
+@dataclass(frozen=True)
+class NotRun:
+    """A refusal that says that nothing was run."""
+
+    status: int = 503
+
+
+@dataclass(frozen=True)
+class Reset:
+    """The connection is reset instead of an answer."""
+
+
+@dataclass(frozen=True)
+class Silent:
+    """No answer at all, until the caller closes the connection."""
+
+
+@dataclass(frozen=True)
+class Truncated:
+    """Fewer bytes than announced, and the end of the connection."""
+
+
+@dataclass(frozen=True)
+class LateAnswer:
+    """The answer of another request, before the own one."""
+
+
+@dataclass(frozen=True)
+class ExtraAnswer:
+    """The own answer, and another one behind it."""
+
+
+Behaviour = (
+    Whole | Events | NotRun | Reset | Silent | Truncated | LateAnswer | ExtraAnswer
+)
+
+
+class PlatformWorker:
+    """Answers each request with the next behaviour, or with the usual one."""
+
+    def __init__(self, name: str, usual: Behaviour | None = None) -> None:
+        self.name = name
+        self.usual: Behaviour = usual or Whole()
+        self.script: deque[Behaviour] = deque()
+        self.requests: list[HttpRequest] = []
+        self.connections = 0
+        self.closed_by_caller = Event()
+        self._server = StreamServer(("127.0.0.1", 0), self._handle)
+        self._server.start()
+
+    @property
+    def address(self) -> SocketAddress:
+        """Return the address in use."""
+        return SocketAddress("127.0.0.1", self._server.server_port)
+
+    def stop(self) -> None:
+        """Stop at once."""
+        self._server.stop(timeout=0)
+
+    def header(self, index: int, name: str) -> str | None:
+        """Return a header of a request that was received."""
+        for key, value in self.requests[index].headers:
+            if key.lower() == name.lower().encode():
+                return value.decode()
+        return None
+
+    def _handle(self, sock: gevent_socket.socket, _: object) -> None:
+        self.connections += 1
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        parser = RequestParser(CallerLimits())
+        try:
+            while True:
+                while not parser.requests:
+                    data = sock.recv(READ_BYTES)
+                    if not data:
+                        return
+                    parser.feed(data)
+                request = parser.requests.popleft()
+                self.requests.append(request)
+                behaviour = self.script.popleft() if self.script else self.usual
+                if not self._answer(sock, request, behaviour):
+                    return
+        except OSError:
+            self.closed_by_caller.set()
+        finally:
+            sock.close()
+
+    def _answer(
+        self, sock: gevent_socket.socket, request: HttpRequest, behaviour: Behaviour
+    ) -> bool:
+        """Answer one request; False ends the connection."""
+        request_id = _request_id(request)
+        match behaviour:
+            case Whole():
+                gevent.sleep(behaviour.delay_ms / MS_PER_SECOND)
+                sock.sendall(self._whole(request_id, behaviour))
+                return True
+            case Events():
+                return self._stream(sock, request, request_id, behaviour)
+            case NotRun(status=status):
+                head = f"HTTP/1.1 {status} No\r\nNot-Executed: 1\r\n"
+                sock.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
+                return True
+            case Reset():
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+                return False
+            case Silent():
+                sock.recv(READ_BYTES)
+                self.closed_by_caller.set()
+                return False
+            case Truncated():
+                whole = self._whole(request_id, Whole(body=b"x" * 100))
+                sock.sendall(whole[:-50])
+                return False
+            case LateAnswer():
+                sock.sendall(self._whole("0" * 16, Whole(body=b"of another")))
+                sock.sendall(self._whole(request_id, Whole()))
+                return True
+            case ExtraAnswer():
+                extra = self._whole("0" * 16, Whole(body=b"of another"))
+                sock.sendall(self._whole(request_id, Whole()) + extra)
+                return True
+
+    def _whole(self, request_id: str, whole: Whole) -> bytes:
+        lines = [
+            f"HTTP/1.1 {whole.status} Status",
+            f"Request-Id: {request_id}",
+            f"Content-Length: {len(whole.body)}",
+            *whole.headers,
+        ]
+        if whole.is_signed:
+            lines.append(f"Worker-Signature: {self.name}")
+        return "\r\n".join([*lines, "", ""]).encode() + whole.body
+
+    def _stream(
+        self,
+        sock: gevent_socket.socket,
+        request: HttpRequest,
+        request_id: str,
+        events: Events,
+    ) -> bool:
+        first = 1
+        for name, value in request.headers:
+            if name.lower() == b"last-event-id":
+                first = int(value) + 1
+        framing = "Transfer-Encoding: chunked" if events.has_length else "X-None: 1"
+        sock.sendall(
+            f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n{framing}\r\n"
+            f"Content-Type: text/event-stream\r\n"
+            f"Worker-Signature: {self.name}\r\n\r\n".encode()
+        )
+        for sent, number in enumerate(range(first, events.count + 1)):
+            gevent.sleep(events.gap_ms / MS_PER_SECOND)
+            event = f"id: {number}\ndata: {number}\n\n".encode()
+            if events.cut_after is not None and sent >= events.cut_after:
+                sock.sendall(_piece(event[:7], events.has_length))
+                return False
+            sock.sendall(_piece(event, events.has_length))
+        if events.has_length:
+            sock.sendall(b"0\r\n\r\n")
+        return events.has_length
+
+
+def _piece(data: bytes, is_chunked: bool) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data) if is_chunked else data
+
+
+def _request_id(request: HttpRequest) -> str:
+    for name, value in request.headers:
+        if name.lower() == b"request-id":
+            return value.decode()
+    return ""
