--- /dev/null
+++ b/tests/test_platform_formats.py
@@ -0,0 +1,239 @@
+"""The adapter: what the platform writes, decoded into the project's types."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from routing_fleet import configuration
+
+from wigeonwind.outcomes import Invalid, Ok
+from wigeonwind.platform.configuration import read_configuration
+from wigeonwind.platform.endpoint_entries import read_endpoint
+from wigeonwind.platform.headers import PlatformWire
+from wigeonwind.platform.node_file import read_node_file
+from wigeonwind.platform.store_format import PlatformStoreFormat
+from wigeonwind.routing.endpoints import Endpoint
+from wigeonwind.routing.routes import Repetition
+from wigeonwind.routing.wire import PromptPart, SendFacts
+from wigeonwind.state.store_http import Reply
+from wigeonwind.state.store_types import Conflict, HistoryGone, NotFound
+
+ENTRY = {
+    "backend": "desk",
+    "address": "10.128.0.9:8080",
+    "zone": "tartu-a",
+    "version": "v1",
+    "capacity": 96,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "seq": 4,
+    "born": 1_790_000_000_000,
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def dumps(document):
+    return json.dumps(document).encode()
+
+
+def test_a_configuration_is_decoded():
+    # Guards against a route whose kind, share or key is read as another one.
+    split = [{"backend": "a", "weight": 90}, {"backend": "b", "weight": 10}]
+    document = configuration(7)
+    document["routes"][0].update(split=split)
+    found = read_configuration(dumps(document))
+    assert isinstance(found, Ok)
+    table = found.value
+    assert (table.version, table.needs_key) == (7, True)
+    kinds = {each.name: each.repetition for each in table.routes}
+    assert kinds["safe"] is Repetition.SAFE
+    assert kinds["once"] is kinds["stream"] is Repetition.ONCE
+    assert kinds["resume"] is Repetition.RESUMABLE
+    assert [each.service for each in table.routes[0].shares] == ["a", "b"]
+    assert table.customer_by_key["key-1"].name == "mill"
+    assert table.customer_by_key["key-1"].priority == 0
+
+
+@given(st.binary(max_size=100) | JSON.map(dumps))
+def test_any_configuration_is_read_or_refused(value):
+    # Guards against an exception that ends the following of the store.
+    assert isinstance(read_configuration(value), (Ok, Invalid))
+
+
+def test_an_entry_is_decoded():
+    # Guards against an endpoint with another address, state or start.
+    found = read_endpoint("servers/i-1", dumps({**ENTRY, "state": "draining"}))
+    assert isinstance(found, Endpoint)
+    assert (found.instance_id, found.service, found.slots) == ("i-1", "desk", 96)
+    assert found.is_draining
+    assert found.started_ms == ENTRY["born"]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"backend": 3},
+        {"state": "resting"},
+        {"address": "10.0.0.256:80"},
+        {"address": "here"},
+        {"capacity": "many"},
+        {"born": 1.5},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_endpoint(change):
+    # Guards against a broken entry that stops discovery or is used.
+    assert isinstance(read_endpoint("servers/i-1", dumps({**ENTRY, **change})), str)
+
+
+@pytest.mark.parametrize("field", ["backend", "address", "zone", "state", "capacity"])
+def test_an_entry_without_a_field_names_no_endpoint(field):
+    # Guards against an entry of another writer that is used all the same.
+    entry = {key: value for key, value in ENTRY.items() if key != field}
+    assert isinstance(read_endpoint("servers/i-1", dumps(entry)), str)
+
+
+@given(st.binary(max_size=100) | JSON.map(dumps))
+def test_any_entry_is_read_or_refused(value):
+    # Guards against an exception that ends the following of the store.
+    assert isinstance(read_endpoint("servers/i-1", value), (Endpoint, str))
+
+
+HEADERS = (
+    (b"Host", b"A.example:80"),
+    (b"Request-Id", b"r1"),
+    (b"Deadline-Ms", b"1500"),
+    (b"Token-Usage", b"1460,80"),
+    (b"Prefix-Hash", b"5c:800, 91:410,zz:9"),
+    (b"Last-Event-Id", b"4"),
+    (b"X-Api-Key", b"k"),
+    (b"Connection", b"keep-alive, X-Hop"),
+    (b"X-Hop", b"1"),
+    (b"Request-Priority", b"0"),
+    (b"Kv-From", b"10.0.0.1:1/h"),
+    (b"X-Mine", b"m"),
+)
+
+
+def test_request_headers_are_decoded_once():
+    # Guards against headers of a caller that only the system may set.
+    facts = PlatformWire().read_request(HEADERS)
+    assert (facts.request_id, facts.host, facts.api_key) == ("r1", "a.example", "k")
+    assert (facts.wait_ms, facts.prompt_tokens, facts.max_output_tokens) == (
+        1500,
+        1460,
+        80,
+    )
+    assert facts.prompt_parts == (PromptPart(0x5C, 800), PromptPart(0x91, 410))
+    assert facts.after_event == 4
+    names = [name for name, _ in facts.forwarded]
+    assert names == [b"Host", b"Request-Id", b"Token-Usage", b"Prefix-Hash", b"X-Mine"]
+
+
+def test_endpoint_headers():
+    # Guards against a send without its deadline, instance, customer or resumption.
+    wire = PlatformWire()
+    facts = wire.read_request(HEADERS)
+    lines = wire.endpoint_headers(facts, SendFacts(900.7, "i-1", 12, "mill", 5))
+    for line in (
+        b"Deadline-Ms: 900\r\n",
+        b"Expect-Instance: i-1\r\n",
+        b"Tenant: mill\r\n",
+        b"Request-Priority: 9\r\n",
+        b"Last-Event-Id: 5\r\n",
+    ):
+        assert line in lines
+    assert b"X-Api-Key" not in lines
+
+
+@given(st.lists(st.tuples(st.binary(max_size=20), st.binary(max_size=20)), max_size=5))
+def test_any_header_values_are_read(values):
+    # Guards against an exception from what a caller or an endpoint sends.
+    wire = PlatformWire()
+    names = [name for name, _ in HEADERS]
+    headers = [(name, value) for name, (_, value) in zip(names, values, strict=False)]
+    wire.read_request(headers)
+    wire.read_answer(headers)
+
+
+NODE = """
+node = "edge-a-1"
+zone = "tartu-a"
+ip = "10.1.0.40"
+port_range = [7340,7355]
+unknown = 3
+[listen]
+ingress = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+grace_s = 8
+[platform]
+address = "10.200.1.7:8223"
+"""
+
+
+def test_the_node_file_is_decoded():
+    # Guards against listeners or a store at another address.
+    found = read_node_file(NODE)
+    assert isinstance(found, Ok)
+    settings = found.value
+    assert (settings.node_id, settings.stop_limit_ms) == ("edge-a-1", 8000.0)
+    assert [str(a) for a in (settings.callers, settings.store, settings.peers)] == [
+        "10.1.0.40:8227",
+        "10.200.1.7:8223",
+        "10.1.0.40:7340",
+    ]
+
+
+@pytest.mark.parametrize(
+    "source", ["", "node = ", NODE.replace('node = "edge-a-1"', "")]
+)
+def test_a_bad_node_file_is_refused(source):
+    # Guards against a process that starts with half of its settings.
+    assert isinstance(read_node_file(source), Invalid)
+
+
+STORED = {"metadata": {"name": "a", "revision": 9}, "spec": {"x": 1}}
+
+
+def test_store_answers():
+    # Guards against a conflict that is taken for success, and lost history for changes.
+    form = PlatformStoreFormat()
+    assert form.read_put("k/a", Reply(409, dumps(STORED))) == Conflict("k/a", 9)
+    assert form.read_put("k/a", Reply(200, dumps(STORED))) == Ok(9)
+    assert form.read_get("k/a", Reply(404, b"")) == NotFound("k/a")
+    assert form.read_watch("k/", 5, Reply(410, b"")) == HistoryGone(5)
+    listing = dumps({"entries": [STORED], "has_more": True, "store_revision": 30})
+    page = form.read_list_page("k/", Reply(200, listing))
+    assert page is not None
+    assert (page.value.next_after, page.value.revision) == ("a", 30)
+    assert page.value.objects[0].value == b'{"x": 1}'
+    assert form.list_page("k/", "a").path.endswith("k?after=a")
+
+
+def test_store_requests():
+    # Guards against a create that replaces, and a replace without a condition.
+    form = PlatformStoreFormat()
+    created = form.put("k/a", b"{}", 0)
+    replaced = form.put("k/a", b"{}", 9)
+    assert (created.method, created.path) == ("POST", "/api/objects/k")
+    assert (replaced.method, replaced.path) == ("PUT", "/api/objects/k/a")
+    assert json.loads(replaced.body)["metadata"] == {"name": "a", "revision": 9}
+
+
+@given(st.integers(200, 599), st.binary(max_size=80) | JSON.map(dumps))
+def test_any_store_answer_is_read_or_refused(status, body):
+    # Guards against an exception from an answer of another shape.
+    form = PlatformStoreFormat()
+    reply = Reply(status, body)
+    form.read_get("k/a", reply)
+    form.read_put("k/a", reply)
+    form.read_delete("k/a", reply)
+    form.read_list_page("k/", reply)
+    form.read_watch("k/", 1, reply)
--- /dev/null
+++ b/tests/test_work_choice.py
@@ -0,0 +1,160 @@
+"""The choice by expected time to the first event."""
+
+from random import Random
+
+import pytest
+
+from wigeonwind.decisions.interfaces import Chosen, NoEndpoint
+from wigeonwind.decisions.peer_loads import MAX_AGE_MS, EndpointWork, short_id
+from wigeonwind.decisions.work_choice import (
+    FULL_SHARE,
+    SILENT_MS,
+    UNREACHABLE_MS,
+    Candidate,
+    Work,
+    WorkChooser,
+)
+
+NAMES = [f"w{n}@1" for n in range(5)]
+NOBODY: frozenset[str] = frozenset()
+
+
+def chooser(seed=1, names=NAMES, slots=96):
+    made = WorkChooser("a", Random(seed))
+    made.set_candidates([Candidate(name, "llm", "a", slots) for name in names], 0.0)
+    return made
+
+
+def prompt(tokens, keys=(), lengths=(), shared=0, priority=3, target_ms=250.0):
+    return Work(
+        "llm", priority, tokens, tuple(keys), tuple(lengths), shared, True, target_ms
+    )
+
+
+def pick(made, work, now_ms=0.0, exclude=NOBODY):
+    chosen = made.choose(work, now_ms, exclude)
+    assert isinstance(chosen, Chosen)
+    return chosen.endpoint_id
+
+
+LONG = prompt(12_000, target_ms=1200.0)
+SHORT = prompt(600)
+
+
+def test_long_prompts_and_short_ones_go_to_different_engines():
+    # Guards against streams whose pauses grow beside long prompts that are read.
+    made = chooser()
+    long_at = {pick(made, LONG) for _ in range(50)}
+    short_at = {pick(made, SHORT) for _ in range(50)}
+    assert not long_at & short_at
+
+
+def test_entries_agree_on_the_engines_for_long_prompts():
+    # Guards against entries that separate the two kinds each in its own way.
+    found = [
+        {pick(chooser(seed), LONG) for seed in range(each, each + 9)}
+        for each in (1, 50)
+    ]
+    assert found[0] == found[1]
+
+
+def test_long_prompts_spread_when_their_engines_are_behind():
+    # Guards against long prompts that wait while other engines are idle.
+    made = chooser()
+    used = set()
+    for _ in range(60):
+        name = pick(made, LONG)
+        made.on_sent(name, LONG, 0.0)
+        used.add(name)
+    assert len(used) == len(NAMES)
+
+
+def test_a_shared_prefix_is_read_in_one_place():
+    # Guards against shared parts of prompts that are read again and again.
+    work = prompt(12_000, (1, 2, 3), (500, 5_000, 12_000), shared=2, target_ms=1200.0)
+    entries = [chooser(seed) for seed in range(1, 6)]
+    assert len({pick(made, work) for made in entries}) == 1
+
+
+def test_what_a_peer_has_read_is_known():
+    # Guards against a prefix that is read again although a peer knows where it is.
+    work = prompt(900, (11, 12), (400, 900), shared=1)
+    first, second = chooser(1), chooser(2)
+    free = pick(first, prompt(600))
+    first.on_sent(free, work, 0.0)
+    second.on_peer_prefixes(first.take_new_prefixes(), 0.0)
+    assert pick(second, work) == free
+    assert first.take_new_prefixes() == ()
+
+
+def test_the_work_of_peers_counts():
+    # Guards against entries that all rush to the engine that each finds idle.
+    made = chooser()
+    free = pick(made, SHORT)
+    busy = {short_id(free): EndpointWork(40, ((3, 200_000),))}
+    made.on_peer_load("edge-2", busy, 0.0)
+    assert pick(made, SHORT) != free
+    made.own_work(MAX_AGE_MS + 1.0)
+    assert pick(made, SHORT, MAX_AGE_MS + 1.0) == free
+
+
+def test_full_engines_are_left():
+    # Guards against engines that preempt while others have room (TIER on the grown
+    # spot site, trouble-1).
+    made = chooser(slots=10)
+    for _ in range(int(len(NAMES) * 10 * FULL_SHARE) - 2):
+        made.on_started(made.on_sent(pick(made, SHORT), SHORT, 0.0), 40.0)
+    counts = [row.running for row in made.own_work(0.0).values()]
+    assert max(counts) <= 10
+
+
+def test_a_silent_endpoint_gets_nothing_new():
+    # Guards against work for an endpoint that hangs.
+    made = chooser()
+    name = pick(made, SHORT)
+    sent = made.on_sent(name, SHORT, 0.0)
+    later = SILENT_MS + 1.0
+    assert pick(made, SHORT, later) != name
+    made.on_heard(sent, later)
+    assert made.silence_ms(name, later) == pytest.approx(0.0)
+
+
+def test_an_unreachable_endpoint_is_tried_again_later():
+    # Guards against connection attempts to a dead endpoint, and against avoiding it
+    # for ever.
+    made = chooser(names=NAMES[:2])
+    name = pick(made, SHORT)
+    made.on_unreachable(name, 0.0)
+    assert pick(made, SHORT, 1.0) != name
+    assert name in {pick(made, SHORT, UNREACHABLE_MS + 1.0) for _ in range(40)}
+
+
+def test_the_last_endpoint_is_used_however_bad():
+    # Guards against a refusal while an endpoint might answer.
+    made = chooser(names=NAMES[:1])
+    made.on_unreachable(NAMES[0], 0.0)
+    assert pick(made, SHORT, 1.0) == NAMES[0]
+    assert isinstance(made.choose(SHORT, 1.0, frozenset(NAMES)), NoEndpoint)
+
+
+def test_an_endpoint_that_fails_often_is_avoided():
+    # Guards against an endpoint that fails requests while its health check is good.
+    made = chooser(names=NAMES[:2])
+    call = Work("llm", 0)
+    for _ in range(8):
+        sent = made.on_sent(NAMES[0], call, 0.0)
+        made.on_ended(sent, False, 0.0)
+    assert {pick(made, call, 1.0) for _ in range(20)} == {NAMES[1]}
+    assert NAMES[0] in {pick(made, call, 60_000.0) for _ in range(40)}
+
+
+def test_ended_work_is_no_load():
+    # Guards against counts that only grow: an endpoint would look busy for ever.
+    made = chooser()
+    for _ in range(20):
+        sent = made.on_sent(NAMES[0], SHORT, 0.0)
+        made.on_started(sent, 40.0)
+        made.on_ended(sent, True, 50.0)
+        refused = made.on_sent(NAMES[0], SHORT, 0.0)
+        made.on_refused(refused, 1.0)
+    assert made.own_work(60.0) == {}
--- a/wigeonwind/decisions/work_choice.py
+++ b/wigeonwind/decisions/work_choice.py
@@ -104,6 +104,10 @@
 SLOT_WAIT_MS = 60.0
 """Wait for each request beyond that share: a stream holds one of 32 slots for 2 s."""
 
+NO_SLOT_MS = 500.0
+"""Further cost of an engine without a free slot: the request waits for the end of a
+stream there, or preempts one."""
+
 MAX_NEW_PREFIXES = 200
 """Prefixes that wait to be told to peers; more would not fit into a message."""
 
@@ -354,6 +358,8 @@
         waiting_ms = unread / TOKENS_PER_MS
         room = FULL_SHARE * endpoint.candidate.slots
         waiting_ms += max(0.0, outstanding + 1 - room) * SLOT_WAIT_MS
+        if outstanding >= endpoint.candidate.slots:
+            waiting_ms += NO_SLOT_MS
         return FIRST_EVENT_MS + waiting_ms + RUNNING_MS * outstanding
 
     def _cached_tokens(self, work: Work, now_ms: float) -> dict[str, float]:
--- a/wigeonwind/routing/answer_parser.py
+++ b/wigeonwind/routing/answer_parser.py
@@ -73,7 +73,7 @@
     def feed_end(self) -> None:
         """Note that the endpoint closed the connection in order."""
         answer = self._answer
-        if not self.error and answer.headers and not answer.is_complete:
+        if not self.error and answer.status and not answer.is_complete:
             answer.is_complete = answer.ends_with_connection
 
     def on_message_begin(self) -> None:
