Write bounded logs to standard output; refuse long streams while stopping

Change: each pair of event and outcome has a rate, what is left out is counted and told, and output never waits. A stopping process refuses (not-run, Retry-After 50 ms) long streams that cannot be resumed, as retries reach other entries, and uses 0.3 s more of its grace period.

--- /dev/null
+++ b/tests/test_log_output.py
@@ -0,0 +1,104 @@
+"""Log lines: bounded in volume, and never waited for."""
+
+import os
+
+import pytest
+import structlog
+
+from wigeonwind.clock import ManualClock
+from wigeonwind.runtime.log_output import (
+    BURST_LINES,
+    LINES_PER_S,
+    MAX_PENDING_BYTES,
+    EventBudget,
+    NonBlockingOutput,
+)
+
+
+def kept(budget, count, **event):
+    """Return how many of equal events are passed on."""
+    passed = 0
+    for _ in range(count):
+        try:
+            budget(None, "info", dict(event))
+            passed += 1
+        except structlog.DropEvent:
+            continue
+    return passed
+
+
+def test_the_volume_is_bounded():
+    # Guards against logs that grow with the load.
+    clock = ManualClock()
+    budget = EventBudget(clock)
+    assert kept(budget, 1000, event="request ended", outcome="ok") == BURST_LINES
+    clock.advance(1000.0)
+    assert kept(budget, 1000, event="request ended", outcome="ok") == LINES_PER_S
+
+
+def test_successes_never_hide_failures():
+    # Guards against the one line of interest that is left out.
+    budget = EventBudget(ManualClock())
+    kept(budget, 1000, event="request ended", outcome="delivered")
+    assert kept(budget, 5, event="request ended", outcome="broken") == 5
+
+
+def test_what_was_left_out_is_told():
+    # Guards against engineers who take missing lines for missing events.
+    clock = ManualClock()
+    budget = EventBudget(clock)
+    kept(budget, int(BURST_LINES) + 7, event="a")
+    clock.advance(2000.0)
+    assert budget(None, "info", {"event": "b"})["left_out"] == {"a": 7}
+    assert "left_out" not in budget(None, "info", {"event": "b"})
+
+
+def test_a_reader_that_stops_blocks_nobody():
+    # Guards against a process that hangs because nobody reads its log.
+    reader, writer = os.pipe()
+    output = NonBlockingOutput(writer)
+    line = "x" * 10_000
+    for _ in range(300):
+        output.msg(line)
+    assert output.dropped_lines > 0
+    assert len(output._pending) <= MAX_PENDING_BYTES
+    first = os.read(reader, 10_001)
+    assert first.decode() == line + "\n"
+    os.close(reader)
+    output.msg("to nobody")
+    os.close(writer)
+
+
+def test_lines_keep_their_order_after_a_stall():
+    # Guards against half lines after the reader has caught up.
+    reader, writer = os.pipe()
+    output = NonBlockingOutput(writer)
+    for number in range(60):
+        output.msg(f"{number:05d}" + "y" * 5_000)
+    os.set_blocking(reader, False)
+    data = b""
+    for _ in range(200):
+        try:
+            data += os.read(reader, 65536)
+        except BlockingIOError:
+            output.msg("more")
+            if b"more" in data:
+                break
+    numbers = [int(line[:5]) for line in data.split(b"\n") if line[:5].isdigit()]
+    assert numbers == list(range(60))
+    os.close(reader)
+    os.close(writer)
+
+
+@pytest.mark.parametrize("method", ["warning", "error"])
+def test_warnings_have_a_higher_rate(method):
+    # Guards against warnings that are dropped as soon as information is.
+    clock = ManualClock()
+    budget = EventBudget(clock)
+    for _ in range(int(BURST_LINES)):
+        budget(None, method, {"event": "a"})
+    clock.advance(1000.0)
+    for _ in range(int(2 * LINES_PER_S)):
+        budget(None, method, {"event": "a"})
+    with pytest.raises(structlog.DropEvent):
+        budget(None, method, {"event": "a"})
--- a/wigeonwind/checking/child_process.py
+++ b/wigeonwind/checking/child_process.py
@@ -37,7 +37,7 @@
                 start_new_session=True,
             )
         self.address_by_name = self._read_addresses(self._popen.stdout)
-        self._reader = gevent.spawn(_discard, self._popen.stdout)
+        self._reader = gevent.spawn(_keep_log, self._popen.stdout, log_path)
 
     def _read_addresses(self, stream: IO[bytes]) -> dict[str, str]:
         with gevent.Timeout(START_LIMIT_S, False):
@@ -83,7 +83,8 @@
             os.kill(self._popen.pid, number)
 
 
-def _discard(stream: IO[bytes]) -> None:
-    """Read on, so that a full pipe never stops the process."""
-    for _ in stream:
-        pass
+def _keep_log(stream: IO[bytes], log_path: str) -> None:
+    """Append what a process writes to its log file, so that no line is lost."""
+    with open(log_path, "ab", buffering=0) as log:
+        for line in stream:
+            log.write(line)
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -13,7 +13,7 @@
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
-from wigeonwind.decisions.work_choice import WorkChooser
+from wigeonwind.decisions.work_choice import LONG_PROMPT_TOKENS, WorkChooser
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.routing.caller_connection import CallerConnection, bad_request
 from wigeonwind.routing.discovery import EndpointSet
@@ -45,7 +45,7 @@
 """Time after a stop signal until idle connections are closed. The load balancer asks
 for readiness every second, and takes an entry out after two misses."""
 
-STOP_MARGIN_MS = 600.0
+STOP_MARGIN_MS = 300.0
 """Time before the limit of a stop at which the process ends on its own."""
 
 DRAIN_POLL_MS = 50.0
@@ -53,6 +53,9 @@
 NO_CONFIGURATION_RETRY_MS = 300.0
 """Retry-After of a process that has no configuration yet; it reads it in a moment."""
 
+STOPPING_RETRY_MS = 50.0
+"""Retry-After of a long stream at a process that stops: others have room at once."""
+
 DEFAULT_LIMITS = CallerLimits()
 
 log = get_logger("wigeonwind.router")
@@ -244,6 +247,9 @@
         if isinstance(customer, Failure):
             self._refuse(caller, facts, customer, table.version)
             return
+        if self.is_draining and self._may_outlast_stop(route, facts):
+            self._refuse(caller, facts, STOPPING, table.version)
+            return
         Exchange(
             self._context, caller, request, facts, route, customer, table.version
         ).run()
@@ -258,6 +264,15 @@
             return UNAUTHORIZED
         return table.customer_by_key.get(facts.api_key, UNAUTHORIZED)
 
+    def _may_outlast_stop(self, route: HttpRoute, facts: RequestFacts) -> bool:
+        """Return whether a stream could be cut off at the end of a stop.
+
+        One that another endpoint can resume goes on after the end of its connection.
+        """
+        if not route.is_stream or route.may_run_again:
+            return False
+        return facts.prompt_tokens >= LONG_PROMPT_TOKENS
+
     def _refuse(
         self,
         caller: CallerConnection,
@@ -314,6 +329,14 @@
     NO_CONFIGURATION_RETRY_MS,
 )
 
+STOPPING = Failure(
+    Outcome.NOT_RUN,
+    ErrorCode.DRAINING,
+    "this process is stopping; another one can take the request",
+    503,
+    STOPPING_RETRY_MS,
+)
+
 NO_ROUTE = Failure(
     Outcome.NOT_RUN,
     ErrorCode.UNKNOWN_SERVICE,
