--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -272,6 +272,7 @@
     st.builds(
         EndpointWork,
         st.integers(0, 1000),
+        st.integers(0, 1000),
         st.lists(st.tuples(st.integers(0, 9), st.integers(0, 10**6)), max_size=3).map(
             tuple
         ),
--- a/wigeonwind/decisions/peer_loads.py
+++ b/wigeonwind/decisions/peer_loads.py
@@ -21,10 +21,12 @@
 class EndpointWork:
     """One entry's work at one endpoint.
 
-    `unread_by_priority` counts prompt tokens that are not read yet.
+    `unread_by_priority` counts prompt tokens that are not read yet, `long_prompts` the
+    requests among the running ones whose prompts count as long.
     """
 
     running: int
+    long_prompts: int
     unread_by_priority: tuple[tuple[int, int], ...]
 
 
@@ -69,16 +71,18 @@
         return len(self._load_by_peer)
 
 
-def sum_work(rows: Iterable[EndpointWork]) -> tuple[int, dict[int, int]]:
-    """Return running requests and unread tokens by priority of several entries.
+def sum_work(rows: Iterable[EndpointWork]) -> tuple[int, int, dict[int, int]]:
+    """Return requests, long prompts and unread tokens by priority of several entries.
 
-    >>> sum_work([EndpointWork(1, ((0, 5),)), EndpointWork(2, ((0, 1), (3, 9)))])
-    (3, {0: 6, 3: 9})
+    >>> sum_work([EndpointWork(1, 0, ((0, 5),)), EndpointWork(2, 1, ((0, 1), (3, 9)))])
+    (3, 1, {0: 6, 3: 9})
     """
     running = 0
+    long_prompts = 0
     unread: dict[int, int] = {}
     for row in rows:
         running += row.running
+        long_prompts += row.long_prompts
         for priority, tokens in row.unread_by_priority:
             unread[priority] = unread.get(priority, 0) + tokens
-    return running, unread
+    return running, long_prompts, unread
--- a/wigeonwind/decisions/work_choice.py
+++ b/wigeonwind/decisions/work_choice.py
@@ -82,9 +82,19 @@
 """Prompt from which a request counts as long: an engine reads about that much in one
 step, and streams that run beside several such steps pause too long."""
 
+LONG_TARGET_MS = 600.0
+"""Latency target from which a request can wait for an engine for long prompts."""
+
 LONG_PROMPT_SHARE = 0.4
 """Share of a service's engines on which long prompts cost no penalty."""
 
+LONG_SLOT_SHARE = 0.85
+"""Share of the slots of an engine that long prompts may hold. The rest takes what
+peers send before their messages arrive."""
+
+LONG_END_SHARE = 0.85
+"""Place in the ranking from which engines take no long prompts, as a share of it."""
+
 LONG_SPAN = 0.36
 """Penalty of a long prompt on the last engine of the ranking, in its latency targets.
 It falls to nothing towards the engines for long prompts, so that long prompts spread
@@ -133,6 +143,12 @@
     is_generation: bool = False
     target_ms: float = 0.0
 
+    @property
+    def is_long(self) -> bool:
+        """Return whether reading the prompt disturbs what runs beside it."""
+        has_time = self.target_ms >= LONG_TARGET_MS
+        return has_time and self.prompt_tokens >= LONG_PROMPT_TOKENS
+
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
@@ -168,8 +184,10 @@
         "full_until_ms",
         "heard_ms",
         "latency",
+        "long_prompts",
         "measured_ms",
         "outstanding",
+        "peer_long_prompts",
         "peer_running",
         "peer_unread",
         "short_id",
@@ -181,7 +199,9 @@
         self.candidate = candidate
         self.short_id = short_id(candidate.endpoint_id)
         self.outstanding: set[SentWork] = set()
+        self.long_prompts = 0
         self.peer_running = 0
+        self.peer_long_prompts = 0
         self.peer_unread: dict[int, int] = {}
         self.unread_by_priority: dict[int, int] = {}
         self.heard_ms = now_ms
@@ -280,6 +300,45 @@
         cost = self._cost_of(work, with_room, penalty, now_ms)
         return Chosen(min(with_room, key=cost).candidate.endpoint_id)
 
+    def has_room(self, work: Work, now_ms: float, exclude: frozenset[str]) -> bool:
+        """Return whether an engine may take a long prompt now.
+
+        Slots full of long prompts slow each other down, and leave none for short ones.
+        The share of slots that they may hold falls along the ranking; the last engines
+        take none.
+        """
+        if not work.is_long:
+            return True
+        ids = self._ids_by_service.get(work.service, ())
+        pool = [self._endpoint_by_id[name] for name in ids if name not in exclude]
+        pool = [each for each in pool if not each.is_avoided(now_ms)] or pool
+        if not pool:
+            return True
+        limits = self._long_limits(pool)
+        running = sum(each.long_prompts + each.peer_long_prompts for each in pool)
+        return running < sum(limits.values())
+
+    def is_full(self, work: Work, exclude: frozenset[str]) -> bool:
+        """Return whether hardly any engine has a free slot."""
+        ids = self._ids_by_service.get(work.service, ())
+        pool = [self._endpoint_by_id[name] for name in ids if name not in exclude]
+        slots = sum(each.candidate.slots for each in pool)
+        return sum(each.outstanding_count for each in pool) >= FULL_SHARE * slots
+
+    def _long_limits(self, pool: list[_Endpoint]) -> dict[str, float]:
+        """Return by engine how many long prompts it is meant to run."""
+        slots_by_id = {
+            each.candidate.endpoint_id: each.candidate.slots for each in pool
+        }
+        ranked = _ranked(pool)
+        count = max(1, round(len(ranked) * LONG_PROMPT_SHARE))
+        end = max(count + 1.0, LONG_END_SHARE * len(ranked))
+        limits = {}
+        for rank, name in enumerate(ranked):
+            share = min(1.0, max(0.0, (end - rank) / (end - count)))
+            limits[name] = LONG_SLOT_SHARE * share * slots_by_id[name]
+        return limits
+
     def _penalties(self, work: Work, pool: list[_Endpoint]) -> dict[str, float]:
         """Return what keeps long prompts and short ones on different engines, in ms.
 
@@ -288,14 +347,15 @@
         """
         if not work.is_generation or len(pool) < 2:
             return {}
-        ranked = sorted(each.candidate.endpoint_id for each in pool)
-        ranked.sort(key=hash_text)
+        ranked = _ranked(pool)
         count = max(1, round(len(ranked) * LONG_PROMPT_SHARE))
         others = max(1, len(ranked) - count)
-        if work.prompt_tokens >= LONG_PROMPT_TOKENS:
+        if work.is_long:
             step_ms = LONG_SPAN * work.target_ms / others
+            limits = self._long_limits(pool)
             return {
                 name: step_ms * max(0, rank - count + 1)
+                + self._excess(name, limits[name]) * SLOT_WAIT_MS
                 for rank, name in enumerate(ranked)
             }
         far_ms = SHORT_PENALTY * work.target_ms
@@ -305,6 +365,11 @@
             for rank, name in enumerate(ranked)
         }
 
+    def _excess(self, name: str, limit: float) -> float:
+        """Return by how much another long prompt would exceed an engine's limit."""
+        each = self._endpoint_by_id[name]
+        return max(0.0, each.long_prompts + each.peer_long_prompts + 1 - limit)
+
     def _home(
         self, work: Work, pool: list[_Endpoint], penalty: dict[str, float]
     ) -> str:
@@ -379,6 +444,7 @@
         expected_ms = self._expected_ms(endpoint, work, cached)
         sent = SentWork(work, endpoint_id, now_ms, unread, expected_ms)
         endpoint.outstanding.add(sent)
+        endpoint.long_prompts += work.is_long
         by_priority = endpoint.unread_by_priority
         by_priority[work.priority] = by_priority.get(work.priority, 0) + unread
         # Requests that follow at once would otherwise read the same prefix elsewhere.
@@ -396,6 +462,7 @@
         return {
             each.short_id: EndpointWork(
                 len(each.outstanding),
+                each.long_prompts,
                 tuple(pair for pair in each.unread_by_priority.items() if pair[1]),
             )
             for each in self._endpoint_by_id.values()
@@ -418,7 +485,9 @@
     def _sum_peers(self) -> None:
         for endpoint in self._endpoint_by_id.values():
             rows = self._peers.work_at(endpoint.short_id)
-            endpoint.peer_running, endpoint.peer_unread = sum_work(rows)
+            total = sum_work(rows)
+            endpoint.peer_running, endpoint.peer_long_prompts = total[:2]
+            endpoint.peer_unread = total[2]
 
     def on_peer_prefixes(
         self, prefixes: Iterable[tuple[int, int]], now_ms: float
@@ -449,6 +518,11 @@
         endpoint.latency = latency + SPEED_WEIGHT * (ratio - latency)
         endpoint.measured_ms = now_ms
 
+    def _remove(self, endpoint: _Endpoint, sent: SentWork) -> None:
+        endpoint.outstanding.discard(sent)
+        endpoint.long_prompts -= sent.work.is_long
+        self._mark_read(endpoint, sent)
+
     def _mark_read(self, endpoint: _Endpoint, sent: SentWork) -> None:
         if not sent.is_started:
             sent.is_started = True
@@ -460,8 +534,7 @@
         endpoint = self._endpoint_by_id.get(sent.endpoint_id)
         if endpoint is None or sent not in endpoint.outstanding:
             return
-        endpoint.outstanding.discard(sent)
-        self._mark_read(endpoint, sent)
+        self._remove(endpoint, sent)
         rate = endpoint.recent_error_rate(now_ms)
         endpoint.error_rate = rate + ERROR_WEIGHT * ((0.0 if ok else 1.0) - rate)
         endpoint.errors_ms = now_ms
@@ -469,10 +542,9 @@
     def on_refused(self, sent: SentWork, now_ms: float) -> None:
         """Record that the endpoint had no room; it certainly did not run it."""
         endpoint = self._endpoint_by_id.get(sent.endpoint_id)
-        if endpoint is None:
+        if endpoint is None or sent not in endpoint.outstanding:
             return
-        endpoint.outstanding.discard(sent)
-        self._mark_read(endpoint, sent)
+        self._remove(endpoint, sent)
         endpoint.full_until_ms = now_ms + FULL_MS
         for key in sent.work.prefix_keys:
             self._prefixes.remove(key, sent.endpoint_id)
@@ -491,5 +563,12 @@
         return float("inf") if endpoint is None else endpoint.silence_ms(now_ms)
 
 
+def _ranked(pool: Iterable[_Endpoint]) -> list[str]:
+    """Return the ids of endpoints in the order that all entries derive."""
+    ranked = sorted(each.candidate.endpoint_id for each in pool)
+    ranked.sort(key=hash_text)
+    return ranked
+
+
 def _score(key: int, endpoint_id: str) -> int:
     return hash_text(f"{key}|{endpoint_id}")
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from gevent import sleep
+
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.decisions.interfaces import GiveUp, NoEndpoint, RetryCause
 from wigeonwind.decisions.work_choice import SentWork
@@ -29,6 +31,16 @@
 MIN_SILENCE_MS = 500.0
 """Least silence before that; shorter ones come from long prompts and slow links."""
 
+ROOM_WAIT_SHARE = 1.5
+"""Longest wait for room, in latency targets: later the request could not be on time,
+and an answer that says when to come back is worth more to its caller."""
+
+ROOM_CHECK_MS = 25.0
+"""Interval between looks whether an engine has room."""
+
+LONG_RETRY_MS = 1_500.0
+"""Retry-After of a long prompt that found no room; bursts last some seconds."""
+
 MIN_TIME_LEFT_MS = 20.0
 """Time left below which a request is not sent: it could not be answered any more."""
 
@@ -146,6 +158,9 @@
             if self.caller.is_gone:
                 end = CallerGone()
                 break
+            if not self._wait_for_room():
+                end = NotRun("engines have no room for long prompts", False)
+                break
             endpoint = self._choose()
             if isinstance(endpoint, NoEndpoint):
                 end = self._without_endpoint(endpoint)
@@ -155,6 +170,27 @@
                 break
         self._conclude(end)
 
+    def _wait_for_room(self) -> bool:
+        """Wait until an engine may take the request; False if that takes too long."""
+        clock, choice = self.context.clock, self.context.choice
+        exclude = frozenset(self._tried)
+        turns = self.context.turns_of(self.service)
+        if not len(turns) and choice.has_room(self.work, clock.now_ms(), exclude):
+            return True
+        if not self.work.is_long:
+            return True
+        limit_ms = self.began_ms + ROOM_WAIT_SHARE * self.route.target_ms
+        ticket = turns.enter()
+        try:
+            while not self.caller.is_gone and clock.now_ms() < limit_ms:
+                is_next = turns.is_next(ticket)
+                if is_next and choice.has_room(self.work, clock.now_ms(), exclude):
+                    return True
+                sleep(ROOM_CHECK_MS / MS_PER_SECOND)
+        finally:
+            turns.leave(ticket)
+        return self.caller.is_gone or not choice.is_full(self.work, exclude)
+
     def _choose(self) -> Endpoint | NoEndpoint:
         now_ms = self.context.clock.now_ms()
         exclude = frozenset(self._tried)
@@ -513,7 +549,7 @@
                 ErrorCode.NO_ENDPOINT,
                 f"no endpoint took the request: {end.reason}",
                 503,
-                RETRY_AFTER_MS * spread,
+                (LONG_RETRY_MS if self.work.is_long else RETRY_AFTER_MS) * spread,
             )
         if isinstance(end, TimedOut):
             if not self._may_have_run:
--- a/wigeonwind/routing/forwarding_context.py
+++ b/wigeonwind/routing/forwarding_context.py
@@ -10,6 +10,7 @@
 from wigeonwind.clock import Clock
 from wigeonwind.decisions.interfaces import GiveUp, Resend, RetryCause
 from wigeonwind.decisions.retry import RetryLimits, RetryPolicy
+from wigeonwind.decisions.turns import NewestFirst
 from wigeonwind.decisions.work_choice import Work, WorkChooser
 from wigeonwind.hashing import hash_text
 from wigeonwind.routing.discovery import EndpointSet
@@ -46,6 +47,7 @@
     on_end: Observer
     on_retry: Callable[["Exchange", "SendEnd", Resend | GiveUp], None]
     log: Any = field(default_factory=lambda: get_logger("wigeonwind.routing"))
+    _turns_by_service: dict[str, NewestFirst] = field(default_factory=dict)
     _retry_by_service: dict[str, RetryPolicy] = field(default_factory=dict)
 
     def retry_of(self, service: str) -> RetryPolicy:
@@ -56,6 +58,10 @@
             self._retry_by_service[service] = policy
         return policy
 
+    def turns_of(self, service: str) -> NewestFirst:
+        """Return the requests that wait for room at a service."""
+        return self._turns_by_service.setdefault(service, NewestFirst())
+
     def pick_service(self, route: HttpRoute) -> str:
         """Return one of the services of a route, by their weights."""
         shares = route.shares
--- a/wigeonwind/routing/peer_messages.py
+++ b/wigeonwind/routing/peer_messages.py
@@ -34,7 +34,12 @@
 def encode_load(message: LoadMessage) -> bytes:
     """Return the datagram of a message."""
     work = [
-        [name, row.running, [list(pair) for pair in row.unread_by_priority]]
+        [
+            name,
+            row.running,
+            row.long_prompts,
+            [list(pair) for pair in row.unread_by_priority],
+        ]
         for name, row in message.work_by_id.items()
     ]
     return cbor2.dumps(
@@ -64,9 +69,10 @@
         rows = {
             _count(name): EndpointWork(
                 _count(running),
+                _count(long_prompts),
                 tuple((_count(level), _count(tokens)) for level, tokens in unread),
             )
-            for name, running, unread in work
+            for name, running, long_prompts, unread in work
         }
         pairs = tuple((_count(key), _count(name)) for key, name in prefixes)
         sender_id = str(sender)
