Send engines the priority of customer, then route

Engines got the customer's priority alone, so that among requests of one customer the newest was preempted, often a chat, while long prompts ran on. Ruled out now: a rush to engines that return.

--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -134,7 +134,11 @@
         self.priority = route.priority
         if customer is not None and customer.priority is not None:
             self.priority = customer.priority
-        self.work = context.work_of(self.service, self.priority, facts, route.target_ms)
+        engine_priority = PRIORITIES_PER_LEVEL * self.priority
+        engine_priority += min(route.priority, PRIORITIES_PER_LEVEL - 1)
+        self.work = context.work_of(
+            self.service, engine_priority, facts, route.target_ms
+        )
         self._events = EventSplitter(facts.after_event)
         self._first_event_ms: float | None = None
         self._last_event_ms = 0.0
