--- /dev/null
+++ b/tests/test_platform_program.py
@@ -0,0 +1,74 @@
+"""The program on the platform's machines: settings, reload, engine priorities."""
+
+import os
+import subprocess
+import sys
+
+import pytest
+from routing_fleet import RoutingFleet, configuration, route
+from test_platform_formats import NODE
+
+from wigeonwind.platform import __main__ as program
+from wigeonwind.platform.node_file import PATH_VARIABLE, read_node_file
+from wigeonwind.standins.platform_worker import Events
+
+GENERATION = ("Model: m", "Token-Usage: 900,50", "Prefix-Hash: aa:400,bb:500")
+
+
+@pytest.fixture
+def node_file(tmp_path, monkeypatch):
+    path = tmp_path / "local.toml"
+    path.write_text(NODE)
+    monkeypatch.setenv(PATH_VARIABLE, str(path))
+    return path
+
+
+def test_settings_are_read_again(node_file):
+    # Guards against a change of the settings that is never seen.
+    started_with = read_node_file(NODE).value
+    router = program.build_router(started_with)
+    node_file.write_text(NODE.replace("grace_s = 8", "grace_s = 5"))
+    program.reload_settings(router, started_with)
+    assert router.stop_limit_ms == 5000.0
+
+
+def test_a_bad_settings_file_changes_nothing(node_file):
+    # Guards against a running process that is lost to a typing error.
+    started_with = read_node_file(NODE).value
+    router = program.build_router(started_with)
+    node_file.write_text("grace_s = ")
+    program.reload_settings(router, started_with)
+    assert router.stop_limit_ms == 8000.0
+
+
+@pytest.mark.parametrize(
+    ("source", "arguments", "code"),
+    [(NODE, ["--check"], 0), ("", ["--check"], 2), (NODE, ["--other"], 2)],
+)
+def test_the_settings_can_be_checked(node_file, source, arguments, code):
+    # Guards against a bad file that is noticed only when the process is needed.
+    node_file.write_text(source)
+    command = [sys.executable, "-m", "wigeonwind.platform", *arguments]
+    done = subprocess.run(command, env=dict(os.environ), capture_output=True, text=True)
+    assert done.returncode == code
+    assert done.stdout if code == 0 else done.stderr
+
+
+def test_engines_learn_the_order_of_routes_and_customers():
+    # Guards against urgent streams that are preempted while long prompts run on (TIER
+    # on spot-grown scale-1: the customer's priority alone was sent).
+    config = configuration()
+    config["routes"].append(route("late", "/late/", "streaming", priority=2))
+    config["tenants"].append({"name": "big", "api_keys": ["key-2"], "priority": 1})
+    made = RoutingFleet(1, Events(), config)
+    try:
+        for path in ("/stream/x", "/late/x"):
+            for key in ("key-1", "key-2"):
+                headers = (*GENERATION, f"X-Api-Key: {key}")
+                made.call(path, "POST", b"p", headers)
+        worker = made.workers[0]
+        sent = [int(worker.header(n, "Request-Priority")) for n in range(4)]
+    finally:
+        made.stop()
+    urgent, urgent_of_big, late, late_of_big = sent
+    assert urgent < late < urgent_of_big < late_of_big
--- a/wigeonwind/platform/__main__.py
+++ b/wigeonwind/platform/__main__.py
@@ -3,10 +3,13 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
+from dataclasses import replace
 from pathlib import Path
 from random import Random
 
 import gevent
+from structlog import get_logger
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import SystemClock
@@ -48,6 +51,8 @@
 """A call takes 4 ms; a watch is given up 0.8 s after the store should have ended it.
 The backoff is short, since an entry without news breaks bounds of 2 s."""
 
+log = get_logger("wigeonwind.platform")
+
 SCHEMA = StoreSchema(
     CONFIGURATION_PREFIX,
     CONFIGURATION_KEY,
@@ -86,18 +91,46 @@
     return Router(router_settings, clock, rng, PlatformWire(), SCHEMA, store)
 
 
-def main() -> int:
-    """Serve until a signal ends the process."""
+def reload_settings(router: Router, started_with: NodeSettings) -> None:
+    """Read the settings file again; a bad file leaves the settings as they are.
+
+    Only the time for a stop can change. What a process listens on is set at its start.
+    """
+    found = load_settings()
+    if isinstance(found, Invalid):
+        problems = [str(problem) for problem in found.problems]
+        log.error("the settings file cannot be used", problems=problems)
+        return
+    settings = found.value
+    router.stop_limit_ms = settings.stop_limit_ms
+    needs_restart = replace(settings, stop_limit_ms=0.0) != replace(
+        started_with, stop_limit_ms=0.0
+    )
+    log.info(
+        "settings were read again",
+        stop_limit_ms=settings.stop_limit_ms,
+        needs_restart=needs_restart,
+    )
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Serve until a signal ends the process; `--check` only checks the settings."""
     found = load_settings()
     if isinstance(found, Invalid):
         for problem in found.problems:
             print(problem, file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    if arguments == ["--check"]:
+        print("the settings are valid")
+        return 0
+    if arguments:
+        print(f"unexpected argument: {arguments[0]}", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
     configure_logs()
     router = build_router(found.value)
     gevent.signal_handler(signal.SIGTERM, router.drain)
     gevent.signal_handler(signal.SIGINT, router.drain)
-    gevent.signal_handler(signal.SIGHUP, lambda: None)
+    gevent.signal_handler(signal.SIGHUP, reload_settings, router, found.value)
     try:
         router.start()
     except OSError as error:
@@ -108,4 +141,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -95,6 +95,8 @@
         store: RouterStore,
     ) -> None:
         self._settings = settings
+        self.stop_limit_ms = settings.stop_limit_ms
+        """Time for a graceful stop; may change while the process runs."""
         self._clock = clock
         self._wire = wire
         self.metrics = RoutingMetrics(clock)
@@ -293,7 +295,7 @@
         log.info("stopping", connections=len(self._connections))
         for connection in self._connections:
             connection.is_closing = True
-        end_ms = began_ms + self._settings.stop_limit_ms - STOP_MARGIN_MS
+        end_ms = began_ms + self.stop_limit_ms - STOP_MARGIN_MS
         self._wait_until(lambda: False, began_ms + NO_NEW_CALLERS_MS)
         self._server.close()
         for connection in list(self._connections):
