--- a/wigeonwind/decisions/work_choice.py
+++ b/wigeonwind/decisions/work_choice.py
@@ -158,7 +158,6 @@
     service: str
     zone: str
     slots: int
-    warmup_ms: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
--- a/wigeonwind/platform/__main__.py
+++ b/wigeonwind/platform/__main__.py
@@ -12,7 +12,7 @@
 from structlog import get_logger
 
 from wigeonwind.addresses import SocketAddress
-from wigeonwind.clock import SystemClock
+from wigeonwind.clock import MS_PER_SECOND, SystemClock
 from wigeonwind.outcomes import Invalid, Ok, Problem
 from wigeonwind.platform.configuration import (
     CONFIGURATION_KEY,
@@ -43,6 +43,9 @@
 METRICS_PORT = 9464
 """Port that deploy/system.toml names for metrics."""
 
+SETTINGS_CHECK_MS = 5_000.0
+"""Interval between looks at the settings file; a change of it is never urgent."""
+
 STORE_LIMITS = StoreLimits(
     reads=LaneLimits(2, 20, 1_500, longest_backoff_ms=300),
     writes=LaneLimits(2, 10, 1_500, longest_backoff_ms=300),
@@ -113,6 +116,25 @@
     )
 
 
+def watch_settings(router: Router, started_with: NodeSettings) -> None:
+    """Read the settings again when the file changes, which no signal may tell."""
+    path = Path(os.environ.get(PATH_VARIABLE, ""))
+    changed_ns = _modified_ns(path)
+    while True:
+        gevent.sleep(SETTINGS_CHECK_MS / MS_PER_SECOND)
+        if _modified_ns(path) != changed_ns:
+            changed_ns = _modified_ns(path)
+            reload_settings(router, started_with)
+
+
+def _modified_ns(path: Path) -> int:
+    """Return when a file was last changed, 0 if it is not there."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
 def main(arguments: Sequence[str]) -> int:
     """Serve until a signal ends the process; `--check` only checks the settings."""
     found = load_settings()
@@ -136,6 +158,7 @@
     except OSError as error:
         print(f"cannot listen: {error}", file=sys.stderr)
         return EXIT_ADDRESS_TAKEN
+    gevent.spawn(watch_settings, router, found.value)
     router.stopped.wait()
     return 0
 
--- a/wigeonwind/platform/configuration.py
+++ b/wigeonwind/platform/configuration.py
@@ -5,10 +5,8 @@
 from wigeonwind.outcomes import Invalid, Ok, Problem
 from wigeonwind.routing.routes import (
     CallerLimits,
-    EngineInfo,
     HttpCustomer,
     HttpRoute,
-    HttpService,
     Repetition,
     RouteTable,
     ServiceShare,
@@ -47,17 +45,8 @@
     """Longest pause between events of a stream that is on time."""
 
 
-class _Engine(msgspec.Struct):
-    capacity: int = 1
-    """Requests that run at a time."""
-    kv_capacity: int = 0
-    """Tokens of KV cache."""
-
-
 class _Backend(msgspec.Struct):
     name: str
-    max_conns: int = 100
-    engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct):
@@ -96,7 +85,7 @@
         RouteTable(
             found.version,
             tuple(_route(each) for each in found.routes),
-            {each.name: _service(each) for each in found.backends},
+            tuple(each.name for each in found.backends),
             {
                 key: HttpCustomer(tenant.name, tenant.priority)
                 for tenant in tenants
@@ -137,10 +126,3 @@
     if route.route_type == STREAMING and route.resumable:
         return Repetition.RESUMABLE
     return Repetition.ONCE
-
-
-def _service(backend: _Backend) -> HttpService:
-    engine = None
-    if backend.engine is not None:
-        engine = EngineInfo(backend.engine.capacity, backend.engine.kv_capacity)
-    return HttpService(backend.name, backend.max_conns, engine)
--- a/wigeonwind/platform/endpoint_entries.py
+++ b/wigeonwind/platform/endpoint_entries.py
@@ -21,7 +21,6 @@
     capacity: int
     """Requests that it runs at a time."""
     seq: int
-    warmup_left_ms: float = 0.0
     born: int = 0
     """Unix time of its start in milliseconds; the same id may start again."""
 
@@ -54,5 +53,4 @@
         entry.born,
         max(1, entry.capacity),
         entry.state == DRAINING,
-        entry.warmup_left_ms,
     )
--- a/wigeonwind/platform/headers.py
+++ b/wigeonwind/platform/headers.py
@@ -57,15 +57,14 @@
         dropped |= _named_by_connection(by_name.get(b"connection", b""))
         dropped -= {b"host", REQUEST_ID}
         api_key = by_name.get(API_KEY)
-        prompt, output = _token_counts(by_name.get(TOKENS, b""))
+        prompt_tokens = by_name.get(TOKENS, b"").partition(b",")[0]
         return RequestFacts(
             by_name.get(REQUEST_ID, b"").decode("latin-1"),
             _host(by_name.get(b"host", b"")),
             tuple(each for each in headers if each[0].lower() not in dropped),
             None if api_key is None else api_key.decode("latin-1"),
             _number(by_name.get(DEADLINE)),
-            prompt,
-            output,
+            int(_number(prompt_tokens) or 0),
             tuple(_prompt_parts(by_name.get(PREFIX, b""))),
             _event_id(by_name.get(LAST_EVENT)),
         )
@@ -125,12 +124,6 @@
     return None if number is None else int(number)
 
 
-def _token_counts(value: bytes) -> tuple[int, int]:
-    """Return prompt tokens and the maximum of output tokens."""
-    prompt, _, output = value.partition(b",")
-    return int(_number(prompt) or 0), int(_number(output) or 0)
-
-
 def _prompt_parts(value: bytes) -> Iterator[PromptPart]:
     """Yield the ID:TOKENS entries, up to the first that cannot be read."""
     for entry in value.split(b","):
--- a/wigeonwind/routing/answer_parser.py
+++ b/wigeonwind/routing/answer_parser.py
@@ -4,6 +4,7 @@
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
+from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.routing.wire import Header
 
 FIRST_FINAL_STATUS = 200
@@ -104,3 +105,14 @@
         """Finish an answer (called by the parser)."""
         self._answer.is_complete = True
         self.is_inside = False
+
+
+def keep_alive_ms(answer: Answer) -> float | None:
+    """Return the `timeout` of a Keep-Alive header in milliseconds, if there is one."""
+    for name, value in answer.headers:
+        if name.lower() == b"keep-alive":
+            for part in value.split(b","):
+                key, _, number = part.strip().partition(b"=")
+                if key.lower() == b"timeout" and number.isdigit():
+                    return int(number) * MS_PER_SECOND
+    return None
--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -169,7 +169,7 @@
                 self._pool.forget(key)
         self._usable_by_key = usable
         candidates = [
-            Candidate(each.key, each.service, each.zone, each.slots, each.warmup_ms)
+            Candidate(each.key, each.service, each.zone, each.slots)
             for each in sorted(usable.values(), key=lambda each: each.key)
         ]
         self._choice.set_candidates(candidates, self._clock.now_ms())
--- a/wigeonwind/routing/endpoints.py
+++ b/wigeonwind/routing/endpoints.py
@@ -13,7 +13,6 @@
     """One endpoint.
 
     `started_ms` is the Unix time of its start in milliseconds, 0 if it does not say.
-    `warmup_ms` is how much longer it is slow after its start.
     """
 
     instance_id: str
@@ -23,7 +22,6 @@
     started_ms: int = 0
     slots: int = 0
     is_draining: bool = False
-    warmup_ms: float = 0.0
 
     @property
     def key(self) -> EndpointKey:
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -1,14 +1,12 @@
 """One caller's request: its sends, retries, resumption, and its answer."""
 
-from dataclasses import dataclass
-
 from gevent import sleep
 
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.decisions.interfaces import GiveUp, NoEndpoint, RetryCause
 from wigeonwind.decisions.work_choice import SentWork
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
-from wigeonwind.routing.answer_parser import Answer
+from wigeonwind.routing.answer_parser import Answer, keep_alive_ms
 from wigeonwind.routing.caller_connection import CallerConnection, CallerGoneError
 from wigeonwind.routing.endpoint_connection import ConnectFailure, EndpointConnection
 from wigeonwind.routing.endpoints import Endpoint
@@ -16,6 +14,15 @@
 from wigeonwind.routing.forwarding_context import ForwardingContext
 from wigeonwind.routing.request_parser import HttpRequest
 from wigeonwind.routing.routes import HttpCustomer, HttpRoute
+from wigeonwind.routing.send_ends import (
+    Broken,
+    CallerGone,
+    Delivered,
+    Failed,
+    NotRun,
+    SendEnd,
+    TimedOut,
+)
 from wigeonwind.routing.wire import AnswerFacts, RequestFacts, SendFacts
 
 MAX_SENDS = 6
@@ -57,54 +64,6 @@
 """Random part of Retry-After, so that refused callers do not return together."""
 
 
-@dataclass(frozen=True, slots=True)
-class Delivered:
-    """The caller has the whole answer; `ok` is whether it was a success."""
-
-    status: int
-
-
-@dataclass(frozen=True, slots=True)
-class NotRun:
-    """The endpoint certainly did not run the request.
-
-    `was_sent` is False if not even a byte of it left; `is_stranger` says that another
-    endpoint has taken over the address.
-    """
-
-    reason: str
-    was_sent: bool
-    is_stranger: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Broken:
-    """There is no whole answer, and the request may have run."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Failed:
-    """The endpoint answered with a failure that another one may not share."""
-
-    answer: Answer
-    facts: AnswerFacts
-
-
-@dataclass(frozen=True, slots=True)
-class TimedOut:
-    """The time for the request is over."""
-
-
-@dataclass(frozen=True, slots=True)
-class CallerGone:
-    """The caller has closed its connection."""
-
-
-SendEnd = Delivered | NotRun | Broken | Failed | TimedOut | CallerGone
-
-
 class Exchange:
     """Forwards one request of one route and answers its caller."""
 
@@ -475,7 +434,7 @@
         parser = connection.parser
         is_clean = not (parser.heads or parser.is_inside or parser.error)
         if is_clean and parser.keeps_alive and not connection.is_ended:
-            self.context.pool.give_back(connection, _keep_alive_ms(answer))
+            self.context.pool.give_back(connection, keep_alive_ms(answer))
         else:
             connection.close()
 
@@ -588,14 +547,3 @@
     def sends(self) -> int:
         """Return how often the request was sent."""
         return self._sends
-
-
-def _keep_alive_ms(answer: Answer) -> float | None:
-    """Return the `timeout` of a Keep-Alive header."""
-    for name, value in answer.headers:
-        if name.lower() == b"keep-alive":
-            for part in value.split(b","):
-                key, _, number = part.strip().partition(b"=")
-                if key.lower() == b"timeout" and number.isdigit():
-                    return int(number) * MS_PER_SECOND
-    return None
--- a/wigeonwind/routing/forwarding_context.py
+++ b/wigeonwind/routing/forwarding_context.py
@@ -16,10 +16,11 @@
 from wigeonwind.routing.discovery import EndpointSet
 from wigeonwind.routing.endpoint_connection import EndpointPool
 from wigeonwind.routing.routes import HttpRoute
+from wigeonwind.routing.send_ends import SendEnd
 from wigeonwind.routing.wire import RequestFacts, Wire
 
 if TYPE_CHECKING:
-    from wigeonwind.routing.exchange import Exchange, SendEnd
+    from wigeonwind.routing.exchange import Exchange
 
 RETRY_LIMITS = RetryLimits(
     budget_share=0.12,
@@ -31,7 +32,7 @@
 window for all entries together; the floor is an entry's part of that number where there
 are 30 of them. Another endpoint is tried at once, as deadlines are short."""
 
-Observer = Callable[["Exchange", "SendEnd"], None]
+Observer = Callable[["Exchange", SendEnd], None]
 
 
 @dataclass
@@ -45,7 +46,7 @@
     choice: WorkChooser
     rng: Random
     on_end: Observer
-    on_retry: Callable[["Exchange", "SendEnd", Resend | GiveUp], None]
+    on_retry: Callable[["Exchange", SendEnd, Resend | GiveUp], None]
     log: Any = field(default_factory=lambda: get_logger("wigeonwind.routing"))
     _turns_by_service: dict[str, NewestFirst] = field(default_factory=dict)
     _retry_by_service: dict[str, RetryPolicy] = field(default_factory=dict)
@@ -93,11 +94,11 @@
         )
 
     def note_retry(
-        self, exchange: "Exchange", end: "SendEnd", decision: Resend | GiveUp
+        self, exchange: "Exchange", end: SendEnd, decision: Resend | GiveUp
     ) -> None:
         """Record that a send failed and whether another follows."""
         self.on_retry(exchange, end, decision)
 
-    def note_end(self, exchange: "Exchange", end: "SendEnd") -> None:
+    def note_end(self, exchange: "Exchange", end: SendEnd) -> None:
         """Record how a request ended."""
         self.on_end(exchange, end)
--- a/wigeonwind/routing/routes.py
+++ b/wigeonwind/routing/routes.py
@@ -53,27 +53,6 @@
         return self.repetition is not Repetition.ONCE
 
 
-@dataclass(frozen=True, slots=True)
-class EngineInfo:
-    """What the configuration says of a service's model engines.
-
-    `slots` is the number of requests that one engine runs at a time, `cache_tokens` the
-    tokens of KV cache it holds.
-    """
-
-    slots: int
-    cache_tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class HttpService:
-    """A service that requests are forwarded to."""
-
-    name: str
-    max_connections: int
-    engine: EngineInfo | None = None
-
-
 @dataclass(frozen=True, slots=True)
 class HttpCustomer:
     """A customer; `priority` replaces that of the route where it is not None."""
@@ -106,7 +85,7 @@
 
     version: int
     routes: tuple[HttpRoute, ...] = ()
-    service_by_name: Mapping[str, HttpService] = field(default_factory=_empty_map)
+    service_names: tuple[str, ...] = ()
     customer_by_key: Mapping[str, HttpCustomer] = field(default_factory=_empty_map)
     needs_key: bool = False
     limits: CallerLimits = CallerLimits()
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -5,17 +5,17 @@
 from wigeonwind.clock import Clock
 from wigeonwind.decisions.interfaces import GiveUp, Resend
 from wigeonwind.outcomes import Failure
-from wigeonwind.routing.exchange import (
+from wigeonwind.routing.exchange import Exchange
+from wigeonwind.routing.routes import RouteTable
+from wigeonwind.routing.send_ends import (
     Broken,
     CallerGone,
     Delivered,
-    Exchange,
     Failed,
     NotRun,
     SendEnd,
     TimedOut,
 )
-from wigeonwind.routing.routes import RouteTable
 from wigeonwind.routing.wire import RequestFacts
 from wigeonwind.runtime.metrics import Metrics
 
--- a/wigeonwind/routing/routing_state.py
+++ b/wigeonwind/routing/routing_state.py
@@ -62,7 +62,7 @@
             version=table.version,
             before=in_force,
             routes=len(table.routes),
-            services=len(table.service_by_name),
+            services=len(table.service_names),
             keys=len(table.customer_by_key),
         )
         self._on_table(table)
--- a/wigeonwind/routing/wire.py
+++ b/wigeonwind/routing/wire.py
@@ -33,7 +33,6 @@
     api_key: str | None = None
     wait_ms: float | None = None
     prompt_tokens: int = 0
-    max_output_tokens: int = 0
     prompt_parts: tuple[PromptPart, ...] = ()
     after_event: int | None = None
     """Id of the last event the caller has of a stream that it resumes."""
