--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -39,7 +39,7 @@
 
 def test_every_exit_code_is_explained():
     # Guards against scripts that meet a code without a meaning.
-    table = page("operations.md").split("## Exit codes")[1].split("## ")[0]
+    table = page("OPERATIONS.md").split("## Exit codes")[1].split("## ")[0]
     of_daemon, of_tool = table.split("| `wigeonctl`")
     names = {**vars(daemon), **vars(process)}
     codes = {names[name] for name in names if name.startswith("EXIT_")}
