--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from routing_fleet import configuration
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.outcomes import Invalid, Ok
 from wigeonwind.platform.configuration import read_configuration
 from wigeonwind.platform.endpoint_entries import read_endpoint
@@ -61,6 +62,33 @@
     assert table.customer_by_key["key-1"].priority == 0
 
 
+@pytest.mark.parametrize(
+    ("engine", "rate"),
+    [
+        ({"moves": True, "kv_token_bytes": 18432, "link_mbps": 180_000.0}, 1220.7),
+        ({"moves": False, "kv_token_bytes": 18432, "link_mbps": 180_000.0}, None),
+        ({"moves": True, "kv_token_bytes": 0, "link_mbps": 180_000.0}, None),
+        (None, None),
+    ],
+)
+def test_the_rate_of_copies_between_engines_is_decoded(engine, rate):
+    # Guards against copies that engines do not make, and against a division by zero.
+    document = configuration(7)
+    document["backends"][0]["engine"] = engine
+    found = read_configuration(dumps(document))
+    assert isinstance(found, Ok)
+    expected = {} if rate is None else {"desk": pytest.approx(rate, abs=0.1)}
+    assert found.value.fetch_rate_by_service == expected
+
+
+def test_the_source_of_a_copy_is_named():
+    # Guards against an engine that reads a shared prefix again though it was told.
+    facts = PlatformWire().read_request(((b"Request-Id", b"r1"),))
+    send = SendFacts(100.0, "i-1", fetch_from=SocketAddress("10.0.0.1", 80))
+    lines = PlatformWire().endpoint_headers(facts, send)
+    assert b"\r\nKv-Fetch: 10.0.0.1:80\r\n" in lines
+
+
 @given(st.binary(max_size=100) | JSON.map(dumps))
 def test_any_configuration_is_read_or_refused(value):
     # Guards against an exception that ends the following of the store.
--- a/tests/test_routing_requests.py
+++ b/tests/test_routing_requests.py
@@ -201,6 +201,13 @@
     assert first_request(made).header(0, "Request-Priority") is not None
 
 
+def test_a_caller_cannot_name_the_source_of_a_copy():
+    # Guards against an engine that is sent to an address of a caller's choice.
+    with fleet(usual=Events()) as made:
+        made.call("/resume/x", headers=(*GENERATION, "Kv-Fetch: 10.0.0.9:1"))
+    assert first_request(made).header(0, "Kv-Fetch") is None
+
+
 def test_a_stream_that_ends_with_its_connection_is_whole():
     # Guards against a stream without a length that is taken for a broken one.
     with fleet(usual=Events(has_length=False)) as made:
--- a/tests/test_work_choice.py
+++ b/tests/test_work_choice.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wigeonwind.decisions.interfaces import Chosen, NoEndpoint
+from wigeonwind.decisions.interfaces import NoEndpoint
 from wigeonwind.decisions.peer_loads import MAX_AGE_MS, EndpointWork, short_id
 from wigeonwind.decisions.work_choice import (
     FULL_SHARE,
@@ -12,6 +12,7 @@
     SILENT_MS,
     UNREACHABLE_MS,
     Candidate,
+    Placement,
     Work,
     WorkChooser,
 )
@@ -34,7 +35,7 @@
 
 def pick(made, work, now_ms=0.0, exclude=NOBODY):
     chosen = made.choose(work, now_ms, exclude)
-    assert isinstance(chosen, Chosen)
+    assert isinstance(chosen, Placement)
     return chosen.endpoint_id
 
 
@@ -88,6 +89,46 @@
     assert first.take_new_prefixes() == ()
 
 
+def busy_home(rate_by_service):
+    """Return a chooser, a long prompt, and the busy engine that caches its prefix."""
+    made = chooser()
+    made.set_fetch_rates(rate_by_service)
+    work = prompt(12_000, (1, 2, 3), (500, 5_000, 12_000), shared=2, target_ms=1200.0)
+    home = pick(made, work)
+    for _ in range(90):
+        made.on_sent(home, work, 0.0)
+    return made, work, home
+
+
+def test_a_prefix_that_another_engine_holds_is_copied():
+    # Guards against shared prefixes that are read again where their engine is busy
+    # (spot-grown scale-1: 6.7 M tokens, a quarter of all that were shared).
+    made, work, home = busy_home({"llm": 1_220.0})
+    placement = made.choose(work, 0.0, NOBODY)
+    assert placement.endpoint_id != home
+    assert placement.fetch_from == home
+    sent = made.on_sent(placement.endpoint_id, work, 0.0, home)
+    assert sent.unread_tokens < work.prompt_tokens
+    assert made.choose(prompt(600), 0.0, NOBODY).fetch_from is None
+
+
+def test_nothing_is_copied_from_an_engine_that_is_gone():
+    # Guards against waiting for a copy from an address that no longer answers.
+    made, work, home = busy_home({"llm": 1_220.0})
+    made.on_unreachable(home, 0.0)
+    placement = made.choose(work, 1.0, NOBODY)
+    assert placement.endpoint_id != home
+    assert placement.fetch_from is None
+
+
+def test_engines_that_cannot_copy_are_not_asked_to():
+    # Guards against copies that a service's engines do not make.
+    made, work, home = busy_home({"other": 1_220.0})
+    placement = made.choose(work, 0.0, NOBODY)
+    assert placement.endpoint_id != home
+    assert placement.fetch_from is None
+
+
 def test_the_work_of_peers_counts():
     # Guards against entries that all rush to the engine that each finds idle.
     made = chooser()
--- a/wigeonwind/decisions/work_choice.py
+++ b/wigeonwind/decisions/work_choice.py
@@ -4,11 +4,11 @@
 queue: all that is known is this entry's own work and what its answers tell.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 
-from wigeonwind.decisions.interfaces import Chosen, NoEndpoint
+from wigeonwind.decisions.interfaces import NoEndpoint
 from wigeonwind.decisions.peer_loads import (
     EndpointWork,
     PeerLoads,
@@ -39,6 +39,16 @@
 REREAD_MS = 0.08
 """Cost of a token of a shared prefix that is read again at another endpoint."""
 
+FETCH_SETUP_MS = 8.0
+"""Time until a copy of KV cache from another engine begins."""
+
+FETCH_MS = 0.006
+"""Cost of a token of KV cache that is copied, on top of the time. The sheets price it
+at a thirteenth of a shared token that is read again."""
+
+MIN_FETCH_TOKENS = 400
+"""Least tokens that are copied: reading fewer is as fast as to set up a copy."""
+
 HOME_PENALTY_MS = 40.0
 """Largest penalty of an endpoint that may be the home of a prefix."""
 
@@ -172,6 +182,44 @@
     is_started: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The endpoint for a request.
+
+    `fetch_from` is the endpoint from which it copies KV cache of the prompt first.
+    """
+
+    endpoint_id: str
+    fetch_from: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class _CachedPrompt:
+    """Where a prompt is cached: tokens by endpoint, and the longest that can be copied.
+
+    `sources` are the endpoints with the most tokens that answer, best first.
+    """
+
+    tokens_by_id: dict[str, float]
+    sources: tuple[str, ...]
+    fetch_rate: float
+
+    def source_for(self, endpoint_id: str) -> str | None:
+        """Return the endpoint from which a copy pays, None if there is none."""
+        if not self.fetch_rate:
+            return None
+        for source in self.sources:
+            if source != endpoint_id:
+                more = self.fetched_tokens(endpoint_id, source)
+                return source if more >= MIN_FETCH_TOKENS else None
+        return None
+
+    def fetched_tokens(self, endpoint_id: str, source: str) -> float:
+        """Return the tokens that `source` has beyond those of an endpoint."""
+        own = self.tokens_by_id.get(endpoint_id, 0.0)
+        return max(0.0, self.tokens_by_id[source] - own)
+
+
 class _Endpoint:
     """What this entry knows of one endpoint."""
 
@@ -270,6 +318,11 @@
         self._peers = PeerLoads()
         self._id_by_short: dict[int, str] = {}
         self._new_prefixes: list[tuple[int, int]] = []
+        self._fetch_rate_by_service: Mapping[str, float] = {}
+
+    def set_fetch_rates(self, rate_by_service: Mapping[str, float]) -> None:
+        """Set the tokens of KV cache that engines copy in a ms, by service."""
+        self._fetch_rate_by_service = rate_by_service
 
     def set_candidates(self, candidates: Iterable[Candidate], now_ms: float) -> None:
         """Replace the endpoints that may get new work."""
@@ -286,7 +339,7 @@
 
     def choose(
         self, work: Work, now_ms: float, exclude: frozenset[str]
-    ) -> Chosen | NoEndpoint:
+    ) -> Placement | NoEndpoint:
         """Choose an endpoint that is not in `exclude`."""
         ids = self._ids_by_service.get(work.service, ())
         pool = [self._endpoint_by_id[name] for name in ids if name not in exclude]
@@ -296,8 +349,10 @@
         usable = [each for each in pool if not each.is_avoided(now_ms)] or pool
         with_room = [each for each in usable if each.full_until_ms <= now_ms] or usable
         penalty = self._penalties(work, with_room)
-        cost = self._cost_of(work, with_room, penalty, now_ms)
-        return Chosen(min(with_room, key=cost).candidate.endpoint_id)
+        cached = self._cached_prompt(work, usable, now_ms)
+        cost = self._cost_of(work, with_room, penalty, cached, now_ms)
+        name = min(with_room, key=cost).candidate.endpoint_id
+        return Placement(name, cached.source_for(name))
 
     def has_room(self, work: Work, now_ms: float, exclude: frozenset[str]) -> bool:
         """Return whether an engine may take a long prompt now.
@@ -386,10 +441,11 @@
         work: Work,
         pool: list[_Endpoint],
         penalty: dict[str, float],
+        prompt: _CachedPrompt,
         now_ms: float,
     ) -> Callable[[_Endpoint], float]:
         """Return the function that estimates the cost of an endpoint in ms."""
-        cached_by_id = self._cached_tokens(work, now_ms)
+        cached_by_id = dict(prompt.tokens_by_id)
         shared_tokens = 0
         if work.shared_prefixes:
             shared_tokens = work.prefix_tokens[work.shared_prefixes - 1]
@@ -402,8 +458,17 @@
         def cost(endpoint: _Endpoint) -> float:
             name = endpoint.candidate.endpoint_id
             cached = cached_by_id.get(name, 0.0)
+            source = prompt.source_for(name)
+            fetch_ms = 0.0
+            if source is not None:
+                fetched = prompt.fetched_tokens(name, source)
+                cached += fetched
+                fetch_ms = FETCH_SETUP_MS + fetched * (
+                    FETCH_MS + 1.0 / prompt.fetch_rate
+                )
             total = self._expected_ms(endpoint, work, cached)
             total *= endpoint.relative_latency(now_ms)
+            total += fetch_ms
             total += max(0.0, shared_tokens - cached) * REREAD_MS
             total += endpoint.recent_error_rate(now_ms) * ERROR_PENALTY_MS
             if endpoint.candidate.zone != self._own_zone:
@@ -433,9 +498,29 @@
             cached_by_id.setdefault(name, float(work.prefix_tokens[index]))
         return cached_by_id
 
-    def on_sent(self, endpoint_id: str, work: Work, now_ms: float) -> SentWork:
+    def _cached_prompt(
+        self, work: Work, pool: list[_Endpoint], now_ms: float
+    ) -> _CachedPrompt:
+        tokens_by_id = self._cached_tokens(work, now_ms)
+        names = {each.candidate.endpoint_id for each in pool}
+        sources = sorted(
+            (name for name in tokens_by_id if name in names),
+            key=lambda name: -tokens_by_id[name],
+        )
+        rate = self._fetch_rate_by_service.get(work.service, 0.0)
+        return _CachedPrompt(tokens_by_id, tuple(sources), rate)
+
+    def on_sent(
+        self,
+        endpoint_id: str,
+        work: Work,
+        now_ms: float,
+        fetch_from: str | None = None,
+    ) -> SentWork:
         """Record that a request is sent; the result is passed to the other calls."""
-        cached = self._cached_tokens(work, now_ms).get(endpoint_id, 0.0)
+        tokens_by_id = self._cached_tokens(work, now_ms)
+        held_by = (endpoint_id, fetch_from or "")
+        cached = max(tokens_by_id.get(name, 0.0) for name in held_by)
         unread = max(0, work.prompt_tokens - int(cached))
         endpoint = self._endpoint_by_id.get(endpoint_id)
         if endpoint is None:
--- a/wigeonwind/platform/configuration.py
+++ b/wigeonwind/platform/configuration.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.outcomes import Invalid, Ok, Problem
 from wigeonwind.routing.routes import (
     CallerLimits,
@@ -15,6 +16,9 @@
 CONFIGURATION_PREFIX = "config/"
 CONFIGURATION_KEY = "config/main"
 
+BITS_PER_MEGABIT = 1_000_000
+BITS_PER_BYTE = 8
+
 STREAMING = "streaming"
 SAFE = "safe"
 
@@ -45,8 +49,19 @@
     """Longest pause between events of a stream that is on time."""
 
 
+class _Engine(msgspec.Struct):
+    moves: bool = False
+    """Whether engines copy KV cache from each other."""
+    kv_token_bytes: float = 0.0
+    """Size of the KV cache of one token."""
+    link_mbps: float = 0.0
+    """Rate of copies, in megabits a second."""
+
+
 class _Backend(msgspec.Struct):
     name: str
+    engine: _Engine | None = None
+    """Missing for services that are no model engines."""
 
 
 class _Limits(msgspec.Struct):
@@ -98,10 +113,23 @@
                 found.limits.header_timeout_ms,
                 found.limits.idle_timeout_ms,
             ),
+            {
+                each.name: _fetch_rate(each.engine)
+                for each in found.backends
+                if each.engine is not None and _fetch_rate(each.engine) > 0.0
+            },
         )
     )
 
 
+def _fetch_rate(engine: _Engine) -> float:
+    """Return the tokens of KV cache that are copied in a millisecond, 0 for none."""
+    if not engine.moves or engine.kv_token_bytes <= 0.0:
+        return 0.0
+    bytes_per_ms = engine.link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE / MS_PER_SECOND
+    return bytes_per_ms / engine.kv_token_bytes
+
+
 def _route(route: _Route) -> HttpRoute:
     shares = tuple(ServiceShare(each.backend, each.weight) for each in route.split)
     return HttpRoute(
--- a/wigeonwind/platform/headers.py
+++ b/wigeonwind/platform/headers.py
@@ -79,6 +79,8 @@
         if send.priority is not None:
             priority = min(max(send.priority, 0), MAX_PRIORITY)
             lines.append(b"Request-Priority: %d\r\n" % priority)
+        if send.fetch_from is not None:
+            lines.append(b"Kv-Fetch: %s\r\n" % str(send.fetch_from).encode())
         if send.after_event is not None:
             lines.append(b"Last-Event-Id: %d\r\n" % send.after_event)
         return b"".join(lines)
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -1,7 +1,10 @@
 """One caller's request: its sends, retries, resumption, and its answer."""
 
+from dataclasses import dataclass
+
 from gevent import sleep
 
+from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.decisions.interfaces import GiveUp, NoEndpoint, RetryCause
 from wigeonwind.decisions.work_choice import SentWork
@@ -64,6 +67,14 @@
 """Random part of Retry-After, so that refused callers do not return together."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Target:
+    """Where a request is sent, and the endpoint whose KV cache is copied first."""
+
+    endpoint: Endpoint
+    fetch_from: Endpoint | None
+
+
 class Exchange:
     """Forwards one request of one route and answers its caller."""
 
@@ -110,6 +121,7 @@
         self._refused_reason = ""
         self.last_endpoint_id = ""
         self._connection: EndpointConnection | None = None
+        self._fetch_from: SocketAddress | None = None
         self._kept_failure: Failed | None = None
 
     def run(self) -> None:
@@ -124,11 +136,12 @@
             if not self._wait_for_room():
                 end = NotRun("engines have no room for long prompts", False)
                 break
-            endpoint = self._choose()
-            if isinstance(endpoint, NoEndpoint):
-                end = self._without_endpoint(endpoint)
+            target = self._choose()
+            if isinstance(target, NoEndpoint):
+                end = self._without_endpoint(target)
                 break
-            end = self._send_to(endpoint)
+            endpoint = target.endpoint
+            end = self._send_to(target)
             if not self._goes_on(endpoint, end):
                 break
         self._conclude(end)
@@ -154,7 +167,7 @@
             turns.leave(ticket)
         return self.caller.is_gone or not choice.is_full(self.work, exclude)
 
-    def _choose(self) -> Endpoint | NoEndpoint:
+    def _choose(self) -> _Target | NoEndpoint:
         now_ms = self.context.clock.now_ms()
         exclude = frozenset(self._tried)
         while True:
@@ -163,7 +176,8 @@
                 return chosen
             endpoint = self.context.endpoints.get(chosen.endpoint_id)
             if endpoint is not None:
-                return endpoint
+                source = self.context.endpoints.get(chosen.fetch_from or "")
+                return _Target(endpoint, source)
             exclude |= {chosen.endpoint_id}
 
     def _without_endpoint(self, none: NoEndpoint) -> SendEnd:
@@ -182,8 +196,9 @@
     def _ends_with_caller(self) -> bool:
         return self.route.may_run_again or self.route.is_stream
 
-    def _send_to(self, endpoint: Endpoint) -> SendEnd:
+    def _send_to(self, target: _Target) -> SendEnd:
         """Send the request to one endpoint and pass its answer on."""
+        endpoint = target.endpoint
         self.last_endpoint_id = endpoint.instance_id
         connection = self._connect(endpoint)
         if isinstance(connection, ConnectFailure):
@@ -197,7 +212,11 @@
         if self.caller.is_gone or left_ms < MIN_TIME_LEFT_MS:
             connection.close()
             return CallerGone() if self.caller.is_gone else TimedOut()
-        sent = self.context.choice.on_sent(endpoint.key, self.work, now_ms)
+        source = target.fetch_from
+        self._fetch_from = None if source is None else source.address
+        sent = self.context.choice.on_sent(
+            endpoint.key, self.work, now_ms, None if source is None else source.key
+        )
         self._sends += 1
         end: SendEnd = Broken("the exchange was cut short")
         try:
@@ -274,7 +293,9 @@
         after = self._events.last_id if self.route.is_stream else None
         customer = self.customer.name if self.customer is not None else None
         priority = self.work.priority if self.work.is_generation else None
-        send = SendFacts(left_ms, endpoint.instance_id, priority, customer, after)
+        send = SendFacts(
+            left_ms, endpoint.instance_id, priority, customer, after, self._fetch_from
+        )
         head = b"%s %s HTTP/1.1\r\n" % (request.method, request.target)
         head += self.context.wire.endpoint_headers(facts, send)
         if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -101,7 +101,7 @@
         self._wire = wire
         self.metrics = RoutingMetrics(clock)
         self.pool = EndpointPool(clock, self.metrics.count_connection)
-        choice = WorkChooser(settings.zone, rng)
+        self._choice = choice = WorkChooser(settings.zone, rng)
         self.endpoints = EndpointSet(clock, choice, self.pool)
         self.configuration = ConfigurationFollower(schema, self._on_table)
         self._context = ForwardingContext(
@@ -184,6 +184,7 @@
         )
 
     def _on_table(self, table: RouteTable) -> None:
+        self._choice.set_fetch_rates(table.fetch_rate_by_service)
         self.metrics.on_table(table)
 
     def _on_discovery_reachable(self, is_reachable: bool) -> None:
--- a/wigeonwind/routing/routes.py
+++ b/wigeonwind/routing/routes.py
@@ -80,7 +80,8 @@
     """One version of the routing configuration.
 
     `needs_key` says that requests of routes that are not public must carry the API key
-    of a customer.
+    of a customer. `fetch_rate_by_service` has the tokens of KV cache that an engine
+    copies from another one in a millisecond, for the services whose engines can.
     """
 
     version: int
@@ -89,6 +90,7 @@
     customer_by_key: Mapping[str, HttpCustomer] = field(default_factory=_empty_map)
     needs_key: bool = False
     limits: CallerLimits = CallerLimits()
+    fetch_rate_by_service: Mapping[str, float] = field(default_factory=_empty_map)
     _routes_by_host: dict[str, dict[str, HttpRoute]] = field(
         default_factory=dict, init=False, repr=False, compare=False
     )
--- a/wigeonwind/routing/wire.py
+++ b/wigeonwind/routing/wire.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from wigeonwind.addresses import SocketAddress
+
 Header = tuple[bytes, bytes]
 """Name and value of one header, as they were received."""
 
@@ -43,7 +45,8 @@
     """What the system itself tells an endpoint about one send of a request.
 
     `time_left_ms` is how long the endpoint may work on it. `priority` 0 is the most
-    urgent. `instance_id` is the only endpoint that may run it.
+    urgent. `instance_id` is the only endpoint that may run it. `fetch_from` is the
+    endpoint whose KV cache of the prompt is copied first.
     """
 
     time_left_ms: float
@@ -51,6 +54,7 @@
     priority: int | None = None
     customer: str | None = None
     after_event: int | None = None
+    fetch_from: SocketAddress | None = None
 
 
 @dataclass(frozen=True, slots=True)
