--- a/tests/test_work_choice.py
+++ b/tests/test_work_choice.py
@@ -4,18 +4,12 @@
 
 import pytest
 
+from wigeonwind.decisions.endpoint_load import SILENT_MS, UNREACHABLE_MS
+from wigeonwind.decisions.engine_ranking import LONG_SLOT_SHARE
 from wigeonwind.decisions.interfaces import NoEndpoint
 from wigeonwind.decisions.peer_loads import MAX_AGE_MS, EndpointWork, short_id
-from wigeonwind.decisions.work_choice import (
-    FULL_SHARE,
-    LONG_SLOT_SHARE,
-    SILENT_MS,
-    UNREACHABLE_MS,
-    Candidate,
-    Placement,
-    Work,
-    WorkChooser,
-)
+from wigeonwind.decisions.work_choice import FULL_SHARE, WorkChooser
+from wigeonwind.decisions.work_types import Candidate, Placement, Work
 
 NAMES = [f"w{n}@1" for n in range(5)]
 NOBODY: frozenset[str] = frozenset()
--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -6,7 +6,8 @@
 from structlog import get_logger
 
 from wigeonwind.clock import Clock
-from wigeonwind.decisions.work_choice import Candidate, WorkChooser
+from wigeonwind.decisions.work_choice import WorkChooser
+from wigeonwind.decisions.work_types import Candidate
 from wigeonwind.routing.endpoint_connection import EndpointPool
 from wigeonwind.routing.endpoints import Endpoint, EndpointKey
 
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -7,7 +7,7 @@
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.decisions.interfaces import GiveUp, NoEndpoint, RetryCause
-from wigeonwind.decisions.work_choice import SentWork
+from wigeonwind.decisions.work_types import SentWork
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.routing.answer_parser import Answer, keep_alive_ms
 from wigeonwind.routing.caller_connection import CallerConnection, CallerGoneError
--- a/wigeonwind/routing/forwarding_context.py
+++ b/wigeonwind/routing/forwarding_context.py
@@ -11,7 +11,8 @@
 from wigeonwind.decisions.interfaces import GiveUp, Resend, RetryCause
 from wigeonwind.decisions.retry import RetryLimits, RetryPolicy
 from wigeonwind.decisions.turns import NewestFirst
-from wigeonwind.decisions.work_choice import Work, WorkChooser
+from wigeonwind.decisions.work_choice import WorkChooser
+from wigeonwind.decisions.work_types import Work
 from wigeonwind.hashing import hash_text
 from wigeonwind.routing.discovery import EndpointSet
 from wigeonwind.routing.endpoint_connection import EndpointPool
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -13,7 +13,8 @@
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
-from wigeonwind.decisions.work_choice import LONG_PROMPT_TOKENS, WorkChooser
+from wigeonwind.decisions.work_choice import WorkChooser
+from wigeonwind.decisions.work_types import LONG_PROMPT_TOKENS
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.routing.caller_connection import CallerConnection, bad_request
 from wigeonwind.routing.discovery import EndpointSet
