--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -122,6 +122,10 @@
         self.last_endpoint_id = ""
         self._connection: EndpointConnection | None = None
         self._fetch_from: SocketAddress | None = None
+        self.waited_ms: int | None = None
+        """Time before the first send, None if it was never sent."""
+        self.expected_ms: int | None = None
+        """Time to the first event that the last choice of an endpoint expected."""
         self._kept_failure: Failed | None = None
 
     def run(self) -> None:
@@ -212,11 +216,14 @@
         if self.caller.is_gone or left_ms < MIN_TIME_LEFT_MS:
             connection.close()
             return CallerGone() if self.caller.is_gone else TimedOut()
+        if self.waited_ms is None:
+            self.waited_ms = round(now_ms - self.began_ms)
         source = target.fetch_from
         self._fetch_from = None if source is None else source.address
         sent = self.context.choice.on_sent(
             endpoint.key, self.work, now_ms, None if source is None else source.key
         )
+        self.expected_ms = round(sent.expected_ms)
         self._sends += 1
         end: SendEnd = Broken("the exchange was cut short")
         try:
@@ -564,6 +571,11 @@
             self.longest_pause_ms <= self.route.max_pause_ms
         )
 
+    @property
+    def copied_from(self) -> str | None:
+        """Return the address from which the last endpoint copied KV cache."""
+        return None if self._fetch_from is None else str(self._fetch_from)
+
     @property
     def sends(self) -> int:
         """Return how often the request was sent."""
