--- a/wigeonwind/decisions/work_choice.py
+++ b/wigeonwind/decisions/work_choice.py
@@ -55,6 +55,10 @@
 RETRY_AFTER_MS = 300.0
 """Retry-After where no endpoint can be chosen; discovery changes within a second."""
 
+BUSY_SHARE = 0.55
+"""Share of all slots in use from which work may be refused. The sheets price refusals
+while less than half is in use; the rest covers what peers report late."""
+
 FULL_SHARE = 0.85
 """Share of an engine's slots from which waiting is expected. Counts of peers are late,
 and a full engine preempts."""
@@ -137,11 +141,11 @@
         pool = _usable(self._pool(work, exclude), now_ms)
         return not pool or EngineRanking(pool).has_room()
 
-    def is_full(self, work: Work, exclude: frozenset[str]) -> bool:
-        """Return whether hardly any engine has a free slot."""
+    def is_busy(self, work: Work, exclude: frozenset[str]) -> bool:
+        """Return whether so few slots are free that a refusal is justified."""
         pool = self._pool(work, exclude)
         slots = sum(each.candidate.slots for each in pool)
-        return sum(each.outstanding_count for each in pool) >= FULL_SHARE * slots
+        return sum(each.outstanding_count for each in pool) >= BUSY_SHARE * slots
 
     def _home(
         self, work: Work, pool: list[EndpointLoad], penalty: dict[str, float]
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -41,9 +41,9 @@
 MIN_SILENCE_MS = 500.0
 """Least silence before that; shorter ones come from long prompts and slow links."""
 
-ROOM_WAIT_SHARE = 1.5
+ROOM_WAIT_SHARE = 0.6
 """Longest wait for room, in latency targets: later the request could not be on time,
-and an answer that says when to come back is worth more to its caller."""
+and would take the place of one that can."""
 
 ROOM_CHECK_MS = 25.0
 """Interval between looks whether an engine has room."""
@@ -169,7 +169,7 @@
                 sleep(ROOM_CHECK_MS / MS_PER_SECOND)
         finally:
             turns.leave(ticket)
-        return self.caller.is_gone or not choice.is_full(self.work, exclude)
+        return self.caller.is_gone or not choice.is_busy(self.work, exclude)
 
     def _choose(self) -> _Target | NoEndpoint:
         now_ms = self.context.clock.now_ms()
