--- a/tests/test_work_choice.py
+++ b/tests/test_work_choice.py
@@ -8,6 +8,7 @@
 from wigeonwind.decisions.engine_ranking import LONG_SLOT_SHARE
 from wigeonwind.decisions.interfaces import NoEndpoint
 from wigeonwind.decisions.peer_loads import MAX_AGE_MS, EndpointWork, short_id
+from wigeonwind.decisions.prefix_index import PrefixIndex
 from wigeonwind.decisions.work_choice import FULL_SHARE, WorkChooser
 from wigeonwind.decisions.work_types import Candidate, Placement, Work
 
@@ -144,6 +145,37 @@
     assert max(counts) <= 10
 
 
+def test_more_streams_get_more_engines_of_their_own():
+    # Guards against chats that pause beside long prompts while many chats run
+    # (spot-grown scale-1: 31% of the chats were late by a pause).
+    made = chooser(names=[f"w{n}@1" for n in range(25)], slots=32)
+
+    def room_for_long():
+        sent = []
+        while made.has_room(LONG, 0.0, NOBODY):
+            name = pick(made, LONG)
+            sent.append(made.on_sent(name, LONG, 0.0))
+        for each in sent:
+            made.on_ended(each, True, 0.0)
+        return len(sent)
+
+    usual = room_for_long()
+    chats = [made.on_sent(pick(made, SHORT), SHORT, 0.0) for _ in range(240)]
+    assert room_for_long() < usual
+    for each in chats:
+        made.on_ended(each, True, 0.0)
+    assert room_for_long() == usual
+
+
+def test_the_copy_used_last_is_the_source():
+    # Guards against copies from an engine that has evicted the prefix meanwhile.
+    index = PrefixIndex()
+    index.add(7, NAMES[0], 0.0)
+    index.add(7, NAMES[1], 1.0)
+    index.add(7, NAMES[0], 2.0)
+    assert [name for _, name in index.holders((7,), 3.0)] == [NAMES[0], NAMES[1]]
+
+
 def test_a_silent_endpoint_gets_nothing_new():
     # Guards against work for an endpoint that hangs.
     made = chooser()
--- a/wigeonwind/decisions/engine_ranking.py
+++ b/wigeonwind/decisions/engine_ranking.py
@@ -11,16 +11,19 @@
 from wigeonwind.decisions.work_types import Work
 from wigeonwind.hashing import hash_text
 
-LONG_PROMPT_SHARE = 0.4
-"""Share of a service's engines on which long prompts cost no penalty."""
+MIN_SHORT_SHARE = 0.35
+"""Least share of a service's engines that is kept for short prompts."""
+
+MAX_SHORT_SHARE = 0.65
+"""Largest share of a service's engines that is kept for short prompts."""
+
+SHORT_SLOT_SHARE = 0.5
+"""Share of the slots of an engine for short prompts from which another one is kept."""
 
 LONG_SLOT_SHARE = 0.85
 """Share of the slots of an engine that long prompts may hold. The rest takes what
 peers send before their messages arrive."""
 
-LONG_END_SHARE = 0.85
-"""Place in the ranking from which engines take no long prompts, as a share of it."""
-
 LONG_SPAN = 0.36
 """Penalty of a long prompt on the last engine of the ranking, in its latency targets.
 It falls to nothing towards the engines for long prompts, so that long prompts spread
@@ -43,21 +46,24 @@
     def __init__(self, engines: Sequence[EndpointLoad]) -> None:
         self._ranked = sorted(engines, key=_rank)
         count = len(self._ranked)
-        self._long_count = max(1, round(count * LONG_PROMPT_SHARE))
+        short = sum(each.outstanding_count - each.long_count for each in engines)
+        slots = sum(each.candidate.slots for each in engines)
+        wanted = short / max(1.0, SHORT_SLOT_SHARE * slots)
+        share = min(max(wanted, MIN_SHORT_SHARE), MAX_SHORT_SHARE)
+        self._boundary = max(1.0, count * (1.0 - share))
+        self._long_count = max(1, round(self._boundary))
 
     def long_limits(self) -> list[tuple[EndpointLoad, float]]:
         """Return how many long prompts each engine is meant to run."""
-        begin = self._long_count
-        end = max(begin + 1.0, LONG_END_SHARE * len(self._ranked))
-        shares = [
-            min(1.0, max(0.0, (end - rank) / (end - begin)))
-            for rank in range(len(self._ranked))
-        ]
         return [
-            (engine, LONG_SLOT_SHARE * share * engine.candidate.slots)
-            for engine, share in zip(self._ranked, shares, strict=True)
+            (engine, LONG_SLOT_SHARE * self._long_share(rank) * engine.candidate.slots)
+            for rank, engine in enumerate(self._ranked)
         ]
 
+    def _long_share(self, rank: int) -> float:
+        """Return which part of an engine is for long prompts, 0 to 1."""
+        return min(1.0, max(0.0, self._boundary - rank + 0.5))
+
     def has_room(self) -> bool:
         """Return whether the engines together run fewer long prompts than meant."""
         limits = self.long_limits()
--- a/wigeonwind/decisions/prefix_index.py
+++ b/wigeonwind/decisions/prefix_index.py
@@ -51,7 +51,8 @@
         """Yield (prefix length index, endpoint), the longest prefix first."""
         for index in range(len(prefix_keys) - 1, -1, -1):
             expiry_by_endpoint = self._expiry_by_endpoint.get(prefix_keys[index], {})
-            for endpoint_id, expiry_ms in expiry_by_endpoint.items():
+            # The copy that was used last is the least likely to be evicted.
+            for endpoint_id, expiry_ms in reversed(expiry_by_endpoint.items()):
                 if expiry_ms > now_ms:
                     yield index, endpoint_id
 
