Read configuration and endpoints from peers while the store does not answer

Change: processes serve their view of the store to each other on the peers' port; a view is taken over only if it is as new as the own one.

--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -70,11 +70,24 @@
             self._store_is_lost = False
             self._trusted_from_ms = self._clock.now_ms() + LAPSE_GRACE_MS
 
-    def on_listed(self, endpoints: Iterable[Endpoint]) -> None:
-        """Replace all entries by those of a listing."""
+    @property
+    def is_trusted(self) -> bool:
+        """Return whether an entry that vanishes means that its endpoint has left."""
+        now_ms = self._clock.now_ms()
+        return not self._store_is_lost and now_ms >= self._trusted_from_ms
+
+    def on_listed(
+        self, endpoints: Iterable[Endpoint], is_trusted: bool = False
+    ) -> None:
+        """Replace all entries by those of a listing.
+
+        `is_trusted` says that what it lacks is gone, also while the store is away.
+        """
         listed = {each.instance_id: each for each in endpoints}
         for name in [name for name in self._by_id if name not in listed]:
-            self._remove(name)
+            self._remove(name, is_trusted or self.is_trusted)
+        if is_trusted:
+            self._lapsed_by_id.clear()
         for endpoint in listed.values():
             self._put(endpoint)
         self._update()
@@ -87,7 +100,7 @@
     def on_removed(self, instance_id: str) -> None:
         """Take note that an entry is gone."""
         if instance_id in self._by_id:
-            self._remove(instance_id)
+            self._remove(instance_id, self.is_trusted)
             self._update()
 
     def on_stranger(self, endpoint: Endpoint) -> None:
@@ -145,10 +158,9 @@
                 draining=endpoint.is_draining,
             )
 
-    def _remove(self, instance_id: str) -> None:
+    def _remove(self, instance_id: str, is_trusted: bool) -> None:
         endpoint = self._by_id.pop(instance_id)
         now_ms = self._clock.now_ms()
-        is_trusted = not self._store_is_lost and now_ms >= self._trusted_from_ms
         if not is_trusted and not endpoint.is_draining:
             until_ms = max(self._trusted_from_ms, now_ms)
             self._lapsed_by_id[instance_id] = _Lapsed(endpoint, until_ms)
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -17,6 +17,7 @@
 
 from wigeonwind.addresses import SocketAddress, is_valid_address, parse_address
 from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.decisions.peer_loads import MAX_AGE_MS
 from wigeonwind.decisions.work_choice import WorkChooser
 from wigeonwind.ids import new_incarnation
 from wigeonwind.outcomes import Ok
@@ -84,6 +85,7 @@
     address: SocketAddress
     incarnation: int = 0
     number: int = 0
+    heard_ms: float = float("-inf")
 
 
 class PeerExchange:
@@ -132,6 +134,12 @@
         """Return the address in use."""
         return SocketAddress(*self._sock.getsockname()[:2])
 
+    def live_addresses(self) -> list[SocketAddress]:
+        """Return the addresses of the peers that were heard lately."""
+        limit_ms = self._clock.now_ms() - MAX_AGE_MS
+        peers = self._peer_by_id.values()
+        return [each.address for each in peers if each.heard_ms >= limit_ms]
+
     def peer_count(self) -> int:
         """Return the number of known peers."""
         return len(self._peer_by_id)
@@ -154,11 +162,14 @@
             peer = self._peer_by_id[message.sender] = _Peer(source)
             log.info("a peer is known", peer=message.sender, address=str(source))
         order = (message.incarnation, message.number)
-        if order <= (peer.incarnation, peer.number):
+        now_ms = self._clock.now_ms()
+        # Incarnations are times of day, which may jump back before a restart.
+        is_silent = now_ms - peer.heard_ms > MAX_AGE_MS
+        if order <= (peer.incarnation, peer.number) and not is_silent:
             return
         peer.address = source
         peer.incarnation, peer.number = order
-        now_ms = self._clock.now_ms()
+        peer.heard_ms = now_ms
         self._choice.on_peer_load(message.sender, message.work_by_id, now_ms)
         self._choice.on_peer_prefixes(message.prefixes, now_ms)
 
--- /dev/null
+++ b/wigeonwind/routing/peer_state.py
@@ -0,0 +1,226 @@
+"""What processes tell each other of the store, for those that it does not serve.
+
+A process that the store turns away, or that starts while the store is down, reads the
+configuration and the endpoints from a peer.
+"""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+import cbor2
+import gevent
+from gevent import socket as gevent_socket
+from structlog import get_logger
+
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.routing.answer_parser import AnswerParser
+from wigeonwind.routing.discovery import EndpointSet
+from wigeonwind.routing.routing_state import ConfigurationFollower, EndpointFollower
+from wigeonwind.routing.small_http import SmallHttpServer
+from wigeonwind.routing.store_follower import StoreFollower
+from wigeonwind.state.store_types import StoredObject
+
+STATE_VERSION = 1
+"""First element of each state; others are not read."""
+
+STATE_PATH = "/state"
+
+POLL_MS = 250.0
+"""Interval of reading from peers while the store does not answer."""
+
+CALL_TIMEOUT_MS = 400.0
+"""Time for one reading; a peer is a few milliseconds away, and others can be asked."""
+
+MAX_STATE_BYTES = 8_000_000
+"""Largest state that is read. Objects have up to 1 MB, endpoints about 300 bytes."""
+
+READ_BYTES = 65_536
+
+log = get_logger("wigeonwind.peers")
+
+
+@dataclass(frozen=True, slots=True)
+class SharedState:
+    """What a process knows of the store.
+
+    `revision` is that of the store when the endpoints were read. `is_current` says that
+    the store answers the process, and that its entries have not lapsed in an outage.
+    """
+
+    revision: int
+    is_current: bool
+    configuration: StoredObject | None
+    endpoints: tuple[StoredObject, ...]
+
+
+def encode_state(state: SharedState) -> bytes:
+    """Return a state as CBOR."""
+    found = state.configuration
+    return cbor2.dumps(
+        [
+            STATE_VERSION,
+            state.revision,
+            state.is_current,
+            None if found is None else _row(found),
+            [_row(each) for each in state.endpoints],
+        ]
+    )
+
+
+def _row(stored: StoredObject) -> list[str | int | bytes]:
+    return [stored.key, stored.version, stored.value]
+
+
+def decode_state(data: bytes) -> SharedState | str:
+    """Decode a state; a string says why it cannot be used.
+
+    >>> decode_state(cbor2.dumps([9, 1, True, None, []]))
+    'it has version 9'
+    """
+    try:
+        version, *rest = cbor2.loads(data)
+        if version != STATE_VERSION:
+            return f"it has version {version}"
+        revision, is_current, configuration, endpoints = rest
+        return SharedState(
+            int(revision),
+            bool(is_current),
+            None if configuration is None else _stored(configuration),
+            tuple(_stored(row) for row in endpoints),
+        )
+    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
+        return f"it cannot be decoded: {error}"
+
+
+def _stored(row: Sequence[object]) -> StoredObject:
+    key, version, value = row
+    if not isinstance(key, str) or not isinstance(value, bytes):
+        raise ValueError("a row is no object")
+    if not isinstance(version, int):
+        raise ValueError("a version is no number")
+    return StoredObject(key, version, value)
+
+
+class PeerState:
+    """Serves this process's view of the store, and reads that of peers.
+
+    A view is taken over only if it is as new as the own one, so that an endpoint that
+    has left does not return.
+    """
+
+    def __init__(
+        self,
+        rng: Random,
+        peers: Callable[[], list[SocketAddress]],
+        configuration: ConfigurationFollower,
+        endpoints: EndpointSet,
+        entries: EndpointFollower,
+        followers: tuple[StoreFollower, StoreFollower],
+    ) -> None:
+        self._rng = rng
+        self._peers = peers
+        self._configuration = configuration
+        self._endpoints = endpoints
+        self._entries = entries
+        self._followers = followers
+        self._server: SmallHttpServer | None = None
+
+    def start(self, address: SocketAddress) -> None:
+        """Serve at an address; raises OSError if it is taken."""
+        self._server = SmallHttpServer(address, self._respond)
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        if self._server is not None:
+            self._server.stop()
+
+    def run(self) -> None:
+        """Read from peers while the store does not answer, until killed."""
+        while True:
+            gevent.sleep(POLL_MS / MS_PER_SECOND)
+            if not all(each.is_reachable for each in self._followers):
+                self.read_once()
+
+    def own_state(self) -> SharedState:
+        """Return what this process knows of the store."""
+        is_current = self._endpoints.is_trusted
+        is_current = is_current and all(each.is_reachable for each in self._followers)
+        return SharedState(
+            self._entries_follower.revision_seen,
+            is_current,
+            self._configuration.stored,
+            tuple(self._entries.stored_by_key.values()),
+        )
+
+    @property
+    def _entries_follower(self) -> StoreFollower:
+        return self._followers[1]
+
+    def _respond(self, path: str) -> bytes:
+        if path != STATE_PATH:
+            return b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+        body = encode_state(self.own_state())
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        return head.encode() + body
+
+    def read_once(self) -> bool:
+        """Ask one peer, drawn at random; return whether its state could be used."""
+        peers = self._peers()
+        if not peers:
+            return False
+        peer = self._rng.choice(peers)
+        data = _fetch(peer)
+        state = decode_state(data) if isinstance(data, bytes) else data
+        if isinstance(state, str):
+            log.warning("a peer's state was not read", peer=str(peer), reason=state)
+            return False
+        self._take(state, peer)
+        return True
+
+    def _take(self, state: SharedState, peer: SocketAddress) -> None:
+        if state.configuration is not None:
+            self._configuration.on_changed(state.configuration)
+        follower = self._entries_follower
+        is_newer = state.revision > follower.revision_seen
+        knows_none = not follower.revision_seen
+        if not is_newer or not (state.is_current or knows_none):
+            return
+        log.info(
+            "endpoints were taken from a peer",
+            peer=str(peer),
+            revision=state.revision,
+            before=follower.revision_seen,
+            entries=len(state.endpoints),
+        )
+        follower.revision_seen = state.revision
+        self._entries.on_listed(state.endpoints, is_trusted=state.is_current)
+
+
+def _fetch(peer: SocketAddress) -> bytes | str:
+    """Return the body of a peer's answer, or why there is none."""
+    timeout = gevent.Timeout(CALL_TIMEOUT_MS / MS_PER_SECOND, TimeoutError)
+    target = (peer.host, peer.port)
+    try:
+        with timeout, gevent_socket.create_connection(target) as sock:
+            sock.sendall(f"GET {STATE_PATH} HTTP/1.1\r\nHost: {peer}\r\n\r\n".encode())
+            return _read_body(sock)
+    except OSError as error:
+        return str(error) or type(error).__name__
+
+
+def _read_body(sock: gevent_socket.socket) -> bytes | str:
+    parser = AnswerParser()
+    body = b""
+    while len(body) <= MAX_STATE_BYTES:
+        data = sock.recv(READ_BYTES)
+        parser.feed(data)
+        for answer in list(parser.heads)[:1]:
+            body += answer.take_body()
+            if answer.is_complete:
+                return body
+        if not data or parser.error:
+            return parser.error or "the connection ended too early"
+    return f"it has over {MAX_STATE_BYTES} bytes"
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -23,6 +23,7 @@
 from wigeonwind.routing.forwarding_context import ForwardingContext
 from wigeonwind.routing.own_answers import status_answer
 from wigeonwind.routing.peer_exchange import DirectoryStore, PeerExchange
+from wigeonwind.routing.peer_state import PeerState
 from wigeonwind.routing.request_parser import HttpRequest
 from wigeonwind.routing.routes import CallerLimits, HttpCustomer, HttpRoute, RouteTable
 from wigeonwind.routing.routing_metrics import RoutingMetrics
@@ -115,7 +116,8 @@
             self.metrics.on_end,
             self.metrics.on_retry,
         )
-        self._followers = [
+        entries = EndpointFollower(schema, self.endpoints)
+        self._followers = (
             StoreFollower(
                 store,
                 schema.configuration_prefix,
@@ -125,10 +127,10 @@
             StoreFollower(
                 store,
                 schema.endpoints_prefix,
-                EndpointFollower(schema, self.endpoints),
+                entries,
                 self._on_discovery_reachable,
             ),
-        ]
+        )
         self.peers = PeerExchange(
             settings.node_id,
             settings.peers,
@@ -138,6 +140,14 @@
             store,
             schema.peers_prefix,
         )
+        self.peer_state = PeerState(
+            rng,
+            self.peers.live_addresses,
+            self.configuration,
+            self.endpoints,
+            entries,
+            self._followers,
+        )
         target = (settings.callers.host, settings.callers.port)
         self._server = StreamServer(target, self._accept, backlog=BACKLOG)
         self._readiness = SmallHttpServer(settings.readiness, self._check)
@@ -155,6 +165,11 @@
         has_view = self.configuration.table is not None and len(self.endpoints) > 0
         return has_view and not self.is_draining
 
+    @property
+    def own_store_answers(self) -> bool:
+        """Return whether the store answered this process last."""
+        return all(each.is_reachable for each in self._followers)
+
     @property
     def callers_address(self) -> SocketAddress:
         """Return the address for callers in use."""
@@ -172,7 +187,8 @@
         if self._metrics_server is not None:
             self._metrics_server.start()
         self.peers.start()
-        for loop in self.peers.loops():
+        self.peer_state.start(self.peers.address)
+        for loop in (*self.peers.loops(), self.peer_state.run):
             self._loops.start(loop)
         for follower in self._followers:
             self._loops.start(follower.run)
@@ -320,6 +336,7 @@
         self._server.stop(timeout=0)
         self._readiness.stop()
         self.peers.stop()
+        self.peer_state.stop()
         if self._metrics_server is not None:
             self._metrics_server.stop()
         self.stopped.set()
--- a/wigeonwind/routing/routing_state.py
+++ b/wigeonwind/routing/routing_state.py
@@ -35,6 +35,8 @@
         self, schema: StoreSchema, on_table: Callable[[RouteTable], None]
     ) -> None:
         self.table: RouteTable | None = None
+        self.stored: StoredObject | None = None
+        """The object that `table` was decoded from."""
         self._schema = schema
         self._on_table = on_table
 
@@ -57,6 +59,7 @@
         if in_force is not None and table.version <= in_force:
             return
         self.table = table
+        self.stored = changed
         log.info(
             "a configuration is in force",
             version=table.version,
@@ -79,11 +82,19 @@
     def __init__(self, schema: StoreSchema, endpoints: EndpointSet) -> None:
         self._schema = schema
         self._endpoints = endpoints
+        self.stored_by_key: dict[str, StoredObject] = {}
 
-    def on_listed(self, objects: tuple[StoredObject, ...]) -> None:
-        """Replace all entries by those of a listing."""
+    def on_listed(
+        self, objects: tuple[StoredObject, ...], is_trusted: bool = False
+    ) -> None:
+        """Replace all entries by those of a listing.
+
+        `is_trusted` says that what it lacks is gone, whatever the own store says.
+        """
+        self.stored_by_key = {each.key: each for each in objects}
         found = [self._read(each) for each in objects]
-        self._endpoints.on_listed([each for each in found if each is not None])
+        known = [each for each in found if each is not None]
+        self._endpoints.on_listed(known, is_trusted)
 
     def on_changed(self, changed: StoredObject) -> None:
         """Take an entry that is new or has changed."""
@@ -91,10 +102,12 @@
         if endpoint is None:
             self.on_removed(changed.key)
         else:
+            self.stored_by_key[changed.key] = changed
             self._endpoints.on_changed(endpoint)
 
     def on_removed(self, key: str) -> None:
         """Take note that an entry is gone."""
+        self.stored_by_key.pop(key, None)
         self._endpoints.on_removed(self._schema.endpoint_id(key))
 
     def _read(self, stored: StoredObject) -> Endpoint | None:
--- a/wigeonwind/routing/store_follower.py
+++ b/wigeonwind/routing/store_follower.py
@@ -78,7 +78,10 @@
         self._prefix = prefix
         self._follower = follower
         self._on_reachable = on_reachable
-        self._is_reachable = True
+        self.is_reachable = True
+        """Whether the store answered last."""
+        self.revision_seen = 0
+        """Newest revision of the store that the follower knows, 0 for none."""
         self._revision: int | None = None
         self._had_changes = False
 
@@ -110,7 +113,7 @@
                 value = event.value or b""
                 changed = StoredObject(event.key, event.version, value)
                 self._follower.on_changed(changed)
-        self._revision = found.value.revision
+        self._revision = self.revision_seen = found.value.revision
         self._had_changes = bool(found.value.events)
         return True
 
@@ -120,21 +123,21 @@
             return self._on_failure(found)
         self._on_answer()
         self._follower.on_listed(found.value.objects)
-        self._revision = found.value.revision
+        self._revision = self.revision_seen = found.value.revision
         return True
 
     def _on_failure(self, failure: StoreFailure) -> bool:
         # A listing is answered at once when the store is back; a watch would wait, and
         # tell neither that it is back nor what lapsed meanwhile.
         self._revision = None
-        if self._is_reachable:
-            self._is_reachable = False
+        if self.is_reachable:
+            self.is_reachable = False
             log.warning("the store is lost", prefix=self._prefix, reason=failure.reason)
             self._on_reachable(False)
         return False
 
     def _on_answer(self) -> None:
-        if not self._is_reachable:
-            self._is_reachable = True
+        if not self.is_reachable:
+            self.is_reachable = True
             log.info("the store is back", prefix=self._prefix)
             self._on_reachable(True)
--- /dev/null
+++ b/wigeonwind/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of the routing program: real processes, faults from outside."""
