--- a/wigeonwind/checking/child_process.py
+++ b/wigeonwind/checking/child_process.py
@@ -4,7 +4,7 @@
 import re
 import signal
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import IO, Any
 
 import gevent
@@ -23,9 +23,20 @@
 
 
 class ChildProcess:
-    """One process; `address_by_name` holds what it printed, such as `links`."""
-
-    def __init__(self, name: str, arguments: Sequence[str], log_path: str) -> None:
+    """One process; `address_by_name` holds what it printed, such as `links`.
+
+    A program that prints no addresses is started with `prints_addresses` False, and its
+    caller finds out when it serves.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        arguments: Sequence[str],
+        log_path: str,
+        environment: Mapping[str, str] | None = None,
+        prints_addresses: bool = True,
+    ) -> None:
         self.name = name
         self._log_path = log_path
         with open(log_path, "a", encoding="utf-8") as log:
@@ -35,8 +46,11 @@
                 stdout=subprocess.PIPE,
                 stderr=log,
                 start_new_session=True,
+                env={**os.environ, **(environment or {})},
             )
-        self.address_by_name = self._read_addresses(self._popen.stdout)
+        self.address_by_name: dict[str, str] = {}
+        if prints_addresses:
+            self.address_by_name = self._read_addresses(self._popen.stdout)
         self._reader = gevent.spawn(_keep_log, self._popen.stdout, log_path)
 
     def _read_addresses(self, stream: IO[bytes]) -> dict[str, str]:
@@ -65,6 +79,10 @@
         """Send SIGCONT."""
         self._signal(signal.SIGCONT)
 
+    def hang_up(self) -> None:
+        """Send SIGHUP."""
+        self._signal(signal.SIGHUP)
+
     def kill(self) -> None:
         """Send SIGKILL and wait for the end."""
         self._signal(signal.SIGKILL)
--- /dev/null
+++ b/wigeonwind/soak/soak_callers.py
@@ -0,0 +1,153 @@
+"""Callers of the soak: they keep connections in use, and some leave early."""
+
+from collections.abc import Iterator
+from random import Random
+
+import gevent
+from gevent import socket as gevent_socket
+
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.routing.answer_parser import AnswerParser
+from wigeonwind.soak.soak_fleet import (
+    KEY,
+    REVOKED_KEY,
+    UNKNOWN_KEY,
+    SoakFleet,
+    SoakRouter,
+)
+from wigeonwind.soak.soak_records import Exchanged, Kind, soak_now_ms
+
+READ_BYTES = 65_536
+CONNECT_LIMIT_S = 1.0
+ANSWER_LIMIT_S = 6.0
+"""Longest wait for an answer; routes time out after 3 s."""
+
+PAUSE_MS = 40.0
+"""Mean pause between the requests of one caller."""
+
+NEW_CONNECTION_SHARE = 0.15
+LEAVE_SHARE = 0.03
+LEAVE_AFTER_S = 0.08
+
+WEIGHT_BY_KIND = {
+    Kind.SAFE: 4,
+    Kind.ONCE: 5,
+    Kind.STREAM: 3,
+    Kind.RESUMABLE: 3,
+    Kind.UNKNOWN_KEY: 1,
+    Kind.REVOKED_KEY: 2,
+    Kind.MOVED: 2,
+}
+KEY_BY_KIND = {Kind.UNKNOWN_KEY: UNKNOWN_KEY, Kind.REVOKED_KEY: REVOKED_KEY}
+ROUTE_BY_KIND = {Kind.UNKNOWN_KEY: "safe", Kind.REVOKED_KEY: "safe"}
+
+
+class SoakCaller:
+    """Sends one request after the other to routers drawn at random."""
+
+    def __init__(self, fleet: SoakFleet, number: int, seed: int) -> None:
+        self._fleet = fleet
+        self._number = number
+        self._rng = Random(f"{seed}/{number}")
+        self._sent = 0
+        self._router: SoakRouter | None = None
+        self._sock: gevent_socket.socket | None = None
+
+    def run(self, until_ms: float) -> None:
+        """Call until a time, then close the connection."""
+        while soak_now_ms() < until_ms:
+            gevent.sleep(self._rng.expovariate(1.0) * PAUSE_MS / MS_PER_SECOND)
+            self._call()
+        self._close()
+
+    def _call(self) -> None:
+        kinds = list(WEIGHT_BY_KIND)
+        kind = self._rng.choices(kinds, [WEIGHT_BY_KIND[each] for each in kinds])[0]
+        if self._sock is None or self._rng.random() < NEW_CONNECTION_SHARE:
+            self._close()
+            self._router = self._rng.choice(self._fleet.routers)
+        router = self._router
+        assert router is not None
+        self._sent += 1
+        request_id = f"{self._number:04x}{self._sent:012x}"
+        seen = Exchanged(request_id, kind, router.name, soak_now_ms())
+        try:
+            sock = self._sock or self._connect(router.address())
+        except OSError:
+            seen.is_connected = False
+            self._finish(seen)
+            return
+        self._sock = sock
+        leaves = self._rng.random() < LEAVE_SHARE
+        limit_s = LEAVE_AFTER_S if leaves else ANSWER_LIMIT_S
+        keeps = False
+        try:
+            with gevent.Timeout(limit_s):
+                sock.sendall(_request(seen))
+                keeps = _read_answer(sock, seen)
+        except OSError:
+            pass  # The record shows it: the answer is not whole.
+        except gevent.Timeout:
+            seen.was_left = True
+        self._finish(seen)
+        if not keeps:
+            self._close()
+
+    def _connect(self, address: SocketAddress) -> gevent_socket.socket:
+        target = (address.host, address.port)
+        sock = gevent_socket.create_connection(target, CONNECT_LIMIT_S)
+        sock.settimeout(None)
+        return sock
+
+    def _finish(self, seen: Exchanged) -> None:
+        seen.ended_ms = soak_now_ms()
+        self._fleet.history.exchanges.append(seen)
+
+    def _close(self) -> None:
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
+
+def _request(seen: Exchanged) -> bytes:
+    route = ROUTE_BY_KIND.get(seen.kind, seen.kind.value)
+    return "\r\n".join(
+        [
+            f"POST /{route}/x HTTP/1.1",
+            "Host: a.example",
+            f"X-Api-Key: {KEY_BY_KIND.get(seen.kind, KEY)}",
+            f"Request-Id: {seen.request_id}",
+            "Deadline-Ms: 5000",
+            "Tenant: another",
+            "Content-Length: 4",
+            "",
+            "body",
+        ]
+    ).encode()
+
+
+def _read_answer(sock: gevent_socket.socket, seen: Exchanged) -> bool:
+    """Read one answer into the record; return whether the connection can be kept."""
+    parser = AnswerParser()
+    body = b""
+    while True:
+        data = sock.recv(READ_BYTES)
+        if data:
+            parser.feed(data)
+        else:
+            parser.feed_end()
+        for answer in list(parser.heads)[:1]:
+            seen.status = answer.status
+            body += answer.take_body()
+            seen.body = body
+            seen.is_whole = answer.is_complete
+            seen.signature = dict(_lowered(answer.headers)).get("worker-signature", "")
+        seen.is_extra = len(parser.heads) > 1 or bool(parser.error)
+        if seen.is_whole or not data or seen.is_extra:
+            return seen.is_whole and bool(data) and parser.keeps_alive
+
+
+def _lowered(headers: list[tuple[bytes, bytes]]) -> Iterator[tuple[str, str]]:
+    for name, value in headers:
+        yield name.decode("latin-1").lower(), value.decode("latin-1")
--- /dev/null
+++ b/wigeonwind/soak/soak_fleet.py
@@ -0,0 +1,293 @@
+"""Routing processes on loopback, and doubles of the store and the workers."""
+
+import os
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent import socket as gevent_socket
+
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.checking.child_process import ChildProcess
+from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.platform.node_file import PATH_VARIABLE
+from wigeonwind.soak.loopback_proxy import LoopbackProxy
+from wigeonwind.soak.soak_records import (
+    ConfigSeen,
+    Disturbance,
+    DrainSeen,
+    EndSeen,
+    RunSeen,
+    SoakHistory,
+    soak_now_ms,
+)
+from wigeonwind.standins.platform_store import PlatformStore
+from wigeonwind.standins.platform_worker import Behaviour, Echo, Events, PlatformWorker
+
+PROGRAM = "wigeonwind.platform"
+CALLERS_PORT = 8227
+READY_PORT = 8220
+FIRST_PEER_PORT = 7340
+READY_LIMIT_S = 20.0
+READY_POLL_S = 0.05
+GRACE_S = 4
+"""Time from SIGTERM to SIGKILL in the soak; the sheets give 8 s, which would leave few
+faults in a short run."""
+
+DRAIN_MS = 2_000.0
+"""Time that a worker serves after its leaving was acknowledged; the sheets give it."""
+
+ENGINES, DESKS = "engines", "desks"
+ZONES = ("tartu-a", "viljandi-b", "voru-c")
+USUAL: dict[str, Behaviour] = {
+    ENGINES: Events(count=12, gap_ms=25.0, has_id=True),
+    DESKS: Echo(delay_ms=15.0),
+}
+SLOTS = {ENGINES: 32, DESKS: 12}
+TENANT = "mill"
+KEY, REVOKED_KEY, UNKNOWN_KEY = "key-1", "key-2", "key-9"
+
+
+@dataclass
+class SoakWorker:
+    """One worker, the proxy before it, and its entry in the store."""
+
+    double: PlatformWorker
+    proxy: LoopbackProxy
+    service: str
+    zone: str
+    started_ms: int
+
+    @property
+    def name(self) -> str:
+        """Return the instance id."""
+        return self.double.name
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        """Return the entry in the store."""
+        return {
+            "backend": self.service,
+            "address": str(self.proxy.address),
+            "zone": self.zone,
+            "version": "v1",
+            "capacity": SLOTS[self.service],
+            "state": state,
+            "warmup_left_ms": 0,
+            "seq": 1,
+            "born": self.started_ms,
+        }
+
+
+@dataclass
+class SoakRouter:
+    """One routing process and its path to the store."""
+
+    name: str
+    ip: str
+    zone: str
+    store_proxy: LoopbackProxy
+    process: ChildProcess | None = None
+    is_busy: bool = False
+    """A fault is being done to it; it gets no second one that ends it meanwhile."""
+
+    def address(self, port: int = CALLERS_PORT) -> SocketAddress:
+        """Return one of its addresses."""
+        return SocketAddress(self.ip, port)
+
+
+@dataclass
+class SoakFleet:
+    """Everything that runs; `history` tells what happened."""
+
+    directory: Path
+    network: str
+    """First three numbers of the loopback addresses of this run."""
+    store: PlatformStore = field(default_factory=PlatformStore)
+    routers: list[SoakRouter] = field(default_factory=list)
+    workers: list[SoakWorker] = field(default_factory=list)
+    history: SoakHistory = field(default_factory=SoakHistory)
+    version: int = 0
+    _worker_count: int = 0
+
+    def start(self, routers: int, engines: int, desks: int) -> None:
+        """Start everything and wait until each router is ready."""
+        self.change_configuration(DESKS, revoked_is_valid=True)
+        for service, count in ((ENGINES, engines), (DESKS, desks)):
+            for _ in range(count):
+                self.add_worker(service)
+        for number in range(routers):
+            ip = f"{self.network}.{number + 1}"
+            proxy = LoopbackProxy(self.store.address)
+            zone = ZONES[number % len(ZONES)]
+            router = SoakRouter(f"router-{number}", ip, zone, proxy)
+            self.routers.append(router)
+            self.start_router(router)
+        with gevent.Timeout(READY_LIMIT_S):
+            while not all(self.is_ready(each) for each in self.routers):
+                gevent.sleep(READY_POLL_S)
+
+    def stop(self) -> None:
+        """End everything that this run started."""
+        for router in self.routers:
+            if router.process is not None:
+                router.process.kill()
+            router.store_proxy.stop()
+        for worker in self.workers:
+            self._collect(worker)
+            worker.proxy.stop()
+            worker.double.stop()
+        self.store.stop()
+
+    def change_configuration(self, moved_service: str, revoked_is_valid: bool) -> None:
+        """Write the next version of the configuration, as the operator does."""
+        self.version += 3
+        keys = [KEY, REVOKED_KEY] if revoked_is_valid else [KEY]
+        document = _configuration(self.version, moved_service, keys)
+        self.store.put("config", "main", document)
+        seen = ConfigSeen(self.version, soak_now_ms(), moved_service, revoked_is_valid)
+        self.history.configs.append(seen)
+
+    def add_worker(self, service: str, name: str = "") -> SoakWorker:
+        """Start a worker and let it register; with `name`, under an id used before."""
+        self._worker_count += 1
+        name = name or f"i-{self._worker_count}"
+        double = PlatformWorker(name, USUAL[service])
+        zone = ZONES[self._worker_count % len(ZONES)]
+        proxy = LoopbackProxy(double.address)
+        started_ms = 1_700_000_000_000 + self._worker_count
+        worker = SoakWorker(double, proxy, service, zone, started_ms)
+        self.workers.append(worker)
+        self.store.put("servers", name, worker.entry())
+        return worker
+
+    def drain_worker(self, worker: SoakWorker) -> None:
+        """Let the store know that a worker leaves."""
+        self.store.put("servers", worker.name, worker.entry("draining"))
+        self.history.drains.append(DrainSeen(worker.name, soak_now_ms()))
+
+    def remove_worker(self, worker: SoakWorker) -> None:
+        """End a worker; its entry goes with it."""
+        self.store.remove("servers", worker.name)
+        self.workers.remove(worker)
+        worker.proxy.stop()
+        worker.double.stop()
+        self._collect(worker)
+
+    def _collect(self, worker: SoakWorker) -> None:
+        for run in worker.double.runs:
+            headers = {name.lower(): value for name, value in run.request.headers}
+            self.history.runs.append(
+                RunSeen(
+                    headers.get(b"request-id", b"").decode(),
+                    worker.name,
+                    worker.service,
+                    run.at_ms,
+                    headers.get(b"tenant", b"").decode(),
+                    b"x-api-key" in headers,
+                )
+            )
+        worker.double.runs.clear()
+
+    def start_router(self, router: SoakRouter) -> None:
+        """Start a routing process, for the first time or again."""
+        path = self.directory / f"{router.name}.toml"
+        path.write_text(_node_file(router), encoding="utf-8")
+        log = str(self.directory / f"{router.name}.log")
+        environment = {PATH_VARIABLE: str(path), "GEVENT_NOWAITPID": "1"}
+        router.process = ChildProcess(
+            router.name, (PROGRAM,), log, environment, prints_addresses=False
+        )
+
+    def end_router(self, router: SoakRouter, is_planned: bool) -> None:
+        """End a routing process with SIGTERM or SIGKILL and wait for it."""
+        process = router.process
+        assert process is not None
+        if is_planned:
+            process.terminate()
+            code = process.wait(GRACE_S)
+        else:
+            process.kill()
+            code = process.wait()
+        router.process = None
+        ended = EndSeen(router.name, soak_now_ms(), code, True)
+        self.history.ends.append(ended)
+
+    def note_unexpected_ends(self) -> None:
+        """Record routers that ended by themselves, and start them again."""
+        for router in self.routers:
+            process = router.process
+            if router.is_busy or process is None or process.is_running:
+                continue
+            ended = EndSeen(router.name, soak_now_ms(), process.wait(), False)
+            self.history.ends.append(ended)
+            self.start_router(router)
+
+    def is_ready(self, router: SoakRouter) -> bool:
+        """Ask a router whether it is ready, as the load balancer does."""
+        address = router.address(READY_PORT)
+        try:
+            sock = gevent_socket.create_connection((address.host, address.port), 1.0)
+            with sock:
+                sock.sendall(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                return sock.recv(4_096).startswith(b"HTTP/1.1 200")
+        except OSError:
+            return False
+
+    def disturb(self, target: str, fault: str) -> Disturbance:
+        """Note that a disturbance begins; the fault sets its end."""
+        made = Disturbance(target, fault, soak_now_ms())
+        self.history.disturbances.append(made)
+        return made
+
+
+def loopback_network(seed: int) -> str:
+    """Return a part of 127.0.0.0/8 that other runs on this machine do not use."""
+    return f"127.{32 + os.getpid() % 200}.{1 + seed % 250}"
+
+
+def _node_file(router: SoakRouter) -> str:
+    return f"""
+node = "{router.name}"
+zone = "{router.zone}"
+ip = "{router.ip}"
+port_range = [{FIRST_PEER_PORT},{FIRST_PEER_PORT + 15}]
+[listen]
+ingress = "{router.address()}"
+ready = "{router.address(READY_PORT)}"
+[bounds]
+grace_s = {GRACE_S}
+[platform]
+address = "{router.store_proxy.address}"
+"""
+
+
+def _route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "hostname": "a.example",
+        "path_prefix": f"/{name}/",
+        "route_type": kind,
+        "timeout_ms": 3 * MS_PER_SECOND,
+        "slo_ms": 250,
+        "priority": 1,
+        "backend": service,
+        "attempts": 2,
+        **fields,
+    }
+
+
+def _configuration(version: int, moved: str, keys: list[str]) -> dict[str, Any]:
+    return {
+        "version": version,
+        "routes": [
+            _route("safe", "safe", DESKS),
+            _route("once", "unsafe", DESKS, attempts=1),
+            _route("stream", "streaming", ENGINES, gap_aim_ms=200),
+            _route("resume", "streaming", ENGINES, resumable=True, gap_aim_ms=200),
+            _route("moved", "safe", moved),
+        ],
+        "backends": [{"name": ENGINES}, {"name": DESKS}],
+        "limits": {"header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": TENANT, "api_keys": keys, "priority": 0}],
+    }
--- a/wigeonwind/standins/platform_worker.py
+++ b/wigeonwind/standins/platform_worker.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import time
 from collections import deque
 from dataclasses import dataclass
 
@@ -32,9 +33,19 @@
     delay_ms: float = 0.0
 
 
+@dataclass(frozen=True)
+class Echo:
+    """A whole answer whose body is the request's id."""
+
+    delay_ms: float = 0.0
+
+
 @dataclass(frozen=True)
 class Events:
-    """A stream of `count` events; resumed where the request says so."""
+    """A stream of `count` events; resumed where the request says so.
+
+    Each event carries its number and, with `has_id`, the id of the request.
+    """
 
     count: int = 3
     gap_ms: float = 0.0
@@ -42,6 +53,7 @@
     """Break off after this many events, in the middle of the next."""
     has_length: bool = True
     """False ends the stream with the connection only."""
+    has_id: bool = False
 
 
 @dataclass(frozen=True)
@@ -77,10 +89,26 @@
 
 
 Behaviour = (
-    Whole | Events | NotRun | Reset | Silent | Truncated | LateAnswer | ExtraAnswer
+    Whole
+    | Echo
+    | Events
+    | NotRun
+    | Reset
+    | Silent
+    | Truncated
+    | LateAnswer
+    | ExtraAnswer
 )
 
 
+@dataclass(frozen=True)
+class Run:
+    """A request that the worker began, and when (monotonic milliseconds)."""
+
+    request: HttpRequest
+    at_ms: float
+
+
 class PlatformWorker:
     """Answers each request with the next behaviour, or with the usual one."""
 
@@ -89,6 +117,7 @@
         self.usual: Behaviour = usual or Whole()
         self.script: deque[Behaviour] = deque()
         self.requests: list[HttpRequest] = []
+        self.runs: list[Run] = []
         self.connections = 0
         self.closed_by_caller = Event()
         self._server = StreamServer(("127.0.0.1", 0), self._handle)
@@ -110,6 +139,11 @@
                 return value.decode()
         return None
 
+    def _is_another(self, request: HttpRequest) -> bool:
+        """Return whether a request is meant for another worker at this address."""
+        wanted = _header(request, b"expect-instance")
+        return wanted not in ("", self.name)
+
     def _handle(self, sock: gevent_socket.socket, _: object) -> None:
         self.connections += 1
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -124,6 +158,10 @@
                 request = parser.requests.popleft()
                 self.requests.append(request)
                 behaviour = self.script.popleft() if self.script else self.usual
+                if self._is_another(request):
+                    behaviour = NotRun(421)
+                if not isinstance(behaviour, NotRun):
+                    self.runs.append(Run(request, time.monotonic() * MS_PER_SECOND))
                 if not self._answer(sock, request, behaviour):
                     return
         except OSError:
@@ -141,6 +179,11 @@
                 gevent.sleep(behaviour.delay_ms / MS_PER_SECOND)
                 sock.sendall(self._whole(request_id, behaviour))
                 return True
+            case Echo():
+                gevent.sleep(behaviour.delay_ms / MS_PER_SECOND)
+                echo = Whole(body=request_id.encode())
+                sock.sendall(self._whole(request_id, echo))
+                return True
             case Events():
                 return self._stream(sock, request, request_id, behaviour)
             case NotRun(status=status):
@@ -197,7 +240,8 @@
         )
         for sent, number in enumerate(range(first, events.count + 1)):
             gevent.sleep(events.gap_ms / MS_PER_SECOND)
-            event = f"id: {number}\ndata: {number}\n\n".encode()
+            data = f"{request_id}/{number}" if events.has_id else f"{number}"
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             if events.cut_after is not None and sent >= events.cut_after:
                 sock.sendall(_piece(event[:7], events.has_length))
                 return False
@@ -212,7 +256,11 @@
 
 
 def _request_id(request: HttpRequest) -> str:
+    return _header(request, b"request-id")
+
+
+def _header(request: HttpRequest, wanted: bytes) -> str:
     for name, value in request.headers:
-        if name.lower() == b"request-id":
+        if name.lower() == wanted:
             return value.decode()
     return ""
