--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -127,7 +127,7 @@
     taken = []
     choice = WorkChooser("a", Random(1))
     choice.on_peer_load = lambda *_: taken.append(_)
-    exchange = PeerExchange("me", ANY, clock, Random(1), choice, None, "routers/")
+    exchange = PeerExchange("me", clock, Random(1), choice, None, "routers/")
     source = SocketAddress("127.0.0.1", 9)
     exchange._on_message(LoadMessage("other", 2_000_000, 7, {}, ()), source)
     clock.advance(silent_ms)
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -94,7 +94,6 @@
     def __init__(
         self,
         own_id: str,
-        address: SocketAddress,
         clock: Clock,
         rng: Random,
         choice: WorkChooser,
@@ -102,7 +101,6 @@
         prefix: str,
     ) -> None:
         self._own_id = own_id
-        self._address = address
         self._clock = clock
         self._rng = rng
         self._choice = choice
@@ -121,9 +119,9 @@
         """Return the loops to run."""
         return (self._receive, self._send, self._keep_directory)
 
-    def start(self) -> None:
+    def start(self, address: SocketAddress) -> None:
         """Bind the socket; raises OSError if the address is taken."""
-        self._sock.bind((self._address.host, self._address.port))
+        self._sock.bind((address.host, address.port))
 
     def stop(self) -> None:
         """Close the socket."""
--- a/wigeonwind/routing/peer_state.py
+++ b/wigeonwind/routing/peer_state.py
@@ -127,10 +127,11 @@
         self._followers = followers
         self._server: SmallHttpServer | None = None
 
-    def start(self, address: SocketAddress) -> None:
-        """Serve at an address; raises OSError if it is taken."""
+    def start(self, address: SocketAddress) -> SocketAddress:
+        """Serve at an address and return it; raises OSError if it is taken."""
         self._server = SmallHttpServer(address, self._respond)
         self._server.start()
+        return self._server.address
 
     def stop(self) -> None:
         """Stop serving."""
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -133,7 +133,6 @@
         )
         self.peers = PeerExchange(
             settings.node_id,
-            settings.peers,
             clock,
             rng,
             choice,
@@ -186,8 +185,7 @@
         self._server.start()
         if self._metrics_server is not None:
             self._metrics_server.start()
-        self.peers.start()
-        self.peer_state.start(self.peers.address)
+        self.peers.start(self.peer_state.start(self._settings.peers))
         for loop in (*self.peers.loops(), self.peer_state.run):
             self._loops.start(loop)
         for follower in self._followers:
--- a/wigeonwind/standins/platform_store.py
+++ b/wigeonwind/standins/platform_store.py
@@ -1,6 +1,7 @@
 """A test double of the users' platform store: objects by kind and name, over HTTP."""
 
 import json
+import socket
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -8,13 +9,16 @@
 
 import gevent
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
 
 OBJECTS_PATH = "/api/objects/"
 
+SOCKET_KEY = "wigeonwind.socket"
+"""Key of the connection in the environment of a request."""
+
 CLIENT_CHECK_MS = 50.0
 """Interval at which a waiting watch looks whether the store was stopped."""
 
@@ -58,6 +62,14 @@
     """Revision before which the history is gone."""
 
 
+class _Handler(WSGIHandler):
+    """Lets the application break its connection."""
+
+    def get_environ(self) -> dict[str, Any]:
+        """Return the request's environment, with its socket."""
+        return {**super().get_environ(), SOCKET_KEY: self.socket}
+
+
 class PlatformStore:
     """Serves the store's calls; tests write objects with `put` and `remove`."""
 
@@ -68,7 +80,9 @@
         self.calls: list[str] = []
         self._changed = Event()
         target = (address.host, address.port)
-        self._server = WSGIServer(target, self._application, log=None)
+        self._server = WSGIServer(
+            target, self._application, handler_class=_Handler, log=None, error_log=None
+        )
         self._server.start()
 
     @property
@@ -124,7 +138,7 @@
         if method != "GET" and self.faults.lost_writes:
             self.faults.lost_writes -= 1
             self._write(method, kind, name, query, body)
-            environ["wsgi.input"].rfile._sock.close()
+            environ[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
             raise ConnectionResetError("the answer of a write is lost")
         if method == "GET" and "watch" in query:
             wait_ms = float(query.get("wait_ms", 0))
--- a/wigeonwind/standins/platform_worker.py
+++ b/wigeonwind/standins/platform_worker.py
@@ -203,13 +203,21 @@
                 return False
             case LateAnswer():
                 sock.sendall(self._whole("0" * 16, Whole(body=b"of another")))
-                sock.sendall(self._whole(request_id, Whole()))
+                sock.sendall(self._whole(request_id, self._own_whole(request_id)))
                 return True
             case ExtraAnswer():
                 extra = self._whole("0" * 16, Whole(body=b"of another"))
-                sock.sendall(self._whole(request_id, Whole()) + extra)
+                own = self._whole(request_id, self._own_whole(request_id))
+                sock.sendall(own + extra)
                 return True
 
+    def _own_whole(self, request_id: str) -> Whole:
+        """Return a whole answer that names the request, if the usual ones do."""
+        match self.usual:
+            case Echo() | Events(has_id=True):
+                return Whole(body=request_id.encode())
+        return Whole()
+
     def _whole(self, request_id: str, whole: Whole) -> bytes:
         lines = [
             f"HTTP/1.1 {whole.status} Status",
