Bind a request to its route in one type; forget peers that are gone

Exchange took seven arguments, two methods of its context only passed on, and three loops read a body each in its own way. Records of processes that are gone, and datagrams to them, only grew: after 60 s of silence a peer is dropped, one live process deletes its record, and a process whose record was deleted registers again.

--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -13,16 +13,17 @@
 from wigeonwind.clock import ManualClock, SystemClock
 from wigeonwind.decisions.peer_loads import MAX_AGE_MS
 from wigeonwind.decisions.work_choice import WorkChooser
+from wigeonwind.outcomes import Ok
 from wigeonwind.platform.__main__ import SCHEMA, STORE_LIMITS
 from wigeonwind.platform.headers import PlatformWire
 from wigeonwind.platform.store_format import PlatformStoreFormat
-from wigeonwind.routing.peer_exchange import PeerExchange
+from wigeonwind.routing.peer_exchange import FORGET_MS, PeerExchange
 from wigeonwind.routing.peer_messages import LoadMessage
 from wigeonwind.routing.peer_state import SharedState, decode_state, encode_state
 from wigeonwind.routing.router import Router, RouterSettings
 from wigeonwind.soak.loopback_proxy import Harm, LoopbackProxy
 from wigeonwind.state.store_client import StoreClient
-from wigeonwind.state.store_types import StoredObject
+from wigeonwind.state.store_types import ObjectPage, StoredObject
 
 
 def second_router(store_address, peers=ANY):
@@ -134,3 +135,46 @@
     exchange._on_message(LoadMessage("other", 1_000_000, 1, {}, ()), source)
     exchange.stop()
     assert len(taken) == count
+
+
+class RecordStore:
+    """A directory with the records of two processes; keeps what is deleted."""
+
+    def __init__(self):
+        self.deleted = []
+
+    def list_objects(self, _):
+        value = b'{"address":"127.0.0.1:9"}'
+        names = ("me", "gone")
+        found = tuple(StoredObject(f"routers/{name}", 5, value) for name in names)
+        return Ok(ObjectPage(found, 9))
+
+    def delete(self, key, if_version):
+        self.deleted.append((key, if_version))
+        return Ok(None)
+
+
+def test_the_record_of_a_peer_that_is_gone_is_deleted():
+    # Guards against a directory, and datagrams to dead addresses, that only grow.
+    clock, store = ManualClock(), RecordStore()
+    choice = WorkChooser("a", Random(1))
+    exchange = PeerExchange("me", clock, Random(1), choice, store, "routers/")
+    exchange._read_directory()
+    clock.advance(FORGET_MS - 1.0)
+    exchange._read_directory()
+    assert (exchange.peer_count(), store.deleted) == (1, [])
+    clock.advance(2.0)
+    exchange._read_directory()
+    assert (exchange.peer_count(), store.deleted) == (0, [("routers/gone", 5)])
+    exchange.stop()
+
+
+def test_a_process_that_was_forgotten_registers_again():
+    # Guards against a process that was cut off for a minute and is never found again.
+    choice, store = WorkChooser("a", Random(1)), RecordStore()
+    exchange = PeerExchange("me", ManualClock(), Random(1), choice, store, "routers/")
+    assert exchange._read_directory()
+    other = PeerExchange("new", ManualClock(), Random(1), choice, store, "routers/")
+    assert not other._read_directory()
+    exchange.stop()
+    other.stop()
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -15,8 +15,7 @@
 from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.event_stream import EventSplitter
 from wigeonwind.routing.forwarding_context import ForwardingContext
-from wigeonwind.routing.request_parser import HttpRequest
-from wigeonwind.routing.routes import HttpCustomer, HttpRoute
+from wigeonwind.routing.routed_request import RoutedRequest
 from wigeonwind.routing.send_ends import (
     Broken,
     CallerGone,
@@ -26,7 +25,7 @@
     SendEnd,
     TimedOut,
 )
-from wigeonwind.routing.wire import AnswerFacts, RequestFacts, SendFacts
+from wigeonwind.routing.wire import AnswerFacts, SendFacts
 
 MAX_SENDS = 6
 """Sends of one request, whatever its route allows; refused ones count."""
@@ -60,9 +59,6 @@
 RETRY_AFTER_MS = 250.0
 """Retry-After of a request that endpoints refused; queues of engines move that fast."""
 
-PRIORITIES_PER_LEVEL = 3
-"""Route priorities told apart within one priority of customers."""
-
 RETRY_AFTER_SPREAD = 0.6
 """Random part of Retry-After, so that refused callers do not return together."""
 
@@ -82,32 +78,18 @@
         self,
         context: ForwardingContext,
         caller: CallerConnection,
-        request: HttpRequest,
-        facts: RequestFacts,
-        route: HttpRoute,
-        customer: HttpCustomer | None,
-        config_version: int,
+        routed: RoutedRequest,
     ) -> None:
         self.context = context
         self.caller = caller
-        self.request = request
-        self.facts = facts
-        self.route = route
-        self.customer = customer
-        self.config_version = config_version
+        self.routed = routed
+        self.facts = facts = routed.facts
+        self.route = route = routed.route
         self.began_ms = context.clock.now_ms()
-        wait_ms = route.timeout_ms
-        if facts.wait_ms is not None:
-            wait_ms = min(wait_ms, facts.wait_ms)
-        self.deadline_ms = self.began_ms + wait_ms
+        self.deadline_ms = self.began_ms + routed.wait_ms
         self.service = context.pick_service(route)
-        self.priority = route.priority
-        if customer is not None and customer.priority is not None:
-            self.priority = customer.priority
-        engine_priority = PRIORITIES_PER_LEVEL * self.priority
-        engine_priority += min(route.priority, PRIORITIES_PER_LEVEL - 1)
         self.work = context.work_of(
-            self.service, engine_priority, facts, route.target_ms
+            self.service, routed.engine_priority, facts, route.target_ms
         )
         self._events = EventSplitter(facts.after_event)
         self._first_event_ms: float | None = None
@@ -290,18 +272,30 @@
     ) -> SendEnd | None:
         while not answer.is_complete:
             answer.take_body()
-            end = self._receive(connection, sent)
+            end = self._receive_body(connection, sent, answer)
             if end is not None:
                 return end
         return None
 
+    def _receive_body(
+        self, connection: EndpointConnection, sent: SentWork, answer: Answer
+    ) -> SendEnd | None:
+        """Take the next bytes; return an end if the body can never be complete."""
+        end = self._receive(connection, sent)
+        return None if answer.is_complete else end
+
     def _request_bytes(self, endpoint: Endpoint, left_ms: float) -> bytes:
-        request, facts = self.request, self.facts
+        request, facts = self.routed.request, self.facts
         after = self._events.last_id if self.route.is_stream else None
-        customer = self.customer.name if self.customer is not None else None
+        customer = self.routed.customer
         priority = self.work.priority if self.work.is_generation else None
         send = SendFacts(
-            left_ms, endpoint.instance_id, priority, customer, after, self._fetch_from
+            left_ms,
+            endpoint.instance_id,
+            priority,
+            None if customer is None else customer.name,
+            after,
+            self._fetch_from,
         )
         head = b"%s %s HTTP/1.1\r\n" % (request.method, request.target)
         head += self.context.wire.endpoint_headers(facts, send)
@@ -401,8 +395,8 @@
         pieces = [answer.take_body()]
         size = len(pieces[0])
         while not answer.is_complete:
-            end = self._receive(connection, sent)
-            if end is not None and not answer.is_complete:
+            end = self._receive_body(connection, sent, answer)
+            if end is not None:
                 return end
             pieces.append(answer.take_body())
             size += len(pieces[-1])
@@ -428,8 +422,8 @@
                 self._pass_events(sent, answer, facts, events)
             if answer.is_complete:
                 break
-            end = self._receive(connection, sent)
-            if end is not None and not answer.is_complete:
+            end = self._receive_body(connection, sent, answer)
+            if end is not None:
                 return end
         if self._events.has_rest:
             return Broken("the stream ended within an event")
@@ -507,7 +501,7 @@
         decision = self.context.retry_of(self.service).decide(
             self._endpoints_sent_to - 1, certain, repeatable, left_ms, now_ms, cause
         )
-        self.context.note_retry(self, end, decision)
+        self.context.on_retry(self, end, decision)
         return not isinstance(decision, GiveUp)
 
     def _conclude(self, end: SendEnd) -> None:
@@ -522,7 +516,7 @@
             # `abort` ends this way, too: then the answer was broken off on purpose.
             if not self.caller.was_aborted:
                 end = CallerGone()
-        context.note_end(self, end)
+        context.on_end(self, end)
 
     def _answer_failure(self, end: SendEnd) -> None:
         if self.caller.head_sent:
--- a/wigeonwind/routing/forwarding_context.py
+++ b/wigeonwind/routing/forwarding_context.py
@@ -93,13 +93,3 @@
             facts.prompt_tokens > 0,
             target_ms,
         )
-
-    def note_retry(
-        self, exchange: "Exchange", end: SendEnd, decision: Resend | GiveUp
-    ) -> None:
-        """Record that a send failed and whether another follows."""
-        self.on_retry(exchange, end, decision)
-
-    def note_end(self, exchange: "Exchange", end: SendEnd) -> None:
-        """Record how a request ended."""
-        self.on_end(exchange, end)
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -19,6 +19,7 @@
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.peer_loads import MAX_AGE_MS
 from wigeonwind.decisions.work_choice import WorkChooser
+from wigeonwind.hashing import hash_text
 from wigeonwind.ids import new_incarnation
 from wigeonwind.outcomes import Ok
 from wigeonwind.routing.peer_messages import (
@@ -55,6 +56,10 @@
 
 DIRECTORY_RETRY_MS = 1_000.0
 
+FORGET_MS = 60_000.0
+"""Silence after which a peer has gone for good: several times a restart, or a partition
+of a VM."""
+
 log = get_logger("wigeonwind.peers")
 
 
@@ -77,6 +82,10 @@
         """Return all objects under a prefix."""
         ...
 
+    def delete(self, key: str, if_version: int) -> Ok[None] | Conflict | StoreFailure:
+        """Delete an object if it has a version."""
+        ...
+
 
 @dataclass(slots=True)
 class _Peer:
@@ -86,6 +95,11 @@
     incarnation: int = 0
     number: int = 0
     heard_ms: float = float("-inf")
+    known_ms: float = 0.0
+
+    def silence_ms(self, now_ms: float) -> float:
+        """Return for how long nothing was heard."""
+        return now_ms - max(self.heard_ms, self.known_ms)
 
 
 class PeerExchange:
@@ -109,6 +123,7 @@
         self._peer_by_id: dict[str, _Peer] = {}
         self._incarnation = new_incarnation()
         self._number = 0
+        self._is_registered = False
         self._sock = gevent_socket.socket(
             gevent_socket.AF_INET, gevent_socket.SOCK_DGRAM
         )
@@ -158,6 +173,7 @@
         peer = self._peer_by_id.get(message.sender)
         if peer is None:
             peer = self._peer_by_id[message.sender] = _Peer(source)
+            peer.known_ms = self._clock.now_ms()
             log.info("a peer is known", peer=message.sender, address=str(source))
         order = (message.incarnation, message.number)
         now_ms = self._clock.now_ms()
@@ -200,11 +216,10 @@
                 log.debug("a datagram was not sent", reason=str(error))
 
     def _keep_directory(self) -> None:
-        registered = False
         while True:
-            registered = registered or self._register()
+            self._is_registered = self._is_registered or self._register()
             gevent.sleep(REGISTER_DELAY_MS / MS_PER_SECOND)
-            if registered and self._read_directory():
+            if self._is_registered and self._read_directory():
                 gevent.sleep(DIRECTORY_MS / MS_PER_SECOND)
             else:
                 gevent.sleep(DIRECTORY_RETRY_MS / MS_PER_SECOND)
@@ -226,9 +241,30 @@
         if isinstance(page, StoreFailure):
             log.warning("the directory was not read", reason=page.reason)
             return False
+        own_key = self._prefix + self._own_id
+        # Peers delete the record of a process that was cut off for long.
+        self._is_registered = any(each.key == own_key for each in page.value.objects)
         for found in page.value.objects:
             self._on_record(found)
-        return True
+            self._forget_if_gone(found)
+        return self._is_registered
+
+    def _forget_if_gone(self, record: StoredObject) -> None:
+        """Drop a peer that has been silent for too long, and its record.
+
+        Records do not expire by themselves. Of the live processes one deletes it.
+        """
+        name = record.key.removeprefix(self._prefix)
+        peer, now_ms = self._peer_by_id.get(name), self._clock.now_ms()
+        if peer is None or peer.silence_ms(now_ms) <= FORGET_MS:
+            return
+        del self._peer_by_id[name]
+        log.info("a peer is gone", peer=name, address=str(peer.address))
+        live = [self._own_id, *self._peer_by_id]
+        if min(live, key=lambda each: hash_text(f"{name}|{each}")) == self._own_id:
+            deleted = self._store.delete(record.key, record.version)
+            if not isinstance(deleted, Ok):
+                log.warning("a record was not deleted", peer=name, reason=str(deleted))
 
     def _on_record(self, found: StoredObject) -> None:
         name = found.key.removeprefix(self._prefix)
@@ -242,4 +278,5 @@
             return
         known = self._peer_by_id.get(name)
         if is_valid_address(address) and (known is None or not known.number):
-            self._peer_by_id[name] = _Peer(address)
+            known_ms = self._clock.now_ms() if known is None else known.known_ms
+            self._peer_by_id[name] = _Peer(address, known_ms=known_ms)
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -25,6 +25,7 @@
 from wigeonwind.routing.peer_exchange import DirectoryStore, PeerExchange
 from wigeonwind.routing.peer_state import PeerState
 from wigeonwind.routing.request_parser import HttpRequest
+from wigeonwind.routing.routed_request import RoutedRequest
 from wigeonwind.routing.routes import CallerLimits, HttpCustomer, HttpRoute, RouteTable
 from wigeonwind.routing.routing_metrics import RoutingMetrics
 from wigeonwind.routing.routing_state import (
@@ -268,9 +269,8 @@
         if self.is_draining and self._may_outlast_stop(route, facts):
             self._refuse(caller, facts, STOPPING, table.version)
             return
-        Exchange(
-            self._context, caller, request, facts, route, customer, table.version
-        ).run()
+        routed = RoutedRequest(request, facts, route, customer, table.version)
+        Exchange(self._context, caller, routed).run()
 
     def _customer(
         self, table: RouteTable, route: HttpRoute, facts: RequestFacts
