Give the soak a program of its own

Cause: its flags clashed with those of run_faults when both modules were imported (doctest collection). python -m wigeonwind.soak runs it.

--- /dev/null
+++ b/wigeonwind/soak/__main__.py
@@ -0,0 +1,72 @@
+"""Runs routing processes under faults from outside, and checks the promises.
+
+Example: python -m wigeonwind.soak --seed=7 --seeds=3 --seconds=20
+"""
+
+import sys
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from absl import app, flags
+
+from wigeonwind.soak.run_soak import SoakOptions, run_soak
+from wigeonwind.soak.soak_checks import Breach
+from wigeonwind.soak.soak_faults import SOAK_FAULTS
+
+FLAGS = flags.FLAGS
+flags.DEFINE_integer("seed", 1, "First seed.", 0)
+flags.DEFINE_integer("seeds", 1, "Number of seeds, counted up.", 1, 1_000)
+flags.DEFINE_float("seconds", 15.0, "Time in which faults begin.", 1.0, 600.0)
+flags.DEFINE_float("gap", 1.0, "Mean seconds between faults.", 0.05, 60.0)
+flags.DEFINE_integer("callers", 12, "Callers.", 1, 200)
+flags.DEFINE_integer("routers", 3, "Routing processes.", 1, 40)
+flags.DEFINE_integer("engines", 3, "Workers that stream.", 1, 40)
+flags.DEFINE_integer("desks", 3, "Workers that answer at once.", 1, 40)
+flags.DEFINE_list("only", [], "Only these kinds of fault.")
+flags.DEFINE_string("logs", "", "Directory for the logs of failed seeds.")
+
+
+def _run_seed(options: SoakOptions) -> list[Breach]:
+    """Run one seed and print what it found."""
+    with tempfile.TemporaryDirectory() as temporary:
+        directory = Path(FLAGS.logs or temporary) / f"soak-{options.seed}"
+        directory.mkdir(parents=True, exist_ok=True)
+        result = run_soak(options, directory)
+    statuses = Counter(each.status for each in result.history.exchanges)
+    counts = ", ".join(f"{count} x {status}" for status, count in statuses.items())
+    faults = len(result.history.disturbances)
+    print(f"seed {options.seed}: {counts}; {faults} disturbances", end="; ")
+    print(f"{len(result.breaches)} breaches", flush=True)
+    for breach in result.breaches:
+        print(f"  {breach.promise}: {breach.message}", flush=True)
+    return result.breaches
+
+
+def main(_argv: list[str]) -> int:
+    """Run the seeds; the exit code is 1 if a promise was broken."""
+    unknown = sorted(set(FLAGS.only) - set(SOAK_FAULTS.names()))
+    if unknown:
+        known = ", ".join(SOAK_FAULTS.names())
+        raise app.UsageError(f"--only: unknown {', '.join(unknown)}; known: {known}")
+    bad = []
+    for seed in range(FLAGS.seed, FLAGS.seed + FLAGS.seeds):
+        options = SoakOptions(
+            seed,
+            FLAGS.seconds,
+            FLAGS.gap,
+            FLAGS.callers,
+            FLAGS.routers,
+            FLAGS.engines,
+            FLAGS.desks,
+            tuple(FLAGS.only),
+        )
+        if _run_seed(options):
+            bad.append(seed)
+    if bad:
+        print(f"{len(bad)} of {FLAGS.seeds} seeds broke a promise: {bad}")
+    return 1 if bad else 0
+
+
+if __name__ == "__main__":
+    sys.exit(app.run(main))
--- a/wigeonwind/soak/run_soak.py
+++ b/wigeonwind/soak/run_soak.py
@@ -1,17 +1,10 @@
-"""Runs routing processes under faults from outside, and checks the promises.
+"""One run of the soak: processes, callers and faults of one seed, and the checks."""
 
-Example: python -m wigeonwind.soak.run_soak --seed=7 --seeds=3 --seconds=20
-"""
-
-import sys
-import tempfile
-from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
 import gevent
-from absl import app, flags
 
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.soak.soak_callers import SoakCaller
@@ -25,18 +18,6 @@
 
 ENDS_POLL_S = 0.2
 
-FLAGS = flags.FLAGS
-flags.DEFINE_integer("seed", 1, "First seed.", 0)
-flags.DEFINE_integer("seeds", 1, "Number of seeds, counted up.", 1, 1_000)
-flags.DEFINE_float("seconds", 15.0, "Time in which faults begin.", 1.0, 600.0)
-flags.DEFINE_float("gap", 1.0, "Mean seconds between faults.", 0.05, 60.0)
-flags.DEFINE_integer("callers", 12, "Callers.", 1, 200)
-flags.DEFINE_integer("routers", 3, "Routing processes.", 1, 40)
-flags.DEFINE_integer("engines", 3, "Workers that stream.", 1, 40)
-flags.DEFINE_integer("desks", 3, "Workers that answer at once.", 1, 40)
-flags.DEFINE_list("only", [], "Only these kinds of fault.")
-flags.DEFINE_string("logs", "", "Directory for the logs of failed seeds.")
-
 
 @dataclass(frozen=True)
 class SoakOptions:
@@ -103,48 +84,3 @@
     while True:
         gevent.sleep(ENDS_POLL_S)
         fleet.note_unexpected_ends()
-
-
-def _run_seed(options: SoakOptions) -> list[Breach]:
-    """Run one seed and print what it found."""
-    with tempfile.TemporaryDirectory() as temporary:
-        directory = Path(FLAGS.logs or temporary) / f"soak-{options.seed}"
-        directory.mkdir(parents=True, exist_ok=True)
-        result = run_soak(options, directory)
-    statuses = Counter(each.status for each in result.history.exchanges)
-    counts = ", ".join(f"{count} x {status}" for status, count in statuses.items())
-    faults = len(result.history.disturbances)
-    print(f"seed {options.seed}: {counts}; {faults} disturbances", end="; ")
-    print(f"{len(result.breaches)} breaches", flush=True)
-    for breach in result.breaches:
-        print(f"  {breach.promise}: {breach.message}", flush=True)
-    return result.breaches
-
-
-def main(_argv: list[str]) -> int:
-    """Run the seeds; the exit code is 1 if a promise was broken."""
-    unknown = sorted(set(FLAGS.only) - set(SOAK_FAULTS.names()))
-    if unknown:
-        known = ", ".join(SOAK_FAULTS.names())
-        raise app.UsageError(f"--only: unknown {', '.join(unknown)}; known: {known}")
-    bad = []
-    for seed in range(FLAGS.seed, FLAGS.seed + FLAGS.seeds):
-        options = SoakOptions(
-            seed,
-            FLAGS.seconds,
-            FLAGS.gap,
-            FLAGS.callers,
-            FLAGS.routers,
-            FLAGS.engines,
-            FLAGS.desks,
-            tuple(FLAGS.only),
-        )
-        if _run_seed(options):
-            bad.append(seed)
-    if bad:
-        print(f"{len(bad)} of {FLAGS.seeds} seeds broke a promise: {bad}")
-    return 1 if bad else 0
-
-
-if __name__ == "__main__":
-    sys.exit(app.run(main))
--- a/wigeonwind/standins/platform_store.py
+++ b/wigeonwind/standins/platform_store.py
@@ -138,8 +138,9 @@
         if method != "GET" and self.faults.lost_writes:
             self.faults.lost_writes -= 1
             self._write(method, kind, name, query, body)
+            # What is written from now on does not arrive.
             environ[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
-            raise ConnectionResetError("the answer of a write is lost")
+            return _reply(start, 500, {})
         if method == "GET" and "watch" in query:
             wait_ms = float(query.get("wait_ms", 0))
             status, reply = self._watch(kind, int(query["watch"]), wait_ms)
