--- a/tests/test_routing_requests.py
+++ b/tests/test_routing_requests.py
@@ -320,6 +320,23 @@
         stopping.kill()
 
 
+def test_a_connection_opened_during_a_stop_gets_an_answer():
+    # Guards against callers that are reset before their request is read: the load
+    # balancer sends new connections for up to two seconds after the signal (incident
+    # inc-a7d3 of the wire site: 501 requests).
+    with fleet() as made:
+        stopping = gevent.spawn(made.router.drain)
+        made.wait_for(lambda: made.router.is_draining)
+        with made.connect() as sock:
+            gevent.sleep(0.1)
+            sock.sendall(request_bytes("/safe/x"))
+            reply = read_reply(sock)
+            assert (reply.status, reply.is_whole) == (200, True)
+            assert reply.headers["connection"] == "close"
+            assert sock.recv(1) == b""
+        stopping.join()
+
+
 def test_a_process_without_configuration_promises_not_run():
     # Guards against 404 or 401 from a process that knows no configuration yet.
     made = RoutingFleet()
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -66,6 +66,8 @@
         self.is_serving = False
         self.is_closing = False
         """The connection ends after the answer that is due next."""
+        self._ends_when_idle = False
+        """It ends without waiting for another request."""
         self._head_sent = False
         self._is_chunked = False
         self._closes_after_answer = False
@@ -99,7 +101,7 @@
                 self.refuse(self._parser.failure, "", ())
                 self._finish_closing()
                 return
-            if self.is_closing and not self._parser.is_inside:
+            if self._ends_when_idle and not self._parser.is_inside:
                 return
             self._wakeup.clear()
             self._has_room.set()
@@ -296,6 +298,7 @@
     def close_if_idle(self) -> None:
         """End the connection if no request is on its way."""
         self.is_closing = True
+        self._ends_when_idle = True
         if not self.is_serving and not self._parser.is_inside:
             self._wakeup.set()
 
