--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -86,7 +86,7 @@
         (history(ok(signature="w2")), "own-answer"),
         (history(ok(is_extra=True)), "own-answer"),
         (history(ok(Kind.STREAM, body=EVENTS[:20])), "own-answer"),
-        (history(runs=(replace(RUN, tenant="another"),)), "customer"),
+        (history(runs=(replace(RUN, customer="another"),)), "customer"),
         (history(runs=(replace(RUN, has_key=True),)), "customer"),
         (history(ok(Kind.UNKNOWN_KEY)), "customer"),
         (history(ok(status=404), ()), "proper-requests"),
--- a/wigeonwind/soak/soak_checks.py
+++ b/wigeonwind/soak/soak_checks.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from wigeonwind.registry import Registry
-from wigeonwind.soak.soak_fleet import DRAIN_MS, TENANT
+from wigeonwind.soak.soak_fleet import CUSTOMER, DRAIN_MS
 from wigeonwind.soak.soak_records import (
     STORE,
     ConfigSeen,
@@ -114,8 +114,8 @@
         each.request_id for each in history.exchanges if each.kind is Kind.UNKNOWN_KEY
     }
     for run in history.runs:
-        if run.tenant != TENANT or run.has_key:
-            message = f"{run.request_id} ran for {run.tenant!r}, key {run.has_key}"
+        if run.customer != CUSTOMER or run.has_key:
+            message = f"{run.request_id} ran for {run.customer!r}, key {run.has_key}"
             yield Breach("customer", message)
         if run.request_id in unknown:
             yield Breach("customer", f"{run.request_id} ran with a key of nobody")
--- a/wigeonwind/soak/soak_fleet.py
+++ b/wigeonwind/soak/soak_fleet.py
@@ -10,8 +10,9 @@
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.checking.child_process import ChildProcess
-from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.platform.node_file import PATH_VARIABLE
+from wigeonwind.routing.endpoints import Endpoint
+from wigeonwind.routing.routes import Repetition
 from wigeonwind.soak.loopback_proxy import LoopbackProxy
 from wigeonwind.soak.soak_records import (
     ConfigSeen,
@@ -22,13 +23,18 @@
     SoakHistory,
     soak_now_ms,
 )
+from wigeonwind.standins.platform_documents import (
+    RouteSpec,
+    configuration_document,
+    entry_document,
+    node_file_text,
+)
 from wigeonwind.standins.platform_store import PlatformStore
 from wigeonwind.standins.platform_worker import Behaviour, Echo, Events, PlatformWorker
 
 PROGRAM = "wigeonwind.platform"
 CALLERS_PORT = 8227
 READY_PORT = 8220
-FIRST_PEER_PORT = 7340
 READY_LIMIT_S = 20.0
 READY_POLL_S = 0.05
 GRACE_S = 4
@@ -45,7 +51,7 @@
     DESKS: Echo(delay_ms=15.0),
 }
 SLOTS = {ENGINES: 32, DESKS: 12}
-TENANT = "mill"
+CUSTOMER = "mill"
 KEY, REVOKED_KEY, UNKNOWN_KEY = "key-1", "key-2", "key-9"
 
 
@@ -64,19 +70,19 @@
         """Return the instance id."""
         return self.double.name
 
-    def entry(self, state: str = "ready") -> dict[str, Any]:
+    def entry(self, is_draining: bool = False) -> dict[str, Any]:
         """Return the entry in the store."""
-        return {
-            "backend": self.service,
-            "address": str(self.proxy.address),
-            "zone": self.zone,
-            "version": "v1",
-            "capacity": SLOTS[self.service],
-            "state": state,
-            "warmup_left_ms": 0,
-            "seq": 1,
-            "born": self.started_ms,
-        }
+        return entry_document(
+            Endpoint(
+                self.name,
+                self.service,
+                self.proxy.address,
+                self.zone,
+                self.started_ms,
+                SLOTS[self.service],
+                is_draining,
+            )
+        )
 
 
 @dataclass
@@ -143,7 +149,8 @@
         """Write the next version of the configuration, as the operator does."""
         self.version += 3
         keys = [KEY, REVOKED_KEY] if revoked_is_valid else [KEY]
-        document = _configuration(self.version, moved_service, keys)
+        routes = _routes(moved_service)
+        document = configuration_document(self.version, routes, CUSTOMER, keys)
         self.store.put("config", "main", document)
         seen = ConfigSeen(self.version, soak_now_ms(), moved_service, revoked_is_valid)
         self.history.configs.append(seen)
@@ -163,7 +170,7 @@
 
     def drain_worker(self, worker: SoakWorker) -> None:
         """Let the store know that a worker leaves."""
-        self.store.put("servers", worker.name, worker.entry("draining"))
+        self.store.put("servers", worker.name, worker.entry(is_draining=True))
         self.history.drains.append(DrainSeen(worker.name, soak_now_ms()))
 
     def remove_worker(self, worker: SoakWorker) -> None:
@@ -192,7 +199,15 @@
     def start_router(self, router: SoakRouter) -> None:
         """Start a routing process, for the first time or again."""
         path = self.directory / f"{router.name}.toml"
-        path.write_text(_node_file(router), encoding="utf-8")
+        text = node_file_text(
+            router.name,
+            router.zone,
+            router.address(),
+            router.address(READY_PORT),
+            router.store_proxy.address,
+            GRACE_S,
+        )
+        path.write_text(text, encoding="utf-8")
         log = str(self.directory / f"{router.name}.log")
         environment = {PATH_VARIABLE: str(path), "GEVENT_NOWAITPID": "1"}
         router.process = ChildProcess(
@@ -246,48 +261,11 @@
     return f"127.{32 + os.getpid() % 200}.{1 + seed % 250}"
 
 
-def _node_file(router: SoakRouter) -> str:
-    return f"""
-node = "{router.name}"
-zone = "{router.zone}"
-ip = "{router.ip}"
-port_range = [{FIRST_PEER_PORT},{FIRST_PEER_PORT + 15}]
-[listen]
-ingress = "{router.address()}"
-ready = "{router.address(READY_PORT)}"
-[bounds]
-grace_s = {GRACE_S}
-[platform]
-address = "{router.store_proxy.address}"
-"""
-
-
-def _route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
-    return {
-        "name": name,
-        "hostname": "a.example",
-        "path_prefix": f"/{name}/",
-        "route_type": kind,
-        "timeout_ms": 3 * MS_PER_SECOND,
-        "slo_ms": 250,
-        "priority": 1,
-        "backend": service,
-        "attempts": 2,
-        **fields,
-    }
-
-
-def _configuration(version: int, moved: str, keys: list[str]) -> dict[str, Any]:
-    return {
-        "version": version,
-        "routes": [
-            _route("safe", "safe", DESKS),
-            _route("once", "unsafe", DESKS, attempts=1),
-            _route("stream", "streaming", ENGINES, gap_aim_ms=200),
-            _route("resume", "streaming", ENGINES, resumable=True, gap_aim_ms=200),
-            _route("moved", "safe", moved),
-        ],
-        "backends": [{"name": ENGINES}, {"name": DESKS}],
-        "limits": {"header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-        "tenants": [{"name": TENANT, "api_keys": keys, "priority": 0}],
-    }
+def _routes(moved_service: str) -> tuple[RouteSpec, ...]:
+    return (
+        RouteSpec("safe", DESKS, Repetition.SAFE),
+        RouteSpec("once", DESKS, Repetition.ONCE, max_endpoints=1),
+        RouteSpec("stream", ENGINES, Repetition.ONCE, is_stream=True),
+        RouteSpec("resume", ENGINES, Repetition.RESUMABLE, is_stream=True),
+        RouteSpec("moved", moved_service, Repetition.SAFE),
+    )
--- a/wigeonwind/soak/soak_records.py
+++ b/wigeonwind/soak/soak_records.py
@@ -65,7 +65,7 @@
     worker: str
     service: str
     at_ms: float
-    tenant: str
+    customer: str
     has_key: bool
 
 
