--- a/wigeonwind/settings.py
+++ b/wigeonwind/settings.py
@@ -226,14 +226,25 @@
         expected = f"more than heartbeat_ms = {settings.links.heartbeat_ms}"
         problems.append(Problem("links", "timeout_ms", value, expected))
     for section, key, addresses in _address_settings(settings):
-        for address in parse_address_list(addresses):
-            if not is_valid_address(address):
-                problems.append(
-                    Problem(section, key, addresses, "an IPv4 address and a port")
-                )
+        if not _are_valid_addresses(addresses):
+            problems.append(
+                Problem(section, key, addresses, "an IPv4 address and a port")
+            )
     return problems
 
 
+def _are_valid_addresses(addresses: str) -> bool:
+    """Return whether a comma-separated list holds only IPv4 addresses with a port.
+
+    >>> _are_valid_addresses("10.0.0.1:80, 10.0.0.2:80"), _are_valid_addresses(":")
+    (True, False)
+    """
+    try:
+        return all(map(is_valid_address, parse_address_list(addresses)))
+    except ValueError:
+        return False
+
+
 def _address_settings(settings: Settings) -> list[tuple[str, str, str]]:
     """Return the section, key and value of each setting that holds addresses."""
     listen = settings.listen
