Routing: bound what an endpoint or a caller may send without end

Cause: llhttp accepts heads, trailers, chunk extensions and interim responses of any length, and ResponseParser counted nothing; responses to other requests were skipped without end; each connection could buffer 16 MB; trailers were appended to the headers, so that one could stand for a header that a proxy in front did not see.

--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -18,6 +18,10 @@
 from wigeonwind.routing.event_stream import EventSplitter
 from wigeonwind.routing.forwarding_context import ForwardingContext
 from wigeonwind.routing.header_codec import ResponseMetadata, SendMetadata
+from wigeonwind.routing.response_limits import (
+    MAX_BUFFERED_BODY_BYTES,
+    MAX_DISCARDED_RESPONSES,
+)
 from wigeonwind.routing.response_parser import Response, keep_alive_ms
 from wigeonwind.routing.routed_request import RoutedRequest
 from wigeonwind.routing.send_outcomes import (
@@ -60,9 +64,6 @@
 """Time to the deadline below which a request is not sent, as no response could arrive
 in time."""
 
-MAX_BUFFERED_BODY_BYTES = 16_000_000
-"""Largest response body that is not a stream; it is buffered until it is complete."""
-
 RETRY_AFTER_MS = 250.0
 """Retry-After of a refused request; queues of engines advance within that time."""
 
@@ -279,7 +280,7 @@
             if not connection.has_unread_data():
                 return Broken(f"request not sent in full: {error}")
         self._may_have_run = True
-        while True:
+        for _ in range(MAX_DISCARDED_RESPONSES + 1):
             response = self._next_response(connection, send)
             if not isinstance(response, Response):
                 return response
@@ -297,6 +298,9 @@
             outcome = self._discard_response(connection, send, response)
             if outcome is not None:
                 return outcome
+        return Broken(
+            f"more than {MAX_DISCARDED_RESPONSES} responses to other requests"
+        )
 
     def _matches_request(self, response: Response, metadata: ResponseMetadata) -> bool:
         """Return whether a response belongs to the request.
@@ -441,17 +445,25 @@
     def _read_full_body(
         self, connection: EndpointConnection, send: Send, response: Response
     ) -> bytes | SendOutcome:
-        chunks = [response.take_body()]
-        size = len(chunks[0])
-        while not response.is_complete:
-            outcome = self._receive_body(connection, send, response)
-            if outcome is not None:
-                return outcome
-            chunks.append(response.take_body())
-            size += len(chunks[-1])
-            if size > MAX_BUFFERED_BODY_BYTES:
-                return Broken(f"response body exceeds {MAX_BUFFERED_BODY_BYTES} bytes")
-        return b"".join(chunks)
+        budget = self.context.buffer_budget
+        chunks: list[bytes] = []
+        size = 0
+        try:
+            while True:
+                chunk = response.take_body()
+                if not budget.take(len(chunk)):
+                    return Broken("too many bytes of incomplete responses are buffered")
+                chunks.append(chunk)
+                size += len(chunk)
+                if size > MAX_BUFFERED_BODY_BYTES:
+                    return Broken(f"response body over {MAX_BUFFERED_BODY_BYTES} bytes")
+                if response.is_complete:
+                    return b"".join(chunks)
+                outcome = self._receive_body(connection, send, response)
+                if outcome is not None:
+                    return outcome
+        finally:
+            budget.give_back(size)
 
     def _relay_stream(
         self,
--- a/wigeonwind/routing/forwarding_context.py
+++ b/wigeonwind/routing/forwarding_context.py
@@ -17,6 +17,7 @@
 from wigeonwind.routing.discovery import EndpointSet
 from wigeonwind.routing.endpoint_connection import ConnectionPool
 from wigeonwind.routing.header_codec import HeaderCodec, RequestMetadata
+from wigeonwind.routing.response_limits import BufferBudget
 from wigeonwind.routing.routes import HttpRoute
 from wigeonwind.routing.send_outcomes import SendOutcome
 
@@ -49,6 +50,7 @@
     on_outcome: OutcomeObserver
     on_retry: Callable[["Exchange", SendOutcome, Resend | GiveUp], None]
     log: Any = field(default_factory=lambda: get_logger("wigeonwind.routing"))
+    buffer_budget: BufferBudget = field(default_factory=BufferBudget)
     _waiting_queue_by_service: dict[str, LifoQueue] = field(default_factory=dict)
     _retry_by_service: dict[str, RetryPolicy] = field(default_factory=dict)
 
--- a/wigeonwind/routing/request_parser.py
+++ b/wigeonwind/routing/request_parser.py
@@ -54,6 +54,8 @@
         """Whether the caller waits for `100 Continue` before it sends the body."""
         self.has_partial_message = False
         """Whether a request has been received in part."""
+        self._framing_bytes = 0
+        """Bytes received since the last byte of the body, or since the start."""
         self._reset()
         self._parser = HttpRequestParser(self)
 
@@ -61,7 +63,6 @@
         self._target = b""
         self._headers: list[Header] = []
         self._body: list[bytes] = []
-        self._head_bytes = 0
         self._body_bytes = 0
         self._head_is_complete = False
 
@@ -75,8 +76,7 @@
         if self.failure is not None or not data:
             return
         self.has_partial_message = True
-        if not self._head_is_complete:
-            self._head_bytes += len(data)
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade as upgrade:
@@ -85,13 +85,12 @@
             self.feed(data[upgrade.args[0] :])
         except HttpParserError as error:
             self._fail(ErrorCode.BAD_REQUEST, f"invalid HTTP request: {error}", 400)
-        if (
-            not self._head_is_complete
-            and self._head_bytes > self.limits.max_header_bytes
+        if self.has_partial_message and (
+            self._framing_bytes > self.limits.max_header_bytes
         ):
-            self._fail(
-                ErrorCode.TOO_LARGE, "the request line and headers are too large", 431
-            )
+            what = "trailers or chunk extensions" if self._head_is_complete else "head"
+            message = f"the request has a larger {what} than allowed"
+            self._fail(ErrorCode.TOO_LARGE, message, 431)
 
     def _fail(self, code: ErrorCode, message: str, status: int) -> None:
         if self.failure is None:
@@ -107,8 +106,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header (parser callback)."""
-        self._headers.append((name, value))
+        """Add a header (parser callback); trailers are dropped (RFC 9110 6.5.1)."""
+        if not self._head_is_complete:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check the head (parser callback)."""
@@ -153,6 +153,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body (parser callback)."""
+        self._framing_bytes = 0
         self._body_bytes += len(body)
         self._check_body(self._body_bytes)
         if self.failure is None:
@@ -163,7 +164,7 @@
         self.has_partial_message = False
         self._head_is_complete = False
         self.expects_continue = False
-        self._head_bytes = 0
+        self._framing_bytes = 0
         if self.failure is not None:
             return
         self.requests.append(
--- a/wigeonwind/routing/response_parser.py
+++ b/wigeonwind/routing/response_parser.py
@@ -6,6 +6,7 @@
 
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.routing.header_codec import Header
+from wigeonwind.routing.response_limits import MAX_FRAMING_BYTES
 
 FIRST_FINAL_STATUS = 200
 """Responses with a lower status are interim (RFC 9110 section 15.2)."""
@@ -44,7 +45,8 @@
 
     `responses` holds the responses whose head has arrived. A faulty endpoint may send
     more responses than it received requests, so whoever takes a response must check
-    that it belongs to the request.
+    that it belongs to the request. More than MAX_FRAMING_BYTES in a row without body
+    bytes are an error, because llhttp accepts heads and trailers of any length.
 
     >>> parser = ResponseParser()
     >>> parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 5")
@@ -60,18 +62,23 @@
         """Whether a response has been received in part."""
         self.keeps_alive = True
         self._response = Response()
+        self._framing_bytes = 0
+        """Bytes received since the last byte of a body."""
         self._parser = HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes of the connection; set `error` if they are invalid."""
         if self.error:
             return
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade:
             self.error = "the endpoint switched protocols without being asked to"
         except HttpParserError as error:
             self.error = f"invalid HTTP response: {error}"
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            self.error = f"more than {MAX_FRAMING_BYTES} bytes without a body"
 
     def feed_end(self) -> None:
         """Handle an orderly close of the connection by the endpoint."""
@@ -89,8 +96,9 @@
         self._response.reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header (parser callback)."""
-        self._response.headers.append((name, value))
+        """Add a header (parser callback); trailers are dropped (RFC 9110 6.5.1)."""
+        if not self._response.status:
+            self._response.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Add a final response to `responses` (parser callback)."""
@@ -101,6 +109,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body (parser callback)."""
+        self._framing_bytes = 0
         self._response.body.append(body)
 
     def on_message_complete(self) -> None:
--- a/wigeonwind/standins/platform_worker.py
+++ b/wigeonwind/standins/platform_worker.py
@@ -88,6 +88,19 @@
     """The matching response, followed by a response to another request."""
 
 
+@dataclass(frozen=True)
+class EndlessBytes:
+    """Sends `start`, then `repeated` without end until the router closes.
+
+    `{id}` in `start` is replaced by the request id. A pause between the repetitions
+    makes a stalled endpoint that sends a little now and then.
+    """
+
+    start: bytes
+    repeated: bytes
+    pause_ms: float = 0.0
+
+
 Behaviour = (
     FullResponse
     | EchoRequestId
@@ -98,6 +111,7 @@
     | TruncatedResponse
     | StaleResponse
     | ExtraResponse
+    | EndlessBytes
 )
 
 
@@ -196,6 +210,11 @@
                 head = f"HTTP/1.1 {status} No\r\nNot-Executed: 1\r\n"
                 sock.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
                 return True
+            case EndlessBytes(start, repeated, pause_ms):
+                sock.sendall(start.replace(b"{id}", request_id.encode()))
+                while True:
+                    sock.sendall(repeated)
+                    gevent.sleep(pause_ms / MS_PER_SECOND)
             case ConnectionReset():
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
                 return False
