Store: a few routers of each zone watch on behalf of a large fleet (parts)

Routers now tell peers what they know of the store; two of each zone watch, the others read changes from a peer; whoever hears of no watcher or was refused follows the store itself.

--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -72,6 +72,13 @@
             self._store_is_unreachable = False
             self._authoritative_from_ms = self._clock.now_ms() + EXPIRED_ENTRY_GRACE_MS
 
+    def on_view_interrupted(self) -> None:
+        """Handle a listing that follows a time without watching the store.
+
+        Entries may have expired in an outage that this process did not notice.
+        """
+        self._authoritative_from_ms = self._clock.now_ms() + EXPIRED_ENTRY_GRACE_MS
+
     @property
     def is_authoritative(self) -> bool:
         """Return whether a removed entry means that its endpoint has left."""
--- a/wigeonwind/routing/peer_messages.py
+++ b/wigeonwind/routing/peer_messages.py
@@ -5,9 +5,11 @@
 import cbor2
 
 from wigeonwind.decisions.peer_loads import InFlightLoad
+from wigeonwind.routing.store_watchers import StoreView
 
-MESSAGE_VERSION = 1
-"""First element of each message; messages of other versions are ignored."""
+MESSAGE_VERSION = 2
+"""First element of each message. Version 1 has no store view; messages of later
+versions are ignored."""
 
 MAX_MESSAGE_BYTES = 8_192
 """Largest datagram that can be decoded; a larger one is truncated and rejected."""
@@ -22,6 +24,7 @@
 
     Endpoints are identified by their `short_id`. `prefixes` are pairs of prefix key and
     endpoint. `incarnation` orders the starts of a process, `sequence` its messages.
+    `store_view` is None in messages of processes of an earlier version.
     """
 
     sender: str
@@ -29,6 +32,7 @@
     sequence: int
     load_by_id: dict[int, InFlightLoad]
     prefixes: tuple[tuple[int, int], ...]
+    store_view: StoreView | None = None
 
 
 def encode_load(message: LoadMessage) -> bytes:
@@ -42,6 +46,7 @@
         ]
         for short_id, row in message.load_by_id.items()
     ]
+    view = message.store_view
     return cbor2.dumps(
         [
             MESSAGE_VERSION,
@@ -50,10 +55,21 @@
             message.sequence,
             loads,
             [list(pair) for pair in message.prefixes],
+            None if view is None else _encode_view(view),
         ]
     )
 
 
+def _encode_view(view: StoreView) -> list[str | int | bool]:
+    return [
+        view.zone,
+        view.configuration_version,
+        view.endpoints_revision,
+        view.is_watching,
+        view.is_refused,
+    ]
+
+
 def decode_load(data: bytes) -> LoadMessage | str:
     """Decode a datagram; a returned string is the reason why it is invalid.
 
@@ -61,9 +77,12 @@
     'not a load message: '
     """
     try:
-        version, sender, incarnation, sequence, loads, prefixes = cbor2.loads(data)
-        if version != MESSAGE_VERSION:
+        version, *fields = cbor2.loads(data)
+        if version == 1:
+            fields.append(None)
+        elif version != MESSAGE_VERSION:
             return f"unsupported message version {version!r}"
+        sender, incarnation, sequence, loads, prefixes, view = fields
         if len(loads) > MAX_ROWS or len(prefixes) > MAX_ROWS:
             return f"more than {MAX_ROWS} endpoints or prefixes"
         rows = {
@@ -79,12 +98,30 @@
         pairs = tuple((_count(key), _count(short_id)) for key, short_id in prefixes)
         sender_id = str(sender)
         return LoadMessage(
-            sender_id, _count(incarnation), _count(sequence), rows, pairs
+            sender_id,
+            _count(incarnation),
+            _count(sequence),
+            rows,
+            pairs,
+            None if view is None else _decode_view(view),
         )
     except (cbor2.CBORError, ValueError, TypeError, RecursionError) as error:
         return f"not a load message: {error}"
 
 
+def _decode_view(row: object) -> StoreView:
+    if not isinstance(row, list):
+        raise ValueError("the store view is not a list")
+    zone, configuration_version, endpoints_revision, is_watching, is_refused = row
+    return StoreView(
+        str(zone),
+        _count(configuration_version),
+        _count(endpoints_revision),
+        bool(is_watching),
+        bool(is_refused),
+    )
+
+
 def _count(value: object) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or value < 0:
         raise ValueError(f"{value!r} is not a count")
--- a/wigeonwind/routing/store_follower.py
+++ b/wigeonwind/routing/store_follower.py
@@ -25,6 +25,9 @@
 """Pause after a change, so that a series of changes costs few calls in each process. It
 delays a change by at most an eighth of the limit of 2 s for configuration changes."""
 
+PASSIVE_CHECK_MS = 200.0
+"""Interval at which a passive follower checks whether it must watch again."""
+
 RETRY_DELAY_MS = 100.0
 """Pause after a failed call, in addition to the backoff of the store client."""
 
@@ -65,7 +68,8 @@
     """Keeps a handler up to date with the objects under one prefix.
 
     It lists again after a failure, or if the store no longer has the watch history, so
-    that no change is missed.
+    that no change is missed. While `is_passive` returns true it makes no calls, because
+    changes are read from peers; `on_resumed` is called when it makes calls again.
     """
 
     def __init__(
@@ -74,7 +78,11 @@
         prefix: str,
         handler: ChangeHandler,
         on_reachable: Callable[[bool], None],
+        is_passive: Callable[[], bool] = lambda: False,
+        on_resumed: Callable[[], None] = lambda: None,
     ) -> None:
+        self._is_passive = is_passive
+        self._on_resumed = on_resumed
         self._store = store
         self._prefix = prefix
         self._handler = handler
@@ -83,6 +91,8 @@
         """Whether the last call to the store succeeded."""
         self.revision_seen = 0
         """Newest store revision that the handler has received, 0 for none."""
+        self.changed_revision = 0
+        """Store revision at the last change that the handler has received."""
         self._watch_after: int | None = None
         """Revision to watch from; None if the next call is a listing."""
         self._had_changes = False
@@ -90,11 +100,22 @@
     def run(self) -> None:
         """Follow the store (runs until killed)."""
         while True:
+            if self._watch_after is not None and self._is_passive():
+                self._pause()
             if not self.step():
                 gevent.sleep(RETRY_DELAY_MS / MS_PER_SECOND)
             elif self._had_changes:
                 gevent.sleep(CHANGE_PAUSE_MS / MS_PER_SECOND)
 
+    def _pause(self) -> None:
+        """Wait until the store must be followed again."""
+        log.info("leaving the watching of the store to peers", prefix=self._prefix)
+        while self._is_passive():
+            gevent.sleep(PASSIVE_CHECK_MS / MS_PER_SECOND)
+        log.info("watching the store again", prefix=self._prefix)
+        self._watch_after = None
+        self._on_resumed()
+
     def step(self) -> bool:
         """Make one list or watch call; return whether it succeeded."""
         self._had_changes = False
@@ -120,6 +141,8 @@
                 self._handler.on_changed(changed)
         self._watch_after = self.revision_seen = result.value.revision
         self._had_changes = bool(result.value.events)
+        if self._had_changes:
+            self.changed_revision = self.revision_seen
         return True
 
     def _list(self) -> bool:
@@ -129,6 +152,7 @@
         self._on_response()
         self._handler.on_listed(result.value.objects)
         self._watch_after = self.revision_seen = result.value.revision
+        self.changed_revision = self.revision_seen
         return True
 
     def _on_failure(self, failure: StoreFailure) -> bool:
