Routing: long prompts wait at the router, by what the engines are measured to do

Change: learned prefill rate and base time per service; a window of pending prompts that follows the time to the first event; no long prompt on an engine whose streams it would stall; short prefixes do not pin; overdue prompts no longer count; late requests wait on while none is newer. A fifth of the engines is kept for short prompts instead of a third. Also: wiring of the store watchers, gauges of the learned values, errors isolated per request, datagram and object.

--- a/tests/test_latency_choice.py
+++ b/tests/test_latency_choice.py
@@ -161,6 +161,7 @@
         while chooser.has_capacity(LONG, 0.0, NONE_EXCLUDED):
             name = choose_endpoint(chooser, LONG)
             sent.append(chooser.on_sent(name, LONG, 0.0))
+            chooser.on_started(sent[-1], 0.0)  # Running prompts fill the slots.
         for each in sent:
             chooser.on_ended(each, True, 0.0)
         return len(sent)
@@ -246,7 +247,8 @@
     sent = []
     while chooser.has_capacity(LONG, 0.0, NONE_EXCLUDED) and len(sent) < 1000:
         sent.append(chooser.on_sent(choose_endpoint(chooser, LONG), LONG, 0.0))
-    assert len(sent) < LONG_SLOT_SHARE * 32 * len(NAMES)
+        chooser.on_started(sent[-1], 0.0)  # Running prompts fill the slots.
+    assert 32 < len(sent) < LONG_SLOT_SHARE * 32 * len(NAMES)
     rows = chooser.local_load(0.0)
     long_prompts = [
         rows[short_id(n)].long_prompts if short_id(n) in rows else 0 for n in NAMES
--- a/wigeonwind/decisions/endpoint_state.py
+++ b/wigeonwind/decisions/endpoint_state.py
@@ -1,6 +1,6 @@
 """Load, latency and errors of one endpoint, as observed by one router."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from wigeonwind.decisions.peer_loads import InFlightLoad, short_id, sum_loads
 from wigeonwind.decisions.placement import Candidate, Send
@@ -34,6 +34,13 @@
 
 MAX_UNREACHABLE_BACKOFF_MS = 4_000.0
 
+OVERDUE_FACTOR = 2.0
+"""Time to the first event, as a multiple of the latency target, after which a prompt no
+longer counts as pending: its answer is lost, or the engine's load is not known."""
+
+EVENT_GAP_WEIGHT = 0.05
+"""Weight of one pause in the mean pause of the streams of an endpoint."""
+
 
 class EndpointState:
     """State of one endpoint at this router.
@@ -49,6 +56,7 @@
         "error_rate",
         "error_rate_updated_ms",
         "connect_failures",
+        "event_gap_ms",
         "full_until_ms",
         "last_response_ms",
         "latency_ratio",
@@ -75,6 +83,8 @@
         self.last_response_ms = now_ms
         self.latency_ratio = 1.0
         self.latency_updated_ms = now_ms
+        self.event_gap_ms = 0.0
+        """Mean pause between the events of a stream, 0 until one is measured."""
         self.error_rate = 0.0
         self.error_rate_updated_ms = now_ms
         self.connect_failures = 0
@@ -92,6 +102,12 @@
             for other, tokens in rows
         )
 
+    @property
+    def total_pending_prefill(self) -> int:
+        """Return the tokens that the endpoint has not prefilled yet."""
+        local = sum(self.pending_prefill_by_priority.values())
+        return local + sum(self.peer_pending_prefill.values())
+
     @property
     def in_flight_count(self) -> int:
         """Return the number of requests in flight, including those of peers."""
@@ -149,6 +165,21 @@
                 send.prefill_tokens
             )
 
+    def give_up_overdue(self, now_ms: float) -> Iterator[Send]:
+        """Stop counting prompts whose first event is overdue as pending; yield them."""
+        for send in self.in_flight:
+            limit_ms = OVERDUE_FACTOR * send.request.target_ms
+            is_overdue = send.request.is_long and now_ms - send.sent_ms > limit_ms
+            if is_overdue and not send.is_started:
+                self._mark_prefilled(send)
+                yield send
+
+    def on_event_gap(self, gap_ms: float) -> None:
+        """Record the pause between two events of a stream."""
+        if self.event_gap_ms:
+            gap_ms = self.event_gap_ms + EVENT_GAP_WEIGHT * (gap_ms - self.event_gap_ms)
+        self.event_gap_ms = gap_ms
+
     def on_received(self, now_ms: float) -> None:
         """Record that bytes of a response were received."""
         self.last_response_ms = now_ms
--- a/wigeonwind/decisions/engine_ranking.py
+++ b/wigeonwind/decisions/engine_ranking.py
@@ -11,7 +11,7 @@
 from wigeonwind.decisions.placement import PlacementRequest
 from wigeonwind.hashing import stable_hash
 
-MIN_SHORT_SHARE = 0.35
+MIN_SHORT_SHARE = 0.2
 """Smallest share of a service's engines that is reserved for short prompts."""
 
 MAX_SHORT_SHARE = 0.65
@@ -34,10 +34,11 @@
 """Penalty of a short prompt on an engine for long ones, relative to its latency
 target."""
 
-MAX_SHORT_PENALTY_MS = 30.0
-"""Penalty of a short prompt on the engine next to those for long prompts. It decreases
-to zero on the last engine, so that the engines that long prompts use next run few
-streams."""
+MAX_SHORT_PENALTY = 0.03
+"""Penalty of a short prompt on the engine next to those for long prompts, relative to
+its latency target. It decreases to zero on the last engine, so that the engines that
+long prompts use next run fewer streams. With a larger one, all streams run on the last
+engine, whose steps become slow."""
 
 SLOT_WAIT_MS = 60.0
 """Expected wait for each request beyond the usable share of an engine's slots: a stream
@@ -101,7 +102,8 @@
 
     def _short_penalties(self, request: PlacementRequest) -> dict[str, float]:
         count = len(self._ranked)
-        step_ms = MAX_SHORT_PENALTY_MS / max(1, count - self._long_engine_count)
+        others = max(1, count - self._long_engine_count)
+        step_ms = MAX_SHORT_PENALTY * request.target_ms / others
         long_engine_ms = SHORT_ON_LONG_PENALTY * request.target_ms
         return {
             engine.candidate.endpoint_id: long_engine_ms
--- a/wigeonwind/decisions/latency_choice.py
+++ b/wigeonwind/decisions/latency_choice.py
@@ -5,25 +5,21 @@
 load that other routers report.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from random import Random
 
-from wigeonwind.decisions.cached_prompt import CachedPrompt
+from wigeonwind.decisions.cached_prompt import MIN_FETCH_TOKENS, CachedPrompt
 from wigeonwind.decisions.endpoint_state import EndpointState
+from wigeonwind.decisions.engine_profile import EngineProfile, ServiceProfile
 from wigeonwind.decisions.engine_ranking import SLOT_WAIT_MS, EngineRanking
 from wigeonwind.decisions.interfaces import NoEndpoint
 from wigeonwind.decisions.peer_loads import InFlightLoad, PeerLoads, short_id
 from wigeonwind.decisions.placement import Candidate, Placement, PlacementRequest, Send
+from wigeonwind.decisions.prefill_window import GOAL_FRACTION, PrefillWindow
 from wigeonwind.decisions.prefix_index import PrefixIndex
+from wigeonwind.decisions.stream_stalls import StreamStalls
 from wigeonwind.hashing import stable_hash
 
-PREFILL_TOKENS_PER_MS = 150.0
-"""Prompt tokens that an engine prefills per ms. The nominal rate of the engines is 157
-tokens/ms; only the ratio of prompt costs to fixed costs depends on the value."""
-
-IDLE_FIRST_EVENT_MS = 35.0
-"""Time to the first event of an idle engine, without the prefill of the prompt."""
-
 DELAY_PER_RUNNING_MS = 0.5
 """Delay of a first event per running request: each lengthens the engine steps, of which
 the first event takes several."""
@@ -31,15 +27,16 @@
 PLAIN_CALL_MS = 30.0
 """Assumed latency of a call to a plain service at an idle endpoint."""
 
-REPEATED_PREFILL_MS_PER_TOKEN = 0.08
-"""Penalty per token of a shared prefix that is prefilled again at another endpoint."""
+REPEATED_PREFILL_FACTOR = 12.0
+"""Penalty of a shared prefix that is prefilled again at another endpoint, relative to
+the time of its prefill: it takes engine time and KV cache from other requests."""
 
 FETCH_SETUP_MS = 8.0
 """Time to set up a transfer of KV cache from another engine."""
 
-FETCH_PENALTY_MS_PER_TOKEN = 0.006
-"""Penalty per token of transferred KV cache, in addition to the time. A transfer costs
-about a thirteenth of a repeated prefill (REPEATED_PREFILL_MS_PER_TOKEN)."""
+FETCH_PENALTY_FACTOR = 0.9
+"""Penalty of transferred KV cache, relative to the time of its prefill. A transfer
+costs about a thirteenth of a repeated prefill (REPEATED_PREFILL_FACTOR)."""
 
 MAX_PREFERRED_PENALTY_MS = 40.0
 """Penalty up to which an endpoint can be the preferred one of a prefix."""
@@ -98,6 +95,29 @@
         self._peers = PeerLoads()
         self._id_by_short: dict[int, str] = {}
         self._new_prefixes: list[tuple[int, int]] = []
+        self._window_by_service: dict[str, PrefillWindow] = {}
+        self._profile_by_service: dict[str, EngineProfile] = {}
+        self._stalls_by_service: dict[str, StreamStalls] = {}
+
+    def _window_of(self, service: str) -> PrefillWindow:
+        return self._window_by_service.setdefault(service, PrefillWindow())
+
+    def profile_of(self, service: str) -> EngineProfile:
+        """Return the learned speed of the engines of a service."""
+        return self._profile_by_service.setdefault(service, EngineProfile())
+
+    def service_profiles(self) -> Iterator[ServiceProfile]:
+        """Yield what is known of the engines of each service."""
+        for service, profile in self._profile_by_service.items():
+            yield ServiceProfile(
+                service,
+                profile.prefill_rate,
+                profile.base_ms,
+                self._window_of(service).limit,
+            )
+
+    def _stalls_of(self, service: str) -> StreamStalls:
+        return self._stalls_by_service.setdefault(service, StreamStalls())
 
     def set_fetch_rates(self, rate_by_service: Mapping[str, float]) -> None:
         """Set the tokens of KV cache that engines transfer per ms, by service."""
@@ -143,17 +163,53 @@
         return Placement(name, cached_prompt.source_for(name))
 
     def has_capacity(
-        self, request: PlacementRequest, now_ms: float, exclude: frozenset[str]
+        self,
+        request: PlacementRequest,
+        now_ms: float,
+        exclude: frozenset[str],
+        waiting: int = 0,
     ) -> bool:
-        """Return whether the engines of the service may take the prompt now.
+        """Return whether an engine of the service should take the prompt now.
 
-        Only long prompts are limited: too many of them slow each other down and leave
-        no slots for short ones.
+        Only long prompts are limited: too many of them slow each other down, stall
+        streams, and leave no slots for short ones. Prompts that engines cannot begin to
+        answer in time wait at the router, where newer ones can overtake them; `waiting`
+        of them do.
         """
         if not request.is_long:
             return True
+        window = self._window_of(request.service)
+        window.waiting = waiting
+        if not window.has_room():
+            return False
         pool = _usable(self._pool(request, exclude), now_ms)
-        return not pool or EngineRanking(pool).has_capacity()
+        if not pool:
+            return True
+        if not EngineRanking(pool).has_capacity():
+            return False
+        cached_by_id = self._cached_tokens(request, now_ms)
+        return any(self._can_take(each, request, cached_by_id) for each in pool)
+
+    def _can_take(
+        self,
+        endpoint: EndpointState,
+        request: PlacementRequest,
+        cached_by_id: Mapping[str, float],
+    ) -> bool:
+        """Return whether an engine can answer in time without stalling streams."""
+        cached_tokens = cached_by_id.get(endpoint.candidate.endpoint_id, 0.0)
+        if not cached_tokens and request.shared_prefixes:
+            # The choice prefers engines that hold the prefix, or copies it from one.
+            cached_tokens = float(request.prefix_tokens[request.shared_prefixes - 1])
+        prefill_tokens = max(0.0, request.prompt_tokens - cached_tokens)
+        profile = self.profile_of(request.service)
+        stalls = self._stalls_of(request.service)
+        if stalls.penalty_ms(request, endpoint, prefill_tokens, profile) > 0.0:
+            return False
+        # The prompt itself is left out: a very long one is late on every engine.
+        waiting_ms = endpoint.pending_prefill_tokens(request.priority)
+        waiting_ms /= profile.prefill_rate
+        return waiting_ms <= GOAL_FRACTION * request.target_ms
 
     def is_busy(self, request: PlacementRequest, exclude: frozenset[str]) -> bool:
         """Return whether enough slots are in use to justify a refusal."""
@@ -190,6 +246,8 @@
     ) -> Callable[[EndpointState], float]:
         """Return a function that estimates the cost of an endpoint in ms."""
         cached_by_id = dict(cached_prompt.tokens_by_id)
+        profile = self.profile_of(request.service)
+        stalls = self._stalls_of(request.service)
         shared_tokens = 0
         if request.shared_prefixes:
             shared_tokens = request.prefix_tokens[request.shared_prefixes - 1]
@@ -210,14 +268,19 @@
                 fetched = cached_prompt.fetched_tokens(name, source)
                 cached_tokens += fetched
                 fetch_ms = FETCH_SETUP_MS + fetched * (
-                    FETCH_PENALTY_MS_PER_TOKEN + 1.0 / cached_prompt.fetch_rate
+                    FETCH_PENALTY_FACTOR / profile.prefill_rate
+                    + 1.0 / cached_prompt.fetch_rate
                 )
             total = self._expected_ms(endpoint, request, cached_tokens)
             total *= endpoint.recent_latency_ratio(now_ms)
             total += fetch_ms
-            total += (
-                max(0.0, shared_tokens - cached_tokens) * REPEATED_PREFILL_MS_PER_TOKEN
-            )
+            repeated_tokens = shared_tokens - cached_tokens
+            # Short prefixes would gather all their streams on one engine.
+            if repeated_tokens >= MIN_FETCH_TOKENS:
+                repeated_ms = repeated_tokens / profile.prefill_rate
+                total += repeated_ms * REPEATED_PREFILL_FACTOR
+            prefill_tokens = max(0.0, request.prompt_tokens - cached_tokens)
+            total += stalls.penalty_ms(request, endpoint, prefill_tokens, profile)
             total += endpoint.recent_error_rate(now_ms) * ERROR_PENALTY_MS
             if endpoint.candidate.zone != self._local_zone:
                 total += OTHER_ZONE_PENALTY_MS
@@ -232,14 +295,14 @@
         in_flight = endpoint.in_flight_count
         if not request.is_generation:
             return PLAIN_CALL_MS * (1.0 + in_flight / max(1, endpoint.candidate.slots))
-        prefill_tokens = endpoint.pending_prefill_tokens(request.priority)
-        prefill_tokens += max(0.0, request.prompt_tokens - cached_tokens)
-        waiting_ms = prefill_tokens / PREFILL_TOKENS_PER_MS
+        profile = self.profile_of(request.service)
+        tokens = _tokens_to_first_event(endpoint, request, cached_tokens)
+        waiting_ms = profile.expected_ms(tokens)
         usable_slots = FULL_SLOT_SHARE * endpoint.candidate.slots
         waiting_ms += max(0.0, in_flight + 1 - usable_slots) * SLOT_WAIT_MS
         if in_flight >= endpoint.candidate.slots:
             waiting_ms += NO_SLOT_PENALTY_MS
-        return IDLE_FIRST_EVENT_MS + waiting_ms + DELAY_PER_RUNNING_MS * in_flight
+        return waiting_ms + DELAY_PER_RUNNING_MS * in_flight
 
     def _cached_tokens(
         self, request: PlacementRequest, now_ms: float
@@ -276,12 +339,15 @@
         prefill_tokens = max(0, request.prompt_tokens - int(cached_tokens))
         endpoint = self._endpoint_by_id.get(endpoint_id)
         if endpoint is None:
-            return Send(
-                request, endpoint_id, now_ms, prefill_tokens, IDLE_FIRST_EVENT_MS
-            )
+            expected_ms = self.profile_of(request.service).base_ms
+            return Send(request, endpoint_id, now_ms, prefill_tokens, expected_ms)
         expected_ms = self._expected_ms(endpoint, request, cached_tokens)
-        send = Send(request, endpoint_id, now_ms, prefill_tokens, expected_ms)
+        tokens = _tokens_to_first_event(endpoint, request, cached_tokens)
+        send = Send(request, endpoint_id, now_ms, prefill_tokens, expected_ms, tokens)
+        self._stalls_of(request.service).on_sent(request, now_ms)
         endpoint.add(send)
+        if request.is_long:
+            self._window_of(request.service).on_sent(send)
         # Recorded at once, so that the next requests with one of these prefixes do not
         # prefill it at another endpoint.
         for key in request.prefix_keys:
@@ -294,10 +360,14 @@
     def local_load(self, now_ms: float) -> dict[int, InFlightLoad]:
         """Return the load that this router has in flight, by short endpoint id.
 
-        Also drops the load of peers that have not reported for MAX_AGE_MS.
+        Also drops the load of peers that have not reported for MAX_AGE_MS, and prompts
+        whose first event is overdue.
         """
         self._peers.remove_stale(now_ms)
         self._sum_peers()
+        for endpoint in self._endpoint_by_id.values():
+            for send in endpoint.give_up_overdue(now_ms):
+                self._window_of(send.request.service).on_ended(send, now_ms)
         return {
             each.short_id: InFlightLoad(
                 len(each.in_flight),
@@ -344,12 +414,27 @@
 
     def on_started(self, send: Send, now_ms: float) -> None:
         """Record the first event of a stream, or the response to a plain call."""
+        self._window_of(send.request.service).on_started(send, now_ms)
         endpoint = self._endpoint_by_id.get(send.endpoint_id)
         if endpoint is not None and not send.is_started:
             endpoint.on_started(send, now_ms)
+            if send.tokens_to_first_event == send.prefill_tokens > 0:
+                # Prompts of others may have been prefilled by the time of this one, so
+                # that samples with them would show too high a rate.
+                profile = self.profile_of(send.request.service)
+                profile.on_first_event(
+                    send.tokens_to_first_event, now_ms - send.sent_ms
+                )
+
+    def on_event_gap(self, send: Send, gap_ms: float) -> None:
+        """Record the pause between two events of a stream."""
+        endpoint = self._endpoint_by_id.get(send.endpoint_id)
+        if endpoint is not None:
+            endpoint.on_event_gap(gap_ms)
 
     def on_ended(self, send: Send, ok: bool, now_ms: float) -> None:
         """Record the end of a send; `ok` is False if the endpoint failed."""
+        self._window_of(send.request.service).on_ended(send, now_ms)
         endpoint = self._endpoint_by_id.get(send.endpoint_id)
         if endpoint is not None and send in endpoint.in_flight:
             endpoint.remove(send)
@@ -357,6 +442,7 @@
 
     def on_refused(self, send: Send, now_ms: float) -> None:
         """Record that the endpoint refused a request for lack of capacity."""
+        self._window_of(send.request.service).on_ended(send, now_ms)
         endpoint = self._endpoint_by_id.get(send.endpoint_id)
         if endpoint is None or send not in endpoint.in_flight:
             return
@@ -382,5 +468,13 @@
     return [each for each in pool if not each.is_avoided(now_ms)] or pool
 
 
+def _tokens_to_first_event(
+    endpoint: EndpointState, request: PlacementRequest, cached_tokens: float
+) -> float:
+    """Return the tokens that the engine prefills before the first event."""
+    pending_tokens = endpoint.pending_prefill_tokens(request.priority)
+    return pending_tokens + max(0.0, request.prompt_tokens - cached_tokens)
+
+
 def _score(key: int, endpoint_id: str) -> int:
     return stable_hash(f"{key}|{endpoint_id}")
--- a/wigeonwind/decisions/placement.py
+++ b/wigeonwind/decisions/placement.py
@@ -18,7 +18,8 @@
     `prefix_keys` are hashes of successively longer prefixes of the prompt, shortest
     first, and `prefix_tokens` the lengths of these prefixes in tokens. The first
     `shared_prefixes` of them also occur in other requests. `target_ms` is the latency
-    target of the first event.
+    target of the first event, `max_pause_ms` that of the pauses between events, 0 for
+    none.
     """
 
     service: str
@@ -29,6 +30,7 @@
     shared_prefixes: int = 0
     is_generation: bool = False
     target_ms: float = 0.0
+    max_pause_ms: float = 0.0
 
     @property
     def is_long(self) -> bool:
@@ -51,9 +53,10 @@
 class Send:
     """A send of a request to an endpoint.
 
-    `prefill_tokens` of the prompt were not cached there. `expected_ms` is the expected
-    time to the first event. `is_started` is set when that event arrives, or when the
-    send ends without one.
+    `prefill_tokens` of the prompt were not cached there, and the engine prefills
+    `tokens_to_first_event` before the first event, including other prompts.
+    `expected_ms` is the expected time to that event. `is_started` is set when it
+    arrives, or when the send ends without one.
     """
 
     request: PlacementRequest
@@ -61,6 +64,7 @@
     sent_ms: float
     prefill_tokens: int
     expected_ms: float
+    tokens_to_first_event: float = 0.0
     is_started: bool = False
 
 
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -50,9 +50,14 @@
 """Lower bound of the silence limit; long prompts and slow links cause silences that are
 shorter than this."""
 
-CAPACITY_WAIT_FRACTION = 0.6
-"""Longest wait for capacity, as a fraction of the latency target. After a longer wait
-the request would miss its target, and would delay requests that can still meet it."""
+CAPACITY_WAIT_FRACTION = 1.0
+"""Wait for capacity, as a fraction of the latency target, after which the request has
+missed its target. It is then refused if newer requests wait as well, which can still
+meet theirs, and goes on waiting if not."""
+
+LATE_WAIT_FRACTION = 2.0
+"""Longest wait for capacity, as a fraction of the latency target. A late answer is
+worth less than one in time, but more than a refusal."""
 
 CAPACITY_POLL_MS = 25.0
 """Interval of the check whether an engine has capacity."""
@@ -102,7 +107,7 @@
         self.deadline_ms = self.started_ms + routed.timeout_ms
         self.service = context.pick_service(route)
         self.placement_request = context.placement_request_of(
-            self.service, routed.engine_priority, metadata, route.target_ms
+            self.service, routed.engine_priority, metadata, route
         )
         self._events = EventSplitter(metadata.last_event_id)
         self._first_event_ms: float | None = None
@@ -162,21 +167,27 @@
             return True
         if not self.placement_request.is_long:
             return True
-        limit_ms = self.started_ms + CAPACITY_WAIT_FRACTION * self.route.target_ms
+        target_ms = self.route.target_ms
+        late_from_ms = self.started_ms + CAPACITY_WAIT_FRACTION * target_ms
+        limit_ms = self.started_ms + LATE_WAIT_FRACTION * target_ms
+        limit_ms = min(limit_ms, self.deadline_ms - MIN_REMAINING_MS)
         ticket = waiting_queue.enter()
         try:
             while not self.caller.is_disconnected and clock.now_ms() < limit_ms:
                 is_next = waiting_queue.is_next(ticket)
                 if is_next and chooser.has_capacity(
-                    self.placement_request, clock.now_ms(), exclude
+                    self.placement_request,
+                    clock.now_ms(),
+                    exclude,
+                    len(waiting_queue),
                 ):
                     return True
+                if clock.now_ms() >= late_from_ms and not is_next:
+                    break
                 sleep(CAPACITY_POLL_MS / MS_PER_SECOND)
         finally:
             waiting_queue.leave(ticket)
-        return self.caller.is_disconnected or not chooser.is_busy(
-            self.placement_request, exclude
-        )
+        return self.caller.is_disconnected
 
     def _choose(self) -> _Destination | NoEndpoint:
         now_ms = self.context.clock.now_ms()
@@ -506,6 +517,7 @@
             self._first_event_ms = now_ms
         else:
             pause_ms = now_ms - self._last_event_ms
+            self.context.chooser.on_event_gap(send, pause_ms)
             self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
         self._last_event_ms = now_ms
         if self.caller.head_sent:
--- a/wigeonwind/routing/forwarding_context.py
+++ b/wigeonwind/routing/forwarding_context.py
@@ -75,7 +75,7 @@
         return self.rng.choices(shares, weights)[0].service
 
     def placement_request_of(
-        self, service: str, priority: int, metadata: RequestMetadata, target_ms: float
+        self, service: str, priority: int, metadata: RequestMetadata, route: HttpRoute
     ) -> PlacementRequest:
         """Return the properties of a request that the choice of an endpoint uses."""
         keys, lengths, tokens = [], [], 0
@@ -93,5 +93,6 @@
             tuple(lengths),
             max(0, len(keys) - 1),
             metadata.prompt_tokens > 0,
-            target_ms,
+            route.target_ms,
+            route.max_pause_ms,
         )
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import Protocol
 
@@ -28,6 +29,8 @@
     decode_load,
     encode_load,
 )
+from wigeonwind.routing.store_watchers import PeerView, StoreView
+from wigeonwind.runtime.error_boundary import call_isolated
 from wigeonwind.state.store_types import (
     Conflict,
     ObjectPage,
@@ -60,6 +63,11 @@
 """Silence after which a peer is removed: several times as long as a restart, or as a
 network partition of a VM."""
 
+VIEW_MAX_AGE_MS = 2_000.0
+"""Age at which a peer's view of the store no longer counts. It is several intervals
+between messages, as messages to a sample of a large fleet reach each peer less often.
+"""
+
 log = get_logger("wigeonwind.peers")
 
 
@@ -96,6 +104,8 @@
     sequence: int = 0
     last_received_ms: float = float("-inf")
     first_seen_ms: float = 0.0
+    view: StoreView | None = None
+    """Its view of the store, None if it sends none."""
 
     def silence_ms(self, now_ms: float) -> float:
         """Return the time since its last message, or since it was discovered."""
@@ -113,8 +123,10 @@
         chooser: LatencyChooser,
         store: DirectoryStore,
         prefix: str,
+        local_view: Callable[[], StoreView | None] = lambda: None,
     ) -> None:
         self._local_id = local_id
+        self._local_view = local_view
         self._clock = clock
         self._rng = rng
         self._chooser = chooser
@@ -153,6 +165,15 @@
         peers = self._peer_by_id.values()
         return [each.address for each in peers if each.last_received_ms >= since_ms]
 
+    def live_views(self) -> dict[str, PeerView]:
+        """Return the recent views of the store, by peer id."""
+        since_ms = self._clock.now_ms() - VIEW_MAX_AGE_MS
+        return {
+            peer_id: PeerView(peer.view, peer.address)
+            for peer_id, peer in self._peer_by_id.items()
+            if peer.view is not None and peer.last_received_ms >= since_ms
+        }
+
     def peer_count(self) -> int:
         """Return the number of known peers."""
         return len(self._peer_by_id)
@@ -160,12 +181,21 @@
     def _receive(self) -> None:
         while True:
             data, source = self._sock.recvfrom(MAX_MESSAGE_BYTES)
-            message = decode_load(data)
-            if isinstance(message, LoadMessage):
-                self._on_message(message, SocketAddress(*source[:2]))
-                continue
-            self.undecodable_datagrams += 1
-            log.warning("ignored an invalid datagram", source=source[0], reason=message)
+            address = SocketAddress(*source[:2])
+            call_isolated(
+                "a datagram",
+                str(address),
+                partial(self._on_datagram, data, address),
+                None,
+            )
+
+    def _on_datagram(self, data: bytes, source: SocketAddress) -> None:
+        message = decode_load(data)
+        if isinstance(message, LoadMessage):
+            self._on_message(message, source)
+            return
+        self.undecodable_datagrams += 1
+        log.warning("ignored an invalid datagram", source=source.host, reason=message)
 
     def _on_message(self, message: LoadMessage, source: SocketAddress) -> None:
         if message.sender == self._local_id:
@@ -185,6 +215,7 @@
         peer.address = source
         peer.incarnation, peer.sequence = position
         peer.last_received_ms = now_ms
+        peer.view = message.store_view
         self._chooser.on_peer_load(message.sender, message.load_by_id, now_ms)
         self._chooser.on_peer_prefixes(message.prefixes, now_ms)
 
@@ -205,7 +236,12 @@
         self._sequence += 1
         load_by_id = self._chooser.local_load(now_ms)
         message = LoadMessage(
-            self._local_id, self._incarnation, self._sequence, load_by_id, prefixes
+            self._local_id,
+            self._incarnation,
+            self._sequence,
+            load_by_id,
+            prefixes,
+            self._local_view(),
         )
         data = encode_load(message)
         peers = list(self._peer_by_id.values())
--- a/wigeonwind/routing/peer_state.py
+++ b/wigeonwind/routing/peer_state.py
@@ -1,7 +1,8 @@
 """Copies of the store's contents from peers, for processes that cannot reach the store.
 
-A process that the store refuses to serve, or that starts during an outage of the store,
-reads the configuration and the endpoints from a peer.
+A process reads the configuration and the endpoints from a peer if the store refuses
+to serve it, if it starts during an outage of the store, or if it leaves the watching of
+the store to others.
 """
 
 from collections.abc import Callable, Sequence
@@ -20,6 +21,8 @@
 from wigeonwind.routing.routing_state import ConfigurationHandler, EndpointEntryHandler
 from wigeonwind.routing.small_http import SmallHttpServer
 from wigeonwind.routing.store_follower import StoreFollower
+from wigeonwind.routing.store_watchers import StoreWatchers
+from wigeonwind.runtime.error_boundary import call_isolated
 from wigeonwind.state.store_types import StoredObject
 
 STATE_VERSION = 1
@@ -119,7 +122,9 @@
         endpoints: EndpointSet,
         entries: EndpointEntryHandler,
         followers: tuple[StoreFollower, StoreFollower],
+        watchers: StoreWatchers,
     ) -> None:
+        self._watchers = watchers
         self._rng = rng
         self._peers = peers
         self._configuration = configuration
@@ -140,11 +145,21 @@
             self._server.stop()
 
     def run(self) -> None:
-        """Poll peers while the store is unreachable (runs until killed)."""
+        """Poll peers while the store is not followed (runs until killed)."""
         while True:
             gevent.sleep(POLL_MS / MS_PER_SECOND)
-            if not all(each.is_reachable for each in self._followers):
-                self.poll_once()
+            is_refused = not all(each.is_reachable for each in self._followers)
+            if is_refused:
+                self.poll_once(self._peers())
+            elif self._watchers.is_passive(is_refused):
+                self.poll_once(self._peers_ahead())
+
+    def _peers_ahead(self) -> list[SocketAddress]:
+        table = self._configuration.table
+        return self._watchers.peers_ahead(
+            table.version if table is not None else 0,
+            self._entries_follower.revision_seen,
+        )
 
     def local_state(self) -> SharedState:
         """Return the local copy of the store's contents."""
@@ -168,9 +183,8 @@
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
         return head.encode() + body
 
-    def poll_once(self) -> bool:
-        """Read from a random peer; return whether its state was valid."""
-        peers = self._peers()
+    def poll_once(self, peers: Sequence[SocketAddress]) -> bool:
+        """Read from a random one of `peers`; return whether its state was valid."""
         if not peers:
             return False
         peer = self._rng.choice(peers)
@@ -181,17 +195,18 @@
                 "failed to read the state of a peer", peer=str(peer), reason=state
             )
             return False
-        self._apply(state, peer)
-        return True
+        return call_isolated(
+            "the state of a peer", str(peer), lambda: self._apply(state, peer), False
+        )
 
-    def _apply(self, state: SharedState, peer: SocketAddress) -> None:
+    def _apply(self, state: SharedState, peer: SocketAddress) -> bool:
         if state.configuration is not None:
             self._configuration.on_changed(state.configuration)
         follower = self._entries_follower
         is_newer = state.revision > follower.revision_seen
         has_no_revision = not follower.revision_seen
         if not is_newer or not (state.is_current or has_no_revision):
-            return
+            return True
         log.info(
             "endpoints adopted from a peer",
             peer=str(peer),
@@ -199,8 +214,9 @@
             before=follower.revision_seen,
             entries=len(state.endpoints),
         )
-        follower.revision_seen = state.revision
+        follower.revision_seen = follower.changed_revision = state.revision
         self._entries.on_listed(state.endpoints, is_authoritative=state.is_current)
+        return True
 
 
 def _fetch_state(peer: SocketAddress) -> bytes | str:
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -16,7 +16,11 @@
 from wigeonwind.decisions.latency_choice import LatencyChooser
 from wigeonwind.decisions.placement import LONG_PROMPT_TOKENS
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
-from wigeonwind.routing.caller_connection import CallerConnection, bad_request
+from wigeonwind.routing.caller_connection import (
+    CallerConnection,
+    CallerDisconnectedError,
+    bad_request,
+)
 from wigeonwind.routing.discovery import EndpointSet
 from wigeonwind.routing.endpoint_connection import ConnectionPool
 from wigeonwind.routing.exchange import Exchange
@@ -36,6 +40,8 @@
 )
 from wigeonwind.routing.small_http import SmallHttpServer
 from wigeonwind.routing.store_follower import FollowedStore, StoreFollower
+from wigeonwind.routing.store_watchers import StoreView, StoreWatchers
+from wigeonwind.runtime.error_boundary import call_isolated
 from wigeonwind.runtime.loops import SupervisedLoops
 
 BACKLOG = 1_024
@@ -126,12 +132,15 @@
                 schema.configuration_prefix,
                 self.configuration,
                 self.metrics.on_store_reachable,
+                self._is_store_passive,
             ),
             StoreFollower(
                 store,
                 schema.endpoints_prefix,
                 entries,
                 self._on_discovery_reachable,
+                self._is_store_passive,
+                self.endpoints.on_view_interrupted,
             ),
         )
         self.peers = PeerExchange(
@@ -141,6 +150,10 @@
             chooser,
             store,
             schema.peers_prefix,
+            self._store_view,
+        )
+        self._watchers = StoreWatchers(
+            settings.node_id, settings.zone, self.peers.live_views
         )
         self.peer_state = PeerState(
             rng,
@@ -149,6 +162,7 @@
             self.endpoints,
             entries,
             self._followers,
+            self._watchers,
         )
         listen_address = (settings.callers.host, settings.callers.port)
         self._server = StreamServer(listen_address, self._accept, backlog=BACKLOG)
@@ -176,6 +190,21 @@
         """Return whether the last calls to the store succeeded."""
         return all(each.is_reachable for each in self._followers)
 
+    def _is_store_passive(self) -> bool:
+        return self._watchers.is_passive(not self.is_store_reachable)
+
+    def _store_view(self) -> StoreView:
+        table = self.configuration.table
+        has_listed = all(each.revision_seen for each in self._followers)
+        is_refused = not (has_listed and self.is_store_reachable)
+        return StoreView(
+            self._settings.zone,
+            table.version if table is not None else 0,
+            self._followers[1].changed_revision,
+            not is_refused and not self._watchers.is_passive(is_refused),
+            is_refused,
+        )
+
     @property
     def callers_address(self) -> SocketAddress:
         """Return the address that callers connect to."""
@@ -221,6 +250,8 @@
             gevent.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_SECOND)
             self.pool.close_expired()
             self.endpoints.expire_entries()
+            self.metrics.set_engine_profiles(self._chooser.service_profiles())
+            self.metrics.on_store_watched(self._store_view().is_watching)
 
     def _readiness_response(self, _: str) -> bytes:
         status = 200 if self.is_ready else 503
@@ -255,7 +286,30 @@
             self._connections.discard(connection)
 
     def _serve(self, caller: CallerConnection, request: HttpRequest) -> None:
-        """Check a request and forward or refuse it."""
+        """Check a request and forward or refuse it; report an unexpected error."""
+        is_served = call_isolated(
+            "a request",
+            str(self.callers_address),
+            lambda: self._forward_or_refuse(caller, request),
+            False,
+        )
+        if is_served or caller.is_disconnected:
+            return
+        if caller.head_sent:
+            caller.abort()
+        caller.send_failure(UNEXPECTED, "", ())
+
+    def _forward_or_refuse(
+        self, caller: CallerConnection, request: HttpRequest
+    ) -> bool:
+        """Forward or refuse a request; return that there was no unexpected error."""
+        try:
+            self._route_request(caller, request)
+        except CallerDisconnectedError:
+            pass  # The connection notices it before the next request.
+        return True
+
+    def _route_request(self, caller: CallerConnection, request: HttpRequest) -> None:
         metadata = self._header_codec.decode_request_headers(request.headers)
         table = self.configuration.table
         if table is None:
@@ -356,6 +410,13 @@
     NO_CONFIGURATION_RETRY_MS,
 )
 
+UNEXPECTED = Failure(
+    Outcome.UNKNOWN,
+    ErrorCode.ENDPOINT_FAILED,
+    "unexpected error in this process; the request may have run",
+    502,
+)
+
 STOPPING = Failure(
     Outcome.NOT_RUN,
     ErrorCode.DRAINING,
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -1,8 +1,11 @@
 """Metrics and log lines of forwarded requests."""
 
+from collections.abc import Iterable
+
 from structlog import get_logger
 
 from wigeonwind.clock import Clock
+from wigeonwind.decisions.engine_profile import ServiceProfile
 from wigeonwind.decisions.interfaces import GiveUp, Resend
 from wigeonwind.outcomes import Failure
 from wigeonwind.routing.exchange import Exchange
@@ -66,6 +69,25 @@
             "store_reachable",
             "1 while the platform's store answers.",
         )
+        self._prefill_rate = self._metrics.gauge(
+            "engine_prefill_tokens_per_ms",
+            "Learned prefill rate of the engines of a service.",
+            ("service",),
+        )
+        self._base_latency = self._metrics.gauge(
+            "engine_base_ms",
+            "Learned time to a first event without prefill.",
+            ("service",),
+        )
+        self._prefill_window = self._metrics.gauge(
+            "engine_prefill_window",
+            "Most long prompts that may wait for a first event.",
+            ("service",),
+        )
+        self._watches_store = self._metrics.gauge(
+            "store_watched",
+            "1 while this process watches the store, 0 while it reads from peers.",
+        )
         self._first_event_latency = self._metrics.latency(
             "route_first_event", "Time to the first event of a stream."
         )
@@ -85,6 +107,17 @@
         """Record the version of the configuration in force."""
         self._config_version.set(table.version)
 
+    def set_engine_profiles(self, profiles: Iterable[ServiceProfile]) -> None:
+        """Record what is known of the engines of each service."""
+        for each in profiles:
+            self._prefill_rate.labels(each.service).set(each.prefill_rate)
+            self._base_latency.labels(each.service).set(each.base_ms)
+            self._prefill_window.labels(each.service).set(each.prefill_window)
+
+    def on_store_watched(self, is_watching: bool) -> None:
+        """Record whether this process watches the store itself."""
+        self._watches_store.set(1 if is_watching else 0)
+
     def on_store_reachable(self, is_reachable: bool) -> None:
         """Record whether the last call to the store succeeded."""
         self._store_reachable.set(1 if is_reachable else 0)
--- a/wigeonwind/routing/routing_state.py
+++ b/wigeonwind/routing/routing_state.py
@@ -9,6 +9,7 @@
 from wigeonwind.routing.discovery import EndpointSet
 from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.routes import RouteTable
+from wigeonwind.runtime.error_boundary import call_isolated
 from wigeonwind.state.store_types import StoredObject
 
 log = get_logger("wigeonwind.configuration")
@@ -47,8 +48,12 @@
 
     def on_changed(self, changed: StoredObject) -> None:
         """Put a configuration in force if it is valid and newer than the active one."""
-        if changed.key != self._schema.configuration_key:
-            return
+        if changed.key == self._schema.configuration_key:
+            call_isolated(
+                "a configuration", changed.key, lambda: self._apply(changed), None
+            )
+
+    def _apply(self, changed: StoredObject) -> None:
         result = self._schema.decode_configuration(changed.value)
         if isinstance(result, Invalid):
             problems = [str(problem) for problem in result.problems]
@@ -117,7 +122,13 @@
         self._endpoints.on_removed(self._schema.endpoint_id(key))
 
     def _decode(self, stored: StoredObject) -> Endpoint | None:
-        result = self._schema.decode_endpoint(stored.key, stored.value)
+        unexpected: Endpoint | str = "unexpected error"
+        result = call_isolated(
+            "an endpoint entry",
+            stored.key,
+            lambda: self._schema.decode_endpoint(stored.key, stored.value),
+            unexpected,
+        )
         if isinstance(result, Endpoint):
             return result
         log.warning("ignored an invalid endpoint entry", key=stored.key, reason=result)
