Routing: an answer without a request id on a reused connection belongs to no caller

Cause: an answer with a status from 300 on was taken for the present request's if it had no request id. A late copy of an earlier refusal on a connection in use again became the promise that the present request had not run, though it ran; a late 500 reached the wrong caller. Shown by tests/test_hostile_endpoints.py, late copies 3 and 4, which fail without the change. Now the send counts as possibly run (502, unknown) and the connection is closed.

--- a/tests/test_hostile_endpoints.py
+++ b/tests/test_hostile_endpoints.py
@@ -13,7 +13,11 @@
 from wigeonwind.routing.response_limits import MAX_FRAMING_BYTES, BufferBudget
 from wigeonwind.routing.response_parser import ResponseParser
 from wigeonwind.routing.routes import CallerLimits
-from wigeonwind.standins.platform_worker import EndlessBytes, EventStream
+from wigeonwind.standins.platform_worker import (
+    EndlessBytes,
+    EventStream,
+    LateCopy,
+)
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nWorker-Signature: s\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -165,6 +169,32 @@
     assert grown_kb <= MAX_GROWTH_KB
 
 
+LATE_COPIES = [
+    b"HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nWorker-Signature: s\r\n"
+    b"Content-Length: 5\r\n\r\nother",
+    b"HTTP/1.1 503 No\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n",
+    b"HTTP/1.1 503 No\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 500 No\r\nWorker-Signature: s\r\nContent-Length: 5\r\n\r\nother",
+    b"HTTP/1.1 200 OK\r\nWorker-Signature: s\r\nContent-Length: 5\r\n\r\nother",
+]
+
+
+@pytest.mark.parametrize("copy", LATE_COPIES)
+def test_a_late_copy_on_a_reused_connection_belongs_to_no_caller(copy):
+    # Guards against an answer of another request, and against the refusal of another
+    # request, which would be a false promise that this one has not run.
+    with running_fleet(workers=1, default_response=LateCopy(copy)) as fleet:
+        first = fleet.call("/once/x", "POST", b"abc", request_id="r1")
+        second = fleet.call("/once/x", "POST", b"abc", request_id="r2")
+        runs = [each.request.headers for each in fleet.workers[0].executions]
+    assert (first.status, first.body) == (200, b"whole")
+    assert (second.status, second.body) == (200, b"whole") or (
+        second.status == 502 and second.headers["x-outcome"] == "unknown"
+    )
+    assert len(runs) == 2
+
+
 @pytest.mark.parametrize("pause_ms", [5.0, 40.0, 400.0])
 def test_an_endpoint_that_stalls_with_a_byte_now_and_then_is_given_up(pause_ms):
     # Guards against a stream that never ends because each byte resets a timeout.
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -298,8 +298,10 @@
             metadata = self.context.header_codec.decode_response_headers(
                 response.headers
             )
-            if self._matches_request(response, metadata):
+            if self._matches_request(connection, response, metadata):
                 return self._relay_response(connection, send, response, metadata)
+            if not metadata.request_id and not connection.is_fresh:
+                return Broken("response without a request id on a reused connection")
             self.context.log.info(
                 "discarded the response to another request",
                 request_id=self.metadata.request_id,
@@ -313,14 +315,21 @@
             f"more than {MAX_DISCARDED_RESPONSES} responses to other requests"
         )
 
-    def _matches_request(self, response: Response, metadata: ResponseMetadata) -> bool:
+    def _matches_request(
+        self,
+        connection: EndpointConnection,
+        response: Response,
+        metadata: ResponseMetadata,
+    ) -> bool:
         """Return whether a response belongs to the request.
 
-        Only a response with a status from 300 on may lack the request id.
+        Only a response with a status from 300 on may lack the request id, and only on a
+        fresh connection: on a reused one it may be the late copy of an earlier answer,
+        such as the refusal of another request.
         """
         if metadata.request_id:
             return metadata.request_id == self.metadata.request_id
-        return response.status >= 300
+        return response.status >= 300 and connection.is_fresh
 
     def _discard_response(
         self, connection: EndpointConnection, send: Send, response: Response
--- a/wigeonwind/standins/platform_worker.py
+++ b/wigeonwind/standins/platform_worker.py
@@ -88,6 +88,16 @@
     """The matching response, followed by a response to another request."""
 
 
+@dataclass(frozen=True)
+class LateCopy:
+    """Answers, and sends `copy` after the next request on the connection has arrived.
+
+    That request is answered after the copy.
+    """
+
+    copy: bytes
+
+
 @dataclass(frozen=True)
 class EndlessBytes:
     """Sends `start`, then `repeated` without end until the router closes.
@@ -111,6 +121,7 @@
     | TruncatedResponse
     | StaleResponse
     | ExtraResponse
+    | LateCopy
     | EndlessBytes
 )
 
@@ -134,6 +145,7 @@
         self.name = name
         self.default: Behaviour = default or FullResponse()
         self.scripted: deque[Behaviour] = deque()
+        self._late_copy_is_due = False
         self.requests: list[HttpRequest] = []
         self.executions: list[Execution] = []
         self.connection_count = 0
@@ -208,8 +220,17 @@
                 return self._stream(sock, request, request_id, behaviour)
             case NotExecuted(status=status):
                 head = f"HTTP/1.1 {status} No\r\nNot-Executed: 1\r\n"
+                head += f"Request-Id: {request_id}\r\n"
                 sock.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
                 return True
+            case LateCopy(copy=copy):
+                whole = self._encode_response(request_id, FullResponse())
+                if self._late_copy_is_due:
+                    sock.sendall(copy)
+                    gevent.sleep(0.02)
+                self._late_copy_is_due = True
+                sock.sendall(whole)
+                return True
             case EndlessBytes(start, repeated, pause_ms):
                 sock.sendall(start.replace(b"{id}", request_id.encode()))
                 while True:
