--- a/tests/routing_fleet.py
+++ b/tests/routing_fleet.py
@@ -1,6 +1,8 @@
 """Harness: a routing process with test doubles of the platform's store and workers."""
 
 import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -131,6 +133,16 @@
         return sum(len(worker.requests) for worker in self.workers)
 
 
+@contextmanager
+def running_fleet(*args: Any, **kwargs: Any) -> Iterator[RoutingFleet]:
+    """Yield a fleet, and stop it at the end."""
+    fleet = RoutingFleet(*args, **kwargs)
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
+
+
 def build_router(store_address) -> Router:
     """Return a router that uses the platform's formats."""
     clock, rng = SystemClock(), Random(1)
--- a/tests/test_error_isolation.py
+++ b/tests/test_error_isolation.py
@@ -1,26 +1,16 @@
 """An unexpected error stays within the message or request that caused it."""
 
 import socket
-from contextlib import contextmanager
 from dataclasses import replace
 
 import gevent
 import pytest
-from routing_fleet import RoutingFleet, configuration, entry
+from routing_fleet import configuration, entry, running_fleet
 
 from wigeonwind.decisions.latency_choice import LatencyChooser
 from wigeonwind.routing.exchange import Exchange
 
 
-@contextmanager
-def running_fleet(**kwargs):
-    fleet = RoutingFleet(**kwargs)
-    try:
-        yield fleet
-    finally:
-        fleet.stop()
-
-
 def fail(*_args, **_kwargs):
     raise RuntimeError("unexpected")
 
--- a/tests/test_hostile_endpoints.py
+++ b/tests/test_hostile_endpoints.py
@@ -2,11 +2,10 @@
 
 import resource
 import time
-from contextlib import contextmanager
 
 import gevent
 import pytest
-from routing_fleet import RoutingFleet, request_bytes
+from routing_fleet import request_bytes, running_fleet
 
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.routing.request_parser import RequestParser
@@ -54,29 +53,20 @@
 """Timeout of the routes (3,000 ms) and half a second."""
 
 
-@contextmanager
-def running_fleet(**kwargs):
-    fleet = RoutingFleet(**kwargs)
-    try:
-        yield fleet
-    finally:
-        fleet.stop()
-
-
-@pytest.mark.parametrize("what", ["header line", "headers", "status line"])
-def test_a_response_head_without_end_is_an_error(what):
-    # Guards against 112 MB of headers from one endpoint, which end a small process.
-    start, repeated = ENDLESS[what]
-    parser = ResponseParser()
-    parser.feed(start)
-    for _ in range(MAX_FRAMING_BYTES // len(repeated) + 2):
-        parser.feed(repeated)
-    assert parser.error
-
-
-@pytest.mark.parametrize("what", ["chunk extension", "trailers", "interim responses"])
+@pytest.mark.parametrize(
+    "what",
+    [
+        "header line",
+        "headers",
+        "status line",
+        "chunk extension",
+        "trailers",
+        "interim responses",
+    ],
+)
 def test_framing_without_end_is_an_error(what):
-    # Guards against bytes that the HTTP parser accepts and that never complete a body.
+    # Guards against bytes that the HTTP parser accepts and that never complete a body:
+    # 112 MB of headers from one endpoint, which end a small process.
     start, repeated = ENDLESS[what]
     parser = ResponseParser()
     parser.feed(start)
--- a/tests/test_prefill_load.py
+++ b/tests/test_prefill_load.py
@@ -1,11 +1,10 @@
 """Loads of long prompts, played against simulated engines without a network."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from random import Random
 
 import pytest
 
-from wigeonwind.decisions.endpoint_state import OVERDUE_FACTOR
 from wigeonwind.decisions.engine_profile import EngineProfile
 from wigeonwind.decisions.latency_choice import LatencyChooser
 from wigeonwind.decisions.placement import Candidate, Placement, PlacementRequest
@@ -132,7 +131,7 @@
     lost = []
     while chooser.has_capacity(long_prompt(), 0.0, NONE_EXCLUDED):
         lost.append(chooser.on_sent(engines.names[0], long_prompt(), 0.0))
-    after_ms = OVERDUE_FACTOR * TARGET_MS + 1.0
+    after_ms = 3.0 * TARGET_MS  # Half of the deadline of such a request.
     chooser.local_load(after_ms)
     assert chooser.has_capacity(long_prompt(), after_ms, NONE_EXCLUDED)
     assert not any(
@@ -177,7 +176,7 @@
     # Guards against all chats on one engine, whose steps become slow, because it holds
     # the 200 tokens that they share.
     chooser = Engines(8, SLOW_RATE, 1).choosers[0]
-    used = set()
+    counts = Counter()
     for number in range(60):
         request = PlacementRequest(
             "llm", 0, 600, (1, 100 + number), (198, 600), 1, True, 300.0, PAUSE_MS
@@ -186,8 +185,8 @@
         assert isinstance(chosen, Placement)
         send = chooser.on_sent(chosen.endpoint_id, request, 0.0)
         chooser.on_started(send, 30.0)
-        used.add(chosen.endpoint_id)
-    assert len(used) >= 2
+        counts[chosen.endpoint_id] += 1
+    assert max(counts.values()) <= 40
 
 
 @pytest.mark.parametrize("rate", [10.0, SLOW_RATE, FAST_RATE, 600.0])
--- a/tests/test_routing_requests.py
+++ b/tests/test_routing_requests.py
@@ -2,7 +2,6 @@
 
 import json
 import socket
-from contextlib import contextmanager
 
 import gevent
 import pytest
@@ -13,6 +12,7 @@
     read_reply,
     request_bytes,
     route,
+    running_fleet,
 )
 
 from wigeonwind.standins.platform_worker import (
@@ -31,15 +31,6 @@
 GENERATION_HEADERS = ("Model: m", "Token-Usage: 900,50", "Prefix-Hash: aa:400,bb:500")
 
 
-@contextmanager
-def running_fleet(*args, **kwargs):
-    fleet = RoutingFleet(*args, **kwargs)
-    try:
-        yield fleet
-    finally:
-        fleet.stop()
-
-
 def first_worker_with_request(fleet):
     return next(worker for worker in fleet.workers if worker.requests)
 
