--- a/wigeonwind/decisions/engine_profile.py
+++ b/wigeonwind/decisions/engine_profile.py
@@ -66,11 +66,6 @@
         self._rates: deque[float] = deque(maxlen=MAX_SAMPLES)
         self._bases_ms: deque[float] = deque(maxlen=MAX_SAMPLES)
 
-    @property
-    def rate_samples(self) -> int:
-        """Return the number of measurements behind `prefill_rate`."""
-        return len(self._rates)
-
     def expected_ms(self, tokens: float) -> float:
         """Return the expected time to the first event after `tokens` of prefill."""
         return self.base_ms + tokens / self.prefill_rate
--- a/wigeonwind/decisions/latency_choice.py
+++ b/wigeonwind/decisions/latency_choice.py
@@ -54,11 +54,6 @@
 RETRY_AFTER_MS = 300.0
 """Retry-After when no endpoint is available; discovery updates within a second."""
 
-BUSY_SLOT_SHARE = 0.55
-"""Share of slots in use from which requests may be refused. While less than half of the
-slots are in use, a refusal costs more than a late response; the margin above half
-covers the delay of peers' reports."""
-
 FULL_SLOT_SHARE = 0.85
 """Share of an engine's slots in use from which requests are expected to wait. Counts
 from peers are delayed, and a full engine preempts."""
@@ -211,12 +206,6 @@
         waiting_ms /= profile.prefill_rate
         return waiting_ms <= GOAL_FRACTION * request.target_ms
 
-    def is_busy(self, request: PlacementRequest, exclude: frozenset[str]) -> bool:
-        """Return whether enough slots are in use to justify a refusal."""
-        pool = self._pool(request, exclude)
-        slots = sum(each.candidate.slots for each in pool)
-        return sum(each.in_flight_count for each in pool) >= BUSY_SLOT_SHARE * slots
-
     def _preferred_endpoint(
         self,
         request: PlacementRequest,
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -2,10 +2,7 @@
 
 from dataclasses import dataclass
 
-from gevent import sleep
-
 from wigeonwind.addresses import SocketAddress
-from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.decisions.interfaces import GiveUp, NoEndpoint, RetryCause
 from wigeonwind.decisions.placement import Send
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
@@ -13,6 +10,7 @@
     CallerConnection,
     CallerDisconnectedError,
 )
+from wigeonwind.routing.capacity_wait import wait_for_capacity
 from wigeonwind.routing.endpoint_connection import ConnectFailure, EndpointConnection
 from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.event_stream import EventSplitter
@@ -50,18 +48,6 @@
 """Lower bound of the silence limit; long prompts and slow links cause silences that are
 shorter than this."""
 
-CAPACITY_WAIT_FRACTION = 1.0
-"""Wait for capacity, as a fraction of the latency target, after which the request has
-missed its target. It is then refused if newer requests wait as well, which can still
-meet theirs, and goes on waiting if not."""
-
-LATE_WAIT_FRACTION = 2.0
-"""Longest wait for capacity, as a fraction of the latency target. A late answer is
-worth less than one in time, but more than a refusal."""
-
-CAPACITY_POLL_MS = 25.0
-"""Interval of the check whether an engine has capacity."""
-
 LONG_PROMPT_RETRY_AFTER_MS = 1_500.0
 """Retry-After of a long prompt that no engine had capacity for; bursts last seconds."""
 
@@ -154,40 +140,15 @@
         self._finish(outcome)
 
     def _wait_for_capacity(self) -> bool:
-        """Wait for an engine with capacity; return False if that takes too long.
-
-        Only requests with long prompts wait.
-        """
-        clock, chooser = self.context.clock, self.context.chooser
-        exclude = frozenset(self._tried_keys)
-        waiting_queue = self.context.waiting_queue_of(self.service)
-        if not len(waiting_queue) and chooser.has_capacity(
-            self.placement_request, clock.now_ms(), exclude
-        ):
-            return True
-        if not self.placement_request.is_long:
-            return True
-        target_ms = self.route.target_ms
-        late_from_ms = self.started_ms + CAPACITY_WAIT_FRACTION * target_ms
-        limit_ms = self.started_ms + LATE_WAIT_FRACTION * target_ms
-        limit_ms = min(limit_ms, self.deadline_ms - MIN_REMAINING_MS)
-        ticket = waiting_queue.enter()
-        try:
-            while not self.caller.is_disconnected and clock.now_ms() < limit_ms:
-                is_next = waiting_queue.is_next(ticket)
-                if is_next and chooser.has_capacity(
-                    self.placement_request,
-                    clock.now_ms(),
-                    exclude,
-                    len(waiting_queue),
-                ):
-                    return True
-                if clock.now_ms() >= late_from_ms and not is_next:
-                    break
-                sleep(CAPACITY_POLL_MS / MS_PER_SECOND)
-        finally:
-            waiting_queue.leave(ticket)
-        return self.caller.is_disconnected
+        """Wait for an engine with capacity; return False if that takes too long."""
+        return wait_for_capacity(
+            self.context,
+            self.placement_request,
+            self.started_ms,
+            self.deadline_ms - MIN_REMAINING_MS,
+            frozenset(self._tried_keys),
+            lambda: self.caller.is_disconnected,
+        )
 
     def _choose(self) -> _Destination | NoEndpoint:
         now_ms = self.context.clock.now_ms()
