Routing: log and count what a planned stop takes and cuts off

Requests cut off at the end of a stop had no line at all, and a request taken late could not be told from others. The phases of the stop now say what is open; each request served after the signal says how much time is left, and each one cut off which it was, whether it was sent and how long it had been served.

--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -173,6 +173,8 @@
                 settings.metrics, self._metrics_response
             )
         self._connections: set[CallerConnection] = set()
+        self._in_flight: set[Exchange] = set()
+        self._stop_signaled_ms: float | None = None
         self._loops = SupervisedLoops(self.stop)
         self.is_draining = False
         self.stopped = Event()
@@ -329,8 +331,19 @@
         if self.is_draining and self._may_exceed_stop_limit(route, metadata):
             self._refuse(caller, metadata, STOPPING, table.version)
             return
+        if self._stop_signaled_ms is not None:
+            since_signal_ms = self._clock.now_ms() - self._stop_signaled_ms
+            left_ms = self.stop_limit_ms - STOP_MARGIN_MS - since_signal_ms
+            self.metrics.on_request_during_stop(
+                metadata, route, since_signal_ms, left_ms
+            )
         routed = RoutedRequest(request, metadata, route, customer, table.version)
-        Exchange(self._context, caller, routed).run()
+        exchange = Exchange(self._context, caller, routed)
+        self._in_flight.add(exchange)
+        try:
+            exchange.run()
+        finally:
+            self._in_flight.discard(exchange)
 
     def _customer(
         self, table: RouteTable, route: HttpRoute, metadata: RequestMetadata
@@ -369,22 +382,30 @@
         if self.is_draining:
             return
         self.is_draining = True
-        started_ms = self._clock.now_ms()
-        log.info("stopping", connections=len(self._connections))
+        started_ms = self._stop_signaled_ms = self._clock.now_ms()
+        self._log_stop("stopping")
         for connection in self._connections:
             connection.is_closing = True
         until_ms = started_ms + self.stop_limit_ms - STOP_MARGIN_MS
         self._wait_until(lambda: False, started_ms + DRAIN_ACCEPT_MS)
         self._server.close()
+        self._log_stop("stopped listening")
         for connection in list(self._connections):
             connection.close_if_idle()
         self._wait_until(lambda: not self._connections, until_ms)
+        for exchange in self._in_flight:
+            self.metrics.on_cut_off(exchange)
+        self._log_stop("stopped")
+        self.stop()
+
+    def _log_stop(self, event: str) -> None:
+        assert self._stop_signaled_ms is not None
         log.info(
-            "stopped",
-            cut_off=len(self._connections),
-            after_ms=round(self._clock.now_ms() - started_ms),
+            event,
+            connections=len(self._connections),
+            in_flight=len(self._in_flight),
+            after_ms=round(self._clock.now_ms() - self._stop_signaled_ms),
         )
-        self.stop()
 
     def _wait_until(self, is_done: Callable[[], bool], until_ms: float) -> None:
         while not is_done() and self._clock.now_ms() < until_ms:
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -10,7 +10,7 @@
 from wigeonwind.outcomes import Failure
 from wigeonwind.routing.exchange import Exchange
 from wigeonwind.routing.header_codec import RequestMetadata
-from wigeonwind.routing.routes import RouteTable
+from wigeonwind.routing.routes import HttpRoute, RouteTable
 from wigeonwind.routing.send_outcomes import (
     Broken,
     CallerDisconnected,
@@ -54,6 +54,16 @@
         self._refused = self._metrics.counter(
             "route_refused", "Requests refused before a route took them.", ("code",)
         )
+        self._taken_during_stop = self._metrics.counter(
+            "stop_requests_taken",
+            "Requests that began to be served after a stop signal.",
+            ("route",),
+        )
+        self._cut_off = self._metrics.counter(
+            "stop_requests_cut_off",
+            "Requests that were in flight when a planned stop ended.",
+            ("route", "state"),
+        )
         self._retries = self._metrics.counter(
             "route_retries",
             "Second sends by decision.",
@@ -135,6 +145,42 @@
             config_version=version,
         )
 
+    def on_request_during_stop(
+        self,
+        metadata: RequestMetadata,
+        route: HttpRoute,
+        since_signal_ms: float,
+        left_ms: float,
+    ) -> None:
+        """Record a request that is served after the stop signal.
+
+        `left_ms` is the time until the process exits.
+        """
+        self._taken_during_stop.labels(route.name).inc()
+        log.info(
+            "request taken during a stop",
+            request_id=metadata.request_id,
+            route=route.name,
+            since_signal_ms=round(since_signal_ms),
+            left_ms=round(left_ms),
+        )
+
+    def on_cut_off(self, exchange: Exchange) -> None:
+        """Record a request that is in flight at the end of a planned stop."""
+        if exchange.caller.head_sent:
+            state = "begun"
+        else:
+            state = "sent" if exchange.sends else "not-sent"
+        self._cut_off.labels(exchange.route.name, state).inc()
+        log.info(
+            "request cut off by the stop",
+            request_id=exchange.metadata.request_id,
+            route=exchange.route.name,
+            endpoint=exchange.last_endpoint_id,
+            state=state,
+            took_ms=round(self._clock.now_ms() - exchange.started_ms, 1),
+        )
+
     def on_retry(
         self, exchange: Exchange, outcome: SendOutcome, decision: Resend | GiveUp
     ) -> None:
