Routing: a stopping process refuses what is read in full after 3 s

Callers saw requests that were taken seconds after SIGTERM, sent to a worker and given up at the end of the stop, and connections that were closed right after a stream whose head did not say so.

Cause: whether a connection served another request was a flag set on it by one pass over the connections at 3 s. A partial message, a connection that was serving and one accepted at that moment were missed, and the pass itself came up to 50 ms late. Nothing compared the arrival of a request with the stop.

The stop is now a frozen plan of times (routing/planned_stop.py), and each request and connection asks for the phase: from 3 s on a request is answered 503 not-run with Retry-After 0.05 and `Connection: close`. Connections that were not told to close stay open until they have been idle for 300 ms, with no unread input.

--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -13,6 +13,7 @@
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.routing.header_codec import Header
 from wigeonwind.routing.local_responses import failure_response
+from wigeonwind.routing.planned_stop import StopPhase
 from wigeonwind.routing.request_parser import HttpRequest, RequestParser
 from wigeonwind.routing.routes import CallerLimits
 
@@ -29,6 +30,10 @@
 """Time for which input is discarded after an error response that ends a connection.
 Closing a socket with unread input resets it, and the caller would lose the response."""
 
+STOP_IDLE_MS = 300.0
+"""Idle time after which a stopping process closes a connection. A caller that was not
+told to close it may be sending its next request, which is then refused."""
+
 RESET_LINGER = struct.pack("ii", 1, 0)
 """SO_LINGER value that makes `close` reset the connection."""
 
@@ -50,11 +55,13 @@
         clock: Clock,
         limits: Callable[[], CallerLimits],
         serve: Callable[["CallerConnection", HttpRequest], None],
+        stop_phase: Callable[[], StopPhase],
     ) -> None:
         self._sock = sock
         self._clock = clock
         self._limits = limits
         self._serve = serve
+        self._stop_phase = stop_phase
         self._parser = RequestParser(limits())
         self._wakeup = Event()
         self._may_read = Event()
@@ -64,10 +71,6 @@
         self.was_aborted = False
         """Whether `abort` cut off a response; the caller did not disconnect."""
         self.is_serving = False
-        self.is_closing = False
-        """Whether the connection is closed after the next response."""
-        self._closes_when_idle = False
-        """Whether the connection is closed instead of waiting for another request."""
         self._head_sent = False
         self._is_chunked = False
         self._closes_after_response = False
@@ -101,7 +104,7 @@
                 self.send_failure(self._parser.failure, "", ())
                 self._close_gracefully()
                 return
-            if self._closes_when_idle and not self._parser.has_partial_message:
+            if self._is_idle_in_stop() and not self._has_unread_input():
                 return
             self._wakeup.clear()
             self._may_read.set()
@@ -112,7 +115,7 @@
     def _serve_request(self, request: HttpRequest) -> None:
         self.is_serving = True
         self._head_sent = False
-        self._closes_after_response = self.is_closing or not request.keeps_alive
+        self._closes_after_response = not request.keeps_alive
         self._is_chunked = request.is_http11
         try:
             self._serve(self, request)
@@ -130,8 +133,31 @@
         if self._head_started_ms is not None:
             head_ms = limits.header_timeout_ms + self._head_started_ms
             remaining_ms = min(remaining_ms, head_ms - self._clock.now_ms())
+        if self._is_refusing():
+            idle_ms = self._clock.now_ms() - self._idle_since_ms
+            remaining_ms = min(remaining_ms, max(STOP_IDLE_MS - idle_ms, 10.0))
         return max(remaining_ms, 1.0) / MS_PER_SECOND
 
+    def _is_refusing(self) -> bool:
+        return self._stop_phase() in (StopPhase.REFUSING, StopPhase.ENDING)
+
+    def _is_idle_in_stop(self) -> bool:
+        """Return whether a stopping process should close the connection now."""
+        if not self._is_refusing() or self._parser.has_partial_message:
+            return False
+        return self._clock.now_ms() - self._idle_since_ms >= STOP_IDLE_MS
+
+    def _has_unread_input(self) -> bool:
+        """Return whether bytes have arrived that the reader has not read yet."""
+        timeout_s = self._sock.gettimeout()
+        try:
+            self._sock.settimeout(0.0)
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+        finally:
+            self._sock.settimeout(timeout_s)
+
     def _has_timed_out(self) -> bool:
         """Return whether the idle or header timeout has expired.
 
@@ -224,7 +250,7 @@
         self, failure: Failure, request_id: str, headers: Iterable[Header]
     ) -> None:
         """Send an error response that this process generates."""
-        self._closes_after_response = self._closes_after_response or self.is_closing
+        self._close_if_stopping()
         if self._parser.failure is not None:
             self._closes_after_response = True
         closes = self._closes_after_response
@@ -260,9 +286,13 @@
         return lines
 
     def _connection_header(self) -> bytes:
-        self._closes_after_response = self._closes_after_response or self.is_closing
+        self._close_if_stopping()
         return b"Connection: close\r\n" if self._closes_after_response else b""
 
+    def _close_if_stopping(self) -> None:
+        if self._stop_phase() is not StopPhase.RUNNING:
+            self._closes_after_response = True
+
     def _encode_chunk(self, data: bytes) -> bytes:
         if not self._is_chunked:
             return data
@@ -297,12 +327,9 @@
         except OSError:
             return False
 
-    def close_if_idle(self) -> None:
-        """Close the connection as soon as no request is in flight."""
-        self.is_closing = True
-        self._closes_when_idle = True
-        if not self.is_serving and not self._parser.has_partial_message:
-            self._wakeup.set()
+    def on_stop_phase(self) -> None:
+        """Act on the next phase of a planned stop."""
+        self._wakeup.set()
 
 
 def bad_request(message: str) -> Failure:
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -10,6 +10,7 @@
 from wigeonwind.outcomes import Failure
 from wigeonwind.routing.exchange import Exchange
 from wigeonwind.routing.header_codec import RequestMetadata
+from wigeonwind.routing.planned_stop import PlannedStop
 from wigeonwind.routing.routes import HttpRoute, RouteTable
 from wigeonwind.routing.send_outcomes import (
     Broken,
@@ -146,23 +147,17 @@
         )
 
     def on_request_during_stop(
-        self,
-        metadata: RequestMetadata,
-        route: HttpRoute,
-        since_signal_ms: float,
-        left_ms: float,
+        self, metadata: RequestMetadata, route: HttpRoute, stop: PlannedStop
     ) -> None:
-        """Record a request that is served after the stop signal.
-
-        `left_ms` is the time until the process exits.
-        """
+        """Record a request that is served after the stop signal."""
+        now_ms = self._clock.now_ms()
         self._taken_during_stop.labels(route.name).inc()
         log.info(
             "request taken during a stop",
             request_id=metadata.request_id,
             route=route.name,
-            since_signal_ms=round(since_signal_ms),
-            left_ms=round(left_ms),
+            since_signal_ms=round(now_ms - stop.signaled_ms),
+            left_ms=round(stop.ends_from_ms - now_ms),
         )
 
     def on_cut_off(self, exchange: Exchange) -> None:
