Routing: answer pipelined requests before a stopping connection closes

Callers that pipeline saw requests dropped at a planned stop: the response to the first one said `Connection: close`, and those that had been read behind it got no answer.

Cause: the response that ended the connection was whichever came next, without regard to requests that had been parsed already. With more than 16 of them, input was left unread as well, and closing then resets the connection.

Only a response with no parsed request behind it ends the connection now; the requests are answered in order, from 3 s on with 503 not-run. What arrives later is read and discarded until the caller closes.

A stop that is overtaken by `stop` no longer touches the closed listener.

--- a/tests/test_requests_during_stops.py
+++ b/tests/test_requests_during_stops.py
@@ -75,6 +75,17 @@
         fleet.stop()
 
 
+class ByteReader:
+    """Receives single bytes, so that no byte of the next pipelined reply is lost."""
+
+    def __init__(self, sock):
+        self._sock = sock
+
+    def recv(self, _):
+        """Receive the next byte, empty at the end of input."""
+        return self._sock.recv(1)
+
+
 def is_refused(reply):
     return (
         reply.status == 503
@@ -149,7 +160,8 @@
             )
             gevent.sleep(0.1)
             stopping.stop()
-            replies = [read_reply(sock) for _ in ids]
+            reader = ByteReader(sock)
+            replies = [read_reply(reader) for _ in ids]
             assert not sock.recv(1)
         assert [reply.body.decode() for reply in replies] == ids
         closes = [reply.headers.get("connection") for reply in replies]
@@ -165,9 +177,9 @@
                 sock.sendall(request_bytes("/once/x", "POST", b"b", (), each))
                 gevent.sleep(0.001)
             stopping.stop()
-            replies = []
+            replies, reader = [], ByteReader(sock)
             while not replies or replies[-1].headers.get("connection") != "close":
-                replies.append(read_reply(sock))
+                replies.append(read_reply(reader))
                 assert replies[-1].is_whole
             gevent.sleep(0.5)
             assert not sock.recv(1)
@@ -186,7 +198,8 @@
             sock.sendall(request_bytes("/once/x", "POST", b"b", SLOW, "a2"))
             gevent.sleep(0.1)
             stopping.stop()
-            first, second = read_reply(sock), read_reply(sock)
+            reader = ByteReader(sock)
+            first, second = read_reply(reader), read_reply(reader)
         assert (first.status, first.body) == (200, b"a1")
         assert is_refused(second)
         assert stopping.executed_ids() == {"a1"}
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -71,6 +71,7 @@
         self.was_aborted = False
         """Whether `abort` cut off a response; the caller did not disconnect."""
         self.is_serving = False
+        self._discards_input = False
         self._head_sent = False
         self._is_chunked = False
         self._closes_after_response = False
@@ -190,6 +191,8 @@
         self._wakeup.set()
 
     def _feed(self, data: bytes) -> None:
+        if self._discards_input:
+            return
         now_ms = self._clock.now_ms()
         if not self._parser.has_partial_message:
             self._parser.limits = self._limits()
@@ -290,7 +293,8 @@
         return b"Connection: close\r\n" if self._closes_after_response else b""
 
     def _close_if_stopping(self) -> None:
-        if self._stop_phase() is not StopPhase.RUNNING:
+        """End the connection with this response, unless requests wait behind it."""
+        if self._stop_phase() is not StopPhase.RUNNING and not self._parser.requests:
             self._closes_after_response = True
 
     def _encode_chunk(self, data: bytes) -> bytes:
@@ -308,7 +312,12 @@
             raise CallerDisconnectedError(str(error)) from error
 
     def _close_gracefully(self) -> None:
-        """Close the write side first, so that the response is not lost to a reset."""
+        """Close the write side first, so that the response is not lost to a reset.
+
+        Input that follows is read and discarded.
+        """
+        self._discards_input = True
+        self._may_read.set()
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -389,7 +389,9 @@
         now_ms = self._clock.now_ms()
         self._stop = stop = plan_stop(now_ms, self.stop_limit_ms)
         self._log_stop("stopping")
-        self._wait_until(lambda: False, stop.refuses_from_ms)
+        self._wait_until(self.stopped.is_set, stop.refuses_from_ms)
+        if self.stopped.is_set():
+            return
         self._close_listener()
         self._log_stop("stopped listening")
         self._wait_until(lambda: not self._connections, stop.exits_ms)
