Routing: answer every open request before a stopping process exits

Callers saw connections that ended without an answer: all that was in flight at the end of a planned stop was cut, also requests that no worker had been sent.

Cause: the exit closed the sockets; no exchange learned of it. A limit below 3 s was exceeded, as the first wait did not look at it.

What does not wake in time (a connection that is being opened) is answered at the exit; a request read in part gets 503. All times of the stop lie within its limit. Endpoints are not blamed for it.

The test of a wait for capacity had a latency target for which no request waits; it has one of 3 s now.

--- a/tests/test_requests_during_stops.py
+++ b/tests/test_requests_during_stops.py
@@ -24,7 +24,7 @@
 
 SLOW = ("Deadline-Ms: 20000",)
 SLOW_ROUTES = [
-    route("once", "/once/", "unsafe", timeout_ms=20_000),
+    route("once", "/once/", "unsafe", timeout_ms=20_000, slo_ms=3_000),
     route("stream", "/stream/", "streaming", timeout_ms=20_000, slo_ms=3_000),
 ]
 
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -14,6 +14,7 @@
 from wigeonwind.routing.header_codec import Header
 from wigeonwind.routing.local_responses import failure_response
 from wigeonwind.routing.planned_stop import StopPhase
+from wigeonwind.routing.refusals import STOPPING
 from wigeonwind.routing.request_parser import HttpRequest, RequestParser
 from wigeonwind.routing.routes import CallerLimits
 
@@ -73,6 +74,7 @@
         self.is_serving = False
         self._discards_input = False
         self._head_sent = False
+        self._is_response_whole = False
         self._is_chunked = False
         self._closes_after_response = False
         self._idle_since_ms = clock.now_ms()
@@ -105,6 +107,12 @@
                 self.send_failure(self._parser.failure, "", ())
                 self._close_gracefully()
                 return
+            if self._stop_phase() is StopPhase.ENDING and (
+                self._parser.has_partial_message
+            ):
+                self.send_failure(STOPPING, "", ())
+                self._close_gracefully()
+                return
             if self._is_idle_in_stop() and not self._has_unread_input():
                 return
             self._wakeup.clear()
@@ -115,7 +123,7 @@
 
     def _serve_request(self, request: HttpRequest) -> None:
         self.is_serving = True
-        self._head_sent = False
+        self._head_sent = self._is_response_whole = False
         self._closes_after_response = not request.keeps_alive
         self._is_chunked = request.is_http11
         try:
@@ -146,6 +154,8 @@
         """Return whether a stopping process should close the connection now."""
         if not self._is_refusing() or self._parser.has_partial_message:
             return False
+        if self._stop_phase() is StopPhase.ENDING:
+            return True
         return self._clock.now_ms() - self._idle_since_ms >= STOP_IDLE_MS
 
     def _has_unread_input(self) -> bool:
@@ -238,6 +248,7 @@
         """End the body; a chunked one gets its last chunk."""
         if self._is_chunked:
             self._send(b"0\r\n\r\n")
+        self._is_response_whole = True
 
     def send_response(
         self, status: int, reason: bytes, headers: Iterable[Header], body: bytes
@@ -248,6 +259,7 @@
         head.append(self._connection_header() + b"\r\n")
         self._head_sent = True
         self._send(b"".join(head) + body)
+        self._is_response_whole = True
 
     def send_failure(
         self, failure: Failure, request_id: str, headers: Iterable[Header]
@@ -259,6 +271,7 @@
         closes = self._closes_after_response
         self._head_sent = True
         self._send(failure_response(failure, request_id, tuple(headers), closes))
+        self._is_response_whole = True
 
     def abort(self) -> None:
         """Cut off a response so that the caller can tell that it is incomplete.
@@ -266,15 +279,30 @@
         Raises CallerDisconnectedError. A chunked body lacks its last chunk. Otherwise
         the connection is reset, which may also lose bytes that are still in transit.
         """
-        if not self._is_chunked:
-            try:
-                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-            except OSError:
-                pass  # The caller has already closed the connection.
+        self._reset_on_close()
         self.is_disconnected = True
         self.was_aborted = True
         raise CallerDisconnectedError("the response was cut off")
 
+    def _reset_on_close(self) -> None:
+        """Reset the connection at its close if that ends a body of unknown length."""
+        if self._is_chunked:
+            return
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+        except OSError:
+            pass  # The caller has already closed the connection.
+
+    def cut_off(self) -> None:
+        """Close the connection at the exit of the process.
+
+        A response that is incomplete does not look complete.
+        """
+        if self.is_serving and not self._is_response_whole:
+            self._reset_on_close()
+        self.is_disconnected = True
+        self._sock.close()
+
     @property
     def head_sent(self) -> bool:
         """Return whether the head of the current response has been sent."""
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -16,6 +16,7 @@
 from wigeonwind.routing.event_stream import EventSplitter
 from wigeonwind.routing.forwarding_context import ForwardingContext
 from wigeonwind.routing.header_codec import ResponseMetadata, SendMetadata
+from wigeonwind.routing.refusals import STOPPING
 from wigeonwind.routing.response_limits import (
     MAX_BUFFERED_BODY_BYTES,
     MAX_DISCARDED_RESPONSES,
@@ -29,6 +30,7 @@
     Failed,
     NotRun,
     SendOutcome,
+    Stopped,
     TimedOut,
 )
 
@@ -116,6 +118,8 @@
         self.expected_ms: int | None = None
         """Time to the first event that was estimated for the last send."""
         self._last_failure: Failed | None = None
+        self._is_stopped = False
+        """Whether the process has reached the end of a planned stop."""
 
     def run(self) -> None:
         """Send the request until there is a response or no further send is allowed."""
@@ -147,7 +151,7 @@
             self.started_ms,
             self.deadline_ms - MIN_REMAINING_MS,
             frozenset(self._tried_keys),
-            lambda: self.caller.is_disconnected,
+            lambda: self.caller.is_disconnected or self._is_stopped,
         )
 
     def _choose(self) -> _Destination | NoEndpoint:
@@ -181,6 +185,26 @@
         if connection is not None and self._cancels_on_disconnect():
             connection.close()
 
+    def end_by_stop(self) -> None:
+        """Let the exchange send its final response now, as the process is to exit."""
+        self._is_stopped = True
+        self.deadline_ms = min(self.deadline_ms, self.context.clock.now_ms())
+        if self._connection is not None:
+            self._connection.close()
+
+    def respond_by_stop(self) -> None:
+        """Send the final response of an exchange that `end_by_stop` did not wake.
+
+        It may still be opening a connection.
+        """
+        if self.caller.head_sent or self.caller.is_disconnected:
+            return
+        self._may_have_run = self._may_have_run or self._connection is not None
+        try:
+            self._send_failure(Stopped())
+        except CallerDisconnectedError:
+            pass
+
     def _cancels_on_disconnect(self) -> bool:
         return self.route.is_repeatable or self.route.is_stream
 
@@ -233,7 +257,7 @@
         if isinstance(outcome, NotRun):
             chooser.on_refused(send, now_ms)
             return
-        failed = isinstance(outcome, (Broken, Failed))
+        failed = isinstance(outcome, (Broken, Failed)) and not self._is_stopped
         chooser.on_ended(send, not failed, now_ms)
 
     def _send_and_relay(
@@ -568,6 +592,10 @@
     def _finish(self, outcome: SendOutcome) -> None:
         """Respond to the caller unless that was done, and report the final outcome."""
         context = self.context
+        if self._is_stopped and not isinstance(
+            outcome, (CallerDisconnected, Delivered, Failed)
+        ):
+            outcome = Stopped()
         try:
             if isinstance(outcome, Failed):
                 outcome = self._deliver(outcome.response, outcome.metadata)
@@ -610,6 +638,11 @@
                 return Failure(Outcome.NOT_RUN, ErrorCode.DEADLINE, message, 503)
             message = "the endpoint did not respond before the deadline"
             return Failure(Outcome.UNKNOWN, ErrorCode.DEADLINE, message, 504)
+        if isinstance(outcome, Stopped):
+            if not self._may_have_run:
+                return STOPPING
+            message = "this process stopped before the endpoint responded"
+            return Failure(Outcome.UNKNOWN, ErrorCode.DRAINING, message, 502)
         reason = outcome.reason if isinstance(outcome, (Broken, NotRun)) else "unknown"
         message = f"no complete response from the endpoint: {reason}"
         return Failure(Outcome.UNKNOWN, ErrorCode.ENDPOINT_FAILED, message, 502)
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -394,9 +394,13 @@
             return
         self._close_listener()
         self._log_stop("stopped listening")
+        self._wait_until(lambda: not self._connections, stop.ends_from_ms)
+        self._end_requests()
         self._wait_until(lambda: not self._connections, stop.exits_ms)
-        for exchange in self._in_flight:
-            self.metrics.on_cut_off(exchange)
+        for exchange in list(self._in_flight):
+            exchange.respond_by_stop()
+        for connection in list(self._connections):
+            connection.cut_off()
         self._log_stop("stopped")
         self.stop()
 
@@ -405,7 +409,17 @@
         while (accepted := self._server.do_read()) is not None:
             self._server.do_handle(*accepted)
         self._server.close()
-        for connection in self._connections:
+        for connection in list(self._connections):
+            connection.on_stop_phase()
+
+    def _end_requests(self) -> None:
+        """Let every request that is still open get its final response."""
+        if self._connections:
+            self._log_stop("ending requests")
+        for exchange in list(self._in_flight):
+            self.metrics.on_cut_off(exchange)
+            exchange.end_by_stop()
+        for connection in list(self._connections):
             connection.on_stop_phase()
 
     def _log_stop(self, event: str) -> None:
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -19,6 +19,7 @@
     Failed,
     NotRun,
     SendOutcome,
+    Stopped,
     TimedOut,
 )
 from wigeonwind.runtime.metrics import Metrics
@@ -41,6 +42,8 @@
             return "timed-out"
         case CallerDisconnected():
             return "caller-gone"
+        case Stopped():
+            return "stopped"
 
 
 class RoutingMetrics:
--- a/wigeonwind/routing/send_outcomes.py
+++ b/wigeonwind/routing/send_outcomes.py
@@ -51,4 +51,11 @@
     """The caller disconnected before the end of the response."""
 
 
-SendOutcome = Delivered | NotRun | Broken | Failed | TimedOut | CallerDisconnected
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """The process reached the end of a planned stop."""
+
+
+SendOutcome = (
+    Delivered | NotRun | Broken | Failed | TimedOut | CallerDisconnected | Stopped
+)
