Routing: reset the connection of a cut response of unknown length

HTTP/1.0 callers took a stream that was cut off for complete.

Cause: `abort` sets the option that resets the connection at its close, but the response also ended its connection, so the write side was closed first, and the caller read a regular end of the body. That holds for each cut, not only at the end of a stop.

A connection whose response was aborted is closed at once.

Evidence: test_a_stream_cut_at_the_end_does_not_look_complete[1.0] read a regular end of input before (was_reset False), and passes now.

--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -99,6 +99,8 @@
             requests = self._parser.requests
             if requests:
                 self._serve_request(requests.popleft())
+                if self.was_aborted:
+                    return
                 if self._closes_after_response:
                     self._close_gracefully()
                     return
