--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -13,6 +13,8 @@
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.routing.header_codec import Header
 from wigeonwind.routing.local_responses import failure_response
+from wigeonwind.routing.planned_stop import StopPhase
+from wigeonwind.routing.refusals import STOPPING
 from wigeonwind.routing.request_parser import HttpRequest, RequestParser
 from wigeonwind.routing.routes import CallerLimits
 
@@ -29,6 +31,10 @@
 """Time for which input is discarded after an error response that ends a connection.
 Closing a socket with unread input resets it, and the caller would lose the response."""
 
+STOP_IDLE_MS = 300.0
+"""Idle time after which a stopping process closes a connection. A caller that was not
+told to close it may be sending its next request, which is then refused."""
+
 RESET_LINGER = struct.pack("ii", 1, 0)
 """SO_LINGER value that makes `close` reset the connection."""
 
@@ -50,11 +56,13 @@
         clock: Clock,
         limits: Callable[[], CallerLimits],
         serve: Callable[["CallerConnection", HttpRequest], None],
+        stop_phase: Callable[[], StopPhase],
     ) -> None:
         self._sock = sock
         self._clock = clock
         self._limits = limits
         self._serve = serve
+        self._stop_phase = stop_phase
         self._parser = RequestParser(limits())
         self._wakeup = Event()
         self._may_read = Event()
@@ -64,11 +72,9 @@
         self.was_aborted = False
         """Whether `abort` cut off a response; the caller did not disconnect."""
         self.is_serving = False
-        self.is_closing = False
-        """Whether the connection is closed after the next response."""
-        self._closes_when_idle = False
-        """Whether the connection is closed instead of waiting for another request."""
+        self._discards_input = False
         self._head_sent = False
+        self._is_response_whole = False
         self._is_chunked = False
         self._closes_after_response = False
         self._idle_since_ms = clock.now_ms()
@@ -93,6 +99,8 @@
             requests = self._parser.requests
             if requests:
                 self._serve_request(requests.popleft())
+                if self.was_aborted:
+                    return
                 if self._closes_after_response:
                     self._close_gracefully()
                     return
@@ -101,7 +109,13 @@
                 self.send_failure(self._parser.failure, "", ())
                 self._close_gracefully()
                 return
-            if self._closes_when_idle and not self._parser.has_partial_message:
+            if self._stop_phase() is StopPhase.ENDING and (
+                self._parser.has_partial_message
+            ):
+                self.send_failure(STOPPING, "", ())
+                self._close_gracefully()
+                return
+            if self._is_idle_in_stop() and not self._has_unread_input():
                 return
             self._wakeup.clear()
             self._may_read.set()
@@ -111,8 +125,8 @@
 
     def _serve_request(self, request: HttpRequest) -> None:
         self.is_serving = True
-        self._head_sent = False
-        self._closes_after_response = self.is_closing or not request.keeps_alive
+        self._head_sent = self._is_response_whole = False
+        self._closes_after_response = not request.keeps_alive
         self._is_chunked = request.is_http11
         try:
             self._serve(self, request)
@@ -130,8 +144,33 @@
         if self._head_started_ms is not None:
             head_ms = limits.header_timeout_ms + self._head_started_ms
             remaining_ms = min(remaining_ms, head_ms - self._clock.now_ms())
+        if self._is_refusing():
+            idle_ms = self._clock.now_ms() - self._idle_since_ms
+            remaining_ms = min(remaining_ms, max(STOP_IDLE_MS - idle_ms, 10.0))
         return max(remaining_ms, 1.0) / MS_PER_SECOND
 
+    def _is_refusing(self) -> bool:
+        return self._stop_phase() in (StopPhase.REFUSING, StopPhase.ENDING)
+
+    def _is_idle_in_stop(self) -> bool:
+        """Return whether a stopping process should close the connection now."""
+        if not self._is_refusing() or self._parser.has_partial_message:
+            return False
+        if self._stop_phase() is StopPhase.ENDING:
+            return True
+        return self._clock.now_ms() - self._idle_since_ms >= STOP_IDLE_MS
+
+    def _has_unread_input(self) -> bool:
+        """Return whether bytes have arrived that the reader has not read yet."""
+        timeout_s = self._sock.gettimeout()
+        try:
+            self._sock.settimeout(0.0)
+            return bool(self._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+        finally:
+            self._sock.settimeout(timeout_s)
+
     def _has_timed_out(self) -> bool:
         """Return whether the idle or header timeout has expired.
 
@@ -164,6 +203,8 @@
         self._wakeup.set()
 
     def _feed(self, data: bytes) -> None:
+        if self._discards_input:
+            return
         now_ms = self._clock.now_ms()
         if not self._parser.has_partial_message:
             self._parser.limits = self._limits()
@@ -209,6 +250,7 @@
         """End the body; a chunked one gets its last chunk."""
         if self._is_chunked:
             self._send(b"0\r\n\r\n")
+        self._is_response_whole = True
 
     def send_response(
         self, status: int, reason: bytes, headers: Iterable[Header], body: bytes
@@ -219,17 +261,19 @@
         head.append(self._connection_header() + b"\r\n")
         self._head_sent = True
         self._send(b"".join(head) + body)
+        self._is_response_whole = True
 
     def send_failure(
         self, failure: Failure, request_id: str, headers: Iterable[Header]
     ) -> None:
         """Send an error response that this process generates."""
-        self._closes_after_response = self._closes_after_response or self.is_closing
+        self._close_if_stopping()
         if self._parser.failure is not None:
             self._closes_after_response = True
         closes = self._closes_after_response
         self._head_sent = True
         self._send(failure_response(failure, request_id, tuple(headers), closes))
+        self._is_response_whole = True
 
     def abort(self) -> None:
         """Cut off a response so that the caller can tell that it is incomplete.
@@ -237,15 +281,30 @@
         Raises CallerDisconnectedError. A chunked body lacks its last chunk. Otherwise
         the connection is reset, which may also lose bytes that are still in transit.
         """
-        if not self._is_chunked:
-            try:
-                self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
-            except OSError:
-                pass  # The caller has already closed the connection.
+        self._reset_on_close()
         self.is_disconnected = True
         self.was_aborted = True
         raise CallerDisconnectedError("the response was cut off")
 
+    def _reset_on_close(self) -> None:
+        """Reset the connection at its close if that ends a body of unknown length."""
+        if self._is_chunked:
+            return
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+        except OSError:
+            pass  # The caller has already closed the connection.
+
+    def cut_off(self) -> None:
+        """Close the connection at the exit of the process.
+
+        A response that is incomplete does not look complete.
+        """
+        if self.is_serving and not self._is_response_whole:
+            self._reset_on_close()
+        self.is_disconnected = True
+        self._sock.close()
+
     @property
     def head_sent(self) -> bool:
         """Return whether the head of the current response has been sent."""
@@ -260,9 +319,14 @@
         return lines
 
     def _connection_header(self) -> bytes:
-        self._closes_after_response = self._closes_after_response or self.is_closing
+        self._close_if_stopping()
         return b"Connection: close\r\n" if self._closes_after_response else b""
 
+    def _close_if_stopping(self) -> None:
+        """End the connection with this response, unless requests wait behind it."""
+        if self._stop_phase() is not StopPhase.RUNNING and not self._parser.requests:
+            self._closes_after_response = True
+
     def _encode_chunk(self, data: bytes) -> bytes:
         if not self._is_chunked:
             return data
@@ -278,7 +342,12 @@
             raise CallerDisconnectedError(str(error)) from error
 
     def _close_gracefully(self) -> None:
-        """Close the write side first, so that the response is not lost to a reset."""
+        """Close the write side first, so that the response is not lost to a reset.
+
+        Input that follows is read and discarded.
+        """
+        self._discards_input = True
+        self._may_read.set()
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
@@ -297,12 +366,9 @@
         except OSError:
             return False
 
-    def close_if_idle(self) -> None:
-        """Close the connection as soon as no request is in flight."""
-        self.is_closing = True
-        self._closes_when_idle = True
-        if not self.is_serving and not self._parser.has_partial_message:
-            self._wakeup.set()
+    def on_stop_phase(self) -> None:
+        """Act on the next phase of a planned stop."""
+        self._wakeup.set()
 
 
 def bad_request(message: str) -> Failure:
