Observability: log and count endpoints that crash, with the requests that they had not begun to answer

Change: the endpoint monitor knows the unanswered sends of each endpoint. A connection that ends while a response is due leads to one connection attempt; if that is refused and the endpoint is not leaving, one line `endpoint crashed` names the endpoint, the unanswered requests and the keys of their parts. No decision uses it yet.

--- a/wigeonwind/routing/endpoint_connection.py
+++ b/wigeonwind/routing/endpoint_connection.py
@@ -27,9 +27,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ConnectFailure:
-    """The connection could not be opened, so nothing was sent."""
+    """The connection could not be opened, so nothing was sent.
+
+    `is_refused` says that no process listens at the address.
+    """
 
     reason: str
+    is_refused: bool = False
 
 
 class EndpointConnection:
@@ -42,6 +46,8 @@
         """Whether the connection has not been used for an earlier request."""
         self.is_closed_by_endpoint = False
         """Whether the end of the input has been read."""
+        self.is_lost = False
+        """Whether the connection ended while a response was due."""
         self.usable_until_ms = float("inf")
         self._sock = sock
 
@@ -111,7 +117,8 @@
         try:
             sock = _connect(endpoint.address)
         except OSError as error:
-            return ConnectFailure(str(error) or type(error).__name__)
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return ConnectFailure(str(error) or type(error).__name__, is_refused)
         self._on_opened()
         return EndpointConnection(endpoint, sock)
 
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from gevent import spawn
+
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.decisions.interfaces import GiveUp, NoEndpoint, RetryCause
 from wigeonwind.decisions.placement import Send
@@ -12,10 +14,12 @@
 )
 from wigeonwind.routing.capacity_wait import wait_for_capacity
 from wigeonwind.routing.endpoint_connection import ConnectFailure, EndpointConnection
+from wigeonwind.routing.endpoint_monitor import UnansweredSend
 from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.event_stream import EventSplitter
 from wigeonwind.routing.forwarding_context import ForwardingContext
 from wigeonwind.routing.header_codec import ResponseMetadata, SendMetadata
+from wigeonwind.routing.request_keys import request_keys
 from wigeonwind.routing.response_limits import (
     MAX_BUFFERED_BODY_BYTES,
     MAX_DISCARDED_RESPONSES,
@@ -95,6 +99,10 @@
         self.placement_request = context.placement_request_of(
             self.service, routed.engine_priority, metadata, route
         )
+        self.keys = request_keys(self.service, routed.request, metadata)
+        """Keys of the parts of the request, see `request_keys`."""
+        self._unanswered: UnansweredSend | None = None
+        """The current send while its endpoint has not begun to answer."""
         self._events = EventSplitter(metadata.last_event_id)
         self._first_event_ms: float | None = None
         self._last_event_ms = 0.0
@@ -191,6 +199,7 @@
         connection = self._connect(endpoint)
         if isinstance(connection, ConnectFailure):
             self._tried_keys.add(endpoint.key)
+            self.context.monitor.on_connect_failure(endpoint, connection)
             now_ms = self.context.clock.now_ms()
             self.context.chooser.on_unreachable(endpoint.key, now_ms)
             return NotRun(f"connection failed: {connection.reason}", was_sent=False)
@@ -212,6 +221,7 @@
         )
         self.expected_ms = round(send.expected_ms)
         self._sends += 1
+        self._watch_send(endpoint, connection)
         outcome: SendOutcome = Broken("the exchange was interrupted")
         try:
             outcome = self._send_and_relay(connection, send, remaining_ms)
@@ -220,10 +230,38 @@
         finally:
             self._connection = None
             self._record_outcome(send, outcome)
+            was_unanswered = self._unanswered is not None
+            self._end_watch(is_lost=isinstance(outcome, Broken))
             if not isinstance(outcome, (Delivered, Failed, NotRun)):
                 connection.close()
+        if connection.is_lost and isinstance(outcome, Broken):
+            if was_unanswered:
+                # The next send depends on whether this one crashed the endpoint.
+                self.context.monitor.check(endpoint)
+            else:
+                spawn(self.context.monitor.check, endpoint)
         return outcome
 
+    def _watch_send(self, endpoint: Endpoint, connection: EndpointConnection) -> None:
+        self._unanswered = UnansweredSend(
+            endpoint, self.metadata.request_id, self.keys, connection.close
+        )
+        self.context.monitor.add(self._unanswered)
+
+    def _on_answer_begun(self) -> None:
+        """Record that the endpoint has begun a successful answer."""
+        self._end_watch(is_lost=False)
+
+    def _end_watch(self, is_lost: bool) -> None:
+        """Stop watching the current send; `is_lost` if it ended without an answer."""
+        unanswered, self._unanswered = self._unanswered, None
+        if unanswered is None:
+            return
+        if is_lost:
+            self.context.monitor.on_lost(unanswered)
+        else:
+            self.context.monitor.remove(unanswered)
+
     def _connect(self, endpoint: Endpoint) -> EndpointConnection | ConnectFailure:
         connection = self.context.pool.acquire_idle(endpoint)
         return connection or self.context.pool.open(endpoint)
@@ -249,6 +287,7 @@
                 return CallerDisconnected()
             # An endpoint may respond and close before it has read the whole request.
             self._may_have_run = True
+            connection.is_lost = True
             if not connection.has_unread_data():
                 return Broken(f"request not sent in full: {error}")
         self._may_have_run = True
@@ -364,11 +403,13 @@
             except OSError as error:
                 if self.caller.is_disconnected:
                     return CallerDisconnected()
+                connection.is_lost = True
                 return Broken(f"connection lost: {error}")
             self.context.chooser.on_received(send, clock.now_ms())
             if not data:
                 connection.is_closed_by_endpoint = True
                 connection.parser.feed_end()
+                connection.is_lost = True
                 return Broken("the endpoint closed the connection too early")
             connection.parser.feed(data)
             if connection.parser.error:
@@ -412,6 +453,8 @@
         response.body.append(body)
         if response.status >= 500:
             return Failed(response, metadata)
+        if is_success:
+            self._on_answer_begun()
         return self._deliver(response, metadata)
 
     def _deliver(self, response: Response, metadata: ResponseMetadata) -> SendOutcome:
@@ -483,6 +526,8 @@
         now_ms = self.context.clock.now_ms()
         if not send.is_started:
             self.context.chooser.on_started(send, now_ms)
+        if self._unanswered is not None:
+            self._on_answer_begun()
         if self._first_event_ms is None:
             self._first_event_ms = now_ms
         else:
--- a/wigeonwind/routing/forwarding_context.py
+++ b/wigeonwind/routing/forwarding_context.py
@@ -16,6 +16,7 @@
 from wigeonwind.hashing import stable_hash
 from wigeonwind.routing.discovery import EndpointSet
 from wigeonwind.routing.endpoint_connection import ConnectionPool
+from wigeonwind.routing.endpoint_monitor import EndpointMonitor
 from wigeonwind.routing.header_codec import HeaderCodec, RequestMetadata
 from wigeonwind.routing.response_limits import BufferBudget
 from wigeonwind.routing.routes import HttpRoute
@@ -45,6 +46,7 @@
     header_codec: HeaderCodec
     pool: ConnectionPool
     endpoints: EndpointSet
+    monitor: EndpointMonitor
     chooser: LatencyChooser
     rng: Random
     on_outcome: OutcomeObserver
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -1,6 +1,6 @@
 """A routing process: listeners, store followers and graceful stop."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from random import Random
 from typing import Protocol
@@ -23,6 +23,8 @@
 )
 from wigeonwind.routing.discovery import EndpointSet
 from wigeonwind.routing.endpoint_connection import ConnectionPool
+from wigeonwind.routing.endpoint_monitor import EndpointMonitor, UnansweredSend
+from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.exchange import Exchange
 from wigeonwind.routing.forwarding_context import ForwardingContext
 from wigeonwind.routing.header_codec import HeaderCodec, RequestMetadata
@@ -115,11 +117,15 @@
         self._chooser = chooser = LatencyChooser(settings.zone, rng)
         self.endpoints = EndpointSet(clock, chooser, self.pool)
         self.configuration = ConfigurationHandler(schema, self._on_route_table)
+        self._monitor = EndpointMonitor(
+            clock, self.pool, self.endpoints, self._on_endpoint_crashed
+        )
         self._context = ForwardingContext(
             clock,
             header_codec,
             self.pool,
             self.endpoints,
+            self._monitor,
             chooser,
             rng,
             self.metrics.on_outcome,
@@ -245,10 +251,16 @@
         else:
             self.endpoints.on_store_unreachable()
 
+    def _on_endpoint_crashed(
+        self, endpoint: Endpoint, unanswered: Collection[UnansweredSend]
+    ) -> None:
+        self.metrics.on_endpoint_crashed(endpoint.service, len(unanswered))
+
     def _run_maintenance(self) -> None:
         while True:
             gevent.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_SECOND)
             self.pool.close_expired()
+            self._monitor.drop_expired()
             self.endpoints.expire_entries()
             self.metrics.set_engine_profiles(self._chooser.service_profiles())
             self.metrics.on_store_watched(self._store_view().is_watching)
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -62,6 +62,16 @@
         self._connections = self._metrics.counter(
             "endpoint_connections_opened", "Connections opened to endpoints."
         )
+        self._endpoint_crashes = self._metrics.counter(
+            "endpoint_crashes",
+            "Endpoints that lost connections and refused new ones.",
+            ("service",),
+        )
+        self._unanswered_at_crash = self._metrics.counter(
+            "endpoint_crash_unanswered",
+            "Requests that a crashed endpoint had not begun to answer.",
+            ("service",),
+        )
         self._config_version = self._metrics.gauge(
             "configuration_version", "Version of the configuration in force."
         )
@@ -103,6 +113,11 @@
         """Count a connection opened to an endpoint."""
         self._connections.inc()
 
+    def on_endpoint_crashed(self, service: str, unanswered: int) -> None:
+        """Count a crash and the requests that the endpoint had not begun to answer."""
+        self._endpoint_crashes.labels(service).inc()
+        self._unanswered_at_crash.labels(service).inc(unanswered)
+
     def on_route_table(self, table: RouteTable) -> None:
         """Record the version of the configuration in force."""
         self._config_version.set(table.version)
