Worker double: requests that crash the worker, and its restart

A worker crashes on a request whose Prefix-Hash holds a given part before the last one, or whose path is given: its connections end without a reset, some in the middle of an event, and its port refuses connections until it is started again as another instance. Streams can wait for a prefill and pause within an event, responses may have no length, and connections may be reset while the worker lives. RoutingFleet starts several routers, which exchange datagrams.

--- a/tests/routing_fleet.py
+++ b/tests/routing_fleet.py
@@ -89,9 +89,14 @@
 
 
 class RoutingFleet:
-    """A store, workers and one routing process on the loopback interface."""
+    """A store, workers and routers on the loopback interface.
 
-    def __init__(self, workers=2, default_response=None, config=None) -> None:
+    `router` is the first of `routers`. Several of them exchange datagrams.
+    """
+
+    def __init__(
+        self, workers=2, default_response=None, config=None, routers=1
+    ) -> None:
         self.store = PlatformStore()
         self.workers = [
             PlatformWorker(f"w{n}", default_response) for n in range(workers)
@@ -99,10 +104,45 @@
         self.store.put("config", "main", config or configuration())
         for worker in self.workers:
             self.store.put("servers", worker.name, entry(worker))
-        self.router = build_router(self.store.address)
-        self.router.start()
-        self.wait_for(lambda: self.router.is_ready)
-        self.wait_for(lambda: len(self.router.endpoints) == workers)
+        self._restart_count = 0
+        self.routers = []
+        for _ in range(routers):
+            self.add_router()
+        self.router = self.routers[0]
+        self.wait_until_ready(workers)
+
+    def add_router(self) -> Router:
+        """Start one more router and return it; it is not ready yet."""
+        number = len(self.routers) + 1
+        router = build_router(self.store.address, number)
+        router.start()
+        self.routers.append(router)
+        return router
+
+    def wait_until_ready(self, workers) -> None:
+        """Wait until each router knows `workers` workers and all other routers."""
+        peers = len(self.routers) - 1
+        for router in self.routers:
+            self.wait_for(lambda router=router: router.is_ready)
+            self.wait_for(lambda router=router: len(router.endpoints) == workers)
+            self.wait_for(
+                lambda router=router: len(router.peers.live_addresses()) == peers
+            )
+
+    def restart_worker(self, worker) -> None:
+        """Start an ended worker again as another instance, at another port."""
+        self.store.remove("servers", worker.name)
+        self._restart_count += 1
+        worker.restart(f"{worker.name.partition('.')[0]}.{self._restart_count}")
+        born = 1000 + self._restart_count
+        self.store.put("servers", worker.name, entry(worker, born=born))
+
+    def restart_after_crashes(self, delay_s) -> None:
+        """Let each worker that crashes start again after `delay_s`."""
+        for worker in self.workers:
+            worker.on_crash = lambda worker=worker: gevent.spawn_later(
+                delay_s, self.restart_worker, worker
+            )
 
     def wait_for(self, condition: Any) -> None:
         """Wait until `condition` returns true; raise gevent.Timeout after WAIT_S."""
@@ -111,23 +151,41 @@
                 gevent.sleep(0.005)
 
     def stop(self) -> None:
-        """Stop the routing process, the store and the workers."""
-        self.router.stop()
+        """Stop the routers, the store and the workers."""
+        for router in self.routers:
+            router.stop()
         self.store.stop()
         for worker in self.workers:
             worker.stop()
 
-    def connect(self) -> socket.socket:
-        """Open a caller's connection."""
-        address = self.router.callers_address
+    def connect(self, router=None) -> socket.socket:
+        """Open a caller's connection, to the first router by default."""
+        address = (router or self.router).callers_address
         return socket.create_connection((address.host, address.port), WAIT_S)
 
-    def call(self, path, method="GET", body=b"", headers=(), request_id="r1") -> Reply:
+    def call(
+        self,
+        path,
+        method="GET",
+        body=b"",
+        headers=(),
+        request_id="r1",
+        router=None,
+    ) -> Reply:
         """Send one request on a new connection and return the response."""
-        with self.connect() as sock:
+        with self.connect(router) as sock:
             sock.sendall(request_bytes(path, method, body, headers, request_id))
             return read_reply(sock)
 
+    def call_with_prompt(
+        self, parts, request_id, router=None, path="/stream/x"
+    ) -> Reply:
+        """Send a prompt of (id, tokens) parts and return the response."""
+        prefix = ",".join(f"{part_id:x}:{tokens}" for part_id, tokens in parts)
+        prompt_tokens = sum(tokens for _, tokens in parts)
+        headers = (f"Prefix-Hash: {prefix}", f"Token-Usage: {prompt_tokens},40")
+        return self.call(path, "POST", b"prompt", headers, request_id, router)
+
     def received(self) -> int:
         """Return the number of requests that workers have received."""
         return sum(len(worker.requests) for worker in self.workers)
@@ -143,13 +201,13 @@
         fleet.stop()
 
 
-def build_router(store_address) -> Router:
+def build_router(store_address, number=1) -> Router:
     """Return a router that uses the platform's formats."""
-    clock, rng = SystemClock(), Random(1)
+    clock, rng = SystemClock(), Random(number)
     store = StoreClient(
         store_address, STORE_LIMITS, clock, rng, format=PlatformStoreFormat()
     )
-    settings = RouterSettings("edge-1", "tartu-a", ANY, ANY, ANY, ANY, 4_000.0)
+    settings = RouterSettings(f"edge-{number}", "tartu-a", ANY, ANY, ANY, ANY, 4_000.0)
     return Router(settings, clock, rng, PlatformHeaderCodec(), SCHEMA, store)
 
 
--- a/wigeonwind/standins/platform_worker.py
+++ b/wigeonwind/standins/platform_worker.py
@@ -4,6 +4,7 @@
 import struct
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
@@ -15,6 +16,7 @@
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.routing.request_parser import HttpRequest, RequestParser
 from wigeonwind.routing.routes import CallerLimits
+from wigeonwind.standins.crashing_requests import CrashingRequests
 
 READ_BYTES = 65_536
 
@@ -24,13 +26,17 @@
 
 @dataclass(frozen=True)
 class FullResponse:
-    """A complete response; `is_signed` adds the header `Worker-Signature`."""
+    """A complete response; `is_signed` adds the header `Worker-Signature`.
+
+    Without `has_length`, the end of the connection ends the body.
+    """
 
     status: int = 200
     body: bytes = b"whole"
     is_signed: bool = True
     headers: tuple[str, ...] = ()
     delay_ms: float = 0.0
+    has_length: bool = True
 
 
 @dataclass(frozen=True)
@@ -44,7 +50,8 @@
 class EventStream:
     """A stream of `count` events, `gap_ms` apart, that resumes after a `Last-Event-Id`.
 
-    Each event holds its number from 1 and, with `has_id`, the request id.
+    It begins `prefill_ms` after the request. Each event holds its number from 1 and,
+    with `has_id`, the request id, and is sent in two halves, `split_ms` apart.
     """
 
     count: int = 3
@@ -54,6 +61,8 @@
     is_chunked: bool = True
     """Whether the stream is chunked; otherwise the end of the connection ends it."""
     has_id: bool = False
+    prefill_ms: float = 0.0
+    split_ms: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -139,6 +148,7 @@
 
     A request that expects another worker is refused with status 421. `closed_by_caller`
     is set when a connection fails, or is closed while `NoResponse` keeps it open.
+    A request of `crashing` crashes the worker, which then calls `on_crash`.
     """
 
     def __init__(self, name: str, default: Behaviour | None = None) -> None:
@@ -150,7 +160,16 @@
         self.executions: list[Execution] = []
         self.connection_count = 0
         self.closed_by_caller = Event()
-        self._server = StreamServer(("127.0.0.1", 0), self._handle)
+        self.crashing = CrashingRequests()
+        self.crash_times_ms: list[float] = []
+        """Times of the crashes by requests (monotonic ms)."""
+        self.on_crash: Callable[[], None] = lambda: None
+        self.is_ended = False
+        self._open_sockets: set[gevent_socket.socket] = set()
+        self._listen(0)
+
+    def _listen(self, port: int) -> None:
+        self._server = StreamServer(("127.0.0.1", port), self._handle)
         self._server.start()
 
     @property
@@ -162,6 +181,36 @@
         """Stop without waiting for requests in flight."""
         self._server.stop(timeout=0)
 
+    def end(self) -> None:
+        """Close the listener and all connections at once, as at the end of a process.
+
+        Connections end without a reset, whatever has been sent on them.
+        """
+        self.is_ended = True
+        self._server.stop(timeout=0)
+        for sock in list(self._open_sockets):
+            _shut_down(sock)
+        self._open_sockets.clear()
+
+    def restart(self, name: str, port: int = 0) -> None:
+        """Listen again after `end` or a crash, as another instance; port 0 is any."""
+        self.name = name
+        self.scripted.clear()
+        self.is_ended = False
+        self._listen(port)
+
+    def reset_connections(self) -> None:
+        """Reset all open connections, as the network may; the worker lives on."""
+        for sock in list(self._open_sockets):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+            sock.close()
+        self._open_sockets.clear()
+
+    def _crash(self) -> None:
+        self.crash_times_ms.append(time.monotonic() * MS_PER_SECOND)
+        self.end()
+        self.on_crash()
+
     def header(self, index: int, name: str) -> str | None:
         """Return a header of the received request number `index`, None if absent."""
         for key, value in self.requests[index].headers:
@@ -175,7 +224,11 @@
         return expected_worker not in ("", self.name)
 
     def _handle(self, sock: gevent_socket.socket, _: object) -> None:
+        if self.is_ended:
+            sock.close()
+            return
         self.connection_count += 1
+        self._open_sockets.add(sock)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         parser = RequestParser(CallerLimits())
         try:
@@ -194,11 +247,19 @@
                     self.executions.append(
                         Execution(request, time.monotonic() * MS_PER_SECOND)
                     )
+                    if self.crashing.crashes(request):
+                        gevent.sleep(self.crashing.prefill_ms / MS_PER_SECOND)
+                        # Another request may have ended the worker in the meantime.
+                        if sock in self._open_sockets:
+                            self._crash()
+                        return
                 if not self._respond(sock, request, behaviour):
                     return
         except OSError:
-            self.closed_by_caller.set()
+            if sock in self._open_sockets:
+                self.closed_by_caller.set()
         finally:
+            self._open_sockets.discard(sock)
             sock.close()
 
     def _respond(
@@ -210,7 +271,7 @@
             case FullResponse():
                 gevent.sleep(behaviour.delay_ms / MS_PER_SECOND)
                 sock.sendall(self._encode_response(request_id, behaviour))
-                return True
+                return behaviour.has_length
             case EchoRequestId():
                 gevent.sleep(behaviour.delay_ms / MS_PER_SECOND)
                 echo = FullResponse(body=request_id.encode())
@@ -280,9 +341,10 @@
         lines = [
             f"HTTP/1.1 {response.status} Status",
             f"Request-Id: {request_id}",
-            f"Content-Length: {len(response.body)}",
             *response.headers,
         ]
+        if response.has_length:
+            lines.append(f"Content-Length: {len(response.body)}")
         if response.is_signed:
             lines.append(f"Worker-Signature: {self.name}")
         return "\r\n".join([*lines, "", ""]).encode() + response.body
@@ -298,6 +360,7 @@
         for name, value in request.headers:
             if name.lower() == b"last-event-id":
                 first = int(value) + 1
+        gevent.sleep(stream.prefill_ms / MS_PER_SECOND)
         framing = "Transfer-Encoding: chunked" if stream.is_chunked else "X-None: 1"
         sock.sendall(
             f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n{framing}\r\n"
@@ -311,12 +374,24 @@
             if stream.cut_after is not None and sent >= stream.cut_after:
                 sock.sendall(_chunk(event[:7], stream.is_chunked))
                 return False
-            sock.sendall(_chunk(event, stream.is_chunked))
+            half = len(event) // 2 if stream.split_ms else len(event)
+            sock.sendall(_chunk(event[:half], stream.is_chunked))
+            if stream.split_ms:
+                gevent.sleep(stream.split_ms / MS_PER_SECOND)
+                sock.sendall(_chunk(event[half:], stream.is_chunked))
         if stream.is_chunked:
             sock.sendall(b"0\r\n\r\n")
         return stream.is_chunked
 
 
+def _shut_down(sock: gevent_socket.socket) -> None:
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass  # The peer has closed it already.
+    sock.close()
+
+
 def _chunk(data: bytes, is_chunked: bool) -> bytes:
     return b"%x\r\n%s\r\n" % (len(data), data) if is_chunked else data
 
