Soak: a prompt part that crashes engines, and checks of what reaches workers

For 13 s, a part in a quarter of the streams of one route crashes each engine 30 ms after the request; another engine replaces it after 1 to 2.5 s. All streams share their first part. The check crashing-part counts the requests with the part that reach workers later than 3 s after the fifth crash, sound-prompts compares how many sound streams begin.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,8 +16,10 @@
 )
 from wigeonwind.soak.soak_faults import SOAK_FAULTS, draw_faults
 from wigeonwind.soak.soak_records import (
+    PART_CRASH,
     SETTLE_MS,
     ConfigSeen,
+    CrashingPart,
     Disturbance,
     DrainSeen,
     EndSeen,
@@ -84,6 +86,82 @@
 LATE_MS = 200.0 + CONFIGURATION_APPLY_MS + 1_000.0
 
 
+# The crashes of a part, and the time from which sound requests must be served.
+PART = CrashingPart(0xD3, 1_000.0, 30_000.0, [1_100.0 + n for n in range(5)])
+SETTLED_MS = PART.crash_times_ms[-1] + 2 * SETTLE_MS
+
+
+def prompts(*sent_ms, kind=Kind.STREAM, part=0xB1, **fields):
+    """Return exchanges with prompts, and the executions of those with status 200."""
+    values = {"status": 200, "signature": "w1", **fields}
+    exchanges = [
+        ExchangeSeen(
+            f"{number:04x}",
+            kind,
+            "router-0",
+            at_ms,
+            at_ms + 50.0,
+            prompt_parts=(0xA1, part, number),
+            **values,
+        )
+        for number, at_ms in enumerate(sent_ms)
+    ]
+    runs = [
+        RunSeen(each.request_id, "w1", "engines", each.sent_ms + 5.0, "mill", False)
+        for each in exchanges
+    ]
+    return exchanges, runs
+
+
+def history_of_prompts(exchanges, runs, **fields):
+    return SoakHistory(exchanges, runs, crashing_parts=[PART], **fields)
+
+
+def crashing_history(count, from_ms, **fields):
+    """Return a history in which requests with a crashing part reach a worker."""
+    sent_ms = [from_ms + 100.0 * number for number in range(count)]
+    exchanges, runs = prompts(*sent_ms, kind=Kind.CRASHING, part=PART.part_id, status=0)
+    return history_of_prompts(exchanges, runs, **fields)
+
+
+def sound_history(begun, refused, **fields):
+    """Return a history with 20 sound streams before a part crashes and some later."""
+    earlier, runs = prompts(*(10.0 * n for n in range(20)))
+    times_ms = [SETTLED_MS + 100.0 * n for n in range(begun + refused)]
+    later, _ = prompts(*times_ms, status=503, signature="")
+    for each in later[:begun]:
+        each.status, each.signature = 200, "w1"
+    for each in later:
+        each.request_id = f"f{each.request_id}"
+    runs += [
+        RunSeen(each.request_id, "w1", "engines", each.sent_ms, "mill", False)
+        for each in later[:begun]
+    ]
+    return history_of_prompts(earlier + later, runs, **fields)
+
+
+def test_what_a_crashing_part_may_do_is_no_violation():
+    # Guards against checks of crashing parts that report what is allowed, or what
+    # another fault explains.
+    late_ms = PART.crash_times_ms[-1] + SETTLE_MS + 500.0
+    paused = [Disturbance("router-0", "pause", late_ms - 1_000.0, 20_000.0)]
+    killed = [Disturbance("router-0", "kill", 1_500.0, 1_600.0)]
+    for records in (
+        crashing_history(3, late_ms),
+        crashing_history(20, PART.crash_times_ms[-1]),
+        crashing_history(20, late_ms, disturbances=paused),
+        crashing_history(20, late_ms, disturbances=killed),
+    ):
+        assert "crashing-part" not in broken_promises(records)
+    slow = [Disturbance("w1", "slow", SETTLED_MS, 20_000.0)]
+    for records in (
+        sound_history(10, 10),
+        sound_history(0, 19),
+        sound_history(0, 20, disturbances=slow),
+    ):
+        assert "sound-prompts" not in broken_promises(records)
+
+
 @pytest.mark.parametrize(
     ("made", "promise"),
     [
@@ -142,6 +220,19 @@
             ),
             "recovery",
         ),
+        (
+            crashing_history(4, PART.crash_times_ms[-1] + SETTLE_MS + 500.0),
+            "crashing-part",
+        ),
+        (sound_history(9, 11), "sound-prompts"),
+        (
+            sound_history(
+                9,
+                11,
+                disturbances=[Disturbance("w1", PART_CRASH, SETTLED_MS, 20_000.0)],
+            ),
+            "sound-prompts",
+        ),
         (history(ends=[EndSeen("router-0", 1.0, 70, False)]), "own-end"),
     ],
 )
--- a/wigeonwind/soak/loopback_proxy.py
+++ b/wigeonwind/soak/loopback_proxy.py
@@ -69,6 +69,12 @@
         for pair in list(self._pairs):
             self._close(pair, is_reset=True)
 
+    def end(self) -> None:
+        """Stop accepting connections and close the open ones, as an ended target."""
+        self._server.stop(timeout=0)
+        for pair in list(self._pairs):
+            self._close(pair, is_reset=False)
+
     def mute_open_connections(self) -> None:
         """Stop forwarding on the open connections; new ones are not affected."""
         for pair in self._pairs:
--- a/wigeonwind/soak/soak_callers.py
+++ b/wigeonwind/soak/soak_callers.py
@@ -44,8 +44,18 @@
     Kind.REVOKED_KEY: 2,
     Kind.MOVED: 2,
 }
+CRASHING_SHARE = 0.25
+"""Share of the STREAM requests that become CRASHING while a part crashes workers."""
+
+SHARED_PART, GROUP_PARTS = 0xA1, (0xB1, 0xB2)
+"""Ids of the parts that prompts share: the first one, and one of the second."""
+
 KEY_BY_KIND = {Kind.UNKNOWN_KEY: UNKNOWN_KEY, Kind.REVOKED_KEY: REVOKED_KEY}
-ROUTE_BY_KIND = {Kind.UNKNOWN_KEY: "safe", Kind.REVOKED_KEY: "safe"}
+ROUTE_BY_KIND = {
+    Kind.UNKNOWN_KEY: "safe",
+    Kind.REVOKED_KEY: "safe",
+    Kind.CRASHING: "stream",
+}
 
 
 class SoakCaller:
@@ -55,6 +65,7 @@
         self._fleet = fleet
         self._number = number
         self._rng = Random(f"{seed}/{number}")
+        self._prompt_rng = Random(f"{seed}/{number}/prompts")
         self._request_count = 0
         self._router: SoakRouter | None = None
         self._sock: gevent_socket.socket | None = None
@@ -77,6 +88,7 @@
         self._request_count += 1
         request_id = f"{self._number:04x}{self._request_count:012x}"
         seen = ExchangeSeen(request_id, kind, router.name, soak_now_ms())
+        self._draw_prompt(seen)
         try:
             sock = self._sock or self._connect(router.address())
         except OSError:
@@ -99,6 +111,17 @@
         if not can_reuse:
             self._close()
 
+    def _draw_prompt(self, seen: ExchangeSeen) -> None:
+        """Draw the prompt of a stream; it may contain a part that crashes workers."""
+        if seen.kind not in (Kind.STREAM, Kind.RESUMABLE):
+            return
+        part = self._prompt_rng.choice(GROUP_PARTS)
+        crashing_ids = self._fleet.crashing.part_ids
+        is_drawn = self._prompt_rng.random() < CRASHING_SHARE
+        if seen.kind is Kind.STREAM and crashing_ids and is_drawn:
+            seen.kind, part = Kind.CRASHING, next(iter(crashing_ids))
+        seen.prompt_parts = (SHARED_PART, part, int(seen.request_id, 16))
+
     def _connect(self, address: SocketAddress) -> gevent_socket.socket:
         target = (address.host, address.port)
         sock = gevent_socket.create_connection(target, CONNECT_TIMEOUT_S)
@@ -117,6 +140,7 @@
 
 def _encode_request(seen: ExchangeSeen) -> bytes:
     route = ROUTE_BY_KIND.get(seen.kind, seen.kind.value)
+    prompt = ",".join(f"{part_id:x}:100" for part_id in seen.prompt_parts)
     return "\r\n".join(
         [
             f"POST /{route}/x HTTP/1.1",
@@ -126,6 +150,7 @@
             "Deadline-Ms: 5000",
             # Routers must replace this by the customer of the key.
             "Tenant: another",
+            *([f"Prefix-Hash: {prompt}", "Token-Usage: 300,12"] if prompt else []),
             "Content-Length: 4",
             "",
             "body",
--- a/wigeonwind/soak/soak_checks.py
+++ b/wigeonwind/soak/soak_checks.py
@@ -12,8 +12,11 @@
 from wigeonwind.registry import Registry
 from wigeonwind.soak.soak_fleet import CUSTOMER, DRAIN_MS
 from wigeonwind.soak.soak_records import (
+    PART_CRASH,
+    SETTLE_MS,
     STORE,
     ConfigSeen,
+    CrashingPart,
     ExchangeSeen,
     Kind,
     SoakHistory,
@@ -39,6 +42,13 @@
 STREAM_EVENTS = 12
 """Events of a whole stream, as sent by the worker doubles of `ENGINES`."""
 
+TOLERATED_CRASHES, TOLERATED_REQUESTS = 5, 3
+"""Crashes by a prompt part, and the requests with it that may reach workers later than
+SETTLE_MS after them, as the platform specifies."""
+
+MIN_COMPARED = 20
+"""Number of requests from which shares of served requests are compared."""
+
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: ([0-9a-f]+)/(\d+)\n\n")
 
 
@@ -65,7 +75,7 @@
     kind_by_id = {each.request_id: each.kind for each in history.exchanges}
     for request_id, runs in history.runs_by_id().items():
         kind = kind_by_id.get(request_id)
-        if len(runs) > 1 and kind in (Kind.ONCE, Kind.STREAM):
+        if len(runs) > 1 and kind in (Kind.ONCE, Kind.STREAM, Kind.CRASHING):
             executions = ", ".join(f"{run.worker} at {run.at_ms:.0f}" for run in runs)
             yield Violation(
                 "run-once", f"{request_id} was executed {len(runs)} times: {executions}"
@@ -303,6 +313,99 @@
         yield Violation("recovery", message)
 
 
+@SOAK_CHECKS.register("crashing-part")
+def check_crashing_part_is_blocked(history: SoakHistory) -> Iterator[Violation]:
+    """Check that few requests with a part reach workers after it has crashed five.
+
+    Requests of disturbed routers, and those after a time at which no router had been
+    running for `SETTLE_MS`, are not checked.
+    """
+    exchange_by_id = {each.request_id: each for each in history.exchanges}
+    for part in history.crashing_parts:
+        if len(part.crash_times_ms) < TOLERATED_CRASHES:
+            continue
+        fifth_ms = part.crash_times_ms[TOLERATED_CRASHES - 1]
+        late = []
+        for run in history.runs:
+            seen = exchange_by_id.get(run.request_id)
+            bound_ms = fifth_ms + SETTLE_MS + SCHEDULING_SLACK_MS
+            if seen is None or not bound_ms < run.at_ms <= part.end_ms:
+                continue
+            targets = (seen.router, STORE, run.worker)
+            if (
+                part.part_id in seen.prompt_parts
+                and history.is_undisturbed(targets, run.at_ms, run.at_ms)
+                and not _have_all_routers_restarted(history, part, run.at_ms)
+            ):
+                late.append(run.request_id)
+        if len(late) > TOLERATED_REQUESTS:
+            message = (
+                f"{len(late)} requests with part {part.part_id:x} reached workers "
+                f"after its fifth crash: {', '.join(late[:5])}"
+            )
+            yield Violation("crashing-part", message)
+
+
+def _have_all_routers_restarted(
+    history: SoakHistory, part: CrashingPart, until_ms: float
+) -> bool:
+    """Return whether all routers were stopped, or just started, at the same time."""
+    routers = {each.router for each in history.exchanges}
+    restarts = [each for each in history.disturbances if each.fault in ("kill", "stop")]
+    return any(
+        routers
+        <= {
+            each.target
+            for each in restarts
+            if each.begin_ms <= latest.begin_ms <= each.end_ms + SETTLE_MS
+        }
+        for latest in restarts
+        if part.begin_ms <= latest.begin_ms <= until_ms
+    )
+
+
+@SOAK_CHECKS.register("sound-prompts")
+def check_sound_prompts_begin(history: SoakHistory) -> Iterator[Violation]:
+    """Check that sound streams begin while a part that they do not contain crashes.
+
+    Compared are undisturbed requests with the same first part and customer, from
+    2 x `SETTLE_MS` after the fifth crash, or the last if there are fewer. Half as many
+    as at other times must begin.
+    """
+    workers = {run.worker for run in history.runs}
+    sound = [
+        seen
+        for seen in history.exchanges
+        if seen.kind is Kind.STREAM
+        and seen.is_connected
+        and not seen.was_left
+        and all(
+            each.fault == PART_CRASH
+            for each in history.disturbances_of(
+                (seen.router, STORE, *workers), seen.sent_ms, seen.ended_ms
+            )
+        )
+    ]
+    for part in history.crashing_parts:
+        crashes_ms = [part.begin_ms, *part.crash_times_ms[:TOLERATED_CRASHES]]
+        settled_ms = crashes_ms[-1] + 2 * SETTLE_MS
+        during, outside = [], []
+        for seen in sound:
+            if settled_ms <= seen.sent_ms <= part.end_ms:
+                during.append(seen.status == 200)
+            elif not part.begin_ms <= seen.sent_ms <= part.end_ms + SETTLE_MS:
+                outside.append(seen.status == 200)
+        if min(len(during), len(outside)) < MIN_COMPARED:
+            continue
+        if sum(during) / len(during) < 0.5 * sum(outside) / len(outside):
+            message = (
+                f"{sum(during)} of {len(during)} sound streams began while part "
+                f"{part.part_id:x} crashed workers, {sum(outside)} of {len(outside)} "
+                f"at other times"
+            )
+            yield Violation("sound-prompts", message)
+
+
 @SOAK_CHECKS.register("own-end")
 def check_unexpected_exit(history: SoakHistory) -> Iterator[Violation]:
     """Check that no router exits without being stopped."""
--- a/wigeonwind/soak/soak_faults.py
+++ b/wigeonwind/soak/soak_faults.py
@@ -18,7 +18,13 @@
     SoakRouter,
     SoakWorker,
 )
-from wigeonwind.soak.soak_records import ALL_TARGETS, STORE, soak_now_ms
+from wigeonwind.soak.soak_records import (
+    ALL_TARGETS,
+    PART_CRASH,
+    STORE,
+    CrashingPart,
+    soak_now_ms,
+)
 from wigeonwind.standins.platform_worker import (
     Behaviour,
     ConnectionReset,
@@ -37,6 +43,16 @@
 REMOVAL_DELAY_S = 0.5
 """Time for which a worker still serves after the end of its drain."""
 
+CRASHING_PART = "engine-crashing-part"
+CRASHING_PART_S = 13.0
+"""Time for which a part crashes engines: some seconds for the crashes, and the time
+after which sound requests must be served again."""
+
+CRASHING_PART_SHARE = 0.5
+"""Share of the runs of sufficient length in which a part crashes engines."""
+
+CRASH_POLL_S = 0.05
+
 WORKER_FAULTS: tuple[Behaviour, ...] = (
     TruncatedResponse(),
     StaleResponse(),
@@ -75,15 +91,25 @@
 def draw_faults(
     seed: int, seconds: float, gap_s: float, only: tuple[str, ...]
 ) -> Iterator[tuple[float, str]]:
-    """Yield (start time in seconds, fault name), ordered by time."""
-    rng = Random(f"faults/{seed}")
+    """Yield (start time in seconds, fault name), ordered by time.
+
+    The long fault CRASHING_PART has a random source of its own, and at most one start.
+    """
     names = [name for name in SOAK_FAULTS.names() if not only or name in only]
-    at_s = 1.0
-    while names:
+    faults = []
+    if CRASHING_PART in names:
+        names.remove(CRASHING_PART)
+        rng = Random(f"{CRASHING_PART}/{seed}")
+        is_drawn = bool(only) or rng.random() < CRASHING_PART_SHARE
+        latest_s = seconds - CRASHING_PART_S
+        if is_drawn and latest_s > 1.0:
+            faults.append((rng.uniform(1.0, latest_s), CRASHING_PART))
+    rng = Random(f"faults/{seed}")
+    at_s = 1.0 + rng.expovariate(1.0 / gap_s)
+    while names and at_s < seconds:
+        faults.append((at_s, rng.choice(names)))
         at_s += rng.expovariate(1.0 / gap_s)
-        if at_s >= seconds:
-            return
-        yield at_s, rng.choice(names)
+    yield from sorted(faults)
 
 
 @contextmanager
@@ -295,6 +321,45 @@
         fleet.add_worker(worker.service, name)
 
 
+@SOAK_FAULTS.register(CRASHING_PART)
+def _crash_engines_by_part(context: FaultContext) -> None:
+    """Let a prompt part crash each engine; another one replaces it after some time."""
+    fleet = context.fleet
+    part = CrashingPart(context.rng.getrandbits(31), soak_now_ms())
+    fleet.history.crashing_parts.append(part)
+    fleet.crashing.part_ids.add(part.part_id)
+    crashed: list[SoakWorker] = []
+    replacements: list[gevent.Greenlet] = []
+
+    def replace_crashed() -> None:
+        for worker in fleet.workers:
+            if worker.double.crash_times_ms and worker not in crashed:
+                crashed.append(worker)
+                part.crash_times_ms += worker.double.crash_times_ms
+                replacements.append(gevent.spawn(_replace_worker, context, worker))
+
+    until_ms = part.begin_ms + CRASHING_PART_S * MS_PER_SECOND
+    while soak_now_ms() < until_ms:
+        gevent.sleep(CRASH_POLL_S)
+        replace_crashed()
+    fleet.crashing.part_ids.discard(part.part_id)
+    part.end_ms = soak_now_ms()
+    # Requests that are being prefilled still crash their workers.
+    gevent.sleep(2 * fleet.crashing.prefill_ms / MS_PER_SECOND)
+    replace_crashed()
+    gevent.joinall(replacements)
+
+
+def _replace_worker(context: FaultContext, worker: SoakWorker) -> None:
+    """Start another worker some seconds after a crash; until then the entry remains."""
+    fleet = context.fleet
+    with _disturbance(context, worker.name, PART_CRASH):
+        gevent.sleep(context.rng.uniform(1.0, 2.5))
+        if worker in fleet.workers:
+            fleet.remove_worker(worker)
+            fleet.add_worker(worker.service)
+
+
 @SOAK_FAULTS.register("worker-drain")
 def _drain_worker(context: FaultContext) -> None:
     """Add a worker, then drain another of its service and remove it."""
--- a/wigeonwind/soak/soak_fleet.py
+++ b/wigeonwind/soak/soak_fleet.py
@@ -23,6 +23,7 @@
     SoakHistory,
     soak_now_ms,
 )
+from wigeonwind.standins.crashing_requests import CrashingRequests
 from wigeonwind.standins.platform_documents import (
     RouteSpec,
     configuration_document,
@@ -120,6 +121,10 @@
     routers: list[SoakRouter] = field(default_factory=list)
     workers: list[SoakWorker] = field(default_factory=list)
     history: SoakHistory = field(default_factory=SoakHistory)
+    crashing: CrashingRequests = field(
+        default_factory=lambda: CrashingRequests(prefill_ms=30.0)
+    )
+    """The requests that crash workers; the same for all of them."""
     version: int = 0
     _worker_count: int = 0
 
@@ -169,6 +174,8 @@
         double = PlatformWorker(name, BEHAVIOUR_BY_SERVICE[service])
         zone = ZONES[self._worker_count % len(ZONES)]
         proxy = LoopbackProxy(double.address)
+        double.crashing = self.crashing
+        double.on_crash = proxy.end
         started_ms = 1_700_000_000_000 + self._worker_count
         worker = SoakWorker(double, proxy, service, zone, started_ms)
         self.workers.append(worker)
--- a/wigeonwind/soak/soak_records.py
+++ b/wigeonwind/soak/soak_records.py
@@ -20,6 +20,10 @@
 """Target of a disturbance that counts for every target."""
 
 
+PART_CRASH = "part-crash"
+"""Fault name of the disturbances in which a prompt part has crashed a worker."""
+
+
 def soak_now_ms() -> float:
     """Return the current time on the clock of the records."""
     return time.monotonic() * MS_PER_SECOND
@@ -36,6 +40,8 @@
     REVOKED_KEY = "revoked-key"
     MOVED = "moved"
     """Configuration changes move its route between the two services."""
+    CRASHING = "crashing"
+    """Its prompt contains a part that crashes workers; its route is that of STREAM."""
 
 
 @dataclass
@@ -54,6 +60,8 @@
     status: int = 0
     body: bytes = b""
     signature: str = ""
+    prompt_parts: tuple[int, ...] = ()
+    """Ids of the parts of the prompt; the last one belongs to the request itself."""
     is_whole: bool = False
     is_connected: bool = True
     was_left: bool = False
@@ -84,6 +92,16 @@
     end_ms: float = float("inf")
 
 
+@dataclass
+class CrashingPart:
+    """A prompt part that crashed each engine for a time, and when it did."""
+
+    part_id: int
+    begin_ms: float
+    end_ms: float = float("inf")
+    crash_times_ms: list[float] = field(default_factory=list)
+
+
 @dataclass(frozen=True)
 class ConfigSeen:
     """A configuration, as acknowledged by the store."""
@@ -119,6 +137,7 @@
     exchanges: list[ExchangeSeen] = field(default_factory=list)
     runs: list[RunSeen] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    crashing_parts: list[CrashingPart] = field(default_factory=list)
     configs: list[ConfigSeen] = field(default_factory=list)
     drains: list[DrainSeen] = field(default_factory=list)
     ends: list[EndSeen] = field(default_factory=list)
