--- a/wigeonwind/standins/crashing_requests.py
+++ b/wigeonwind/standins/crashing_requests.py
@@ -11,8 +11,8 @@
     """Which requests crash a worker, `prefill_ms` after their arrival.
 
     A request does if its `Prefix-Hash` holds one of `part_ids` before its last part, or
-    if its path is one of `paths`. Workers may share an instance, and it may change while
-    they run.
+    if its path is one of `paths`. Workers may share an instance, and it may change
+    while they run.
     """
 
     part_ids: set[int] = field(default_factory=set)
