--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from gevent import spawn
+
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.decisions.interfaces import GiveUp, NoEndpoint, RetryCause
 from wigeonwind.decisions.placement import Send
@@ -12,11 +14,14 @@
 )
 from wigeonwind.routing.capacity_wait import wait_for_capacity
 from wigeonwind.routing.endpoint_connection import ConnectFailure, EndpointConnection
+from wigeonwind.routing.endpoint_monitor import UnansweredSend
 from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.event_stream import EventSplitter
 from wigeonwind.routing.forwarding_context import ForwardingContext
 from wigeonwind.routing.header_codec import ResponseMetadata, SendMetadata
 from wigeonwind.routing.refusals import STOPPING
+from wigeonwind.routing.request_keys import request_keys
+from wigeonwind.routing.request_quarantine import Admission
 from wigeonwind.routing.response_limits import (
     MAX_BUFFERED_BODY_BYTES,
     MAX_DISCARDED_RESPONSES,
@@ -29,6 +34,7 @@
     Delivered,
     Failed,
     NotRun,
+    Quarantined,
     SendOutcome,
     Stopped,
     TimedOut,
@@ -53,6 +59,9 @@
 LONG_PROMPT_RETRY_AFTER_MS = 1_500.0
 """Retry-After of a long prompt that no engine had capacity for; bursts last seconds."""
 
+MIN_TRIAL_WAIT_MS = 500.0
+"""Least time for which a request waits while another one tries a suspect part of it."""
+
 MIN_REMAINING_MS = 20.0
 """Time to the deadline below which a request is not sent, as no response could arrive
 in time."""
@@ -97,6 +106,12 @@
         self.placement_request = context.placement_request_of(
             self.service, routed.engine_priority, metadata, route
         )
+        self.keys = request_keys(self.service, routed.request, metadata)
+        """Keys of the parts of the request, see `request_keys`."""
+        self._unanswered: UnansweredSend | None = None
+        """The current send while its endpoint has not begun to answer."""
+        self._trial: Admission | None = None
+        """Set while the current send is a trial of suspect parts."""
         self._events = EventSplitter(metadata.last_event_id)
         self._first_event_ms: float | None = None
         self._last_event_ms = 0.0
@@ -123,6 +138,12 @@
 
     def run(self) -> None:
         """Send the request until there is a response or no further send is allowed."""
+        try:
+            self._run()
+        finally:
+            self._end_trial("unfinished")
+
+    def _run(self) -> None:
         self.caller.on_disconnect = self._on_caller_disconnect
         self.context.retry_policy_of(self.service).on_request(self.started_ms)
         outcome: SendOutcome = TimedOut()
@@ -130,10 +151,21 @@
             if self.caller.is_disconnected:
                 outcome = CallerDisconnected()
                 break
-            if not self._wait_for_capacity():
-                outcome = NotRun("no engine has capacity for long prompts", False)
+            admission = self._admit()
+            if isinstance(admission, Quarantined):
+                outcome = admission
                 break
-            destination = self._choose()
+            if self.caller.is_disconnected:
+                continue
+            if self._is_stopped:
+                break
+            if admission.trial_at is None:
+                if not self._wait_for_capacity():
+                    outcome = NotRun("no engine has capacity for long prompts", False)
+                    break
+                if not self.context.quarantine.is_free_of_suspects(self.keys):
+                    continue
+            destination = self._choose(admission)
             if isinstance(destination, NoEndpoint):
                 outcome = self._outcome_without_endpoint(destination)
                 break
@@ -143,6 +175,20 @@
                 break
         self._finish(outcome)
 
+    def _admit(self) -> Admission | Quarantined:
+        """Wait until the request may be sent with regard to suspect parts."""
+        wait_ms = max(self.route.target_ms, MIN_TRIAL_WAIT_MS)
+        admission = self.context.quarantine.admit(
+            self.service,
+            self.keys,
+            self._tried_keys,
+            min(self.started_ms + wait_ms, self.deadline_ms - MIN_REMAINING_MS),
+            lambda: self.caller.is_disconnected or self._is_stopped,
+        )
+        if isinstance(admission, Admission) and admission.trial_at is not None:
+            self._trial = admission
+        return admission
+
     def _wait_for_capacity(self) -> bool:
         """Wait for an engine with capacity; return False if that takes too long."""
         return wait_for_capacity(
@@ -154,7 +200,9 @@
             lambda: self.caller.is_disconnected or self._is_stopped,
         )
 
-    def _choose(self) -> _Destination | NoEndpoint:
+    def _choose(self, admission: Admission) -> _Destination | NoEndpoint:
+        if admission.trial_at is not None:
+            return _Destination(admission.trial_at, None)
         now_ms = self.context.clock.now_ms()
         exclude = frozenset(self._tried_keys)
         while True:
@@ -210,11 +258,25 @@
 
     def _send_to(self, destination: _Destination) -> SendOutcome:
         """Send the request to one endpoint and relay its response."""
+        outcome: SendOutcome = Broken("the exchange was interrupted")
+        try:
+            outcome = self._send_once(destination)
+        finally:
+            self._end_trial("broken" if isinstance(outcome, Broken) else "unfinished")
+        return outcome
+
+    def _end_trial(self, result: str) -> None:
+        trial, self._trial = self._trial, None
+        if trial is not None:
+            self.context.quarantine.end_trial(trial, result)
+
+    def _send_once(self, destination: _Destination) -> SendOutcome:
         endpoint = destination.endpoint
         self.last_endpoint_id = endpoint.instance_id
         connection = self._connect(endpoint)
         if isinstance(connection, ConnectFailure):
             self._tried_keys.add(endpoint.key)
+            self.context.quarantine.monitor.on_connect_failure(endpoint, connection)
             now_ms = self.context.clock.now_ms()
             self.context.chooser.on_unreachable(endpoint.key, now_ms)
             return NotRun(f"connection failed: {connection.reason}", was_sent=False)
@@ -236,6 +298,7 @@
         )
         self.expected_ms = round(send.expected_ms)
         self._sends += 1
+        self._watch_send(endpoint, connection)
         outcome: SendOutcome = Broken("the exchange was interrupted")
         try:
             outcome = self._send_and_relay(connection, send, remaining_ms)
@@ -244,10 +307,47 @@
         finally:
             self._connection = None
             self._record_outcome(send, outcome)
+            is_lost = isinstance(outcome, Broken) and not self._is_stopped
+            unanswered = self._end_watch(is_lost)
             if not isinstance(outcome, (Delivered, Failed, NotRun)):
                 connection.close()
+        if unanswered is not None and unanswered.was_aborted:
+            return Broken("given up: a part of the request crashes endpoints")
+        if connection.is_lost and is_lost:
+            if unanswered is not None:
+                # The next send depends on whether this one crashed the endpoint.
+                self.context.quarantine.monitor.check(endpoint)
+            else:
+                spawn(self.context.quarantine.monitor.check, endpoint)
         return outcome
 
+    def _watch_send(self, endpoint: Endpoint, connection: EndpointConnection) -> None:
+        self._unanswered = UnansweredSend(
+            endpoint, self.metadata.request_id, self.keys, connection.close
+        )
+        self.context.quarantine.monitor.add(self._unanswered)
+
+    def _on_answer_begun(self) -> None:
+        """Record that the endpoint has begun a successful answer."""
+        if self._unanswered is not None:
+            self.context.quarantine.on_answered(self._unanswered)
+            self._unanswered = None
+            self._end_trial("answered")
+
+    def _end_watch(self, is_lost: bool) -> UnansweredSend | None:
+        """Stop watching the current send; return it if it had no answer.
+
+        `is_lost` says that it ended without an answer.
+        """
+        unanswered, self._unanswered = self._unanswered, None
+        if unanswered is None:
+            return None
+        if is_lost or unanswered.was_aborted:
+            self.context.quarantine.monitor.on_lost(unanswered)
+        else:
+            self.context.quarantine.monitor.remove(unanswered)
+        return unanswered
+
     def _connect(self, endpoint: Endpoint) -> EndpointConnection | ConnectFailure:
         connection = self.context.pool.acquire_idle(endpoint)
         return connection or self.context.pool.open(endpoint)
@@ -273,6 +373,7 @@
                 return CallerDisconnected()
             # An endpoint may respond and close before it has read the whole request.
             self._may_have_run = True
+            connection.is_lost = True
             if not connection.has_unread_data():
                 return Broken(f"request not sent in full: {error}")
         self._may_have_run = True
@@ -388,11 +489,13 @@
             except OSError as error:
                 if self.caller.is_disconnected:
                     return CallerDisconnected()
+                connection.is_lost = True
                 return Broken(f"connection lost: {error}")
             self.context.chooser.on_received(send, clock.now_ms())
             if not data:
                 connection.is_closed_by_endpoint = True
                 connection.parser.feed_end()
+                connection.is_lost = True
                 return Broken("the endpoint closed the connection too early")
             connection.parser.feed(data)
             if connection.parser.error:
@@ -436,6 +539,8 @@
         response.body.append(body)
         if response.status >= 500:
             return Failed(response, metadata)
+        if is_success:
+            self._on_answer_begun()
         return self._deliver(response, metadata)
 
     def _deliver(self, response: Response, metadata: ResponseMetadata) -> SendOutcome:
@@ -507,6 +612,7 @@
         now_ms = self.context.clock.now_ms()
         if not send.is_started:
             self.context.chooser.on_started(send, now_ms)
+        self._on_answer_begun()
         if self._first_event_ms is None:
             self._first_event_ms = now_ms
         else:
@@ -618,6 +724,11 @@
 
     def _failure_for(self, outcome: SendOutcome) -> Failure:
         """Return the failure to report; 503 guarantees that the request did not run."""
+        if isinstance(outcome, Quarantined) and not self._may_have_run:
+            message = f"the request was not sent: {outcome.reason}"
+            retry_after_ms = outcome.retry_after_ms
+            code = ErrorCode.QUARANTINED
+            return Failure(Outcome.NOT_RUN, code, message, 503, retry_after_ms)
         if isinstance(outcome, NotRun) and not self._may_have_run_earlier:
             jitter_factor = 1.0 + RETRY_AFTER_JITTER * self.context.rng.random()
             return Failure(
@@ -643,7 +754,7 @@
                 return STOPPING
             message = "this process stopped before the endpoint responded"
             return Failure(Outcome.UNKNOWN, ErrorCode.DRAINING, message, 502)
-        reason = outcome.reason if isinstance(outcome, (Broken, NotRun)) else "unknown"
+        reason = getattr(outcome, "reason", "unknown")
         message = f"no complete response from the endpoint: {reason}"
         return Failure(Outcome.UNKNOWN, ErrorCode.ENDPOINT_FAILED, message, 502)
 
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -30,6 +30,7 @@
 from wigeonwind.routing.peer_exchange import DirectoryStore, PeerExchange
 from wigeonwind.routing.peer_state import PeerState
 from wigeonwind.routing.planned_stop import PlannedStop, StopPhase, plan_stop
+from wigeonwind.routing.quarantine_api import QUARANTINE_PATH, quarantine_response
 from wigeonwind.routing.refusals import (
     NO_CONFIGURATION,
     NO_ROUTE,
@@ -38,6 +39,10 @@
     UNEXPECTED,
 )
 from wigeonwind.routing.request_parser import HttpRequest
+from wigeonwind.routing.request_quarantine import (
+    QuarantineObserver,
+    RequestQuarantine,
+)
 from wigeonwind.routing.routed_request import RoutedRequest
 from wigeonwind.routing.routes import CallerLimits, HttpCustomer, HttpRoute, RouteTable
 from wigeonwind.routing.routing_metrics import RoutingMetrics
@@ -110,11 +115,23 @@
         self._chooser = chooser = LatencyChooser(settings.zone, rng)
         self.endpoints = EndpointSet(clock, chooser, self.pool)
         self.configuration = ConfigurationHandler(schema, self._on_route_table)
+        self.quarantine = RequestQuarantine(
+            settings.node_id,
+            clock,
+            rng,
+            self.pool,
+            self.endpoints,
+            chooser,
+            QuarantineObserver(
+                self.metrics.on_endpoint_crashed, self.metrics.on_trial_ended
+            ),
+        )
         self._context = ForwardingContext(
             clock,
             header_codec,
             self.pool,
             self.endpoints,
+            self.quarantine,
             chooser,
             rng,
             self.metrics.on_outcome,
@@ -146,6 +163,7 @@
             store,
             schema.peers_prefix,
             self._store_view,
+            self.quarantine,
         )
         self._watchers = StoreWatchers(
             settings.node_id, settings.zone, self.peers.live_views
@@ -255,11 +273,13 @@
         while True:
             gevent.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_SECOND)
             self.pool.close_expired()
+            self.quarantine.run_maintenance()
             self.endpoints.expire_entries()
             self.metrics.set_engine_profiles(self._chooser.service_profiles())
+            self.metrics.set_suspects(self.quarantine.statuses())
             self.metrics.on_store_watched(self._store_view().is_watching)
 
-    def _readiness_response(self, _: str) -> bytes:
+    def _readiness_response(self, _method: str, _path: str) -> bytes:
         status = 200 if self.is_ready else 503
         table = self.configuration.table
         document = {
@@ -270,7 +290,9 @@
         }
         return status_response(status, document)
 
-    def _metrics_response(self, _: str) -> bytes:
+    def _metrics_response(self, method: str, path: str) -> bytes:
+        if path.startswith(QUARANTINE_PATH):
+            return quarantine_response(self.quarantine, method, path)
         body = self.metrics.render()
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\n"
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -7,6 +7,7 @@
 from wigeonwind.clock import Clock
 from wigeonwind.decisions.engine_profile import ServiceProfile
 from wigeonwind.decisions.interfaces import GiveUp, Resend
+from wigeonwind.decisions.quarantine import SuspectStatus
 from wigeonwind.outcomes import Failure
 from wigeonwind.routing.exchange import Exchange
 from wigeonwind.routing.header_codec import RequestMetadata
@@ -18,6 +19,7 @@
     Delivered,
     Failed,
     NotRun,
+    Quarantined,
     SendOutcome,
     Stopped,
     TimedOut,
@@ -44,6 +46,8 @@
             return "caller-gone"
         case Stopped():
             return "stopped"
+        case Quarantined():
+            return "quarantined"
 
 
 class RoutingMetrics:
@@ -76,6 +80,28 @@
         self._connections = self._metrics.counter(
             "endpoint_connections_opened", "Connections opened to endpoints."
         )
+        self._endpoint_crashes = self._metrics.counter(
+            "endpoint_crashes",
+            "Endpoints that lost connections and refused new ones.",
+            ("service",),
+        )
+        self._unanswered_at_crash = self._metrics.counter(
+            "endpoint_crash_unanswered",
+            "Requests that a crashed endpoint had not begun to answer.",
+            ("service",),
+        )
+        self._trials = self._metrics.counter(
+            "quarantine_trials",
+            "Ended trials of request keys that may crash endpoints, by result.",
+            ("result",),
+        )
+        self._suspect_keys = self._metrics.gauge(
+            "quarantine_suspect_keys",
+            "Request keys that may crash endpoints and may be tried.",
+        )
+        self._blocked_keys = self._metrics.gauge(
+            "quarantine_blocked_keys", "Request keys that are not sent to endpoints."
+        )
         self._config_version = self._metrics.gauge(
             "configuration_version", "Version of the configuration in force."
         )
@@ -117,6 +143,21 @@
         """Count a connection opened to an endpoint."""
         self._connections.inc()
 
+    def on_endpoint_crashed(self, service: str, unanswered: int) -> None:
+        """Count a crash and the requests that the endpoint had not begun to answer."""
+        self._endpoint_crashes.labels(service).inc()
+        self._unanswered_at_crash.labels(service).inc(unanswered)
+
+    def on_trial_ended(self, result: str) -> None:
+        """Count the end of a trial of suspect request keys."""
+        self._trials.labels(result).inc()
+
+    def set_suspects(self, statuses: Iterable[SuspectStatus]) -> None:
+        """Record how many request keys are suspect and how many are blocked."""
+        is_blocked = [each.blocked_ms > 0.0 for each in statuses]
+        self._suspect_keys.set(is_blocked.count(False))
+        self._blocked_keys.set(is_blocked.count(True))
+
     def on_route_table(self, table: RouteTable) -> None:
         """Record the version of the configuration in force."""
         self._config_version.set(table.version)
--- a/wigeonwind/routing/send_outcomes.py
+++ b/wigeonwind/routing/send_outcomes.py
@@ -56,6 +56,24 @@
     """The process reached the end of a planned stop."""
 
 
+@dataclass(frozen=True, slots=True)
+class Quarantined:
+    """The request was not sent, as a part of it may crash the endpoint.
+
+    It may be sent after `retry_after_ms` at the earliest.
+    """
+
+    reason: str
+    retry_after_ms: float
+
+
 SendOutcome = (
-    Delivered | NotRun | Broken | Failed | TimedOut | CallerDisconnected | Stopped
+    Delivered
+    | NotRun
+    | Broken
+    | Failed
+    | TimedOut
+    | CallerDisconnected
+    | Stopped
+    | Quarantined
 )
