Routing: derive blocks from crashes and answers alone, so that routers agree

What an independent review showed by scripts: two routers that saw different requests at one crash cleared the deadly part for each other; parts of sound requests that had been beside it stayed blocked for up to 20 minutes; an answer before the first crash was excused once at each router; keys that one router had dropped came back from its peers, with a new block; a lost clear or an operator's lift was never repaired; after eight crashes the block was not renewed; a crash with 80 requests in flight could displace the deadly part from the table. Cause: conclusions (cleared, explained, excused) were stored and sent as if they were evidence. Change: the evidence is the time of each crash and of the last answer of a key; rows carry ages. Who is suspect or blocked is derived from it: crashes of a guilty key are no evidence against keys with fewer crashes. An operator's order counts as an answer. Messages about suspects are taken from known peers only; the end of the last trial is sent at once; a block gives up only requests that are blocked themselves; urgent messages reach all peers. A last 5xx is delivered when a resend is blocked. Retry-After is at most a minute, with jitter. Result: six new tests in tests/test_quarantine.py, one for each case above; they cannot run on the old rows.

--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -7,7 +7,7 @@
 
 from wigeonwind.decisions.quarantine import (
     LONGEST_BLOCK_MS,
-    MAX_SUSPECTS,
+    MAX_KEYS,
     OWN_KEY_BIT,
     RECENT_ANSWER_MS,
     RETENTION_MS,
@@ -62,7 +62,7 @@
     # Guards against a part that is blocked because several routers saw one crash.
     quarantine = Quarantine()
     quarantine.on_crash(1, [(DEADLY,)], 0.0)
-    quarantine.merge([SuspectRow(DEADLY, (1,), ())], 1.0)
+    quarantine.merge([SuspectRow(DEADLY, ((1, 0),), None)], 1.0)
     assert quarantine.verdict((DEADLY,), 2.0) == NeedsTrial((DEADLY,))
 
 
@@ -78,7 +78,7 @@
     # Guards against suspects of a router that did not send the deadly request itself.
     quarantine = Quarantine()
     quarantine.on_crash(2, [(OTHER,)], 0.0)
-    quarantine.merge([SuspectRow(DEADLY, (1, 2), ())], 1.0)
+    quarantine.merge([SuspectRow(DEADLY, ((1, 50), (2, 1)), None)], 1.0)
     assert quarantine.verdict((OTHER,), 2.0) == Allowed()
 
 
@@ -116,9 +116,9 @@
     quarantine = Quarantine()
     for number in (1, 2):
         crash_with_deadly(quarantine, number, 0.0)
-    for number in range(10 * MAX_SUSPECTS):
+    for number in range(MAX_KEYS + 500):
         quarantine.on_crash(100 + number, [(1_000 + 2 * number,)], 1.0 + number)
-    assert len(list(quarantine.statuses(0.0))) <= MAX_SUSPECTS
+    assert len(list(quarantine.statuses(0.0))) <= MAX_KEYS
     assert isinstance(quarantine.verdict((SHARED, DEADLY), 1.0), Blocked)
 
 
@@ -145,10 +145,10 @@
     first, second = Quarantine(), Quarantine()
     for number in (1, 2):
         crash_with_deadly(first, number, 0.0)
-    second.merge(list(first.rows()), 1.0)
+    second.merge(list(first.rows(1.0, 40)), 1.0)
     assert first.lift(DEADLY, 2.0) and not first.lift(OTHER, 2.0)
-    second.merge(list(first.rows_changed(2.0)), 3.0)
-    first.merge(list(second.rows_changed(0.0)), 4.0)
+    second.merge(list(first.rows_changed(2.0, 3.0, 40)), 3.0)
+    first.merge(list(second.rows_changed(0.0, 4.0, 40)), 4.0)
     for quarantine in (first, second):
         assert quarantine.verdict((DEADLY,), 5.0) == Allowed()
 
@@ -165,15 +165,91 @@
             router.on_crash(rng.randrange(1, 6), [(DEADLY, OTHER)], now_ms)
         elif rng.random() < 0.2:
             router.on_answered((rng.choice((DEADLY, OTHER)),), now_ms)
-        messages.append(list(router.rows_changed(now_ms - 5.0)))
+        messages.append(list(router.rows_changed(now_ms - 5.0, now_ms, 40)))
         for receiver in routers:
             if rng.random() >= lost_share:
                 receiver.merge(rng.choice(messages), now_ms)
     for now_ms in (50.0, 51.0):
-        rows = [list(router.rows_changed(0.0)) for router in routers]
+        rows = [router.rows(now_ms, 40) for router in routers]
         for router in routers:
             for each in rows:
                 router.merge(each, now_ms)
     for key in (DEADLY, OTHER):
         verdicts = {type(router.verdict((key,), 52.0)) for router in routers}
         assert len(verdicts) == 1
+
+
+def test_companions_of_a_deadly_key_are_not_blocked_longer_than_it():
+    # Guards against sound parts that stay blocked, because the crashes of the deadly
+    # part beside them were counted at different routers.
+    first, second = Quarantine(), Quarantine()
+    first.on_crash(1, [(SHARED, DEADLY)], 0.0)
+    second.merge(first.rows(1.0, 40), 1.0)
+    first.on_crash(2, [(SHARED,)], 1_000.0)
+    second.on_crash(2, [(DEADLY,)], 1_000.0)
+    for number in (3, 4):
+        second.on_crash(number, [(DEADLY, SHARED)], 1_000.0 * number)
+    second.on_crash(5, [(DEADLY,)], 5_000.0)
+    first.merge(second.rows(5_001.0, 40), 5_001.0)
+    second.merge(first.rows(5_001.0, 40), 5_001.0)
+    for quarantine in (first, second):
+        assert isinstance(quarantine.verdict((SHARED, DEADLY), 5_002.0), Blocked)
+        assert quarantine.verdict((SHARED,), 5_002.0) == Allowed()
+
+
+def test_crashes_at_several_routers_add_up_for_a_key_answered_before():
+    # Guards against a part that each router excuses once for an earlier answer.
+    routers = [Quarantine() for _ in range(3)]
+    for number, router in enumerate(routers):
+        router.on_answered((DEADLY,), 0.0)
+        router.on_crash(number + 1, [(DEADLY,)], 100.0 + number)
+    for router in routers:
+        for other in routers:
+            router.merge(other.rows(110.0, 40), 110.0)
+    for router in routers:
+        assert isinstance(router.verdict((DEADLY,), 120.0), Blocked)
+
+
+def test_old_evidence_is_not_renewed_by_peers():
+    # Guards against blocks that routers tell each other of for ever.
+    routers = [Quarantine() for _ in range(5)]
+    for number in (1, 2):
+        crash_with_deadly(routers[0], number, 0.0)
+    rng, now_ms = Random(1), 0.0
+    while now_ms < 300_000.0:
+        now_ms += 1_000.0
+        for router in routers:
+            router.drop_expired(now_ms)
+            rng.choice(routers).merge(router.rows(now_ms, 40), now_ms)
+    assert not any(router.rows(now_ms, 40) for router in routers)
+
+
+def test_a_peer_that_missed_a_clear_learns_of_it_later():
+    # Guards against a block that an answer or an operator ended at some routers only.
+    first, second = Quarantine(), Quarantine()
+    for quarantine in (first, second):
+        for number in (1, 2):
+            crash_with_deadly(quarantine, number, 0.0)
+    assert first.lift(DEADLY, 10.0)
+    second.merge(first.rows(30_000.0, 40), 30_000.0)
+    assert not isinstance(second.verdict((DEADLY,), 30_001.0), Blocked)
+
+
+def test_a_block_is_renewed_however_many_crashes_there_were():
+    # Guards against a part that crashes an endpoint at each trial after some hours.
+    quarantine = Quarantine()
+    for crash in range(1, 21):
+        now_ms = crash * LONGEST_BLOCK_MS
+        assert quarantine.on_crash(crash, [(DEADLY,)], now_ms) or crash == 1
+        if crash > 1:
+            verdict = quarantine.verdict((DEADLY,), now_ms)
+            assert isinstance(verdict, Blocked)
+
+
+def test_a_crash_with_many_requests_in_flight_does_not_displace_the_deadly_key():
+    # Guards against a table that is full before the part has been seen twice.
+    rng, quarantine = Random(3), Quarantine()
+    for crash in (1, 2):
+        beside = [tuple(rng.getrandbits(63) for _ in range(4)) for _ in range(96)]
+        quarantine.on_crash(crash, [(DEADLY, OWN[crash]), *beside], 1_000.0 * crash)
+    assert isinstance(quarantine.verdict((DEADLY,), 2_001.0), Blocked)
--- a/tests/test_suspect_messages.py
+++ b/tests/test_suspect_messages.py
@@ -8,6 +8,7 @@
 from wigeonwind.decisions.quarantine import SuspectRow
 from wigeonwind.routing.peer_messages import MAX_MESSAGE_BYTES, decode_load
 from wigeonwind.routing.suspect_messages import (
+    MAX_AGE_MS,
     MAX_KEY,
     MAX_ROWS,
     MAX_SHORT_ID,
@@ -19,7 +20,9 @@
     is_suspect_message,
 )
 
-MESSAGE = SuspectMessage("r1", False, (SuspectRow(7, (1, 2), (1,)),), ((7, 3),))
+MESSAGE = SuspectMessage(
+    "r1", False, (SuspectRow(7, ((1, 90), (2, 30)), 60),), ((7, 3),)
+)
 
 
 def test_a_message_survives_encoding():
@@ -30,9 +33,9 @@
 
 def test_the_largest_message_fits_a_datagram():
     # Guards against messages that receivers truncate, so that nobody learns of a part.
-    crashes = tuple(MAX_SHORT_ID - number for number in range(8))
+    ages = tuple((MAX_SHORT_ID - number, MAX_AGE_MS) for number in range(8))
     rows = tuple(
-        SuspectRow(MAX_KEY - number, crashes, crashes) for number in range(MAX_ROWS)
+        SuspectRow(MAX_KEY - number, ages, MAX_AGE_MS) for number in range(MAX_ROWS)
     )
     trials = tuple((MAX_KEY - number, MAX_SHORT_ID) for number in range(MAX_TRIALS))
     data = encode_suspects(SuspectMessage("edge-" + "x" * 80, False, rows, trials))
@@ -47,14 +50,17 @@
 @pytest.mark.parametrize(
     "fields",
     [
-        ["r1", True, [[7, [1], [2]]], []],
-        ["r1", True, [[7, list(range(9)), []]], []],
-        ["r1", True, [[-7, [1], []]], []],
-        ["r1", True, [[7, [2**40], []]], []],
-        ["r1", True, [[True, [1], []]], []],
-        ["r1", True, [[7, [1]]], []],
-        ["r1", True, [[7, 1, []]], []],
-        ["r1", True, [[number, [1], []] for number in range(MAX_ROWS + 1)], []],
+        ["r1", True, [[7, [[1, -1]], None]], []],
+        ["r1", True, [[7, [[number, 0] for number in range(9)], None]], []],
+        ["r1", True, [[-7, [[1, 0]], None]], []],
+        ["r1", True, [[7, [[2**40, 0]], None]], []],
+        ["r1", True, [[7, [[1, 2**40]], None]], []],
+        ["r1", True, [[7, [[1, 0]], -1]], []],
+        ["r1", True, [[True, [[1, 0]], None]], []],
+        ["r1", True, [[7, [[1, 0]]]], []],
+        ["r1", True, [[7, [1], None]], []],
+        ["r1", True, [[7, 1, None]], []],
+        ["r1", True, [[number, [], None] for number in range(MAX_ROWS + 1)], []],
         ["r1", True, [], [[7, 2**64]]],
         [5, True, [], []],
         ["r1", True, []],
--- a/wigeonwind/decisions/quarantine.py
+++ b/wigeonwind/decisions/quarantine.py
@@ -1,26 +1,31 @@
 """Quarantine of prompt parts and requests that crash the endpoints which run them.
 
-A request has keys, one for each part of its prompt or one for the whole request. When
-an endpoint crashes, the keys of the requests that it had not begun to answer become
-suspects. An answer that begins clears the keys of its request. A suspect is tried by
-one request at a time; a key that is under suspicion for several crashes is blocked.
-
-The state is a grow-only set of crashes and one of cleared crashes for each key, so that
-messages between routers may be lost, repeated or reordered.
+A request has keys, one for each part of its prompt or one for the whole request. A
+crash of an endpoint is evidence against the keys of all requests that it had not begun
+to answer; an answer that begins clears the keys of its request of earlier crashes. What
+follows for a request is derived from this evidence alone, so that routers which know
+the same crashes and answers agree, whatever the order in which they learned of them.
 """
 
 from collections import OrderedDict
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
+from itertools import groupby
 
 BLOCKING_CRASHES = 2
 """Crashes, without an answer since, from which a key is blocked."""
 
 RECENT_ANSWER_MS = 60_000.0
-"""Age up to which an answer clears a key of the next crash. A key that has just been
-answered has probably not caused it."""
-
-BLOCK_MS_BY_CRASHES = {2: 60_000.0, 3: 300_000.0, 4: 1_200_000.0}
+"""Age of an answer at the time of a crash up to which the key is trusted: it takes one
+crash more until it is suspected or blocked."""
+
+BLOCK_MS_BY_CRASHES: Mapping[int, float] = {
+    1: 0.0,
+    2: 60_000.0,
+    3: 300_000.0,
+    4: 1_200_000.0,
+}
 """Time for which a key is blocked after its last crash, by the number of crashes."""
 
 LONGEST_BLOCK_MS = 3_600_000.0
@@ -28,34 +33,39 @@
 a new model version has no such fault, and costs at most one crash."""
 
 RETENTION_MS = 60_000.0
-"""Time for which a key is kept after its block or its last change. It outlasts a
-partition of the network, after which peers send what they know again."""
+"""Time for which evidence is kept after the end of the block to which it leads."""
 
 OWN_KEY_BIT = 1
 """Set in keys of what belongs to one request or session and is not shared by others."""
 
-MAX_SUSPECTS = 256
-"""Most keys with crashes. Beyond it, the key whose last crash is the oldest is dropped,
-blocked ones last."""
+MAX_KEYS = 1_024
+"""Most keys with crashes. Beyond it, those with the fewest and oldest are dropped."""
 
 MAX_CRASHES_PER_KEY = 8
-"""Most crashes that are kept for a key; more do not change how it is handled."""
+"""Most crashes that are kept for a key, the latest ones. More do not change how it is
+handled."""
 
 MAX_ANSWERED_KEYS = 4_096
 """Most keys whose last answer is kept, the most recent ones."""
 
+MAX_VOID_CRASHES = 64
+"""Most crashes that are remembered as planned stops, the most recent ones."""
+
+NEVER_MS = float("-inf")
+
 
 @dataclass(frozen=True, slots=True)
 class SuspectRow:
     """What a router knows of one key, as sent to its peers.
 
-    Crashes are identified by the short id of the endpoint's incarnation. `cleared` is a
-    subset of `crashes`.
+    `age_ms_by_crash` holds the age of each crash, which is identified by the short id
+    of the endpoint's incarnation, and `answered_age_ms` that of the last answer or of
+    an operator's order, None if none is known.
     """
 
     key: int
-    crashes: tuple[int, ...]
-    cleared: tuple[int, ...]
+    age_ms_by_crash: tuple[tuple[int, int], ...]
+    answered_age_ms: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,229 +98,306 @@
 
     key: int
     crashes: int
-    cleared: int
     blocked_ms: float
 
 
+class _Finding(Enum):
+    """What the evidence says about a key with crashes since its last answer."""
+
+    SUSPECT = "suspect"
+    GUILTY = "guilty"
+
+
 @dataclass(slots=True)
-class _Suspect:
-    """The crashes of one key; times are clock readings."""
+class _Evidence:
+    """Crashes and the last answer of one key; times are clock readings."""
 
-    crashes: dict[int, float] = field(default_factory=dict)
-    """When each crash was learned of, by crash."""
-    cleared: set[int] = field(default_factory=set)
-    changed_ms: float = 0.0
-    blocked_until_ms: float = 0.0
+    crashed_ms_by_id: dict[int, float] = field(default_factory=dict)
+    answered_ms: float = NEVER_MS
+    changed_ms: float = NEVER_MS
+    """When something was learned that peers may not know."""
 
     @property
-    def open_crashes(self) -> set[int]:
-        """Return the crashes that the key may have caused."""
-        return set(self.crashes) - self.cleared
+    def last_crash_ms(self) -> float:
+        return max(self.crashed_ms_by_id.values(), default=NEVER_MS)
+
+    def open_crashes(self) -> frozenset[int]:
+        """Return the crashes since the last answer."""
+        return frozenset(
+            crash
+            for crash, crashed_ms in self.crashed_ms_by_id.items()
+            if crashed_ms > self.answered_ms
+        )
 
-    @property
-    def is_blocking(self) -> bool:
-        """Return whether the key has been blocked since its last answer."""
-        return len(self.open_crashes) >= BLOCKING_CRASHES
+    def needed_crashes(self) -> int:
+        """Return the number of open crashes from which the key is suspect."""
+        first_ms = min(
+            (
+                each
+                for each in self.crashed_ms_by_id.values()
+                if each > self.answered_ms
+            ),
+            default=NEVER_MS,
+        )
+        return 2 if first_ms - self.answered_ms <= RECENT_ANSWER_MS else 1
+
+    def expires_ms(self) -> float:
+        count = len(self.crashed_ms_by_id)
+        return self.last_crash_ms + _block_ms(count) + RETENTION_MS
+
+
+def _block_ms(crashes: int) -> float:
+    return BLOCK_MS_BY_CRASHES.get(crashes, LONGEST_BLOCK_MS)
 
 
 class Quarantine:
-    """The suspects that a router knows of, from its own requests and its peers."""
+    """The evidence that a router has, from its own requests and from its peers."""
 
     def __init__(self) -> None:
-        self._suspect_by_key: dict[int, _Suspect] = {}
+        self._evidence_by_key: dict[int, _Evidence] = {}
         self._answered_ms_by_key: OrderedDict[int, float] = OrderedDict()
+        self._void_crashes: OrderedDict[int, None] = OrderedDict()
+        self._finding_by_key: dict[int, _Finding] | None = {}
+        """Derived from the evidence, None if that has changed."""
 
     def verdict(self, keys: Collection[int], now_ms: float) -> Verdict:
         """Return how a request with these keys is to be handled."""
+        finding_by_key = self._findings()
         suspect_keys = []
         for key in keys:
-            suspect = self._suspect_by_key.get(key)
-            if suspect is None or not suspect.open_crashes:
+            finding = finding_by_key.get(key)
+            if finding is None:
                 continue
-            is_blocked = suspect.is_blocking and now_ms < suspect.blocked_until_ms
-            if is_blocked and not self._is_explained_by_absent(key, keys):
-                remaining_ms = suspect.blocked_until_ms - now_ms
-                return Blocked(key, len(suspect.open_crashes), remaining_ms)
+            remaining_ms = self._block_remaining_ms(key, now_ms)
+            if remaining_ms > 0.0 and not self._is_explained_by_absent(key, keys):
+                crashes = len(self._evidence_by_key[key].open_crashes())
+                return Blocked(key, crashes, remaining_ms)
             suspect_keys.append(key)
         return NeedsTrial(tuple(suspect_keys)) if suspect_keys else Allowed()
 
+    def _block_remaining_ms(self, key: int, now_ms: float) -> float:
+        if self._findings().get(key) is not _Finding.GUILTY:
+            return 0.0
+        evidence = self._evidence_by_key[key]
+        block_ms = _block_ms(len(evidence.open_crashes()))
+        return max(0.0, evidence.last_crash_ms + block_ms - now_ms)
+
     def _is_explained_by_absent(self, key: int, keys: Collection[int]) -> bool:
-        """Return whether another blocked key explains all crashes of a blocked key.
+        """Return whether another guilty key explains all crashes of a guilty key.
 
         Requests that contained both do not tell which of them was the cause. One that
         lacks the other does, so `keys` of a request without it may be tried. A key that
         belongs to one request explains nothing: all others lack it.
         """
-        crashes = self._suspect_by_key[key].open_crashes
+        crashes = self._evidence_by_key[key].open_crashes()
         return any(
-            other.is_blocking and crashes <= other.open_crashes
-            for other_key, other in self._suspect_by_key.items()
-            if other_key not in keys and not other_key & OWN_KEY_BIT
+            finding is _Finding.GUILTY
+            and crashes <= self._evidence_by_key[other].open_crashes()
+            for other, finding in self._findings().items()
+            if other not in keys and not other & OWN_KEY_BIT
         )
 
+    def _findings(self) -> dict[int, _Finding]:
+        if self._finding_by_key is None:
+            self._finding_by_key = dict(self._derive_findings())
+        return self._finding_by_key
+
+    def _derive_findings(self) -> Iterator[tuple[int, _Finding]]:
+        """Yield the findings, the keys with the most open crashes first.
+
+        Crashes of a guilty key are no evidence against keys with fewer open crashes,
+        whose requests were only beside it.
+        """
+        open_by_key = {
+            key: crashes
+            for key, evidence in self._evidence_by_key.items()
+            if (crashes := evidence.open_crashes())
+        }
+        by_count = sorted(open_by_key, key=lambda key: -len(open_by_key[key]))
+        explained: set[int] = set()
+        for _, group in groupby(by_count, key=lambda key: len(open_by_key[key])):
+            guilty = []
+            for key in group:
+                left = len(open_by_key[key] - explained)
+                needed = self._evidence_by_key[key].needed_crashes()
+                if left >= needed + BLOCKING_CRASHES - 1:
+                    guilty.append(key)
+                    yield key, _Finding.GUILTY
+                elif left >= needed:
+                    yield key, _Finding.SUSPECT
+            for key in guilty:
+                explained |= open_by_key[key]
+
     def on_answered(self, keys: Iterable[int], now_ms: float) -> tuple[int, ...]:
         """Record that an answer has begun; return the keys that this clears."""
         cleared_keys = []
         for key in keys:
             self._answered_ms_by_key[key] = now_ms
             self._answered_ms_by_key.move_to_end(key)
-            suspect = self._suspect_by_key.get(key)
-            if suspect is not None and suspect.open_crashes:
-                self._clear(suspect, suspect.open_crashes, now_ms)
+            if self._set_answered(key, now_ms, now_ms):
                 cleared_keys.append(key)
         while len(self._answered_ms_by_key) > MAX_ANSWERED_KEYS:
             self._answered_ms_by_key.popitem(last=False)
         return tuple(cleared_keys)
 
+    def _set_answered(self, key: int, answered_ms: float, now_ms: float) -> bool:
+        """Record an answer of a key with crashes; return whether it clears any."""
+        evidence = self._evidence_by_key.get(key)
+        if evidence is None or answered_ms <= evidence.answered_ms:
+            return False
+        had_open = bool(evidence.open_crashes())
+        evidence.answered_ms = answered_ms
+        if had_open:
+            evidence.changed_ms = now_ms
+            self._finding_by_key = None
+        return had_open and not evidence.open_crashes()
+
     def on_crash(
-        self, crash: int, unanswered: Collection[Collection[int]], now_ms: float
+        self, crash: int, unanswered: Iterable[Collection[int]], now_ms: float
     ) -> tuple[int, ...]:
         """Record a crash and the keys of each unanswered request at that endpoint.
 
-        Returns the keys that are blocked from now on. If requests with suspects were
-        among them, these explain the crash, and only they are recorded.
+        Returns the keys that are blocked by it.
         """
         keys = {key for request_keys in unanswered for key in request_keys}
-        known = {key for key in keys if self._has_open_crash(key, crash)}
-        suspects = sorted(known or keys)
-        return self._record(dict.fromkeys(suspects, (crash,)), now_ms)
-
-    def _has_open_crash(self, key: int, except_crash: int) -> bool:
-        suspect = self._suspect_by_key.get(key)
-        return suspect is not None and bool(suspect.open_crashes - {except_crash})
+        changed = [key for key in keys if self._add_crash(key, crash, now_ms, now_ms)]
+        return self._newly_blocked(changed, now_ms)
 
     def merge(self, rows: Iterable[SuspectRow], now_ms: float) -> tuple[int, ...]:
-        """Add what a peer knows; return the keys that are blocked from now on."""
-        crashes_by_key = {}
+        """Add what a peer knows; return the keys that are blocked by it."""
+        changed = []
         for row in rows:
-            crashes_by_key[row.key] = row.crashes
-            suspect = self._suspect_by_key.setdefault(row.key, _Suspect())
-            self._clear(suspect, row.cleared, now_ms)
-        return self._record(crashes_by_key, now_ms)
-
-    def _record(
-        self, crashes_by_key: dict[int, tuple[int, ...]], now_ms: float
-    ) -> tuple[int, ...]:
-        blocked = []
-        for key, crashes in crashes_by_key.items():
-            for crash in crashes:
-                if self._add_crash(key, crash, now_ms):
-                    blocked.append(key)
-        for key in blocked:
-            self._explain(key, now_ms)
-        self._drop_surplus()
-        return tuple(dict.fromkeys(blocked))
-
-    def _add_crash(self, key: int, crash: int, now_ms: float) -> bool:
-        """Record a crash of a key; return whether the key is blocked by it."""
-        suspect = self._suspect_by_key.setdefault(key, _Suspect())
-        if crash in suspect.crashes or not _make_room(suspect):
+            for crash, age_ms in row.age_ms_by_crash:
+                if self._add_crash(row.key, crash, now_ms - age_ms, now_ms):
+                    changed.append(row.key)
+            if row.answered_age_ms is not None:
+                self._set_answered(row.key, now_ms - row.answered_age_ms, now_ms)
+            self._offer_newer_answer(row, now_ms)
+        return self._newly_blocked(changed, now_ms)
+
+    def _offer_newer_answer(self, row: SuspectRow, now_ms: float) -> None:
+        """Mark a key as changed if the peer misses an answer that clears crashes."""
+        evidence = self._evidence_by_key.get(row.key)
+        if evidence is None or row.answered_age_ms is not None:
+            return
+        if evidence.answered_ms > NEVER_MS:
+            evidence.changed_ms = now_ms
+
+    def _add_crash(
+        self, key: int, crash: int, crashed_ms: float, now_ms: float
+    ) -> bool:
+        """Add a crash of a key; return whether it was not known and still counts."""
+        if crash in self._void_crashes:
             return False
-        last_crash_ms = max(suspect.crashes.values(), default=float("-inf"))
-        answered_ms = self._answered_ms_by_key.get(key, float("-inf"))
-        suspect.crashes[crash] = suspect.changed_ms = now_ms
-        is_recent = now_ms - answered_ms <= RECENT_ANSWER_MS
-        if is_recent and answered_ms > last_crash_ms:
-            suspect.cleared.add(crash)
+        evidence = self._evidence_by_key.get(key)
+        if evidence is None:
+            answered_ms = self._answered_ms_by_key.get(key, NEVER_MS)
+            evidence = _Evidence(answered_ms=answered_ms)
+        known_ms = evidence.crashed_ms_by_id.get(crash)
+        if known_ms is not None:
+            # The first router that saw a crash knows its time best.
+            if crashed_ms < known_ms:
+                evidence.crashed_ms_by_id[crash] = crashed_ms
+                self._finding_by_key = None
             return False
-        if crash in suspect.cleared or not suspect.is_blocking:
+        evidence.crashed_ms_by_id[crash] = crashed_ms
+        while len(evidence.crashed_ms_by_id) > MAX_CRASHES_PER_KEY:
+            by_id = evidence.crashed_ms_by_id
+            del by_id[min(by_id, key=lambda each: by_id[each])]
+        if crash not in evidence.crashed_ms_by_id or now_ms >= evidence.expires_ms():
             return False
-        count = len(suspect.open_crashes)
-        block_ms = BLOCK_MS_BY_CRASHES.get(count, LONGEST_BLOCK_MS)
-        suspect.blocked_until_ms = now_ms + block_ms
+        self._evidence_by_key[key] = evidence
+        evidence.changed_ms = now_ms
+        self._finding_by_key = None
         return True
 
-    def _explain(self, blocked_key: int, now_ms: float) -> None:
-        """Clear other keys of the crashes that a blocked key explains."""
-        crashes = self._suspect_by_key[blocked_key].open_crashes
-        for key, suspect in self._suspect_by_key.items():
-            if key != blocked_key and not suspect.is_blocking:
-                self._clear(suspect, suspect.open_crashes & crashes, now_ms)
-
-    def _clear(self, suspect: _Suspect, crashes: Iterable[int], now_ms: float) -> None:
-        new = set(crashes) - suspect.cleared
-        if new:
-            suspect.cleared |= new
-            suspect.changed_ms = now_ms
+    def _newly_blocked(
+        self, changed: Collection[int], now_ms: float
+    ) -> tuple[int, ...]:
+        if changed:
+            self._drop_surplus()
+        return tuple(
+            key
+            for key in dict.fromkeys(changed)
+            if self._block_remaining_ms(key, now_ms) > 0.0
+        )
 
     def void_crash(self, crash: int, now_ms: float) -> None:
-        """Clear all keys of a crash that has turned out to be a planned stop."""
-        for suspect in self._suspect_by_key.values():
-            self._clear(suspect, suspect.open_crashes & {crash}, now_ms)
+        """Forget a crash that has turned out to be a planned stop."""
+        self._void_crashes[crash] = None
+        while len(self._void_crashes) > MAX_VOID_CRASHES:
+            self._void_crashes.popitem(last=False)
+        for evidence in self._evidence_by_key.values():
+            if evidence.crashed_ms_by_id.pop(crash, None) is not None:
+                self._finding_by_key = None
 
     def lift(self, key: int, now_ms: float) -> bool:
         """Clear a key on an operator's order; return False if it is no suspect."""
-        suspect = self._suspect_by_key.get(key)
-        if suspect is None or not suspect.open_crashes:
-            return False
-        self._clear(suspect, suspect.open_crashes, now_ms)
-        return True
-
-    def is_suspect(self, key: int) -> bool:
-        """Return whether the key is a suspect, blocked or not."""
-        suspect = self._suspect_by_key.get(key)
-        return suspect is not None and bool(suspect.open_crashes)
+        return self._set_answered(key, now_ms, now_ms)
 
     def _drop_surplus(self) -> None:
-        surplus = len(self._suspect_by_key) - MAX_SUSPECTS
+        surplus = len(self._evidence_by_key) - MAX_KEYS
         if surplus <= 0:
             return
-        oldest_first = sorted(
-            self._suspect_by_key.items(),
-            key=lambda item: (item[1].is_blocking, item[1].changed_ms),
+        by_weight = sorted(
+            self._evidence_by_key,
+            key=lambda key: (
+                len(self._evidence_by_key[key].open_crashes()),
+                not key & OWN_KEY_BIT,
+                self._evidence_by_key[key].last_crash_ms,
+            ),
         )
-        for key, _ in oldest_first[:surplus]:
-            del self._suspect_by_key[key]
+        for key in by_weight[:surplus]:
+            del self._evidence_by_key[key]
+        self._finding_by_key = None
 
     def drop_expired(self, now_ms: float) -> None:
-        """Drop keys that have been neither blocked nor changed for RETENTION_MS."""
-        for key, suspect in list(self._suspect_by_key.items()):
-            until_ms = max(suspect.changed_ms, suspect.blocked_until_ms) + RETENTION_MS
-            if now_ms >= until_ms:
-                del self._suspect_by_key[key]
-
-    def rows(self) -> Iterator[SuspectRow]:
-        """Yield what peers should know of the suspects."""
-        yield from (
-            _row(key, suspect)
-            for key, suspect in self._suspect_by_key.items()
-            if suspect.open_crashes
+        """Drop the evidence that does not count any more."""
+        for key, evidence in list(self._evidence_by_key.items()):
+            if now_ms >= evidence.expires_ms():
+                del self._evidence_by_key[key]
+                self._finding_by_key = None
+
+    def rows(self, now_ms: float, limit: int) -> list[SuspectRow]:
+        """Return what peers should know, the keys with the most open crashes first."""
+        return self._rows(self._evidence_by_key, now_ms, limit)
+
+    def rows_changed(
+        self, since_ms: float, now_ms: float, limit: int
+    ) -> list[SuspectRow]:
+        """Return the rows of keys that changed since `since_ms`."""
+        keys = [
+            key
+            for key, evidence in self._evidence_by_key.items()
+            if evidence.changed_ms >= since_ms
+        ]
+        return self._rows(keys, now_ms, limit)
+
+    def _rows(self, keys: Iterable[int], now_ms: float, limit: int) -> list[SuspectRow]:
+        by_weight = sorted(
+            keys,
+            key=lambda key: (
+                len(self._evidence_by_key[key].open_crashes()),
+                not key & OWN_KEY_BIT,
+                self._evidence_by_key[key].changed_ms,
+            ),
+            reverse=True,
         )
-
-    def rows_changed(self, since_ms: float) -> Iterator[SuspectRow]:
-        """Yield what peers should know of keys that changed since `since_ms`."""
-        yield from (
-            _row(key, suspect)
-            for key, suspect in self._suspect_by_key.items()
-            if suspect.changed_ms >= since_ms
+        return [self._row(key, now_ms) for key in by_weight[:limit]]
+
+    def _row(self, key: int, now_ms: float) -> SuspectRow:
+        evidence = self._evidence_by_key[key]
+        answered_age_ms = None
+        if evidence.answered_ms > NEVER_MS:
+            answered_age_ms = max(0, int(now_ms - evidence.answered_ms))
+        ages = (
+            (crash, max(0, int(now_ms - crashed_ms)))
+            for crash, crashed_ms in evidence.crashed_ms_by_id.items()
         )
+        return SuspectRow(key, tuple(ages), answered_age_ms)
 
     def statuses(self, now_ms: float) -> Iterator[SuspectStatus]:
         """Yield the suspects, blocked or not."""
-        for key, suspect in self._suspect_by_key.items():
-            if suspect.open_crashes:
-                blocked_ms = (
-                    max(0.0, suspect.blocked_until_ms - now_ms)
-                    if suspect.is_blocking
-                    else 0.0
-                )
-                yield SuspectStatus(
-                    key, len(suspect.open_crashes), len(suspect.cleared), blocked_ms
-                )
-
-
-def _make_room(suspect: _Suspect) -> bool:
-    """Drop a cleared crash if there are too many; return whether one can be added."""
-    if len(suspect.crashes) < MAX_CRASHES_PER_KEY:
-        return True
-    for crash in suspect.crashes:
-        if crash in suspect.cleared:
-            del suspect.crashes[crash]
-            suspect.cleared.discard(crash)
-            return True
-    return False
-
-
-def _row(key: int, suspect: _Suspect) -> SuspectRow:
-    cleared = suspect.cleared & suspect.crashes.keys()
-    return SuspectRow(key, tuple(suspect.crashes), tuple(sorted(cleared)))
+        for key in self._findings():
+            crashes = len(self._evidence_by_key[key].open_crashes())
+            yield SuspectStatus(key, crashes, self._block_remaining_ms(key, now_ms))
--- a/wigeonwind/hashing.py
+++ b/wigeonwind/hashing.py
@@ -3,10 +3,10 @@
 from xxhash import xxh64_intdigest
 
 
-def stable_hash(value: str) -> int:
+def stable_hash(value: str | bytes) -> int:
     """Return a 64-bit hash of `value` that is the same in every process.
 
     >>> stable_hash("a") == stable_hash("a")
     True
     """
-    return xxh64_intdigest(value.encode())
+    return xxh64_intdigest(value.encode() if isinstance(value, str) else value)
--- a/wigeonwind/routing/endpoint_monitor.py
+++ b/wigeonwind/routing/endpoint_monitor.py
@@ -77,8 +77,7 @@
         self._crashed_keys: OrderedDict[EndpointKey, None] = OrderedDict()
 
     def add(self, send: UnansweredSend) -> None:
-        """Watch a send until `remove` or `on_lost`; its connection was accepted."""
-        self._crashed_keys.pop(send.endpoint.key, None)
+        """Watch a send until `remove` or `on_lost`."""
         watched = self._watched_by_key.setdefault(send.endpoint.key, _Watched())
         watched.unanswered.add(send)
 
@@ -126,6 +125,7 @@
             if isinstance(connection, ConnectFailure):
                 self.on_connect_failure(endpoint, connection)
             else:
+                self.on_connected(endpoint)
                 self._pool.release(connection, None)
         finally:
             watched.probe.set()
@@ -133,6 +133,10 @@
             self._forget_if_idle(endpoint.key)
         return endpoint.key in self._crashed_keys
 
+    def on_connected(self, endpoint: Endpoint) -> None:
+        """Record that an endpoint has accepted a new connection."""
+        self._crashed_keys.pop(endpoint.key, None)
+
     def on_connect_failure(self, endpoint: Endpoint, failure: ConnectFailure) -> None:
         """Report a crash if the endpoint refuses connections and was not leaving."""
         if not failure.is_refused or endpoint.key in self._crashed_keys:
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -153,7 +153,7 @@
                 break
             admission = self._admit()
             if isinstance(admission, Quarantined):
-                outcome = admission
+                outcome = self._last_failure or admission
                 break
             if self.caller.is_disconnected:
                 continue
@@ -349,8 +349,13 @@
         return unanswered
 
     def _connect(self, endpoint: Endpoint) -> EndpointConnection | ConnectFailure:
-        connection = self.context.pool.acquire_idle(endpoint)
-        return connection or self.context.pool.open(endpoint)
+        idle = self.context.pool.acquire_idle(endpoint)
+        if idle is not None:
+            return idle
+        connection = self.context.pool.open(endpoint)
+        if isinstance(connection, EndpointConnection):
+            self.context.quarantine.monitor.on_connected(endpoint)
+        return connection
 
     def _record_outcome(self, send: Send, outcome: SendOutcome) -> None:
         chooser, now_ms = self.context.chooser, self.context.clock.now_ms()
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -67,7 +67,8 @@
 DIRECTORY_RETRY_MS = 1_000.0
 
 URGENT_INTERVAL_MS = 10.0
-"""Least interval between urgent messages, which joins changes of the same moment."""
+"""Least interval between urgent messages of a small fleet. It joins changes of the same
+moment."""
 
 FULL_SUSPECTS_INTERVAL_MS = 1_000.0
 """Interval of messages with all suspects, for processes that missed the changes."""
@@ -237,8 +238,7 @@
         else:
             message = decode_load(data)
         if isinstance(message, SuspectMessage):
-            if self._suspects is not None and message.sender != self._local_id:
-                self._suspects.on_message(message)
+            self._on_suspects(message, source)
             return
         if isinstance(message, LoadMessage):
             self._on_message(message, source)
@@ -246,6 +246,13 @@
         self.undecodable_datagrams += 1
         log.warning("ignored an invalid datagram", source=source.host, reason=message)
 
+    def _on_suspects(self, message: SuspectMessage, source: SocketAddress) -> None:
+        """Apply a message about suspects if it comes from a known peer's VM."""
+        peer = self._peer_by_id.get(message.sender)
+        if self._suspects is None or peer is None or peer.address.host != source.host:
+            return
+        self._suspects.on_message(message)
+
     def _on_message(self, message: LoadMessage, source: SocketAddress) -> None:
         if message.sender == self._local_id:
             return
@@ -314,11 +321,13 @@
         while True:
             suspects.changed.wait()
             suspects.changed.clear()
+            # All peers get it: each of them might start a trial of the same key.
             peers = list(self._peer_by_id.values())
-            if len(peers) > MAX_PEERS_PER_SEND:
-                peers = self._rng.sample(peers, MAX_PEERS_PER_SEND)
             self._send_changes(suspects, peers)
-            gevent.sleep(URGENT_INTERVAL_MS / MS_PER_SECOND)
+            interval_ms = URGENT_INTERVAL_MS * max(
+                1.0, len(peers) / BASE_INTERVAL_PEERS
+            )
+            gevent.sleep(interval_ms / MS_PER_SECOND)
 
     def _send_changes(self, suspects: SuspectSource, peers: Iterable[_Peer]) -> None:
         message = suspects.change_message(self._local_id)
--- a/wigeonwind/routing/request_keys.py
+++ b/wigeonwind/routing/request_keys.py
@@ -7,6 +7,9 @@
 from wigeonwind.routing.header_codec import RequestMetadata
 from wigeonwind.routing.request_parser import HttpRequest
 
+MAX_KEYS = 32
+"""Most keys of a request, those of the last chunks; working callers send fewer."""
+
 
 def request_keys(
     service: str, request: HttpRequest, metadata: RequestMetadata
@@ -16,7 +19,7 @@
     All routers derive the same keys. A chunk has the same key wherever it stands in a
     prompt, except for the last one, which belongs to the request or its session.
     """
-    return tuple(dict.fromkeys(_keys(service, request, metadata)))
+    return tuple(dict.fromkeys(_keys(service, request, metadata)))[-MAX_KEYS:]
 
 
 def _keys(
@@ -29,14 +32,14 @@
         yield _own_key(f"chunk|{service}|{own.chunk_id:x}")
     else:
         content = b"%s %s %s" % (request.method, request.target, request.body)
-        yield _own_key(f"request|{service}|{content.decode('latin-1')}")
+        yield _own_key(f"request|{service}|".encode() + content)
 
 
 def _shared_key(content: str) -> int:
     return stable_hash(content) & ~OWN_KEY_BIT
 
 
-def _own_key(content: str) -> int:
+def _own_key(content: str | bytes) -> int:
     return stable_hash(content) | OWN_KEY_BIT
 
 
--- a/wigeonwind/routing/request_quarantine.py
+++ b/wigeonwind/routing/request_quarantine.py
@@ -20,7 +20,6 @@
     Blocked,
     NeedsTrial,
     Quarantine,
-    SuspectRow,
     SuspectStatus,
 )
 from wigeonwind.routing.discovery import EndpointSet
@@ -49,6 +48,13 @@
 """Retry-After of a request that waited for a trial in vain; trials take about as long
 as the first event of a stream."""
 
+MAX_RETRY_AFTER_MS = 60_000.0
+"""Longest Retry-After of a blocked request."""
+
+RETRY_AFTER_JITTER = 0.2
+"""Largest random extension of Retry-After, as a fraction of it, so that callers do not
+return at the same time."""
+
 log = get_logger("wigeonwind.quarantine")
 
 
@@ -92,6 +98,8 @@
         self._observer = observer
         self._quarantine = Quarantine()
         self._trial_at_by_key: dict[int, Endpoint] = {}
+        self._had_trials = False
+        """Whether the last message to the peers named trials."""
         self._peer_trials_by_sender: dict[str, tuple[float, dict[int, int]]] = {}
         self.monitor = EndpointMonitor(clock, pool, endpoints, self._on_crash)
         endpoints.on_draining = self._on_endpoint_draining
@@ -117,7 +125,7 @@
             if isinstance(verdict, Blocked):
                 return Quarantined(
                     f"a part of the request crashed {verdict.crashes} endpoints",
-                    verdict.remaining_ms,
+                    self._retry_after_ms(verdict),
                 )
             if not isinstance(verdict, NeedsTrial) or is_caller_gone():
                 return Admission()
@@ -132,6 +140,11 @@
                 )
             sleep(TRIAL_POLL_MS / MS_PER_SECOND)
 
+    def _retry_after_ms(self, verdict: Blocked) -> float:
+        """Return when to try again; an answer elsewhere may end the block sooner."""
+        retry_after_ms = min(verdict.remaining_ms, MAX_RETRY_AFTER_MS)
+        return retry_after_ms * (1.0 + RETRY_AFTER_JITTER * self._rng.random())
+
     def is_free_of_suspects(self, keys: tuple[int, ...]) -> bool:
         """Return whether a request may still be sent to any endpoint."""
         verdict = self._quarantine.verdict(keys, self._clock.now_ms())
@@ -151,11 +164,14 @@
         for key in keys:
             self._trial_at_by_key[key] = endpoint
         self.changed.set()
-        sleep(TRIAL_NOTICE_MS / MS_PER_SECOND)
-        prior = [each for each in self._peer_trials_by_sender if each < self._local_id]
-        busy = self._trials_in_the_way(keys, prior)
-        if busy is None or short_id(endpoint.key) in busy or self._has_changed(keys):
-            self._forget_trial(keys)
+        is_alone = False
+        try:
+            sleep(TRIAL_NOTICE_MS / MS_PER_SECOND)
+            is_alone = self._has_no_prior_trial(endpoint, keys)
+        finally:
+            if not is_alone:
+                self._forget_trial(keys)
+        if not is_alone:
             return None
         log.info(
             "trial of suspect request keys started",
@@ -164,10 +180,16 @@
         )
         return Admission(endpoint, keys)
 
-    def _has_changed(self, keys: tuple[int, ...]) -> bool:
-        """Return whether suspects have been cleared or blocked since the last look."""
+    def _has_no_prior_trial(self, endpoint: Endpoint, keys: tuple[int, ...]) -> bool:
+        """Return whether no trial of a prior peer excludes one that was announced.
+
+        Returns False too if keys have been cleared or blocked in the meantime.
+        """
+        prior = [each for each in self._peer_trials_by_sender if each < self._local_id]
+        busy = self._trials_in_the_way(keys, prior)
         verdict = self._quarantine.verdict(keys, self._clock.now_ms())
-        return verdict != NeedsTrial(keys)
+        is_free = busy is not None and short_id(endpoint.key) not in busy
+        return is_free and verdict == NeedsTrial(keys)
 
     def _trials_in_the_way(
         self, keys: Iterable[int], senders: Iterable[str]
@@ -256,14 +278,17 @@
     def _enforce(self, blocked: Iterable[int], source: str) -> None:
         """Log blocked keys and give up the requests with them that have no answer."""
         now_ms = self._clock.now_ms()
-        status_by_key = {each.key: each for each in self._quarantine.statuses(now_ms)}
         for key in blocked:
-            sends = self.monitor.unanswered_with(key)
+            verdict = self._quarantine.verdict((key,), now_ms)
+            sends = [
+                send
+                for send in self.monitor.unanswered_with(key)
+                if isinstance(self._quarantine.verdict(send.keys, now_ms), Blocked)
+            ]
             log.warning(
                 "request key blocked; it crashes endpoints",
                 key=format_key(key),
-                crashes=status_by_key[key].crashes,
-                blocked_ms=round(status_by_key[key].blocked_ms),
+                crashes=verdict.crashes if isinstance(verdict, Blocked) else None,
                 source=source,
                 given_up=len(sends),
             )
@@ -272,28 +297,24 @@
                 send.abort()
 
     def change_message(self, sender: str) -> SuspectMessage | None:
-        """Return the trials and recent changes for all peers, None without any."""
-        since_ms = self._clock.now_ms() - REPEAT_MS
-        trials = [(key, short_id(at.key)) for key, at in self._trial_at_by_key.items()]
-        rows = list(self._quarantine.rows_changed(since_ms))
-        return self._message(sender, rows, trials, is_full=False)
-
-    def full_message(self, sender: str) -> SuspectMessage | None:
-        """Return all suspects, None without any."""
-        return self._message(sender, list(self._quarantine.rows()), [], is_full=True)
+        """Return the trials and recent changes for all peers, None without any.
 
-    def _message(
-        self,
-        sender: str,
-        rows: list[SuspectRow],
-        trials: list[tuple[int, int]],
-        is_full: bool,
-    ) -> SuspectMessage | None:
-        if not rows and not trials:
+        After the last trial, one message without any says so.
+        """
+        now_ms = self._clock.now_ms()
+        trials = tuple(
+            (key, short_id(at.key)) for key, at in self._trial_at_by_key.items()
+        )[:MAX_TRIALS]
+        rows = self._quarantine.rows_changed(now_ms - REPEAT_MS, now_ms, MAX_ROWS)
+        had_trials, self._had_trials = self._had_trials, bool(trials)
+        if not rows and not trials and not had_trials:
             return None
-        if len(rows) > MAX_ROWS:
-            rows = self._rng.sample(rows, MAX_ROWS)
-        return SuspectMessage(sender, is_full, tuple(rows), tuple(trials[:MAX_TRIALS]))
+        return SuspectMessage(sender, False, tuple(rows), trials)
+
+    def full_message(self, sender: str) -> SuspectMessage | None:
+        """Return all evidence, None without any."""
+        rows = self._quarantine.rows(self._clock.now_ms(), MAX_ROWS)
+        return SuspectMessage(sender, True, tuple(rows), ()) if rows else None
 
     def run_maintenance(self) -> None:
         """Drop what is outdated; call periodically."""
--- a/wigeonwind/routing/suspect_messages.py
+++ b/wigeonwind/routing/suspect_messages.py
@@ -21,6 +21,7 @@
 
 MAX_KEY = 2**64 - 1
 MAX_SHORT_ID = 2**32 - 1
+MAX_AGE_MS = 2**32 - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +40,10 @@
 
 def encode_suspects(message: SuspectMessage) -> bytes:
     """Return a message as CBOR."""
-    rows = [[row.key, list(row.crashes), list(row.cleared)] for row in message.rows]
+    rows = [
+        [row.key, [list(pair) for pair in row.age_ms_by_crash], row.answered_age_ms]
+        for row in message.rows
+    ]
     trials = [list(trial) for trial in message.trials]
     return cbor2.dumps([MESSAGE_TYPE, message.sender, message.is_full, rows, trials])
 
@@ -79,13 +83,16 @@
 
 
 def _decode_row(
-    key: object, crashes: Iterable[object], cleared: Iterable[object]
+    key: object, age_ms_by_crash: Iterable[tuple[object, object]], answered: object
 ) -> SuspectRow:
-    crash_ids = tuple(_number(each, MAX_SHORT_ID) for each in crashes)
-    cleared_ids = tuple(_number(each, MAX_SHORT_ID) for each in cleared)
-    if len(crash_ids) > MAX_CRASHES_PER_KEY or not set(cleared_ids) <= set(crash_ids):
-        raise ValueError("invalid crashes of a key")
-    return SuspectRow(_number(key, MAX_KEY), crash_ids, cleared_ids)
+    ages = tuple(
+        (_number(crash, MAX_SHORT_ID), _number(age_ms, MAX_AGE_MS))
+        for crash, age_ms in age_ms_by_crash
+    )
+    if len(ages) > MAX_CRASHES_PER_KEY:
+        raise ValueError("too many crashes of a key")
+    answered_age_ms = None if answered is None else _number(answered, MAX_AGE_MS)
+    return SuspectRow(_number(key, MAX_KEY), ages, answered_age_ms)
 
 
 def _number(value: object, limit: int) -> int:
