Routing: a refusal without a request id on a new connection is no promise

Cause: on a connection that had carried no earlier request, a response from status 300 on was taken for the present request's without a request id. A refusal that a faulty endpoint wrote once more before its answer became the promise. The fix: endpoints echo the request id (protocol), so that nothing without it is believed; the send counts as possibly run. A connection that has sent a response to another request is closed after the answer; before, it was reused (1 connection for 3 requests).

--- /dev/null
+++ b/tests/test_hostile_responses.py
@@ -0,0 +1,108 @@
+"""Endpoints that repeat refusals, break off within a response, or resume wrongly."""
+
+import pytest
+from routing_fleet import Reply, running_fleet
+
+from wigeonwind.routing.endpoint_connection import EndpointConnection
+from wigeonwind.standins.platform_worker import (
+    RawBytes,
+)
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nWorker-Signature: s\r\n"
+WHOLE = OK_HEAD + b"Content-Length: 5\r\n\r\nwhole"
+CHUNKED_WHOLE = (
+    OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n"
+)
+STREAM_HEAD = OK_HEAD + b"Content-Type: text/event-stream\r\n"
+OTHER_ID = b"Request-Id: 0123\r\n"
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b"id: %d\ndata: %d\n\n" % (number, number)
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of a chunked body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def refusal(status: int, id_line: bytes, body: bytes = b"") -> bytes:
+    """Return a response that says that a request was not run."""
+    head = b"HTTP/1.1 %d No\r\nNot-Executed: 1\r\n%s" % (status, id_line)
+    return head + b"Content-Length: %d\r\n\r\n%s" % (len(body), body)
+
+
+def promises_not_run(reply: Reply) -> bool:
+    """Return whether the caller was told that its request has not run."""
+    return reply.status in (408, 421, 429, 503)
+
+
+REFUSALS = [
+    refusal(status, id_line, body)
+    for status in (503, 429, 421, 400)
+    for id_line in (b"", OTHER_ID)
+    for body in (b"", b"full")
+]
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x", "/stream/x", "/resume/x"])
+@pytest.mark.parametrize("is_reused", [False, True])
+def test_a_repeated_refusal_before_the_answer_is_no_promise(path, is_reused):
+    # Guards against a request that ran and whose caller is told that it did not, or
+    # that runs a second time, because of a refusal that the endpoint wrote again.
+    for copy in REFUSALS:
+        for parts in (
+            (copy, WHOLE),
+            (copy + copy, WHOLE),
+            (copy[:20], copy[20:], WHOLE),
+        ):
+            with running_fleet(2) as fleet:
+                for worker in fleet.workers:
+                    if not is_reused:
+                        worker.default = RawBytes(parts, gap_ms=2.0)
+                if is_reused:
+                    for n in range(4):
+                        fleet.call("/safe/y", request_id=f"a{n}")
+                    for worker in fleet.workers:
+                        worker.default = RawBytes(parts, gap_ms=2.0)
+                before = fleet.received()
+                reply = fleet.call(path, "POST", b"abc", request_id="r1")
+                sends = fleet.received() - before
+            assert not promises_not_run(reply), (copy, parts)
+            assert (reply.status, reply.body) in ((200, b"whole"), (502, reply.body))
+            if path in ("/once/x", "/stream/x"):
+                assert sends == 1, (copy, parts)
+
+
+@pytest.mark.parametrize("copy", [refusal(503, b""), refusal(503, OTHER_ID)])
+def test_a_repeated_refusal_that_crosses_the_request_is_no_promise(copy, monkeypatch):
+    # Guards against the same if the copy arrives after the check for unread bytes and
+    # before the request is sent.
+    monkeypatch.setattr(EndpointConnection, "is_reusable", lambda self: True)
+    after_answer = RawBytes((WHOLE + copy[:30], copy[30:]), gap_ms=2.0)
+    with running_fleet(1) as fleet:
+        fleet.workers[0].default = after_answer
+        replies = [fleet.call("/once/x", request_id=f"r{n}") for n in range(4)]
+        assert fleet.received() == 4
+    for reply in replies:
+        assert (reply.status, reply.body) in ((200, b"whole"), (502, reply.body))
+
+
+def test_a_connection_with_a_response_to_another_request_is_not_reused():
+    # Guards against believing what follows on a connection that has sent a copy.
+    parts = (refusal(503, OTHER_ID) + WHOLE,)
+    with running_fleet(1, default_response=RawBytes(parts)) as fleet:
+        replies = [fleet.call("/once/x", request_id=f"r{n}") for n in range(3)]
+        assert fleet.workers[0].connection_count == 3
+    assert {reply.body for reply in replies} == {b"whole"}
+
+
+@pytest.mark.parametrize("status", [503, 429, 421, 400])
+@pytest.mark.parametrize("body", [b"", b"full"])
+def test_the_refusal_of_the_request_itself_is_a_promise(status, body):
+    # Guards against refusing to believe endpoints that are full.
+    refused = RawBytes((refusal(status, b"Request-Id: {id}\r\n", body),))
+    with running_fleet(1, default_response=refused) as fleet:
+        reply = fleet.call("/once/x", "POST", b"abc")
+    assert (reply.status, reply.headers["x-outcome"]) == (503, "not-run")
--- a/wigeonwind/routing/endpoint_connection.py
+++ b/wigeonwind/routing/endpoint_connection.py
@@ -38,8 +38,8 @@
     def __init__(self, endpoint: Endpoint, sock: gevent_socket.socket) -> None:
         self.endpoint = endpoint
         self.parser = ResponseParser()
-        self.is_fresh = True
-        """Whether the connection has not been used for an earlier request."""
+        self.has_sent_foreign_response = False
+        """Whether a response to another request has arrived; more may follow."""
         self.is_closed_by_endpoint = False
         """Whether the end of the input has been read."""
         self.usable_until_ms = float("inf")
@@ -101,7 +101,6 @@
         while idle:
             connection = idle.pop()
             if now_ms < connection.usable_until_ms and connection.is_reusable():
-                connection.is_fresh = False
                 return connection
             connection.close()
         return None
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -259,10 +259,11 @@
             metadata = self.context.header_codec.decode_response_headers(
                 response.headers
             )
-            if self._matches_request(connection, response, metadata):
+            if self._matches_request(metadata):
                 return self._relay_response(connection, send, response, metadata)
-            if not metadata.request_id and not connection.is_fresh:
-                return Broken("response without a request id on a reused connection")
+            if not metadata.request_id:
+                return Broken("response without a request id")
+            connection.has_sent_foreign_response = True
             self.context.log.info(
                 "discarded the response to another request",
                 request_id=self.metadata.request_id,
@@ -276,21 +277,13 @@
             f"more than {MAX_DISCARDED_RESPONSES} responses to other requests"
         )
 
-    def _matches_request(
-        self,
-        connection: EndpointConnection,
-        response: Response,
-        metadata: ResponseMetadata,
-    ) -> bool:
+    def _matches_request(self, metadata: ResponseMetadata) -> bool:
         """Return whether a response belongs to the request.
 
-        Only a response with a status from 300 on may lack the request id, and only on a
-        fresh connection: on a reused one it may be the late copy of an earlier answer,
-        such as the refusal of another request.
+        One without the request id may be the repeated refusal of another request,
+        also as the first response on a connection.
         """
-        if metadata.request_id:
-            return metadata.request_id == self.metadata.request_id
-        return response.status >= 300 and connection.is_fresh
+        return metadata.request_id == self.metadata.request_id
 
     def _discard_response(
         self, connection: EndpointConnection, send: Send, response: Response
@@ -501,10 +494,12 @@
     ) -> None:
         """Return the connection to the pool, or close it if it cannot be reused.
 
-        It cannot if bytes follow the response or the endpoint closes the connection.
+        It cannot if the endpoint has sent a response to another request, if bytes
+        follow the response, or if the endpoint closes the connection.
         """
         parser = connection.parser
         is_clean = not (parser.responses or parser.has_partial_message or parser.error)
+        is_clean = is_clean and not connection.has_sent_foreign_response
         if is_clean and parser.keeps_alive and not connection.is_closed_by_endpoint:
             self.context.pool.release(connection, keep_alive_ms(response))
         else:
--- a/wigeonwind/standins/platform_worker.py
+++ b/wigeonwind/standins/platform_worker.py
@@ -111,6 +111,19 @@
     pause_ms: float = 0.0
 
 
+@dataclass(frozen=True)
+class RawBytes:
+    """Sends `parts` one after the other, `gap_ms` apart, then ends as `end` says.
+
+    `{id}` in a part is replaced by the request id. With `end` "keep" the connection
+    stays open for the next request; "close" closes it, "reset" resets it.
+    """
+
+    parts: tuple[bytes, ...]
+    end: str = "keep"
+    gap_ms: float = 20.0
+
+
 Behaviour = (
     FullResponse
     | EchoRequestId
@@ -123,6 +136,7 @@
     | ExtraResponse
     | LateCopy
     | EndlessBytes
+    | RawBytes
 )
 
 
@@ -236,6 +250,15 @@
                 while True:
                     sock.sendall(repeated)
                     gevent.sleep(pause_ms / MS_PER_SECOND)
+            case RawBytes(parts, end, gap_ms):
+                for number, part in enumerate(parts):
+                    gevent.sleep(gap_ms / MS_PER_SECOND if number else 0.0)
+                    sock.sendall(part.replace(b"{id}", request_id.encode()))
+                if end == "reset":
+                    # A reset right after the bytes could discard them unread.
+                    gevent.sleep(gap_ms / MS_PER_SECOND)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+                return end == "keep"
             case ConnectionReset():
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
                 return False
