Routing: a request id in use again gets a connection of its own

What callers could see: "not run" for a request that runs, if a caller uses the id of an earlier, refused request again and the endpoint writes that refusal once more on the kept connection. Clients of the platform have an id for each attempt, and one request is never sent twice to one endpoint, so that this needs a caller at fault too. Cause: responses are matched by request id alone, and the pool did not know which ids a connection had carried. Evidence: test_a_request_id_in_use_again_gets_a_connection_of_its_own failed before (1 connection instead of 3). The fix: a connection remembers its latest 64 request ids and is closed if it would carry one of them again.

--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -106,3 +106,21 @@
     with running_fleet(1, default_response=refused) as fleet:
         reply = fleet.call("/once/x", "POST", b"abc")
     assert (reply.status, reply.headers["x-outcome"]) == (503, "not-run")
+
+
+def test_a_request_id_in_use_again_gets_a_connection_of_its_own():
+    # Guards against the repeated refusal of an earlier attempt with the same request
+    # id, which would be believed.
+    own = b"Request-Id: {id}\r\n"
+    with running_fleet(1) as fleet:
+        worker = fleet.workers[0]
+        worker.scripted.append(RawBytes((refusal(503, own),)))
+        assert fleet.call("/once/x", request_id="r1").status == 503
+        fleet.call("/once/x", request_id="r2")
+        assert worker.connection_count == 1
+        worker.default = RawBytes((WHOLE,))
+        for _ in range(2):
+            assert fleet.call("/once/x", request_id="r1").body == b"whole"
+        assert worker.connection_count == 3
+        assert fleet.call("/once/x", request_id="r3").body == b"whole"
+        assert worker.connection_count == 3
--- a/wigeonwind/routing/endpoint_connection.py
+++ b/wigeonwind/routing/endpoint_connection.py
@@ -1,6 +1,7 @@
 """Pooled connections to endpoints."""
 
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -21,6 +22,9 @@
 IDLE_MARGIN_MS = 500.0
 """A pooled connection is not used within this time before the endpoint closes it."""
 
+MAX_REMEMBERED_REQUESTS = 64
+"""Most request ids that a connection remembers, the latest ones."""
+
 MAX_IDLE_MS = 10_000.0
 """Longest idle time of a connection if the endpoint sends no Keep-Alive timeout."""
 
@@ -43,6 +47,8 @@
         self.is_closed_by_endpoint = False
         """Whether the end of the input has been read."""
         self.usable_until_ms = float("inf")
+        self.request_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_REQUESTS)
+        """Ids of the requests that the connection has carried."""
         self._sock = sock
 
     def send(self, data: bytes, timeout_ms: float) -> None:
@@ -94,13 +100,23 @@
         self._on_opened = on_opened
         self._idle_by_key: dict[EndpointKey, list[EndpointConnection]] = {}
 
-    def acquire_idle(self, endpoint: Endpoint) -> EndpointConnection | None:
-        """Take a reusable connection out of the pool, None if there is none."""
+    def acquire_idle(
+        self, endpoint: Endpoint, request_id: str
+    ) -> EndpointConnection | None:
+        """Take a reusable connection out of the pool, None if there is none.
+
+        One that has carried a request with the same id is closed: a repeated response
+        to that request would be taken for the response to this one.
+        """
         idle = self._idle_by_key.get(endpoint.key)
         now_ms = self._clock.now_ms()
         while idle:
             connection = idle.pop()
-            if now_ms < connection.usable_until_ms and connection.is_reusable():
+            if (
+                now_ms < connection.usable_until_ms
+                and request_id not in connection.request_ids
+                and connection.is_reusable()
+            ):
                 return connection
             connection.close()
         return None
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -225,7 +225,9 @@
         return outcome
 
     def _connect(self, endpoint: Endpoint) -> EndpointConnection | ConnectFailure:
-        connection = self.context.pool.acquire_idle(endpoint)
+        connection = self.context.pool.acquire_idle(
+            endpoint, self.metadata.request_id
+        )
         return connection or self.context.pool.open(endpoint)
 
     def _record_outcome(self, send: Send, outcome: SendOutcome) -> None:
@@ -240,6 +242,7 @@
         self, connection: EndpointConnection, send: Send, remaining_ms: float
     ) -> SendOutcome:
         """Write the request, then read responses until the one that belongs to it."""
+        connection.request_ids.append(self.metadata.request_id)
         try:
             connection.send(
                 self._request_bytes(connection.endpoint, remaining_ms), remaining_ms
