Routing: the headers of two responses are no head

Cause: an endpoint that stops in the middle of a header's value and writes an earlier response next makes a head that is valid HTTP: the second status line becomes part of the value, the first status stands, and Content-Length and Not-Executed are those of the earlier response. Nor was a success with Not-Executed or with two request ids refused. Evidence: test_a_second_head_within_a_head_is_no_response failed before in 6 of 20 cases (200 with an empty body, or 503 not run), test_a_success_that_contradicts_itself_is_no_answer in 3 of 3. The fix: a status line within a reason phrase or a header's value is a parse error; a response with two different request ids has none; a success with Not-Executed is no answer. The request counts as possibly run.

--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -124,3 +124,43 @@
         assert worker.connection_count == 3
         assert fleet.call("/once/x", request_id="r3").body == b"whole"
         assert worker.connection_count == 3
+
+
+HEAD_CUTS = [
+    b"Request-Id: {id}\r\nWorker-Signature: s\r\nX: ",
+    b"Request-Id: {id}\r\nWorker-Signature: s",
+    b"Worker-Signature: s\r\nRequest-Id: {id}\r\nX-A: b",
+    b"Request-Id: {id}\r\nWorker-Signature: s\r\nX-A: b\r\n",
+    b"Request-Id: {id}\r\nWorker-Signature: s\r\nX-A",
+]
+
+
+@pytest.mark.parametrize("cut", HEAD_CUTS)
+@pytest.mark.parametrize("id_line", [b"", OTHER_ID])
+@pytest.mark.parametrize("not_executed", [b"", b"Not-Executed: 1\r\n"])
+def test_a_second_head_within_a_head_is_no_response(cut, id_line, not_executed):
+    # Guards against a head that stops midway and goes on with an earlier response:
+    # the headers of both make a 200 with an empty body, or a false promise.
+    second = b"HTTP/1.1 503 No\r\n" + not_executed + id_line
+    second += b"Content-Length: 0\r\n\r\n"
+    mixed = RawBytes((b"HTTP/1.1 200 OK\r\n" + cut, second), "close", gap_ms=1.0)
+    with running_fleet(1, default_response=mixed) as fleet:
+        reply = fleet.call("/once/x", "POST", b"abc")
+    assert (reply.status, reply.headers["x-outcome"]) == (502, "unknown")
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"Request-Id: 0123\r\nRequest-Id: {id}\r\n",
+        b"Request-Id: {id}\r\nRequest-Id: 0123\r\n",
+        b"Request-Id: {id}\r\nNot-Executed: 1\r\n",
+    ],
+)
+def test_a_success_that_contradicts_itself_is_no_answer(headers):
+    # Guards against taking headers of two responses for one.
+    head = b"HTTP/1.1 200 OK\r\nWorker-Signature: s\r\nContent-Length: 5\r\n"
+    parts = (head + headers + b"\r\nwhole",)
+    with running_fleet(1, default_response=RawBytes(parts)) as fleet:
+        reply = fleet.call("/once/x", "POST", b"abc")
+    assert (reply.status, reply.headers["x-outcome"]) == (502, "unknown")
--- a/wigeonwind/platform/headers.py
+++ b/wigeonwind/platform/headers.py
@@ -89,8 +89,14 @@
         return b"".join(lines)
 
     def decode_response_headers(self, headers: Sequence[Header]) -> ResponseMetadata:
-        """Decode the headers of an endpoint's response."""
+        """Decode the headers of an endpoint's response.
+
+        A response with two request ids has none: nobody knows to whom it belongs.
+        """
         by_name = {name.lower(): value for name, value in headers}
+        request_ids = {each[1] for each in headers if each[0].lower() == REQUEST_ID}
+        if len(request_ids) > 1:
+            by_name[REQUEST_ID] = b""
         dropped = FRAMING_HEADERS | HOP_HEADERS
         dropped |= _connection_options(by_name.get(b"connection", b""))
         content_type = by_name.get(b"content-type", b"")
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -392,6 +392,8 @@
         is_success = 200 <= response.status < 300
         if is_success and (not metadata.is_signed or metadata.is_encoded):
             return Broken("success response that is unsigned or has a content encoding")
+        if is_success and metadata.was_not_run:
+            return Broken("success response that says that the request was not run")
         if is_success and metadata.is_event_stream:
             return self._relay_stream(connection, send, response, metadata)
         body = self._read_full_body(connection, send, response)
--- a/wigeonwind/routing/response_parser.py
+++ b/wigeonwind/routing/response_parser.py
@@ -1,5 +1,6 @@
 """Incremental parsing of the HTTP responses of endpoints."""
 
+import re
 from collections import deque
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
@@ -13,6 +14,10 @@
 
 BODYLESS_STATUSES = (204, 304)
 
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
+"""Start of a response. Within a header it shows that an endpoint has stopped in the
+middle of a head and gone on with another response."""
+
 
 class Response:
     """One response; `body` holds the bytes received since the last `take_body`."""
@@ -104,9 +109,15 @@
         """Add a final response to `responses` (parser callback)."""
         self._response.status = self._parser.get_status_code()
         self.keeps_alive = self._parser.should_keep_alive()
+        if self._has_second_head():
+            raise ValueError("a second head within the head of a response")
         if self._response.status >= FIRST_FINAL_STATUS:
             self.responses.append(self._response)
 
+    def _has_second_head(self) -> bool:
+        values = [value for _, value in self._response.headers]
+        return any(map(STATUS_LINE.search, [self._response.reason, *values]))
+
     def on_body(self, body: bytes) -> None:
         """Append to the body (parser callback)."""
         self._framing_bytes = 0
