Routing: a response within the body of a response is no answer

What callers saw: a 200, framed as whole, whose body holds the bytes of an earlier response (MIXED). Cause: an endpoint that writes an earlier response in the middle of a body with a length fills the announced length with it. The rest of the body then follows the response; the connection was closed, but the body was delivered. Evidence: test_a_copy_within_a_response_at_any_byte_never_looks_whole, which puts a copy at each byte of five responses, failed before for bodies with a length (body b"HTTP/" instead of b"whole"). The responses that stop at each byte of the head, the chunks and the body, with FIN and with RST, passed before: a short head or body was never framed as whole. The fix: a body that contains a status line, or ends within one, is no answer if bytes follow that are no response. It is not recognised if the rest of the body arrives later than the read that completes the length.

--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -164,3 +164,62 @@
     with running_fleet(1, default_response=RawBytes(parts)) as fleet:
         reply = fleet.call("/once/x", "POST", b"abc")
     assert (reply.status, reply.headers["x-outcome"]) == (502, "unknown")
+
+
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n"
+TWO_EVENTS = event(1) + event(2)
+FRAMED = {
+    "length": WHOLE,
+    "chunks": CHUNKED_WHOLE,
+    "after interim responses": INTERIM + WHOLE,
+    "stream in chunks": STREAM_HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + chunk(event(1) + b"id: 2\n")
+    + chunk(b"data: 2\n\n")
+    + b"0\r\n\r\n",
+    "stream with length": STREAM_HEAD
+    + b"Content-Length: %d\r\n\r\n" % len(TWO_EVENTS)
+    + TWO_EVENTS,
+}
+
+
+@pytest.mark.parametrize("framing", FRAMED)
+@pytest.mark.parametrize(
+    "end, is_reused", [("close", False), ("close", True), ("reset", False)]
+)
+def test_a_response_that_stops_at_any_byte_never_looks_whole(framing, end, is_reused):
+    # Guards against an empty or short body, framed as whole, and against a stream that
+    # ends as if it were complete.
+    response = FRAMED[framing]
+    gap_ms = 1.0 if end == "reset" else 0.0
+    with running_fleet(1) as fleet:
+        worker = fleet.workers[0]
+        for cut in range(len(response)):
+            if is_reused:
+                fleet.call("/safe/x", request_id=f"a{cut}")
+            worker.scripted.append(RawBytes((response[:cut],), end, gap_ms))
+            reply = fleet.call("/stream/x", "POST", b"abc", request_id=f"r{cut}")
+            assert not (reply.status == 200 and reply.is_whole), cut
+            assert not promises_not_run(reply), cut
+            if reply.status == 200:
+                assert reply.body in (event(1), TWO_EVENTS), cut
+        worker.scripted.append(RawBytes((response,), end, 5.0))
+        assert fleet.call("/stream/x", "POST", b"abc").is_whole
+
+
+@pytest.mark.parametrize("framing", FRAMED)
+@pytest.mark.parametrize("copy", [refusal(503, b""), refusal(503, OTHER_ID), WHOLE])
+def test_a_copy_within_a_response_at_any_byte_never_looks_whole(framing, copy):
+    # Guards against a response of another request in the middle of a body or a stream.
+    response = FRAMED[framing]
+    copy = copy.replace(b"{id}", b"0123")
+    with running_fleet(1) as fleet:
+        worker = fleet.workers[0]
+        for cut in range(1, len(response)):
+            mixed = response[:cut] + copy + response[cut:]
+            worker.scripted.append(RawBytes((mixed,), "close", 0.0))
+            reply = fleet.call("/stream/x", "POST", b"abc", request_id=f"r{cut}")
+            assert not promises_not_run(reply), cut
+            if reply.status == 200:
+                bodies = (b"whole",) if reply.is_whole else (b"", event(1))
+                assert reply.body in (*bodies, TWO_EVENTS), cut
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -20,7 +20,11 @@
     MAX_BUFFERED_BODY_BYTES,
     MAX_DISCARDED_RESPONSES,
 )
-from wigeonwind.routing.response_parser import Response, keep_alive_ms
+from wigeonwind.routing.response_parser import (
+    Response,
+    has_head_within,
+    keep_alive_ms,
+)
 from wigeonwind.routing.routed_request import RoutedRequest
 from wigeonwind.routing.send_outcomes import (
     Broken,
@@ -225,9 +229,7 @@
         return outcome
 
     def _connect(self, endpoint: Endpoint) -> EndpointConnection | ConnectFailure:
-        connection = self.context.pool.acquire_idle(
-            endpoint, self.metadata.request_id
-        )
+        connection = self.context.pool.acquire_idle(endpoint, self.metadata.request_id)
         return connection or self.context.pool.open(endpoint)
 
     def _record_outcome(self, send: Send, outcome: SendOutcome) -> None:
@@ -407,6 +409,9 @@
             return NotRun(reason, was_sent=True, is_misdirected=is_misdirected)
         if not metadata.is_signed:
             return Broken(f"unsigned response with status {response.status}")
+        if connection.parser.error and has_head_within(body):
+            # The bytes that follow are the rest of the body.
+            return Broken("another response within the body of a response")
         response.body.append(body)
         if response.status >= 500:
             return Failed(response, metadata)
--- a/wigeonwind/routing/response_parser.py
+++ b/wigeonwind/routing/response_parser.py
@@ -19,6 +19,20 @@
 middle of a head and gone on with another response."""
 
 
+STATUS_LINE_PREFIXES = tuple(b"HTTP/1.1"[:length] for length in range(1, 9))
+
+
+def has_head_within(body: bytes) -> bool:
+    """Return whether a body contains the head of a response or ends within one.
+
+    >>> has_head_within(b"firstHTTP/1.1 503 No"), has_head_within(b"firstHT")
+    (True, True)
+    >>> has_head_within(b"first")
+    False
+    """
+    return bool(STATUS_LINE.search(body)) or body.endswith(STATUS_LINE_PREFIXES)
+
+
 class Response:
     """One response; `body` holds the bytes received since the last `take_body`."""
 
