Routing: a stream to an HTTP/1.0 caller that breaks off ends with a reset

Callers of HTTP/1.1 were not concerned: their last chunk was missing. Cause: `abort` prepares a reset, but the exchange takes its exception as handled, and `_serve_requests` then closed the connection gracefully: a regular end (FIN) went out first, which is the end of a body without length. The fix: a connection whose response was cut off is not closed gracefully.

--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -1,7 +1,10 @@
 """Endpoints that repeat refusals, break off within a response, or resume wrongly."""
 
+from collections import deque
+from socket import socket
+
 import pytest
-from routing_fleet import Reply, running_fleet
+from routing_fleet import Reply, request_bytes, running_fleet
 
 from wigeonwind.routing.endpoint_connection import EndpointConnection
 from wigeonwind.standins.platform_worker import (
@@ -17,6 +20,17 @@
 OTHER_ID = b"Request-Id: 0123\r\n"
 
 
+def read_to_end(sock: socket) -> tuple[bytes, bool]:
+    """Return what is received up to the end, and whether that is a reset."""
+    received = b""
+    try:
+        while data := sock.recv(65_536):
+            received += data
+    except ConnectionResetError:
+        return received, True
+    return received, False
+
+
 def event(number: int) -> bytes:
     """Return one event of a stream."""
     return b"id: %d\ndata: %d\n\n" % (number, number)
@@ -223,3 +237,49 @@
             if reply.status == 200:
                 bodies = (b"whole",) if reply.is_whole else (b"", event(1))
                 assert reply.body in (*bodies, TWO_EVENTS), cut
+
+
+BEGUN = STREAM_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunk(event(1) + event(2))
+SECOND_RESPONSES = {
+    "signed 500": b"HTTP/1.1 500 No\r\nRequest-Id: {id}\r\nWorker-Signature: s\r\n"
+    b"Content-Length: 5\r\n\r\nerror",
+    "signed 404": b"HTTP/1.1 404 No\r\nRequest-Id: {id}\r\nWorker-Signature: s\r\n"
+    b"Content-Length: 5\r\n\r\nerror",
+    "unsigned 500": b"HTTP/1.1 500 No\r\nRequest-Id: {id}\r\n"
+    b"Content-Length: 5\r\n\r\nerror",
+    "refusal": refusal(503, b"Request-Id: {id}\r\n", b"error"),
+    "misdirected": refusal(421, b"Request-Id: {id}\r\n", b"error"),
+    "whole": WHOLE,
+    "unsigned stream": STREAM_HEAD.replace(b"Worker-Signature: s\r\n", b"")
+    + b"Content-Length: 14\r\n\r\nid: 3\ndata: 3\n\n",
+    "encoded stream": STREAM_HEAD
+    + b"Content-Encoding: gzip\r\nContent-Length: 14\r\n\r\nid: 3\ndata: 3\n\n",
+    "broken head": b"HTTP/1.1 500 Internal Server Err",
+}
+
+
+@pytest.mark.parametrize("http10", [False, True])
+@pytest.mark.parametrize("what", SECOND_RESPONSES)
+def test_an_error_after_a_stream_has_begun_is_not_relayed(what, http10):
+    # Guards against the text or head of an error, or events of another run, in the
+    # middle of a stream, and against a stream that ends as if it were complete.
+    with running_fleet(2) as fleet:
+        second = RawBytes((SECOND_RESPONSES[what],), "close", 0.0)
+        scripts = deque((RawBytes((BEGUN + b"3\r\nid:",), "close", 0.0), second))
+        for worker in fleet.workers:
+            worker.scripted = scripts
+        data = request_bytes("/resume/x", "POST", b"abc")
+        if http10:
+            data = data.replace(b"HTTP/1.1", b"HTTP/1.0", 1)
+        with fleet.connect() as sock:
+            sock.sendall(data)
+            received, is_reset = read_to_end(sock)
+        assert not scripts
+    head, _, body = received.partition(b"\r\n\r\n")
+    begun = [event(1) + event(2)]
+    if http10:
+        # The reset, which shows that the stream is cut off, may discard bytes.
+        assert is_reset and body in (b"", begun[0], b"".join(begun))
+    else:
+        assert head.startswith(b"HTTP/1.1 200")
+        assert body == b"".join(map(chunk, begun))
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -278,7 +278,13 @@
             raise CallerDisconnectedError(str(error)) from error
 
     def _close_gracefully(self) -> None:
-        """Close the write side first, so that the response is not lost to a reset."""
+        """Close the write side first, so that the response is not lost to a reset.
+
+        Without effect after `abort`: the end of a body without length would look like
+        its regular end.
+        """
+        if self.was_aborted:
+            return
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
