Routing: only events that go on where a stream broke off follow in it

Cause: the splitter relayed all bytes up to an empty line, skipped known ids of a run that had started again and joined its later events, and did not notice a gap at the joint. Evidence: test_an_error_after_a_stream_has_begun_is_not_relayed failed before for "error text", "head in the stream", "started again" and "skipped events" (HTTP/1.1 and 1.0). The fix: text that is no field or comment line ends the run; so does a resumed run that begins at 1, or beyond the next id if ids have had no gaps so far. Ids need only increase (protocol), so gaps within a run are relayed, and one at the joint as well if there were gaps before it; events that a resumed run repeats are skipped as before.

--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -7,6 +7,7 @@
 from routing_fleet import Reply, request_bytes, running_fleet
 
 from wigeonwind.routing.endpoint_connection import EndpointConnection
+from wigeonwind.routing.event_stream import EventSplitter
 from wigeonwind.standins.platform_worker import (
     RawBytes,
 )
@@ -255,6 +256,22 @@
     "encoded stream": STREAM_HEAD
     + b"Content-Encoding: gzip\r\nContent-Length: 14\r\n\r\nid: 3\ndata: 3\n\n",
     "broken head": b"HTTP/1.1 500 Internal Server Err",
+    "error text": STREAM_HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + chunk(b"Internal Server Error\n\n")
+    + b"0\r\n\r\n",
+    "head in the stream": STREAM_HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + chunk(event(3) + b"HTTP/1.1 503 No\nNot-Executed: 1\n\n")
+    + b"0\r\n\r\n",
+    "started again": STREAM_HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + chunk(b"".join(map(event, range(1, 6))))
+    + b"0\r\n\r\n",
+    "skipped events": STREAM_HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n"
+    + chunk(event(4) + event(5))
+    + b"0\r\n\r\n",
 }
 
 
@@ -277,9 +294,25 @@
         assert not scripts
     head, _, body = received.partition(b"\r\n\r\n")
     begun = [event(1) + event(2)]
+    if what == "head in the stream":
+        begun.append(event(3))
     if http10:
         # The reset, which shows that the stream is cut off, may discard bytes.
         assert is_reset and body in (b"", begun[0], b"".join(begun))
     else:
         assert head.startswith(b"HTTP/1.1 200")
         assert body == b"".join(map(chunk, begun))
+
+
+def test_ids_with_gaps_and_repeated_events_are_resumed():
+    # Guards against refusing streams whose ids only increase, or whose resumption
+    # repeats the last event.
+    splitter = EventSplitter()
+    assert splitter.feed(event(1) + event(4)) == event(1) + event(4)
+    splitter.begin_run()
+    assert splitter.feed(event(4) + event(9)) == event(9)
+    assert not splitter.error
+    splitter = EventSplitter(last_id=7)
+    splitter.begin_run()
+    assert splitter.feed(event(9) + b": ping\n\n") and not splitter.error
+    assert splitter.can_resume
--- a/wigeonwind/routing/event_stream.py
+++ b/wigeonwind/routing/event_stream.py
@@ -1,20 +1,33 @@
 """Splitting of server-sent events, so that another endpoint can resume a stream."""
 
+import re
+from collections.abc import Iterator
+
 MAX_EVENT_BYTES = 1_000_000
 """Largest partial event that is buffered; an engine's event holds a few tokens."""
 
 EVENT_END = b"\n\n"
 """The empty line that ends an event."""
 
+COMMENT = b":"
+"""Prefix of a comment line, which keeps a connection in use and is no event."""
+
 ID_FIELD = b"id:"
 """Prefix of the line with the id of an event."""
 
+FIRST_ID = 1
+"""Id of the first event of a stream; later events have higher ids."""
+
+EVENT = re.compile(rb"(?:[\w.-]*(?::[^\n]*)?\r?(?:\n|\Z))*")
+"""Lines of an event: fields and comments, not other text such as an error message."""
+
 
 class EventSplitter:
     r"""Returns complete events only, and keeps the id of the last one.
 
     Events with ids up to `last_id` are skipped, because an endpoint that resumes a
-    stream may repeat them.
+    stream may repeat them. `error` is set at bytes that are no event, and where a
+    resumed stream does not go on after `last_id`; all that follows is discarded.
 
     >>> events = EventSplitter(last_id=1)
     >>> events.feed(b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3")
@@ -25,7 +38,21 @@
 
     def __init__(self, last_id: int | None = None) -> None:
         self.last_id = last_id
+        self.can_resume = True
+        """Whether the last event had an id, after which a stream can be resumed."""
+        self.error = ""
         self._partial_event = b""
+        self._is_first_of_run = False
+        self._has_steps = False
+        """Whether an id was followed by the next number."""
+        self._has_gaps = False
+        """Whether ids were left out within a run, as ids need only increase."""
+
+    def begin_run(self) -> None:
+        """Start the stream of another endpoint, which resumes after `last_id`."""
+        self.discard_partial_event()
+        self.error = ""
+        self._is_first_of_run = self.last_id is not None
 
     @property
     def has_partial_event(self) -> bool:
@@ -49,17 +76,42 @@
             raise ValueError(f"an event is too long: over {MAX_EVENT_BYTES} bytes")
         if not separator:
             return b""
-        events = head.split(EVENT_END)
-        return b"".join(event + separator for event in events if self._is_new(event))
-
-    def _is_new(self, event: bytes) -> bool:
-        event_id = _event_id(event)
-        if event_id is None:
-            return True
-        if self.last_id is not None and event_id <= self.last_id:
-            return False
-        self.last_id = event_id
-        return True
+        return b"".join(
+            event + separator for event in self._new_events(head.split(EVENT_END))
+        )
+
+    def _new_events(self, events: list[bytes]) -> Iterator[bytes]:
+        for event in events:
+            if not self.error and not EVENT.fullmatch(event):
+                self.error = "the stream contains bytes that are no event"
+            event_id = _event_id(event)
+            if event_id is not None:
+                self._check_id(event_id)
+            if self.error:
+                return
+            if event_id is None:
+                self.can_resume = self.can_resume and event.startswith(COMMENT)
+                yield event
+            elif self.last_id is None or event_id > self.last_id:
+                self.last_id = event_id
+                self.can_resume = True
+                yield event
+
+    def _check_id(self, event_id: int) -> None:
+        """Check that an event does not start a stream again or leave out events."""
+        last_id = self.last_id if self.last_id is not None else FIRST_ID - 1
+        has_gap = event_id > last_id + 1
+        if self._is_first_of_run:
+            self._is_first_of_run = False
+            if event_id <= min(FIRST_ID, last_id):
+                self.error = (
+                    f"the stream was to resume after {last_id} and started again"
+                )
+            elif has_gap and self._has_steps and not self._has_gaps:
+                self.error = f"the resumed stream lacks the events after {last_id}"
+        elif event_id > last_id:
+            self._has_gaps = self._has_gaps or has_gap
+            self._has_steps = self._has_steps or not has_gap
 
 
 def _event_id(event: bytes) -> int | None:
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -457,7 +457,7 @@
         metadata: ResponseMetadata,
     ) -> SendOutcome:
         """Relay complete events as they arrive."""
-        self._events.discard_partial_event()
+        self._events.begin_run()
         while True:
             try:
                 events = self._events.feed(response.take_body())
@@ -465,6 +465,8 @@
                 return Broken(str(error))
             if events:
                 self._relay_events(send, response, metadata, events)
+            if self._events.error:
+                return Broken(self._events.error)
             if response.is_complete:
                 break
             outcome = self._receive_body(connection, send, response)
