Routing: a stream that cannot be resumed is not sent again once it has begun

What callers saw: events of two runs in one stream (ORDER), on a route that may be repeated but whose streams are not resumed, or if the last event had no number as its id. Cause: a repeatable request was sent again after its stream had begun, without Last-Event-Id. Evidence: test_a_stream_that_cannot_be_resumed_is_not_sent_again failed before in all three cases (two sends). The fix: such a send fails before the request is written, and the caller's stream is cut off.

--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -9,6 +9,7 @@
 from wigeonwind.routing.endpoint_connection import EndpointConnection
 from wigeonwind.routing.event_stream import EventSplitter
 from wigeonwind.standins.platform_worker import (
+    EventStream,
     RawBytes,
 )
 
@@ -304,6 +305,23 @@
         assert body == b"".join(map(chunk, begun))
 
 
+@pytest.mark.parametrize(
+    "path, begun",
+    [("/safe/x", event(1)), ("/resume/x", b"data: 1\n\n"), ("/resume/x", b"id: a\n\n")],
+)
+def test_a_stream_that_cannot_be_resumed_is_not_sent_again(path, begun):
+    # Guards against the events of two runs in one stream: a route whose streams are
+    # not resumed, or a last event without an id after which to resume.
+    head = STREAM_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+    scripts = deque((RawBytes((head + chunk(begun),), "close", 0.0),))
+    with running_fleet(2, default_response=EventStream()) as fleet:
+        for worker in fleet.workers:
+            worker.scripted = scripts
+        reply = fleet.call(path, "POST", b"abc")
+        assert fleet.received() == 1
+    assert (reply.body, reply.is_whole) == (begun, False)
+
+
 def test_ids_with_gaps_and_repeated_events_are_resumed():
     # Guards against refusing streams whose ids only increase, or whose resumption
     # repeats the last event.
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -244,6 +244,8 @@
         self, connection: EndpointConnection, send: Send, remaining_ms: float
     ) -> SendOutcome:
         """Write the request, then read responses until the one that belongs to it."""
+        if self.caller.head_sent and not self._can_resume():
+            return Broken("the stream that has begun cannot be resumed")
         connection.request_ids.append(self.metadata.request_id)
         try:
             connection.send(
@@ -282,6 +284,10 @@
             f"more than {MAX_DISCARDED_RESPONSES} responses to other requests"
         )
 
+    def _can_resume(self) -> bool:
+        """Return whether a new run can go on after what the caller has received."""
+        return self.route.is_stream and self._events.can_resume
+
     def _matches_request(self, metadata: ResponseMetadata) -> bool:
         """Return whether a response belongs to the request.
 
