Routing: a response that ends with its head is not whole

Cause: a body that ends with its connection was complete at any end, also before its first byte. Evidence: test_a_response_that_ends_with_its_head_is_not_whole failed before in all 6 cases. Bodies without a length were whole after FIN only, and a 502 after a reset, before as now (test_a_body_that_ends_with_its_connection_...). The fix: without a single byte of the body, such a response is no answer, and the request may have run.

--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -4,7 +4,7 @@
 from socket import socket
 
 import pytest
-from routing_fleet import Reply, request_bytes, running_fleet
+from routing_fleet import Reply, RoutingFleet, request_bytes, running_fleet
 
 from wigeonwind.routing.endpoint_connection import EndpointConnection
 from wigeonwind.routing.event_stream import EventSplitter
@@ -334,3 +334,40 @@
     splitter.begin_run()
     assert splitter.feed(event(9) + b": ping\n\n") and not splitter.error
     assert splitter.can_resume
+
+
+def call_http10(fleet: RoutingFleet, path: str) -> tuple[bytes, bytes, bool]:
+    """Return head and body that a caller of HTTP/1.0 receives, and if it is reset."""
+    data = request_bytes(path, "POST", b"abc").replace(b"HTTP/1.1", b"HTTP/1.0", 1)
+    with fleet.connect() as sock:
+        sock.sendall(data)
+        received, is_reset = read_to_end(sock)
+    head, _, body = received.partition(b"\r\n\r\n")
+    return head, body, is_reset
+
+
+@pytest.mark.parametrize("head", [OK_HEAD, OK_HEAD.replace(b"1.1", b"1.0", 1)])
+def test_a_body_that_ends_with_its_connection_is_whole_only_after_fin(head):
+    # Guards against a short body, framed as whole, after a reset.
+    whole = head + b"\r\nwhole"
+    with running_fleet(1) as fleet:
+        worker = fleet.workers[0]
+        for end, expected in (("close", 200), ("reset", 502)):
+            worker.default = RawBytes((whole[:-2], whole[-2:]), end, 5.0)
+            reply = fleet.call("/once/x", "POST", b"abc")
+            assert (reply.status, reply.is_whole) == (expected, True)
+            http10_head, body, _ = call_http10(fleet, "/once/x")
+            assert b" %d " % expected in http10_head
+            assert expected == 502 or body == reply.body == b"whole"
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"404 No", b"500 No"])
+@pytest.mark.parametrize("content_type", [b"", b"Content-Type: text/event-stream\r\n"])
+def test_a_response_that_ends_with_its_head_is_not_whole(status, content_type):
+    # Guards against an empty body, framed as whole, of an endpoint that stopped after
+    # its head, which announced no length.
+    head = OK_HEAD.replace(b"200 OK", status) + content_type + b"\r\n"
+    with running_fleet(1, default_response=RawBytes((head,), "close")) as fleet:
+        for path in ("/once/x", "/stream/x"):
+            reply = fleet.call(path, "POST", b"abc")
+            assert (reply.status, reply.headers["x-outcome"]) == (502, "unknown")
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -415,6 +415,8 @@
             return NotRun(reason, was_sent=True, is_misdirected=is_misdirected)
         if not metadata.is_signed:
             return Broken(f"unsigned response with status {response.status}")
+        if response.ends_with_head:
+            return Broken("the endpoint closed the connection after the head")
         if connection.parser.error and has_head_within(body):
             # The bytes that follow are the rest of the body.
             return Broken("another response within the body of a response")
@@ -480,6 +482,8 @@
                 return outcome
         if self._events.has_partial_event:
             return Broken("the stream ended with a partial event")
+        if response.ends_with_head:
+            return Broken("the endpoint closed the connection after the head")
         if not self.caller.head_sent:
             self.caller.send_head(
                 response.status, response.reason, metadata.forwarded_headers, b""
--- a/wigeonwind/routing/response_parser.py
+++ b/wigeonwind/routing/response_parser.py
@@ -36,10 +36,12 @@
 class Response:
     """One response; `body` holds the bytes received since the last `take_body`."""
 
-    __slots__ = ("body", "headers", "is_complete", "reason", "status")
+    __slots__ = ("body", "headers", "is_complete", "is_empty", "reason", "status")
 
     def __init__(self) -> None:
         self.status = 0
+        self.is_empty = True
+        """Whether no byte of the body has been received."""
         self.reason = b""
         self.headers: list[Header] = []
         self.body: list[bytes] = []
@@ -58,6 +60,14 @@
         has_length = b"content-length" in names or b"transfer-encoding" in names
         return not has_length and self.status not in BODYLESS_STATUSES
 
+    @property
+    def ends_with_head(self) -> bool:
+        """Return whether the connection was closed where a body without length begins.
+
+        The endpoint may have stopped there, so the response is not known to be whole.
+        """
+        return self.is_complete and self.is_empty and self.is_delimited_by_close
+
 
 class ResponseParser:
     r"""Parses the responses of one connection; interim responses are skipped.
@@ -136,6 +146,7 @@
         """Append to the body (parser callback)."""
         self._framing_bytes = 0
         self._response.body.append(body)
+        self._response.is_empty = False
 
     def on_message_complete(self) -> None:
         """Mark the response as complete (parser callback)."""
