Routing: recognise event streams in any case, and none under a status without a body

Cause: the media type was compared with regard to case, the status not at all. Evidence: test_a_stream_that_ends_within_an_event_is_broken_off failed before for Text/Event-Stream (close and reset), and passed in lower case at each byte of an event; test_a_stream_without_content_has_no_chunks failed before.

--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -371,3 +371,28 @@
         for path in ("/once/x", "/stream/x"):
             reply = fleet.call(path, "POST", b"abc")
             assert (reply.status, reply.headers["x-outcome"]) == (502, "unknown")
+
+
+@pytest.mark.parametrize("content_type", [b"text/event-stream", b"Text/Event-Stream"])
+@pytest.mark.parametrize("end", ["close", "reset"])
+def test_a_stream_that_ends_within_an_event_is_broken_off(content_type, end):
+    # Guards against a partial event, and against an end that looks regular.
+    head = OK_HEAD + b"Content-Type: %s;charset=utf-8\r\n\r\n" % content_type
+    second = event(2)
+    with running_fleet(1) as fleet:
+        for cut in range(1, len(second)):
+            parts = (head + event(1), second[:cut])
+            fleet.workers[0].default = RawBytes(parts, end, 1.0)
+            reply = fleet.call("/stream/x", "POST", b"abc")
+            assert (reply.status, reply.body, reply.is_whole) == (200, event(1), False)
+            _, body, is_reset = call_http10(fleet, "/stream/x")
+            assert is_reset and body in (b"", event(1))
+
+
+def test_a_stream_without_content_has_no_chunks():
+    # Guards against bytes of a body after a status that never has one.
+    parts = (STREAM_HEAD.replace(b"200 OK", b"204 No Content") + b"\r\n",)
+    with running_fleet(1, default_response=RawBytes(parts)) as fleet:
+        reply = fleet.call("/stream/x", "POST", b"abc")
+    assert (reply.status, reply.body) == (204, b"")
+    assert "transfer-encoding" not in reply.headers
--- a/wigeonwind/platform/headers.py
+++ b/wigeonwind/platform/headers.py
@@ -104,7 +104,7 @@
             by_name.get(REQUEST_ID, b"").decode("latin-1"),
             WORKER_SIGNATURE in by_name,
             NOT_EXECUTED in by_name,
-            content_type.startswith(b"text/event-stream"),
+            content_type.lower().startswith(b"text/event-stream"),
             b"content-encoding" in by_name,
             tuple(each for each in headers if each[0].lower() not in dropped),
         )
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -21,6 +21,7 @@
     MAX_DISCARDED_RESPONSES,
 )
 from wigeonwind.routing.response_parser import (
+    BODYLESS_STATUSES,
     Response,
     has_head_within,
     keep_alive_ms,
@@ -402,7 +403,8 @@
             return Broken("success response that is unsigned or has a content encoding")
         if is_success and metadata.was_not_run:
             return Broken("success response that says that the request was not run")
-        if is_success and metadata.is_event_stream:
+        has_body = response.status not in BODYLESS_STATUSES
+        if is_success and has_body and metadata.is_event_stream:
             return self._relay_stream(connection, send, response, metadata)
         body = self._read_full_body(connection, send, response)
         if not isinstance(body, bytes):
