Sidecar: what follows a response on its connection is not part of it

What callers saw: the status and headers of an earlier response that the endpoint wrote once more, with the bodies of both (MIXED); for an engine, a stream that followed a refusal counted as the answer. A response without a length and without a body was whole, and an engine's command that had no more than a head in reply counted as executed. Cause: geventhttpclient's response parser starts anew at the next response and keeps the body buffer; it accepts a status line within a header, heads of any length, and any end of a body without length. Responses and token streams that stop at each byte, with FIN and RST, were failures before as now, and reported as started: no response of an endpoint says that a request was not run. The fix: the sidecar reads with `routing.response_parser`, takes the first response alone, and an aborted connection is never the end of a body.

--- a/wigeonwind/side/endpoint_http.py
+++ b/wigeonwind/side/endpoint_http.py
@@ -2,8 +2,9 @@
 
 geventhttpclient retries some requests by itself if a pooled connection turns out to be
 closed. Requests that may run only once must not be retried, so each request opens a
-new connection, which takes a fraction of a millisecond on the VM of the endpoint. The
-request builder and response parser of the library are used without its connection pool.
+new connection, which takes a fraction of a millisecond on the VM of the endpoint. Only
+the request builder of the library is used: its response parser joins a response with
+what follows it on the connection.
 """
 
 import socket
@@ -15,10 +16,10 @@
 from gevent import socket as gevent_socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.header import Headers
-from geventhttpclient.response import HTTPParseError, HTTPSocketResponse
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.routing.response_parser import Response, ResponseParser
 
 READ_BYTES = 65_536
 """Maximum bytes per read from a connection."""
@@ -26,9 +27,6 @@
 CONNECT_TIMEOUT_MS = 2_000.0
 """Connection timeout; the endpoint is on the same VM."""
 
-HTTP_ERRORS = (OSError, ValueError, HTTPParseError)
-"""Exceptions raised on a broken connection or a malformed response."""
-
 
 def trace_headers(traceparent: str) -> list[list[str]]:
     """Return the trace context as a header pair, no pair if there is no trace."""
@@ -51,25 +49,6 @@
     headers: list[list[str]]
 
 
-class _StreamResponse(HTTPSocketResponse):
-    """A response whose body can be read as it arrives."""
-
-    def read_available(self) -> bytes:
-        """Return the received part of the body; block only if nothing was received.
-
-        Empty at the end of the body; raises one of HTTP_ERRORS if it is truncated.
-        """
-        while not self._body_buffer and not self.message_complete:
-            assert self._sock is not None
-            data = self._sock.recv(READ_BYTES)
-            self.feed(data)
-            if not data and not self.message_complete:
-                raise HTTPParseError("connection closed before the end of the body")
-        body = bytes(self._body_buffer)
-        self._body_buffer.clear()
-        return body
-
-
 class HttpExchange:
     """One request and its response: `connect`, `request`, then `read` or `read_all`.
 
@@ -84,7 +63,9 @@
         self._timer: Greenlet | None = None
         self._request_builder = HTTPClient(address.host, address.port)
         self._sock: Any = None
-        self._response: _StreamResponse | None = None
+        self._parser = ResponseParser()
+        self._response: Response | None = None
+        self._is_head_request = False
         self._aborted = False
 
     def connect(self) -> HttpFailure | None:
@@ -118,21 +99,52 @@
             head = text.encode("latin-1")
         except (ValueError, UnicodeError) as error:
             return HttpFailure(False, f"invalid HTTP request: {error}")
+        self._is_head_request = method == "HEAD"
         try:
             self._sock.sendall(head + body)
-            self._response = _StreamResponse(self._sock, READ_BYTES, method)
-        except HTTP_ERRORS as error:
+        except OSError as error:
             return HttpFailure(True, f"connection to the endpoint failed: {error}")
-        pairs = [[name, value] for name, value in self._response.items()]
-        return HttpHead(self._response.status_code, pairs)
+        while not self._parser.responses:
+            failure = self._receive()
+            if failure is not None and not self._parser.responses:
+                return failure
+        self._response = response = self._parser.responses[0]
+        pairs = [
+            [name.decode("latin-1"), value.decode("latin-1")]
+            for name, value in response.headers
+        ]
+        return HttpHead(response.status, pairs)
 
     def read(self) -> bytes | HttpFailure:
         """Return the next bytes of the body as they are received, empty at the end."""
-        assert self._response is not None
+        response = self._response
+        assert response is not None
+        if self._is_head_request:
+            return b""
+        while not response.body and not response.is_complete:
+            failure = self._receive()
+            if failure is not None and not response.is_complete:
+                return failure
+        if response.ends_with_head:
+            return HttpFailure(
+                True, "the endpoint closed the connection after the head"
+            )
+        return response.take_body()
+
+    def _receive(self) -> HttpFailure | None:
+        """Receive the next bytes; return a failure if no more can be received."""
         try:
-            return self._response.read_available()
-        except HTTP_ERRORS as error:
+            data = self._sock.recv(READ_BYTES)
+        except OSError as error:
             return HttpFailure(True, f"connection to the endpoint failed: {error}")
+        if data:
+            self._parser.feed(data)
+            error_text = self._parser.error
+            return HttpFailure(True, error_text) if error_text else None
+        if self._aborted:
+            return HttpFailure(True, "the request was aborted")
+        self._parser.feed_end()
+        return HttpFailure(True, "connection closed before the end of the response")
 
     def read_all(self, limit: int) -> bytes | HttpFailure:
         """Return the whole body, or a failure if it is longer than `limit` bytes."""
