Sidecar: an event stream of a plain service that ends within an event is broken off

What callers saw: a stream without a length that was broken off within an event looked complete (ORDER). Cause: any orderly end of the connection ended the body. Evidence: test_a_plain_stream_that_ends_within_an_event_is_not_finished failed before, for both spellings of the type. The fix: the end of such a body has to follow an empty line; else the call has failed and the body is cut off.

--- a/tests/test_sidecar_hostile_endpoints.py
+++ b/tests/test_sidecar_hostile_endpoints.py
@@ -129,6 +129,19 @@
     assert type(plain.ends()[0]) is Failed
 
 
+@pytest.mark.parametrize("content_type", [b"text/event-stream", b"Text/Event-Stream"])
+def test_a_plain_stream_that_ends_within_an_event_is_not_finished(plain, content_type):
+    # Guards against a stream that is broken off and looks complete.
+    head = OK_HEAD + b"Content-Type: %s\r\n\r\n" % content_type
+    for newline in (b"\n", b"\r\n"):
+        event = b"id: 2" + newline + b"data: 2" + newline
+        for cut in range(1, len(event)):
+            plain.respond(head + b"id: 1" + newline + newline + event[:cut])
+            assert type(plain.ends()[0]) is Failed, cut
+        plain.respond(head + event + newline)
+        assert type(plain.ends()[0]) is Finished
+
+
 @pytest.mark.parametrize("is_chunked", [False, True])
 def test_a_token_stream_that_stops_at_any_byte_is_not_finished(model, is_chunked):
     # Guards against a generation that is broken off and looks complete.
--- a/wigeonwind/side/plain_client.py
+++ b/wigeonwind/side/plain_client.py
@@ -18,6 +18,10 @@
 Expect is not needed because the complete body has already been received."""
 
 
+EVENT_ENDS = (b"\n\n", b"\n\r\n")
+"""Ends of an event: an empty line. Lines end with LF or CRLF."""
+
+
 @dataclass(frozen=True)
 class PlainEnd:
     """The complete response has been received."""
@@ -75,23 +79,35 @@
             yield head
             return
         yield HttpHead(head.status, end_to_end_headers(head.headers))
-        yield from self._body_items()
+        yield from self._body_items(_is_event_stream(head))
 
-    def _body_items(self) -> Iterator[PlainItem]:
+    def _body_items(self, is_event_stream: bool) -> Iterator[PlainItem]:
+        tail = b""
         while True:
             data = self._exchange.read()
             if isinstance(data, bytes) and not data:
-                yield PlainEnd()
+                if is_event_stream and tail and not tail.endswith(EVENT_ENDS):
+                    yield HttpFailure(True, "the stream ended within an event")
+                else:
+                    yield PlainEnd()
                 return
             yield data
             if isinstance(data, HttpFailure):
                 return
+            tail = (tail + data)[-max(map(len, EVENT_ENDS)) :]
 
     def abort(self) -> None:
         """Abort the exchange from another greenlet."""
         self._exchange.abort()
 
 
+def _is_event_stream(head: HttpHead) -> bool:
+    return any(
+        name.lower() == "content-type" and value.lower().startswith("text/event-stream")
+        for name, value in head.headers
+    )
+
+
 class PlainClient:
     """Client of one plain service."""
 
