--- a/tests/test_entry_dispatch.py
+++ b/tests/test_entry_dispatch.py
@@ -22,6 +22,7 @@
     Cancel,
     Chunk,
     Failed,
+    Head,
     LoadReport,
     Queued,
     Refused,
@@ -374,3 +375,31 @@
     response = entry.chat()
     assert (response.status, response.headers["X-Outcome"]) == (504, "failed")
     assert len(submits(*entry.sidecars)) == 1
+
+
+@pytest.mark.parametrize("ending", ["failed", "refused", "head", "finished short"])
+def test_an_error_after_a_stream_has_begun_is_not_part_of_its_text(
+    entry: EntryUnderTest, ending: str
+) -> None:
+    # Guards against the text of another endpoint's error in the middle of a stream that
+    # has begun, and against a stream that ends as if it were complete.
+    def begin(sidecar: FakeSidecar, submit: Submit) -> None:
+        sidecar.reply(*chunks(submit, ["a ", "b "]))
+        fail(True)(sidecar, submit)
+
+    def end(sidecar: FakeSidecar, submit: Submit) -> None:
+        key = (submit.request_id, submit.attempt)
+        if ending == "failed":
+            sidecar.reply(Failed(*key, True, "bad_request", "HTTP/1.1 500 error text"))
+        elif ending == "refused":
+            refuse(sidecar, submit)
+        elif ending == "head":
+            sidecar.reply(Head(*key, 500, [["X-Error", "error text"]]))
+        else:
+            sidecar.reply(finished(submit, 1))
+
+    add_two_sidecars(entry, once(begin, end))
+    streamed = entry.chat(stream=True)
+    assert streamed.text == "a b "
+    assert b"[DONE]" not in streamed.body and b'finish_reason": "' not in streamed.body
+    assert b'"outcome": "failed"' in streamed.body
