--- a/wigeonwind/platform/headers.py
+++ b/wigeonwind/platform/headers.py
@@ -89,8 +89,14 @@
         return b"".join(lines)
 
     def decode_response_headers(self, headers: Sequence[Header]) -> ResponseMetadata:
-        """Decode the headers of an endpoint's response."""
+        """Decode the headers of an endpoint's response.
+
+        A response with two request ids has none: nobody knows to whom it belongs.
+        """
         by_name = {name.lower(): value for name, value in headers}
+        request_ids = {each[1] for each in headers if each[0].lower() == REQUEST_ID}
+        if len(request_ids) > 1:
+            by_name[REQUEST_ID] = b""
         dropped = FRAMING_HEADERS | HOP_HEADERS
         dropped |= _connection_options(by_name.get(b"connection", b""))
         content_type = by_name.get(b"content-type", b"")
@@ -98,7 +104,7 @@
             by_name.get(REQUEST_ID, b"").decode("latin-1"),
             WORKER_SIGNATURE in by_name,
             NOT_EXECUTED in by_name,
-            content_type.startswith(b"text/event-stream"),
+            content_type.lower().startswith(b"text/event-stream"),
             b"content-encoding" in by_name,
             tuple(each for each in headers if each[0].lower() not in dropped),
         )
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -344,8 +344,11 @@
     def _close_gracefully(self) -> None:
         """Close the write side first, so that the response is not lost to a reset.
 
-        Input that follows is read and discarded.
+        Input that follows is read and discarded. Without effect after `abort`: the end
+        of a body without length would look like its regular end.
         """
+        if self.was_aborted:
+            return
         self._discards_input = True
         self._may_read.set()
         try:
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -26,7 +26,12 @@
     MAX_BUFFERED_BODY_BYTES,
     MAX_DISCARDED_RESPONSES,
 )
-from wigeonwind.routing.response_parser import Response, keep_alive_ms
+from wigeonwind.routing.response_parser import (
+    BODYLESS_STATUSES,
+    Response,
+    has_head_within,
+    keep_alive_ms,
+)
 from wigeonwind.routing.routed_request import RoutedRequest
 from wigeonwind.routing.send_outcomes import (
     Broken,
@@ -349,7 +354,7 @@
         return unanswered
 
     def _connect(self, endpoint: Endpoint) -> EndpointConnection | ConnectFailure:
-        idle = self.context.pool.acquire_idle(endpoint)
+        idle = self.context.pool.acquire_idle(endpoint, self.metadata.request_id)
         if idle is not None:
             return idle
         connection = self.context.pool.open(endpoint)
@@ -369,6 +374,9 @@
         self, connection: EndpointConnection, send: Send, remaining_ms: float
     ) -> SendOutcome:
         """Write the request, then read responses until the one that belongs to it."""
+        if self.caller.head_sent and not self._can_resume():
+            return Broken("the stream that has begun cannot be resumed")
+        connection.request_ids.append(self.metadata.request_id)
         try:
             connection.send(
                 self._request_bytes(connection.endpoint, remaining_ms), remaining_ms
@@ -389,10 +397,11 @@
             metadata = self.context.header_codec.decode_response_headers(
                 response.headers
             )
-            if self._matches_request(connection, response, metadata):
+            if self._matches_request(metadata):
                 return self._relay_response(connection, send, response, metadata)
-            if not metadata.request_id and not connection.is_fresh:
-                return Broken("response without a request id on a reused connection")
+            if not metadata.request_id:
+                return Broken("response without a request id")
+            connection.has_sent_foreign_response = True
             self.context.log.info(
                 "discarded the response to another request",
                 request_id=self.metadata.request_id,
@@ -406,21 +415,17 @@
             f"more than {MAX_DISCARDED_RESPONSES} responses to other requests"
         )
 
-    def _matches_request(
-        self,
-        connection: EndpointConnection,
-        response: Response,
-        metadata: ResponseMetadata,
-    ) -> bool:
+    def _can_resume(self) -> bool:
+        """Return whether a new run can go on after what the caller has received."""
+        return self.route.is_stream and self._events.can_resume
+
+    def _matches_request(self, metadata: ResponseMetadata) -> bool:
         """Return whether a response belongs to the request.
 
-        Only a response with a status from 300 on may lack the request id, and only on a
-        fresh connection: on a reused one it may be the late copy of an earlier answer,
-        such as the refusal of another request.
+        One without the request id may be the repeated refusal of another request,
+        also as the first response on a connection.
         """
-        if metadata.request_id:
-            return metadata.request_id == self.metadata.request_id
-        return response.status >= 300 and connection.is_fresh
+        return metadata.request_id == self.metadata.request_id
 
     def _discard_response(
         self, connection: EndpointConnection, send: Send, response: Response
@@ -528,7 +533,10 @@
         is_success = 200 <= response.status < 300
         if is_success and (not metadata.is_signed or metadata.is_encoded):
             return Broken("success response that is unsigned or has a content encoding")
-        if is_success and metadata.is_event_stream:
+        if is_success and metadata.was_not_run:
+            return Broken("success response that says that the request was not run")
+        has_body = response.status not in BODYLESS_STATUSES
+        if is_success and has_body and metadata.is_event_stream:
             return self._relay_stream(connection, send, response, metadata)
         body = self._read_full_body(connection, send, response)
         if not isinstance(body, bytes):
@@ -541,6 +549,11 @@
             return NotRun(reason, was_sent=True, is_misdirected=is_misdirected)
         if not metadata.is_signed:
             return Broken(f"unsigned response with status {response.status}")
+        if response.ends_with_head:
+            return Broken("the endpoint closed the connection after the head")
+        if connection.parser.error and has_head_within(body):
+            # The bytes that follow are the rest of the body.
+            return Broken("another response within the body of a response")
         response.body.append(body)
         if response.status >= 500:
             return Failed(response, metadata)
@@ -588,7 +601,7 @@
         metadata: ResponseMetadata,
     ) -> SendOutcome:
         """Relay complete events as they arrive."""
-        self._events.discard_partial_event()
+        self._events.begin_run()
         while True:
             try:
                 events = self._events.feed(response.take_body())
@@ -596,6 +609,8 @@
                 return Broken(str(error))
             if events:
                 self._relay_events(send, response, metadata, events)
+            if self._events.error:
+                return Broken(self._events.error)
             if response.is_complete:
                 break
             outcome = self._receive_body(connection, send, response)
@@ -603,6 +618,8 @@
                 return outcome
         if self._events.has_partial_event:
             return Broken("the stream ended with a partial event")
+        if response.ends_with_head:
+            return Broken("the endpoint closed the connection after the head")
         if not self.caller.head_sent:
             self.caller.send_head(
                 response.status, response.reason, metadata.forwarded_headers, b""
@@ -636,10 +653,12 @@
     ) -> None:
         """Return the connection to the pool, or close it if it cannot be reused.
 
-        It cannot if bytes follow the response or the endpoint closes the connection.
+        It cannot if the endpoint has sent a response to another request, if bytes
+        follow the response, or if the endpoint closes the connection.
         """
         parser = connection.parser
         is_clean = not (parser.responses or parser.has_partial_message or parser.error)
+        is_clean = is_clean and not connection.has_sent_foreign_response
         if is_clean and parser.keeps_alive and not connection.is_closed_by_endpoint:
             self.context.pool.release(connection, keep_alive_ms(response))
         else:
--- a/wigeonwind/routing/response_parser.py
+++ b/wigeonwind/routing/response_parser.py
@@ -1,5 +1,6 @@
 """Incremental parsing of the HTTP responses of endpoints."""
 
+import re
 from collections import deque
 
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
@@ -13,14 +14,34 @@
 
 BODYLESS_STATUSES = (204, 304)
 
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}")
+"""Start of a response. Within a header it shows that an endpoint has stopped in the
+middle of a head and gone on with another response."""
+
+
+STATUS_LINE_PREFIXES = tuple(b"HTTP/1.1"[:length] for length in range(1, 9))
+
+
+def has_head_within(body: bytes) -> bool:
+    """Return whether a body contains the head of a response or ends within one.
+
+    >>> has_head_within(b"firstHTTP/1.1 503 No"), has_head_within(b"firstHT")
+    (True, True)
+    >>> has_head_within(b"first")
+    False
+    """
+    return bool(STATUS_LINE.search(body)) or body.endswith(STATUS_LINE_PREFIXES)
+
 
 class Response:
     """One response; `body` holds the bytes received since the last `take_body`."""
 
-    __slots__ = ("body", "headers", "is_complete", "reason", "status")
+    __slots__ = ("body", "headers", "is_complete", "is_empty", "reason", "status")
 
     def __init__(self) -> None:
         self.status = 0
+        self.is_empty = True
+        """Whether no byte of the body has been received."""
         self.reason = b""
         self.headers: list[Header] = []
         self.body: list[bytes] = []
@@ -39,6 +60,14 @@
         has_length = b"content-length" in names or b"transfer-encoding" in names
         return not has_length and self.status not in BODYLESS_STATUSES
 
+    @property
+    def ends_with_head(self) -> bool:
+        """Return whether the connection was closed where a body without length begins.
+
+        The endpoint may have stopped there, so the response is not known to be whole.
+        """
+        return self.is_complete and self.is_empty and self.is_delimited_by_close
+
 
 class ResponseParser:
     r"""Parses the responses of one connection; interim responses are skipped.
@@ -104,13 +133,20 @@
         """Add a final response to `responses` (parser callback)."""
         self._response.status = self._parser.get_status_code()
         self.keeps_alive = self._parser.should_keep_alive()
+        if self._has_second_head():
+            raise ValueError("a second head within the head of a response")
         if self._response.status >= FIRST_FINAL_STATUS:
             self.responses.append(self._response)
 
+    def _has_second_head(self) -> bool:
+        values = [value for _, value in self._response.headers]
+        return any(map(STATUS_LINE.search, [self._response.reason, *values]))
+
     def on_body(self, body: bytes) -> None:
         """Append to the body (parser callback)."""
         self._framing_bytes = 0
         self._response.body.append(body)
+        self._response.is_empty = False
 
     def on_message_complete(self) -> None:
         """Mark the response as complete (parser callback)."""
