--- a/wigeonwind/entry/replies.py
+++ b/wigeonwind/entry/replies.py
@@ -28,6 +28,7 @@
     ErrorCode.STORE_UNAVAILABLE: 503,
     ErrorCode.DRAINING: 503,
     ErrorCode.CANCELLED: 499,
+    ErrorCode.QUARANTINED: 503,
 }
 """Default HTTP status of each error code."""
 
