--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -2,24 +2,20 @@
 
 from dataclasses import dataclass
 
-from gevent import spawn
-
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.decisions.interfaces import GiveUp, NoEndpoint, RetryCause
 from wigeonwind.decisions.placement import Send
-from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.routing.caller_connection import (
     CallerConnection,
     CallerDisconnectedError,
 )
 from wigeonwind.routing.capacity_wait import wait_for_capacity
 from wigeonwind.routing.endpoint_connection import ConnectFailure, EndpointConnection
-from wigeonwind.routing.endpoint_monitor import UnansweredSend
 from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.event_stream import EventSplitter
+from wigeonwind.routing.final_failures import failure_for
 from wigeonwind.routing.forwarding_context import ForwardingContext
 from wigeonwind.routing.header_codec import ResponseMetadata, SendMetadata
-from wigeonwind.routing.refusals import STOPPING
 from wigeonwind.routing.request_keys import request_keys
 from wigeonwind.routing.request_quarantine import Admission
 from wigeonwind.routing.response_limits import (
@@ -44,6 +40,7 @@
     Stopped,
     TimedOut,
 )
+from wigeonwind.routing.suspect_watch import SuspectWatch
 
 MAX_TRIED_ENDPOINTS = 6
 """Most endpoints that one request tries, whatever its route allows. Refusals and failed
@@ -61,9 +58,6 @@
 """Lower bound of the silence limit; long prompts and slow links cause silences that are
 shorter than this."""
 
-LONG_PROMPT_RETRY_AFTER_MS = 1_500.0
-"""Retry-After of a long prompt that no engine had capacity for; bursts last seconds."""
-
 MIN_TRIAL_WAIT_MS = 500.0
 """Least time for which a request waits while another one tries a suspect part of it."""
 
@@ -71,13 +65,6 @@
 """Time to the deadline below which a request is not sent, as no response could arrive
 in time."""
 
-RETRY_AFTER_MS = 250.0
-"""Retry-After of a refused request; queues of engines advance within that time."""
-
-RETRY_AFTER_JITTER = 0.6
-"""Largest random extension of Retry-After, as a fraction of it, so that refused callers
-do not retry at the same time."""
-
 
 @dataclass(frozen=True, slots=True)
 class _Destination:
@@ -113,10 +100,9 @@
         )
         self.keys = request_keys(self.service, routed.request, metadata)
         """Keys of the parts of the request, see `request_keys`."""
-        self._unanswered: UnansweredSend | None = None
-        """The current send while its endpoint has not begun to answer."""
-        self._trial: Admission | None = None
-        """Set while the current send is a trial of suspect parts."""
+        self._watch = SuspectWatch(
+            context.quarantine, self.service, metadata.request_id, self.keys
+        )
         self._events = EventSplitter(metadata.last_event_id)
         self._first_event_ms: float | None = None
         self._last_event_ms = 0.0
@@ -146,7 +132,7 @@
         try:
             self._run()
         finally:
-            self._end_trial("unfinished")
+            self._watch.end_trial("unfinished")
 
     def _run(self) -> None:
         self.caller.on_disconnect = self._on_caller_disconnect
@@ -183,16 +169,11 @@
     def _admit(self) -> Admission | Quarantined:
         """Wait until the request may be sent with regard to suspect parts."""
         wait_ms = max(self.route.target_ms, MIN_TRIAL_WAIT_MS)
-        admission = self.context.quarantine.admit(
-            self.service,
-            self.keys,
+        return self._watch.admit(
             self._tried_keys,
             min(self.started_ms + wait_ms, self.deadline_ms - MIN_REMAINING_MS),
             lambda: self.caller.is_disconnected or self._is_stopped,
         )
-        if isinstance(admission, Admission) and admission.trial_at is not None:
-            self._trial = admission
-        return admission
 
     def _wait_for_capacity(self) -> bool:
         """Wait for an engine with capacity; return False if that takes too long."""
@@ -267,14 +248,10 @@
         try:
             outcome = self._send_once(destination)
         finally:
-            self._end_trial("broken" if isinstance(outcome, Broken) else "unfinished")
+            is_broken = isinstance(outcome, Broken)
+            self._watch.end_trial("broken" if is_broken else "unfinished")
         return outcome
 
-    def _end_trial(self, result: str) -> None:
-        trial, self._trial = self._trial, None
-        if trial is not None:
-            self.context.quarantine.end_trial(trial, result)
-
     def _send_once(self, destination: _Destination) -> SendOutcome:
         endpoint = destination.endpoint
         self.last_endpoint_id = endpoint.instance_id
@@ -303,7 +280,7 @@
         )
         self.expected_ms = round(send.expected_ms)
         self._sends += 1
-        self._watch_send(endpoint, connection)
+        self._watch.on_sent(endpoint, connection.close)
         outcome: SendOutcome = Broken("the exchange was interrupted")
         try:
             outcome = self._send_and_relay(connection, send, remaining_ms)
@@ -313,46 +290,15 @@
             self._connection = None
             self._record_outcome(send, outcome)
             is_lost = isinstance(outcome, Broken) and not self._is_stopped
-            unanswered = self._end_watch(is_lost)
+            unanswered = self._watch.end_send(is_lost)
             if not isinstance(outcome, (Delivered, Failed, NotRun)):
                 connection.close()
         if unanswered is not None and unanswered.was_aborted:
             return Broken("given up: a part of the request crashes endpoints")
         if connection.is_lost and is_lost:
-            if unanswered is not None:
-                # The next send depends on whether this one crashed the endpoint.
-                self.context.quarantine.monitor.check(endpoint)
-            else:
-                spawn(self.context.quarantine.monitor.check, endpoint)
+            self._watch.check_endpoint(endpoint, unanswered)
         return outcome
 
-    def _watch_send(self, endpoint: Endpoint, connection: EndpointConnection) -> None:
-        self._unanswered = UnansweredSend(
-            endpoint, self.metadata.request_id, self.keys, connection.close
-        )
-        self.context.quarantine.monitor.add(self._unanswered)
-
-    def _on_answer_begun(self) -> None:
-        """Record that the endpoint has begun a successful answer."""
-        if self._unanswered is not None:
-            self.context.quarantine.on_answered(self._unanswered)
-            self._unanswered = None
-            self._end_trial("answered")
-
-    def _end_watch(self, is_lost: bool) -> UnansweredSend | None:
-        """Stop watching the current send; return it if it had no answer.
-
-        `is_lost` says that it ended without an answer.
-        """
-        unanswered, self._unanswered = self._unanswered, None
-        if unanswered is None:
-            return None
-        if is_lost or unanswered.was_aborted:
-            self.context.quarantine.monitor.on_lost(unanswered)
-        else:
-            self.context.quarantine.monitor.remove(unanswered)
-        return unanswered
-
     def _connect(self, endpoint: Endpoint) -> EndpointConnection | ConnectFailure:
         idle = self.context.pool.acquire_idle(endpoint, self.metadata.request_id)
         if idle is not None:
@@ -558,7 +504,7 @@
         if response.status >= 500:
             return Failed(response, metadata)
         if is_success:
-            self._on_answer_begun()
+            self._watch.on_answer_begun()
         return self._deliver(response, metadata)
 
     def _deliver(self, response: Response, metadata: ResponseMetadata) -> SendOutcome:
@@ -634,7 +580,7 @@
         now_ms = self.context.clock.now_ms()
         if not send.is_started:
             self.context.chooser.on_started(send, now_ms)
-        self._on_answer_begun()
+        self._watch.on_answer_begun()
         if self._first_event_ms is None:
             self._first_event_ms = now_ms
         else:
@@ -740,48 +686,18 @@
     def _send_failure(self, outcome: SendOutcome) -> None:
         if self.caller.head_sent:
             self.caller.abort()
-        failure = self._failure_for(outcome)
+        failure = failure_for(
+            outcome,
+            self._may_have_run,
+            self._may_have_run_earlier,
+            self.placement_request.is_long,
+            self.context.rng,
+        )
         headers = self.context.header_codec.local_response_headers(
             self.metadata.request_id
         )
         self.caller.send_failure(failure, self.metadata.request_id, headers)
 
-    def _failure_for(self, outcome: SendOutcome) -> Failure:
-        """Return the failure to report; 503 guarantees that the request did not run."""
-        if isinstance(outcome, Quarantined) and not self._may_have_run:
-            message = f"the request was not sent: {outcome.reason}"
-            retry_after_ms = outcome.retry_after_ms
-            code = ErrorCode.QUARANTINED
-            return Failure(Outcome.NOT_RUN, code, message, 503, retry_after_ms)
-        if isinstance(outcome, NotRun) and not self._may_have_run_earlier:
-            jitter_factor = 1.0 + RETRY_AFTER_JITTER * self.context.rng.random()
-            return Failure(
-                Outcome.NOT_RUN,
-                ErrorCode.NO_ENDPOINT,
-                f"no endpoint accepted the request: {outcome.reason}",
-                503,
-                (
-                    LONG_PROMPT_RETRY_AFTER_MS
-                    if self.placement_request.is_long
-                    else RETRY_AFTER_MS
-                )
-                * jitter_factor,
-            )
-        if isinstance(outcome, TimedOut):
-            if not self._may_have_run:
-                message = "the deadline passed before the request could be sent"
-                return Failure(Outcome.NOT_RUN, ErrorCode.DEADLINE, message, 503)
-            message = "the endpoint did not respond before the deadline"
-            return Failure(Outcome.UNKNOWN, ErrorCode.DEADLINE, message, 504)
-        if isinstance(outcome, Stopped):
-            if not self._may_have_run:
-                return STOPPING
-            message = "this process stopped before the endpoint responded"
-            return Failure(Outcome.UNKNOWN, ErrorCode.DRAINING, message, 502)
-        reason = getattr(outcome, "reason", "unknown")
-        message = f"no complete response from the endpoint: {reason}"
-        return Failure(Outcome.UNKNOWN, ErrorCode.ENDPOINT_FAILED, message, 502)
-
     @property
     def first_event_after_ms(self) -> float | None:
         """Return the time from the request to its first event, None without one."""
