Entry: a stop waits for requests that are still being received

What callers saw: a request whose body was arriving when the stop began got no answer; its connection was closed. Change: a request counts from its first byte; the read timeout bounds it. Result: the new test failed before (`assert not drain_greenlet.ready()`: the drain had returned); tests of the entry pass.

--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -274,6 +274,24 @@
         connect(entry)
 
 
+def test_drain_answers_a_request_whose_body_is_still_arriving(
+    entry: EntryUnderTest,
+) -> None:
+    # Guards against a stop that drops a request which was begun before it without an
+    # answer, so that the caller cannot tell whether it was run.
+    entry.add_sidecar(respond_with_words("whole"), "spot-desk")
+    sock = connect(entry)
+    head = "POST /svc/spot-desk/x HTTP/1.1\r\nX-Customer: named\r\n"
+    sock.sendall(f"{head}Content-Length: 40\r\n\r\n".encode() + b"x" * 8)
+    gevent.sleep(0.02)
+    drain_greenlet = gevent.spawn(entry.role.drain)
+    gevent.sleep(0.05)
+    assert not drain_greenlet.ready()
+    sock.sendall(b"x" * 32)
+    assert read_all(sock).startswith(b"HTTP/1.1 ")
+    drain_greenlet.get(timeout=5)
+
+
 def test_stop_reports_unknown_outcome_for_requests_in_flight(
     entry: EntryUnderTest,
 ) -> None:
--- a/wigeonwind/entry/entry_http.py
+++ b/wigeonwind/entry/entry_http.py
@@ -66,6 +66,7 @@
             return None
         timer = gevent.Timeout.start_new(self.server.read_timeout_s)
         self._read_timer = timer
+        self.server.in_flight += 1
         try:
             return super().handle_one_request()
         except RequestRefusedError as error:
@@ -78,6 +79,7 @@
             self._refuse(refusal(ErrorCode.BAD_REQUEST, message, http_status=408))
             return None
         finally:
+            self.server.in_flight -= 1
             timer.close()
 
     def _await_request(self) -> bool:
@@ -161,11 +163,7 @@
         try:
             if self._receive_body():
                 self._read_timer.close()
-                self.server.in_flight += 1
-                try:
-                    super().handle_one_response()
-                finally:
-                    self.server.in_flight -= 1
+                super().handle_one_response()
         finally:
             self.server.large_body_bytes -= self._reserved_bytes
 
@@ -293,8 +291,9 @@
 class CallerServer(WSGIServer):
     """Accepts callers' connections.
 
-    `in_flight` counts the requests that are being answered, `connections` the open
-    connections, and `large_body_bytes` the bytes under MAX_LARGE_BODY_TOTAL_BYTES.
+    `in_flight` counts the requests that are being received or answered, `connections`
+    the open connections, and `large_body_bytes` the bytes under
+    MAX_LARGE_BODY_TOTAL_BYTES.
     """
 
     handler_class = CallerHandler
