Routing: one caller cannot hold up the last responses of a stopping process

Cause, found by review: at the exit the last responses were sent one after the other, each with a send timeout of 10 s, so that a caller that reads nothing could keep those of the others past SIGKILL. Change: they are sent at the same time, for 100 ms at most, within the margin before the limit of the stop.

--- a/tests/test_requests_during_stops.py
+++ b/tests/test_requests_during_stops.py
@@ -285,6 +285,26 @@
         assert not stopping.executed_ids()
 
 
+def test_requests_that_are_being_connected_at_the_exit_are_refused():
+    # Guards against requests without an answer, because the exit did not wake them or
+    # because a caller that reads nothing held up the others.
+    config = configuration(routes=SLOW_ROUTES)
+    with stopping_fleet(NoResponse(), config) as stopping:
+        fleet = stopping.fleet
+        fleet.router.pool.open = lambda endpoint: gevent.sleep(5.0)
+        stopping.stop()
+        stopping.wait_until(2_900.0)
+        socks = [fleet.connect() for _ in range(3)]
+        for number, sock in enumerate(socks):
+            sock.sendall(request_bytes("/once/x", "POST", b"b", SLOW, f"a{number}"))
+        fleet.wait_for(lambda: len(fleet.router._in_flight) == len(socks))
+        exchange = next(iter(fleet.router._in_flight))
+        exchange.caller._send = lambda data: gevent.sleep(5.0)
+        assert stopping.wait_until_stopped() < STOP_LIMIT_MS
+        replies = [read_reply(sock) for sock in socks]
+        assert sorted(reply.status for reply in replies) == [0, 503, 503]
+
+
 @pytest.mark.parametrize("version", ["1.1", "1.0"])
 def test_a_stream_cut_at_the_end_does_not_look_complete(version):
     # Guards against a stream that is ended by the exit of the process and that callers
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -57,6 +57,10 @@
 from wigeonwind.runtime.error_boundary import call_isolated
 from wigeonwind.runtime.loops import SupervisedLoops
 
+LAST_RESPONSES_MS = 100.0
+"""Time for the responses that are sent at the exit. A caller that does not read its
+response must not hold up those of the others."""
+
 BACKLOG = 1_024
 """Most connections that wait to be accepted. Beyond that number a connection attempt is
 dropped, and the caller repeats it only after seconds."""
@@ -419,8 +423,8 @@
         self._wait_until(lambda: not self._connections, stop.ends_from_ms)
         self._end_requests()
         self._wait_until(lambda: not self._connections, stop.exits_ms)
-        for exchange in list(self._in_flight):
-            exchange.respond_by_stop()
+        responses = [gevent.spawn(each.respond_by_stop) for each in self._in_flight]
+        gevent.joinall(responses, timeout=LAST_RESPONSES_MS / MS_PER_SECOND)
         for connection in list(self._connections):
             connection.cut_off()
         self._log_stop("stopped")
