Soak: judge requests sent during a planned stop; callers that write slowly

The check of planned stops looked only at requests sent before the stop began. Those sent during it must now end in a complete response as well, unless they cross the close: no answer, and no worker began to execute them. A request of which the caller could not write the last byte counts only if it was executed. 8% of the requests are written in two parts, with a pause in head or body.

The doubles answer within 0.3 s, shorter than the time left in a stop, so the soak reaches few of the faults.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -129,6 +129,21 @@
             ),
             "planned-stop",
         ),
+        (
+            history(
+                whole_exchange(status=0, body=b"", is_whole=False),
+                disturbances=[Disturbance("router-0", "stop", 90.0, 4_000.0)],
+            ),
+            "planned-stop",
+        ),
+        (
+            history(
+                whole_exchange(status=503, is_whole=False),
+                (),
+                disturbances=[Disturbance("router-0", "stop", 90.0, 4_000.0)],
+            ),
+            "planned-stop",
+        ),
         (
             history(ExchangeSeen("r1", Kind.SAFE, "router-0", 0.0, 4_500.0)),
             "answer-in-time",
@@ -150,6 +165,15 @@
     assert promise in broken_promises(made)
 
 
+def test_a_request_that_crosses_the_close_of_a_stop_is_allowed():
+    # Guards against reports of what no router can prevent.
+    crossed = whole_exchange(status=0, body=b"", is_whole=False)
+    stops = [Disturbance("router-0", "stop", 90.0, 4_000.0)]
+    assert "planned-stop" not in broken_promises(
+        history(crossed, (), disturbances=stops)
+    )
+
+
 def test_disturbances_suspend_only_time_bounds():
     # Guards against checks that report the effects of injected faults, and against
     # excusing violations that no fault can cause.
--- a/wigeonwind/soak/soak_callers.py
+++ b/wigeonwind/soak/soak_callers.py
@@ -34,6 +34,14 @@
 
 ABANDON_AFTER_S = 0.08
 
+SLOW_SHARE = 0.08
+"""Share of requests whose bytes the caller writes in two parts."""
+
+MAX_SLOW_S = 1.5
+"""Longest pause between the two parts; the head is written within `MAX_SLOW_HEAD_S`."""
+
+MAX_SLOW_HEAD_S = 0.3
+
 # Relative frequencies of the kinds of request.
 WEIGHT_BY_KIND = {
     Kind.SAFE: 4,
@@ -89,7 +97,10 @@
         can_reuse = False
         try:
             with gevent.Timeout(timeout_s):
-                sock.sendall(_encode_request(seen))
+                seen.is_sent_whole = False
+                self._write(sock, _encode_request(seen))
+                seen.is_sent_whole = True
+                seen.sent_ms = soak_now_ms()
                 can_reuse = _read_response(sock, seen)
         except OSError:
             pass  # The exchange is recorded as not whole.
@@ -99,6 +110,18 @@
         if not can_reuse:
             self._close()
 
+    def _write(self, sock: gevent_socket.socket, data: bytes) -> None:
+        """Write a request, at times with a pause within its head or its body."""
+        if self._rng.random() >= SLOW_SHARE:
+            sock.sendall(data)
+            return
+        is_head = self._rng.random() < 0.5
+        split = len(data) // 2 if is_head else len(data) - 2
+        sock.sendall(data[:split])
+        longest_s = MAX_SLOW_HEAD_S if is_head else MAX_SLOW_S
+        gevent.sleep(self._rng.uniform(0.0, longest_s))
+        sock.sendall(data[split:])
+
     def _connect(self, address: SocketAddress) -> gevent_socket.socket:
         target = (address.host, address.port)
         sock = gevent_socket.create_connection(target, CONNECT_TIMEOUT_S)
--- a/wigeonwind/soak/soak_checks.py
+++ b/wigeonwind/soak/soak_checks.py
@@ -234,20 +234,28 @@
 
 @SOAK_CHECKS.register("planned-stop")
 def check_planned_stop(history: SoakHistory) -> Iterator[Violation]:
-    """Check that a planned stop cuts off no response shorter than its grace time.
+    """Check that a planned stop leaves no request without a complete response.
 
-    Only requests sent in the last `RESPONSE_SLACK_MS` before the stop are checked.
+    Requests sent during the stop count too, except one that crosses the close of its
+    connection: it has no answer, and no worker began to execute it. Of the requests
+    before, only those of the last `RESPONSE_SLACK_MS` count.
     """
+    runs_by_id = history.runs_by_id()
     workers = {run.worker for run in history.runs}
     stops = [each for each in history.disturbances if each.fault == "stop"]
     for stop in stops:
         for seen in history.exchanges:
             if seen.router != stop.target or not seen.is_connected or seen.was_left:
                 continue
-            was_sent_shortly_before = (
+            was_executed = seen.request_id in runs_by_id
+            if not (seen.is_sent_whole or was_executed):
+                continue
+            is_before = (
                 stop.begin_ms - RESPONSE_SLACK_MS <= seen.sent_ms <= stop.begin_ms
             )
-            if seen.is_whole or not was_sent_shortly_before:
+            is_during = stop.begin_ms < seen.sent_ms <= stop.end_ms
+            crossed = not (seen.status or was_executed)
+            if seen.is_whole or not (is_before or is_during and not crossed):
                 continue
             others = [
                 each
--- a/wigeonwind/soak/soak_records.py
+++ b/wigeonwind/soak/soak_records.py
@@ -60,6 +60,8 @@
     """Whether the caller closed the connection before the response ended."""
     is_extra: bool = False
     """Whether bytes that do not belong to the response followed it."""
+    is_sent_whole: bool = True
+    """Whether all of the request was written; a router may have closed before."""
 
 
 @dataclass(frozen=True)
