Routing: check the lines of an event in linear time

What could happen: a faulty endpoint sends an event with many lines that end in CR LF and one that is no field; the check of its lines takes twice as long with each such line (3.4 s with 22 lines, trial), and the whole process stands still. Result: the new test failed before (36 s of processor time, bound 1 s) and passes now.

--- a/tests/test_hostile_responses.py
+++ b/tests/test_hostile_responses.py
@@ -1,5 +1,6 @@
 """Endpoints that repeat refusals, break off within a response, or resume wrongly."""
 
+import time
 from collections import deque
 from socket import socket
 
@@ -396,3 +397,13 @@
         reply = fleet.call("/stream/x", "POST", b"abc")
     assert (reply.status, reply.body) == (204, b"")
     assert "transfer-encoding" not in reply.headers
+
+
+def test_an_event_with_many_lines_and_an_invalid_one_is_rejected_in_linear_time():
+    # Guards against an event that keeps the process busy for minutes: the check of its
+    # lines tried each way to match the carriage returns.
+    events = EventSplitter()
+    began_s = time.process_time()
+    assert events.feed(b"data: x\r\n" * 25 + b"no field\n\n") == b""
+    assert events.error
+    assert time.process_time() - began_s < 1.0
--- a/wigeonwind/routing/event_stream.py
+++ b/wigeonwind/routing/event_stream.py
@@ -18,8 +18,9 @@
 FIRST_ID = 1
 """Id of the first event of a stream; later events have higher ids."""
 
-EVENT = re.compile(rb"(?:[\w.-]*(?::[^\n]*)?\r?(?:\n|\Z))*")
-"""Lines of an event: fields and comments, not other text such as an error message."""
+EVENT = re.compile(rb"(?:[\w.-]*+(?::[^\n]*+)?+\r?+(?:\n|\Z))*+")
+"""Lines of an event: fields and comments, not other text such as an error message. The
+possessive quantifiers keep the time linear in the length of the event."""
 
 
 class EventSplitter:
