Tests: a fleet tries another port if its number is taken for datagrams

Seen once: `OSError: Address already in use` at the start of a fleet beside a second run of the tests. The harness builds the router again, up to five times; any other error is raised as before. The new test failed before with that error.

--- a/tests/routing_fleet.py
+++ b/tests/routing_fleet.py
@@ -1,5 +1,6 @@
 """Harness: a routing process with test doubles of the platform's store and workers."""
 
+import errno
 import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -22,6 +23,10 @@
 ANY = SocketAddress("127.0.0.1", 0)
 WAIT_S = 5.0
 
+PORT_ATTEMPTS = 5
+"""Most ports that are tried for the traffic between routers. A port that is free for
+TCP may be in use for UDP by another process of the machine."""
+
 
 def route(name, prefix, kind, **fields):
     """Return a route of the configuration object."""
@@ -114,8 +119,16 @@
     def add_router(self) -> Router:
         """Start one more router and return it; it is not ready yet."""
         number = len(self.routers) + 1
-        router = build_router(self.store.address, number)
-        router.start()
+        for attempt in range(PORT_ATTEMPTS):
+            router = build_router(self.store.address, number)
+            try:
+                router.start()
+                break
+            except OSError as error:
+                router.stop()
+                is_last = attempt == PORT_ATTEMPTS - 1
+                if is_last or error.errno != errno.EADDRINUSE:
+                    raise
         self.routers.append(router)
         return router
 
--- a/tests/test_routing_requests.py
+++ b/tests/test_routing_requests.py
@@ -1,5 +1,6 @@
 """Requests through a routing process, with test doubles of the platform."""
 
+import errno
 import json
 import socket
 
@@ -15,6 +16,7 @@
     running_fleet,
 )
 
+from wigeonwind.routing.peer_exchange import PeerExchange
 from wigeonwind.standins.platform_worker import (
     ConnectionReset,
     EventStream,
@@ -370,3 +372,21 @@
         fleet.store.remove("servers", "w0")
         fleet.wait_for(lambda: len(fleet.router.endpoints) == 0)
         assert status() == 503
+
+
+def test_a_fleet_starts_although_a_port_is_in_use_for_datagrams(monkeypatch):
+    # Guards against a harness that fails when another process of the machine has bound
+    # the number of a router's free TCP port for UDP.
+    start = PeerExchange.start
+    refused = []
+
+    def start_once_refused(exchange, address):
+        if not refused:
+            refused.append(address)
+            raise OSError(errno.EADDRINUSE, "Address already in use")
+        start(exchange, address)
+
+    monkeypatch.setattr(PeerExchange, "start", start_once_refused)
+    with running_fleet(1) as fleet:
+        assert refused
+        assert fleet.call("/safe/x").status == 200
