Stops: logs that tell late signals and late work apart

The logs could not tell whether a stop began late because its signal was handled late, nor what a request that was cut had been expected to need; a connection that closed with a whole request unanswered, or whose reader failed, had no line at all. Now: - 'stop signal received' with the time from the handler of the signal to the loop; - 'request cut off by the stop' with the time at which it was taken after the signal, the expected and the measured time to its first event, prompt tokens and the route's timeout; - 'connection closed with requests unanswered', 'connection failed', 'reading from a caller failed'. Stop signals are handled by a Python handler, so that the time of its delivery can be read; what follows is unchanged.

--- a/wigeonwind/platform/__main__.py
+++ b/wigeonwind/platform/__main__.py
@@ -34,6 +34,7 @@
 from wigeonwind.routing.router import Router, RouterSettings
 from wigeonwind.routing.routing_state import StoreSchema
 from wigeonwind.runtime.logs import configure_logs
+from wigeonwind.runtime.stop_signal import StopSignal
 from wigeonwind.state.store_client import StoreClient, StoreLimits
 from wigeonwind.state.store_http import PoolLimits
 
@@ -157,8 +158,8 @@
         return EXIT_BAD_SETTINGS
     configure_logs()
     router = build_router(result.value)
-    gevent.signal_handler(signal.SIGTERM, router.drain)
-    gevent.signal_handler(signal.SIGINT, router.drain)
+    stop_signal = StopSignal(SystemClock(), router.drain)
+    stop_signal.install((signal.SIGTERM, signal.SIGINT))
     gevent.signal_handler(signal.SIGHUP, reload_settings, router, result.value)
     try:
         router.start()
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -7,6 +7,7 @@
 from gevent import sleep, spawn
 from gevent import socket as gevent_socket
 from gevent.event import Event
+from structlog import get_logger
 
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.entry.replies import status_line
@@ -39,6 +40,9 @@
 """SO_LINGER value that makes `close` reset the connection."""
 
 
+log = get_logger("wigeonwind.connections")
+
+
 class CallerDisconnectedError(OSError):
     """Raised when a response can no longer reach its caller."""
 
@@ -75,10 +79,15 @@
         self._discards_input = False
         self._head_sent = False
         self._is_response_whole = False
+        self._is_answer_missing = False
+        """Whether a request was served, but not the first byte of its response sent."""
         self._is_chunked = False
         self._closes_after_response = False
         self._idle_since_ms = clock.now_ms()
         self._head_started_ms: float | None = None
+        self._has_caller_left = False
+        self._close_reason = "unexpected error"
+        """Why the connection ends, for the log."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(SEND_TIMEOUT_MS / MS_PER_SECOND)
 
@@ -87,49 +96,79 @@
         reader = spawn(self._read)
         try:
             self._serve_requests()
-        except CallerDisconnectedError:
-            pass
+        except CallerDisconnectedError as error:
+            self._close_reason = str(error)
+        except Exception as error:
+            log.error("connection failed", error=repr(error), exc_info=True)
+            raise
         finally:
+            if not self.is_disconnected:
+                self._log_unanswered()
             self.is_disconnected = True
             reader.kill(block=False)
             self._sock.close()
 
+    def _log_unanswered(self) -> None:
+        """Log a close by this process that leaves requests without an answer."""
+        if self._has_caller_left:
+            return
+        unread = self._has_unread_input()
+        unanswered = len(self._parser.requests) + self._is_answer_missing
+        if unanswered or unread:
+            log.info(
+                "connection closed with requests unanswered",
+                reason=self._close_reason,
+                unanswered=unanswered,
+                has_unread_input=unread,
+                has_partial_message=self._parser.has_partial_message,
+                idle_ms=round(self._clock.now_ms() - self._idle_since_ms),
+                stop_phase=self._stop_phase().value,
+            )
+
     def _serve_requests(self) -> None:
         while not self.is_disconnected:
             requests = self._parser.requests
             if requests:
                 self._serve_request(requests.popleft())
                 if self.was_aborted:
+                    self._close_reason = "response cut off"
                     return
                 if self._closes_after_response:
+                    self._close_reason = "response that closes the connection"
                     self._close_gracefully()
                     return
                 continue
             if self._parser.failure is not None:
+                self._close_reason = "invalid request"
                 self.send_failure(self._parser.failure, "", ())
                 self._close_gracefully()
                 return
             if self._stop_phase() is StopPhase.ENDING and (
                 self._parser.has_partial_message
             ):
+                self._close_reason = "end of the stop"
                 self.send_failure(STOPPING, "", ())
                 self._close_gracefully()
                 return
             if self._is_idle_in_stop() and not self._has_unread_input():
+                self._close_reason = "idle in a stop"
                 return
             self._wakeup.clear()
             self._may_read.set()
             self._wakeup.wait(self._read_timeout_s())
             if not self._parser.requests and self._has_timed_out():
+                self._close_reason = "timeout"
                 return
 
     def _serve_request(self, request: HttpRequest) -> None:
         self.is_serving = True
         self._head_sent = self._is_response_whole = False
+        self._is_answer_missing = True
         self._closes_after_response = not request.keeps_alive
         self._is_chunked = request.is_http11
         try:
             self._serve(self, request)
+            self._is_answer_missing = not self._head_sent
         finally:
             self.is_serving = False
             self.on_disconnect = None
@@ -198,6 +237,9 @@
                 self._feed(data)
         except OSError:
             pass
+        except Exception as error:
+            log.error("reading from a caller failed", error=repr(error), exc_info=True)
+            raise
         if self._parser.failure is None:
             self._mark_disconnected()
         self._wakeup.set()
@@ -226,6 +268,7 @@
 
     def _mark_disconnected(self) -> None:
         self.is_disconnected = True
+        self._has_caller_left = True
         if self.on_disconnect is not None:
             self.on_disconnect()
 
@@ -302,6 +345,8 @@
         """
         if self.is_serving and not self._is_response_whole:
             self._reset_on_close()
+        self._close_reason = "exit of the process"
+        self._log_unanswered()
         self.is_disconnected = True
         self._sock.close()
 
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -442,8 +442,9 @@
         """Let every request that is still open get its final response."""
         if self._connections:
             self._log_stop("ending requests")
+        assert self._stop is not None
         for exchange in list(self._in_flight):
-            self.metrics.on_cut_off(exchange)
+            self.metrics.on_cut_off(exchange, self._stop)
             exchange.end_by_stop()
         for connection in list(self._connections):
             connection.on_stop_phase()
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -204,7 +204,7 @@
             left_ms=round(stop.ends_from_ms - now_ms),
         )
 
-    def on_cut_off(self, exchange: Exchange) -> None:
+    def on_cut_off(self, exchange: Exchange, stop: PlannedStop) -> None:
         """Record a request that is in flight at the end of a planned stop."""
         if exchange.caller.head_sent:
             state = "begun"
@@ -218,6 +218,16 @@
             endpoint=exchange.last_endpoint_id,
             state=state,
             took_ms=round(self._clock.now_ms() - exchange.started_ms, 1),
+            taken_after_signal_ms=round(exchange.started_ms - stop.signaled_ms),
+            waited_ms=exchange.waited_ms,
+            expected_ms=exchange.expected_ms,
+            first_event_ms=(
+                None
+                if exchange.first_event_after_ms is None
+                else round(exchange.first_event_after_ms)
+            ),
+            prompt_tokens=exchange.metadata.prompt_tokens,
+            timeout_ms=round(exchange.route.timeout_ms),
         )
 
     def on_retry(
