Stops: count the times of a stop from when the signal came

Cause: the plan of the stop began when the loop ran 'drain'.

Now a Python handler, which runs between any two instructions, reads the clock, and the plan counts from there. A paused process or a long call into C delays even the handler. So the loop records every 50 ms that it runs; if the last record is older than 75 ms, the plan counts from that record: the signal cannot have come before the hold-up began without having been handled. The stop then may refuse earlier than 3 s after the signal, by the time from the begin of the hold-up to the signal at most; readiness checks have no answer in that time either.

--- a/tests/test_late_stop_signals.py
+++ b/tests/test_late_stop_signals.py
@@ -84,7 +84,10 @@
         with stopping.fleet.connect() as sock:
             data = request_bytes("/once/x", "POST", b"body", (), "a1")
             signal_while(held_up, stopping, alarm)
-            sock.sendall(data[:-1])
+            sock.sendall(data[:-2])
+            # The configuration allows 2 s without input.
+            stopping.wait_until(2_200.0)
+            sock.sendall(data[-2:-1])
             stopping.wait_until(REFUSING_MS)
             sock.sendall(data[-1:])
             assert is_refused(read_reply(sock))
@@ -149,8 +152,8 @@
         stop_signal.install((alarm,))
         signal.raise_signal(alarm)
         gevent.sleep(0.2)
-        handled_ms = stop_signal.handled_ms
+        came_ms = stop_signal.came_ms
         signal.raise_signal(alarm)
         gevent.sleep(0.1)
-        assert stop_signal.handled_ms == handled_ms
+        assert stop_signal.came_ms == came_ms
         assert stopping.fleet.router.is_draining
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -408,12 +408,17 @@
         headers = self._header_codec.local_response_headers(metadata.request_id)
         caller.send_failure(failure, metadata.request_id, headers)
 
-    def drain(self) -> None:
-        """Stop gracefully: complete the requests of connected callers, then exit."""
+    def drain(self, signaled_ms: float | None = None) -> None:
+        """Stop gracefully: complete the requests of connected callers, then exit.
+
+        `signaled_ms` is the time from which the limit of the stop counts, a clock
+        reading in milliseconds; None for now.
+        """
         if self._stop is not None:
             return
-        now_ms = self._clock.now_ms()
-        self._stop = stop = plan_stop(now_ms, self.stop_limit_ms)
+        if signaled_ms is None:
+            signaled_ms = self._clock.now_ms()
+        self._stop = stop = plan_stop(signaled_ms, self.stop_limit_ms)
         self._log_stop("stopping")
         self._wait_until(self.stopped.is_set, stop.refuses_from_ms)
         if self.stopped.is_set():
--- a/wigeonwind/runtime/stop_signal.py
+++ b/wigeonwind/runtime/stop_signal.py
@@ -7,35 +7,62 @@
 import gevent
 from structlog import get_logger
 
-from wigeonwind.clock import Clock
+from wigeonwind.clock import MS_PER_SECOND, Clock
 
 log = get_logger("wigeonwind.stop_signal")
 
+LOOP_CHECK_MS = 50.0
+"""Interval at which the loop records that it runs."""
+
+MAX_LOOP_LAG_MS = 25.0
+"""Delay of a record from which the process counts as held up."""
+
 
 class StopSignal:
-    """Calls `on_stop` once, in a new greenlet, for the first of some stop signals."""
+    """Calls `on_stop` once, in a new greenlet, for the first of some stop signals.
 
-    def __init__(self, clock: Clock, on_stop: Callable[[], None]) -> None:
+    `on_stop` gets the earliest time at which the signal may have come, a clock reading
+    in milliseconds. That is when its handler ran, which Python does between any two
+    instructions. A paused process or a long call into C delays even the handler; if the
+    loop was held up at that time, it is when the loop last recorded that it ran.
+    """
+
+    def __init__(self, clock: Clock, on_stop: Callable[[float], None]) -> None:
         self._clock = clock
         self._on_stop = on_stop
         self._loop = gevent.get_hub().loop
-        self.handled_ms: float | None = None
-        """Clock reading at which the handler of the first signal ran, None before."""
+        self._ran_ms = clock.now_ms()
+        self.came_ms: float | None = None
+        """Earliest time at which the first signal may have come, None before it."""
+        self._handled_ms = 0.0
 
     def install(self, signal_numbers: Iterable[int]) -> None:
         """Handle these signals; call it in the main thread."""
+        interval_s = LOOP_CHECK_MS / MS_PER_SECOND
+        self._timer = self._loop.timer(interval_s, repeat=interval_s, ref=False)
+        self._ran_ms = self._clock.now_ms()
+        self._timer.start(self._record_running)
         for number in signal_numbers:
             signal.signal(number, self._handle)
 
+    def _record_running(self) -> None:
+        self._ran_ms = self._clock.now_ms()
+
     def _handle(self, _number: int, _frame: FrameType | None) -> None:
         """Handle a signal; this may interrupt any code of the main thread."""
-        if self.handled_ms is not None:
+        if self.came_ms is not None:
             return
-        self.handled_ms = self._clock.now_ms()
+        self._handled_ms = now_ms = self._clock.now_ms()
+        is_held_up = now_ms - self._ran_ms > LOOP_CHECK_MS + MAX_LOOP_LAG_MS
+        self.came_ms = self._ran_ms if is_held_up else now_ms
         self._loop.run_callback_threadsafe(gevent.spawn, self._begin_stop)
 
     def _begin_stop(self) -> None:
-        assert self.handled_ms is not None
-        lag_ms = self._clock.now_ms() - self.handled_ms
-        log.info("stop signal received", loop_lag_ms=round(lag_ms, 1))
-        self._on_stop()
+        assert self.came_ms is not None
+        self._timer.stop()
+        log.info(
+            "stop signal received",
+            held_up_ms=round(self._handled_ms - self.came_ms, 1),
+            loop_lag_ms=round(self._clock.now_ms() - self._handled_ms, 1),
+        )
+        self._on_stop(self.came_ms)
