Callers: ask for the body of a request whose head came during another one

A caller that pipelines a request with 'Expect: 100-continue' behind another one never got '100 Continue', and had neither an answer nor a refusal until the idle timeout. The reader sent it only when the head came while nothing was served, and nothing sent it later. Now it is sent when no earlier request is left to answer, never before the final answers of these. The test fails without the change; its first version read the two answers as one.

--- a/tests/test_connections_beside_changes.py
+++ b/tests/test_connections_beside_changes.py
@@ -9,6 +9,7 @@
     request_bytes,
     running_fleet,
 )
+from test_requests_during_stops import ByteReader
 
 from wigeonwind.standins.platform_worker import EchoRequestId
 
@@ -110,7 +111,7 @@
         headers = ("Expect: 100-continue",)
         data = request_bytes("/once/x", "POST", b"b", headers, "a2")
         sock.sendall(data[:-1])
-        assert read_reply(sock).body == b"a1"
+        assert read_reply(ByteReader(sock)).body == b"a1"
         sock.settimeout(1.0)
         assert sock.recv(100).startswith(b"HTTP/1.1 100")
         sock.sendall(data[-1:])
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -153,6 +153,7 @@
             if self._is_idle_in_stop() and not self._has_unread_input():
                 self._close_reason = "idle in a stop"
                 return
+            self._ask_for_body()
             self._wakeup.clear()
             self._may_read.set()
             self._wakeup.wait(self._read_timeout_s())
@@ -258,14 +259,19 @@
             self._head_started_ms = now_ms
             # The current wait uses the idle timeout, not the header timeout.
             self._wakeup.set()
-        if self._parser.expects_continue and not self.is_serving:
-            self._parser.expects_continue = False
-            self._sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if not (self.is_serving or self._parser.requests):
+            self._ask_for_body()
         if len(self._parser.requests) >= MAX_PIPELINED:
             self._may_read.clear()
         if self._parser.requests or self._parser.failure is not None:
             self._wakeup.set()
 
+    def _ask_for_body(self) -> None:
+        """Send `100 Continue` if the caller waits for it before it sends the body."""
+        if self._parser.expects_continue:
+            self._parser.expects_continue = False
+            self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     def _mark_disconnected(self) -> None:
         self.is_disconnected = True
         self._has_caller_left = True
