Callers: parse bytes behind offers to upgrade without recursion

1,000 requests that offer to upgrade, in one read, raised RecursionError in the reader of the connection: it ended, no request of the connection had an answer, and the log said so nowhere. Each offer called 'feed' once more for the bytes behind it. The bytes are now fed in a loop. The test, which had no answer within 1 s, passes.

--- a/wigeonwind/routing/request_parser.py
+++ b/wigeonwind/routing/request_parser.py
@@ -73,16 +73,22 @@
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes of the connection; set `failure` if they are invalid."""
-        if self.failure is not None or not data:
-            return
+        while self.failure is None and data:
+            data = self._feed_up_to_upgrade(data)
+
+    def _feed_up_to_upgrade(self, data: bytes) -> bytes:
+        """Parse bytes and return those behind an offer to upgrade the protocol.
+
+        The offer is ignored; the request that makes it is complete.
+        """
+        rest = b""
         self.has_partial_message = True
         self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except HttpParserUpgrade as upgrade:
-            # The request is complete; its offer to upgrade the protocol is ignored.
             self._parser = HttpRequestParser(self)
-            self.feed(data[upgrade.args[0] :])
+            rest = data[upgrade.args[0] :]
         except HttpParserError as error:
             self._fail(ErrorCode.BAD_REQUEST, f"invalid HTTP request: {error}", 400)
         if self.has_partial_message and (
@@ -91,6 +97,7 @@
             what = "trailers or chunk extensions" if self._head_is_complete else "head"
             message = f"the request has a larger {what} than allowed"
             self._fail(ErrorCode.TOO_LARGE, message, 431)
+        return rest
 
     def _fail(self, code: ErrorCode, message: str, status: int) -> None:
         if self.failure is None:
