Platform: ignore SIGHUP while the program loads its modules

It is now ignored from the first line of the program on; the settings are read later in any case. What remains is the start of the interpreter. The test sends the signal while the modules are imported, and failed with code -1.

--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -54,6 +54,28 @@
     assert done.stdout if code == 0 else done.stderr
 
 
+# Sends SIGHUP to its own process when the program imports the router.
+SIGHUP_AT_IMPORT = """
+import os, runpy, signal, sys
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "wigeonwind.routing.router":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, Finder())
+sys.argv = ["wigeonwind.platform", "--check"]
+runpy.run_module("wigeonwind.platform", run_name="__main__")
+"""
+
+
+def test_a_reload_during_the_start_does_not_end_the_process(node_file):
+    # Guards against a process that is ended by SIGHUP while it loads its modules.
+    command = [sys.executable, "-c", SIGHUP_AT_IMPORT]
+    done = subprocess.run(command, env=dict(os.environ), capture_output=True, text=True)
+    assert (done.returncode, done.stdout) == (0, "the settings are valid\n")
+
+
 def test_engine_priority_combines_customer_and_route():
     # Guards against sending engines only the priority of the customer: in one run,
     # urgent streams were preempted while long prompts of less urgent routes ran on.
--- a/wigeonwind/platform/__main__.py
+++ b/wigeonwind/platform/__main__.py
@@ -1,7 +1,12 @@
 """The routing process on the platform's VMs: `python -m wigeonwind.platform`."""
 
-import os
 import signal
+
+if __name__ == "__main__":
+    # Until the settings can be reloaded; by default the signal ends the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import os
 import sys
 from collections.abc import Sequence
 from dataclasses import replace
