Soak: pause routers while SIGTERM comes, and check that a stop ends in time

The soak waited for the exit within the limit and ignored the result, and never let a signal come to a paused process, so that it could not find a stop that counts its times from the wrong moment. A quarter of the routers that are stopped one at a time are now paused for 0.3 to 2.5 s while SIGTERM comes, drawn from a random source of its own (the faults of a seed are as before), and an exit later than the limit breaks 'stop-in-time'.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 from gevent import socket as gevent_socket
 
 from wigeonwind.addresses import SocketAddress
+from wigeonwind.checking.child_process import HUNG_EXIT_CODE
 from wigeonwind.soak.loopback_proxy import LoopbackProxy, ProxyFault
 from wigeonwind.soak.run_soak import SoakOptions, run_soak
 from wigeonwind.soak.soak_checks import (
@@ -249,6 +250,10 @@
             "sound-prompts",
         ),
         (history(ends=[EndSeen("router-0", 1.0, 70, False)]), "own-end"),
+        (
+            history(ends=[EndSeen("router-0", 1.0, HUNG_EXIT_CODE, True)]),
+            "stop-in-time",
+        ),
     ],
 )
 def test_each_check_reports_its_violation(made, promise):
--- a/wigeonwind/soak/run_soak.py
+++ b/wigeonwind/soak/run_soak.py
@@ -79,7 +79,11 @@
         gevent.sleep(max(0.0, wait_ms) / MS_PER_SECOND)
         action = SOAK_FAULTS.get(name)
         assert action is not None, name
-        context = FaultContext(fleet, Random(f"{options.seed}/{number}"))
+        context = FaultContext(
+            fleet,
+            Random(f"{options.seed}/{number}"),
+            Random(f"pauses/{options.seed}/{number}"),
+        )
         started.append(gevent.spawn(action, context))
     return started
 
--- a/wigeonwind/soak/soak_checks.py
+++ b/wigeonwind/soak/soak_checks.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from wigeonwind.checking.child_process import HUNG_EXIT_CODE
 from wigeonwind.registry import Registry
 from wigeonwind.soak.soak_fleet import CUSTOMER, DRAIN_MS
 from wigeonwind.soak.soak_records import (
@@ -424,3 +425,15 @@
                 f"code {exit_seen.exit_code}"
             )
             yield Violation("own-end", message)
+
+
+@SOAK_CHECKS.register("stop-in-time")
+def check_stop_in_time(history: SoakHistory) -> Iterator[Violation]:
+    """Check that a router exits by itself within the limit of a planned stop.
+
+    The limit counts from the signal, also for a router that is paused when it comes.
+    """
+    for exit_seen in history.ends:
+        if exit_seen.was_asked and exit_seen.exit_code == HUNG_EXIT_CODE:
+            message = f"{exit_seen.router} was running at the limit of its planned stop"
+            yield Violation("stop-in-time", message)
--- a/wigeonwind/soak/soak_faults.py
+++ b/wigeonwind/soak/soak_faults.py
@@ -40,6 +40,10 @@
 platform guarantees at most 2 s."""
 
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 4.0
+PAUSED_STOP_SHARE = 0.25
+"""Share of the stop signals that come to a paused process."""
+
+MAX_STOP_PAUSE_S = 2.5
 REMOVAL_DELAY_S = 0.5
 """Time for which a worker still serves after the end of its drain."""
 
@@ -65,15 +69,25 @@
 
 @dataclass
 class FaultContext:
-    """The fleet that a fault acts on; `rng` draws its target and parameters."""
+    """The fleet that a fault acts on; `rng` draws its target and parameters.
+
+    `pause_rng` draws the pauses of processes that get a stop signal.
+    """
 
     fleet: SoakFleet
     rng: Random
+    pause_rng: Random
 
     def draw_duration_s(self) -> float:
         """Draw the duration of a fault."""
         return self.rng.uniform(MIN_FAULT_S, MAX_FAULT_S)
 
+    def draw_stop_pause_s(self) -> float:
+        """Draw the pause of a process at its stop signal, 0 for most."""
+        if self.pause_rng.random() >= PAUSED_STOP_SHARE:
+            return 0.0
+        return self.pause_rng.uniform(MIN_FAULT_S, MAX_STOP_PAUSE_S)
+
     def draw_worker(self) -> SoakWorker:
         """Draw a worker."""
         return self.rng.choice(self.fleet.workers)
@@ -219,7 +233,8 @@
 def _stop_router(context: FaultContext) -> None:
     router = context.draw_available_router()
     if router is not None:
-        _restart_router(context, router, is_planned=True)
+        pause_s = context.draw_stop_pause_s()
+        _restart_router(context, router, is_planned=True, pause_s=pause_s)
 
 
 @SOAK_FAULTS.register("routers-stop-in-turn")
@@ -231,12 +246,19 @@
 
 
 def _restart_router(
-    context: FaultContext, router: SoakRouter, is_planned: bool
+    context: FaultContext,
+    router: SoakRouter,
+    is_planned: bool,
+    pause_s: float = 0.0,
 ) -> None:
     fleet = context.fleet
     router.is_under_fault = True
     with _disturbance(context, router.name, "stop" if is_planned else "kill"):
-        fleet.end_router(router, is_planned)
+        if pause_s:
+            with _disturbance(context, router.name, "pause"):
+                fleet.end_router(router, is_planned, pause_s)
+        else:
+            fleet.end_router(router, is_planned)
         gevent.sleep(context.rng.uniform(0.0, 0.5))
         fleet.start_router(router)
         with gevent.Timeout(MAX_FAULT_S, False):
--- a/wigeonwind/soak/soak_fleet.py
+++ b/wigeonwind/soak/soak_fleet.py
@@ -228,13 +228,23 @@
             router.name, (PROGRAM_MODULE,), log, environment, prints_addresses=False
         )
 
-    def end_router(self, router: SoakRouter, is_planned: bool) -> None:
-        """Stop a routing process with SIGTERM or SIGKILL and wait for its exit."""
+    def end_router(
+        self, router: SoakRouter, is_planned: bool, pause_s: float = 0.0
+    ) -> None:
+        """Stop a routing process with SIGTERM or SIGKILL and wait for its exit.
+
+        It is paused for `pause_s` seconds from just before SIGTERM.
+        """
         process = router.process
         assert process is not None
         if is_planned:
+            if pause_s:
+                process.freeze()
             process.terminate()
-            code = process.wait(GRACE_S)
+            if pause_s:
+                gevent.sleep(pause_s)
+                process.thaw()
+            code = process.wait(GRACE_S - pause_s)
         else:
             process.kill()
             code = process.wait()
