--- a/wigeonwind/platform/__main__.py
+++ b/wigeonwind/platform/__main__.py
@@ -1,7 +1,12 @@
 """The routing process on the platform's VMs: `python -m wigeonwind.platform`."""
 
-import os
 import signal
+
+if __name__ == "__main__":
+    # Until the settings can be reloaded; by default the signal ends the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import os
 import sys
 from collections.abc import Sequence
 from dataclasses import replace
@@ -34,6 +39,7 @@
 from wigeonwind.routing.router import Router, RouterSettings
 from wigeonwind.routing.routing_state import StoreSchema
 from wigeonwind.runtime.logs import configure_logs
+from wigeonwind.runtime.stop_signal import StopSignal
 from wigeonwind.state.store_client import StoreClient, StoreLimits
 from wigeonwind.state.store_http import PoolLimits
 
@@ -157,8 +163,8 @@
         return EXIT_BAD_SETTINGS
     configure_logs()
     router = build_router(result.value)
-    gevent.signal_handler(signal.SIGTERM, router.drain)
-    gevent.signal_handler(signal.SIGINT, router.drain)
+    stop_signal = StopSignal(SystemClock(), router.drain)
+    stop_signal.install((signal.SIGTERM, signal.SIGINT))
     gevent.signal_handler(signal.SIGHUP, reload_settings, router, result.value)
     try:
         router.start()
