Routing: a stopping process takes what is sure to end, and leaves when its work is done

Callers saw: in a rolling stop no connection for seconds, short calls turned away with seconds left, streams taken that could not end. Cause: a stop was a plan of fixed times (refuse at 3.0 s, end at 7.5 s) that compared nothing with the time a request needs, and each process went deaf at 3 s for the sake of its last stream, whatever the others did.

Durations are learned by route and expected length with the product-limit estimate, which counts requests in flight, so that a fresh process does not take its first short ones for all. A request is taken if 1.5 x its 0.98 quantile (24 samples at least) plus 1 s of silence for streams ends in time; in the first 2.3 s likely is enough. Routers announce their stops (datagram stops/1). The first of several stops passes long work on to the others; without a ready process they leave one after the other; Retry-After says when the next one should be ready.

Weighed: refusing all long work from the signal on (callers have one retry, and another stopping process may get it); waiting for a ready process before leaving (five that stop at once would wait for each other).

--- /dev/null
+++ b/wigeonwind/decisions/stop_admission.py
@@ -0,0 +1,195 @@
+"""Which requests a process takes during a planned stop, and when it leaves.
+
+A request is taken if it is sure to end before the stop does, however late it comes.
+Shortly after the signal callers may still have no other process: the load balancer has
+not noticed the stop, and a caller has few retries. Then likely is enough.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+
+BALANCER_MS = 2_500.0
+"""Time after the signal for which the load balancer may send new connections. It checks
+readiness every second and removes a process after two failed checks."""
+
+UNSURE_MS = 2_300.0
+"""Time after the signal up to which a request is taken that only may end in time. It is
+well before the 3 s after which callers count such a request as lost."""
+
+SURE_QUANTILE = 0.98
+
+SURE_SAMPLES = 24
+"""Fewest whole durations for a sure end; the longest of fewer is often exceeded."""
+
+LIKELY_QUANTILE = 0.75
+
+SPREAD_FACTOR = 1.5
+"""Allowance for a load that is higher than that of the samples."""
+
+STREAM_SILENCE_MS = 1_000.0
+"""Allowance for a sound endpoint that is silent and then goes on with its stream."""
+
+CALL_MARGIN_MS = 100.0
+"""Allowance of requests that are not streams, for delays of this process."""
+
+SHORT_MS = 1_000.0
+"""Longest request that is taken while others can take the longer ones, so that the stop
+ends with the work that was taken before."""
+
+ENOUGH_READY = 2
+"""Ready processes that can take the longer requests of one that stops alone."""
+
+LEAVING_MS = 500.0
+"""Longest time for which new requests may keep a process that is leaving."""
+
+OTHERS_RETRY_MS = 50.0
+"""Retry-After while another process is ready."""
+
+MIN_RETRY_MS = 250.0
+
+
+class StopReason(Enum):
+    """Why a request is taken or refused during a stop."""
+
+    ENDS_IN_TIME = "ends-in-time"
+    LIKELY = "may-end-in-time"
+    TOO_LONG = "may-not-end-in-time"
+    OTHERS_READY = "others-ready"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class DurationEstimate:
+    """How long a request may take, in milliseconds, with all allowances."""
+
+    sure_ms: float
+    likely_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class OtherRouters:
+    """What the other processes do, from their messages.
+
+    `ready` of them serve callers. `stops_later` listen and were told to stop after this
+    one. `stops_earlier` were told to stop shortly before it, so that the load balancer
+    may not have noticed. `away` have exited or are about to, and should start again.
+    """
+
+    ready: int = 0
+    stops_later: int = 0
+    stops_earlier: int = 0
+    away: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class StopSituation:
+    """Facts of a planned stop; times in milliseconds.
+
+    `left_ms` is the time until open requests are ended, `leaving_ms` the time since the
+    process began to leave, None before.
+    """
+
+    since_signal_ms: float
+    left_ms: float
+    leaving_ms: float | None
+    others: OtherRouters
+
+
+@dataclass(frozen=True, slots=True)
+class StopDecision:
+    """Whether a request is taken, and why; the estimate is that of a sure end."""
+
+    is_taken: bool
+    reason: StopReason
+    estimate_ms: float
+    left_ms: float
+
+
+def estimate_duration(
+    sure_ms: float | None, likely_ms: float | None, is_stream: bool, limit_ms: float
+) -> DurationEstimate:
+    """Return an estimate from quantiles, or the limit where they are not known.
+
+    `limit_ms` is when the request ends at the latest, by its deadline or its route.
+
+    >>> estimate_duration(400.0, 200.0, False, 5_000.0)
+    DurationEstimate(sure_ms=700.0, likely_ms=300.0)
+    >>> estimate_duration(None, None, True, 5_000.0)
+    DurationEstimate(sure_ms=5000.0, likely_ms=5000.0)
+    """
+    margin_ms = STREAM_SILENCE_MS if is_stream else CALL_MARGIN_MS
+    sure, likely = limit_ms, limit_ms
+    if sure_ms is not None:
+        sure = min(limit_ms, SPREAD_FACTOR * sure_ms + margin_ms)
+    if likely_ms is not None:
+        likely = min(limit_ms, likely_ms + CALL_MARGIN_MS)
+    return DurationEstimate(sure, likely)
+
+
+def decide_in_stop(
+    situation: StopSituation, estimate: DurationEstimate, is_known: bool
+) -> StopDecision:
+    """Return whether a process that stops takes a request.
+
+    `is_known` says that the estimate comes from samples, not from a limit.
+    """
+    left_ms, since_ms = situation.left_ms, situation.since_signal_ms
+    is_taken, reason = False, StopReason.TOO_LONG
+    if situation.leaving_ms is not None:
+        left_ms = min(left_ms, LEAVING_MS - situation.leaving_ms)
+        reason = StopReason.LEAVING
+    if estimate.likely_ms > SHORT_MS and _can_others_take(since_ms, situation.others):
+        reason = StopReason.OTHERS_READY
+    elif estimate.sure_ms <= left_ms:
+        is_taken, reason = True, StopReason.ENDS_IN_TIME
+    elif since_ms <= UNSURE_MS and reason is not StopReason.LEAVING:
+        is_taken = estimate.likely_ms <= left_ms or not is_known
+        reason = StopReason.LIKELY if is_taken else StopReason.TOO_LONG
+    return StopDecision(is_taken, reason, estimate.sure_ms, left_ms)
+
+
+def _can_others_take(since_signal_ms: float, others: OtherRouters) -> bool:
+    """Return whether long requests should go to others, so that this process leaves.
+
+    Of several that stop at a time, the first one passes them on early. Without a ready
+    process, those that were told to stop later have more time left.
+    """
+    if since_signal_ms > BALANCER_MS:
+        is_first_to_leave = others.stops_later > 0 and not others.away
+        return others.ready > 0 or is_first_to_leave
+    return others.ready >= ENOUGH_READY and not others.stops_earlier
+
+
+def may_leave(
+    since_signal_ms: float, has_early_work: bool, others: OtherRouters
+) -> bool:
+    """Return whether a process may stop listening before the end of its stop.
+
+    `has_early_work` says that requests taken within BALANCER_MS are in flight. Without
+    a ready process, those that stop leave one after the other, the first one first.
+
+    >>> may_leave(2_500.0, False, OtherRouters()), may_leave(
+    ...     2_400.0, False, OtherRouters()
+    ... )
+    (True, False)
+    >>> may_leave(2_500.0, False, OtherRouters(stops_later=1, away=1))
+    False
+    """
+    if since_signal_ms < BALANCER_MS or has_early_work:
+        return False
+    return others.ready > 0 or not others.away
+
+
+def retry_after_ms(ready: int, ready_in_ms: Iterable[float]) -> float:
+    """Return when a refused caller should try again.
+
+    `ready` counts other ready processes; `ready_in_ms` are the times until further ones
+    are expected to be ready.
+
+    >>> retry_after_ms(1, [900.0]), retry_after_ms(0, [1_800.0, 900.0])
+    (50.0, 900.0)
+    """
+    if ready:
+        return OTHERS_RETRY_MS
+    return max(MIN_RETRY_MS, min(ready_in_ms, default=MIN_RETRY_MS))
--- a/wigeonwind/platform/headers.py
+++ b/wigeonwind/platform/headers.py
@@ -15,6 +15,7 @@
 REQUEST_ID = b"request-id"
 API_KEY = b"x-api-key"
 DEADLINE_MS = b"deadline-ms"
+LENGTH_HINT = b"length-hint"
 TOKEN_USAGE = b"token-usage"
 PREFIX_HASH = b"prefix-hash"
 LAST_EVENT_ID = b"last-event-id"
@@ -68,6 +69,7 @@
             int(_non_negative_number(prompt_tokens) or 0),
             tuple(_prompt_chunks(by_name.get(PREFIX_HASH, b""))),
             _event_id(by_name.get(LAST_EVENT_ID)),
+            int(_non_negative_number(by_name.get(LENGTH_HINT)) or 0),
         )
 
     def encode_request_headers(
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -32,8 +32,8 @@
 Closing a socket with unread input resets it, and the caller would lose the response."""
 
 STOP_IDLE_MS = 300.0
-"""Idle time after which a stopping process closes a connection. A caller that was not
-told to close it may be sending its next request, which is then refused."""
+"""Idle time after which a process that leaves closes a connection. A caller that was
+not told to close it may be sending its next request, which is then refused."""
 
 RESET_LINGER = struct.pack("ii", 1, 0)
 """SO_LINGER value that makes `close` reset the connection."""
@@ -144,17 +144,17 @@
         if self._head_started_ms is not None:
             head_ms = limits.header_timeout_ms + self._head_started_ms
             remaining_ms = min(remaining_ms, head_ms - self._clock.now_ms())
-        if self._is_refusing():
+        if self._is_leaving():
             idle_ms = self._clock.now_ms() - self._idle_since_ms
             remaining_ms = min(remaining_ms, max(STOP_IDLE_MS - idle_ms, 10.0))
         return max(remaining_ms, 1.0) / MS_PER_SECOND
 
-    def _is_refusing(self) -> bool:
-        return self._stop_phase() in (StopPhase.REFUSING, StopPhase.ENDING)
+    def _is_leaving(self) -> bool:
+        return self._stop_phase() in (StopPhase.LEAVING, StopPhase.ENDING)
 
     def _is_idle_in_stop(self) -> bool:
         """Return whether a stopping process should close the connection now."""
-        if not self._is_refusing() or self._parser.has_partial_message:
+        if not self._is_leaving() or self._parser.has_partial_message:
             return False
         if self._stop_phase() is StopPhase.ENDING:
             return True
--- a/wigeonwind/routing/header_codec.py
+++ b/wigeonwind/routing/header_codec.py
@@ -38,6 +38,8 @@
     prompt_chunks: tuple[PromptChunk, ...] = ()
     last_event_id: int | None = None
     """Id of the last event that the caller has received of a stream to resume."""
+    expected_output_tokens: int = 0
+    """The caller's estimate of the tokens in the response, 0 without one."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -21,6 +21,7 @@
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.latency_choice import LatencyChooser
 from wigeonwind.decisions.peer_loads import MAX_AGE_MS
+from wigeonwind.decisions.stop_admission import OtherRouters
 from wigeonwind.hashing import stable_hash
 from wigeonwind.ids import new_incarnation
 from wigeonwind.outcomes import Ok
@@ -30,6 +31,14 @@
     decode_load,
     encode_load,
 )
+from wigeonwind.routing.peer_stops import PeerStops
+from wigeonwind.routing.planned_stop import PlannedStop, StopPhase
+from wigeonwind.routing.stop_messages import (
+    StopMessage,
+    decode_stop,
+    encode_stop,
+    is_stop_message,
+)
 from wigeonwind.routing.store_watchers import PeerView, StoreView
 from wigeonwind.routing.suspect_messages import (
     SuspectMessage,
@@ -80,6 +89,10 @@
 """Silence after which a peer is removed: several times as long as a restart, or as a
 network partition of a VM."""
 
+SETTLING_MS = 1_000.0
+"""Time after which a process that has started gets new connections: the load balancer
+checks readiness every second."""
+
 VIEW_MAX_AGE_MS = 2_000.0
 """Age at which a peer's view of the store no longer counts. It is several intervals
 between messages, as messages to a sample of a large fleet reach each peer less often.
@@ -142,6 +155,8 @@
     sequence: int = 0
     last_received_ms: float = float("-inf")
     first_seen_ms: float = 0.0
+    started_ms: float = 0.0
+    """When the first message of its present incarnation came."""
     view: StoreView | None = None
     """Its view of the store, None if it sends none."""
 
@@ -180,6 +195,8 @@
         self._sock = gevent_socket.socket(
             gevent_socket.AF_INET, gevent_socket.SOCK_DGRAM
         )
+        self.stops = PeerStops()
+        self._local_stop: Callable[[], StopMessage] | None = None
         self.undecodable_datagrams = 0
         """Number of datagrams received that were no valid messages."""
 
@@ -220,6 +237,40 @@
         """Return the number of known peers."""
         return len(self._peer_by_id)
 
+    def others(self, stop: PlannedStop) -> OtherRouters:
+        """Return what the other processes do, for a process that is stopping."""
+        now_ms = self._clock.now_ms()
+        ready = sum(
+            peer.last_received_ms >= now_ms - MAX_AGE_MS
+            and peer.started_ms <= now_ms - SETTLING_MS
+            and not self.stops.is_stopping(peer_id)
+            for peer_id, peer in self._peer_by_id.items()
+        )
+        return self.stops.others(ready, stop.signaled_ms, now_ms)
+
+    def announce_stop(
+        self, plan: PlannedStop, expected_exit_ms: Callable[[], float]
+    ) -> None:
+        """Tell all peers of the stop now, and again with each load message."""
+
+        def message() -> StopMessage:
+            now_ms = self._clock.now_ms()
+            return StopMessage(
+                self._local_id,
+                self._incarnation,
+                max(0, round(now_ms - plan.signaled_ms)),
+                max(0, round(expected_exit_ms() - now_ms)),
+                plan.phase(now_ms) is StopPhase.LISTENING,
+            )
+
+        self._local_stop = message
+        self.repeat_stop()
+
+    def repeat_stop(self) -> None:
+        """Tell all peers of the stop now, as its phase has changed."""
+        if self._local_stop is not None:
+            self._send_data(encode_stop(self._local_stop()), self._peer_by_id.values())
+
     def _receive(self) -> None:
         while True:
             data, source = self._sock.recvfrom(MAX_MESSAGE_BYTES)
@@ -232,14 +283,19 @@
             )
 
     def _on_datagram(self, data: bytes, source: SocketAddress) -> None:
-        message: LoadMessage | SuspectMessage | str
+        message: LoadMessage | SuspectMessage | StopMessage | str
         if is_suspect_message(data):
             message = decode_suspects(data)
+        elif is_stop_message(data):
+            message = decode_stop(data)
         else:
             message = decode_load(data)
         if isinstance(message, SuspectMessage):
             self._on_suspects(message, source)
             return
+        if isinstance(message, StopMessage):
+            self._on_stop(message, source)
+            return
         if isinstance(message, LoadMessage):
             self._on_message(message, source)
             return
@@ -253,6 +309,14 @@
             return
         self._suspects.on_message(message)
 
+    def _on_stop(self, message: StopMessage, source: SocketAddress) -> None:
+        """Apply a stop message of a known peer's VM and present process."""
+        peer = self._peer_by_id.get(message.sender)
+        if peer is None or peer.address.host != source.host:
+            return
+        if peer.incarnation == message.incarnation:
+            self.stops.on_message(message, self._clock.now_ms())
+
     def _on_message(self, message: LoadMessage, source: SocketAddress) -> None:
         if message.sender == self._local_id:
             return
@@ -273,8 +337,11 @@
         peer.incarnation, peer.sequence = position
         peer.last_received_ms = now_ms
         peer.view = message.store_view
+        self.stops.on_incarnation(message.sender, message.incarnation)
         self._chooser.on_peer_load(message.sender, message.load_by_id, now_ms)
         self._chooser.on_peer_prefixes(message.prefixes, now_ms)
+        if has_started:
+            peer.started_ms = now_ms
         if has_started and self._suspects is not None:
             self._send_all_suspects(self._suspects, (peer,))
 
@@ -306,6 +373,8 @@
         if len(peers) > MAX_PEERS_PER_SEND:
             peers = self._rng.sample(peers, MAX_PEERS_PER_SEND)
         self._send_data(encode_load(message), peers)
+        if self._local_stop is not None:
+            self._send_data(encode_stop(self._local_stop()), peers)
         if self._suspects is None:
             return
         self._send_changes(self._suspects, peers)
--- /dev/null
+++ b/wigeonwind/routing/peer_stops.py
@@ -0,0 +1,101 @@
+"""What a router knows of the planned stops of the other routers."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from wigeonwind.decisions.stop_admission import BALANCER_MS, OtherRouters
+from wigeonwind.routing.stop_messages import StopMessage
+
+SILENCE_MS = 500.0
+"""Time without a message after which a stopping router no longer listens. It sends one
+with each load message."""
+
+START_MS = 2_000.0
+"""Time from the exit of a process until the load balancer sends to its successor."""
+
+OVERDUE_MS = 3_000.0
+"""Time for which a successor that is late is still expected."""
+
+
+@dataclass(slots=True)
+class _PeerStop:
+    """The stop of one router; times are readings of the local clock."""
+
+    incarnation: int
+    signaled_ms: float
+    exits_ms: float
+    is_listening: bool
+    received_ms: float
+
+    def listens(self, now_ms: float) -> bool:
+        """Return whether callers can still connect to the router."""
+        return self.is_listening and now_ms - self.received_ms < SILENCE_MS
+
+    def is_expected(self, now_ms: float) -> bool:
+        """Return whether the successor should be ready soon."""
+        return now_ms < self.exits_ms + START_MS + OVERDUE_MS
+
+
+class PeerStops:
+    """Planned stops of other routers, from their messages; times in milliseconds.
+
+    A message that is repeated or late changes nothing, and one of an earlier start of
+    the process is ignored once its successor has been heard.
+    """
+
+    def __init__(self) -> None:
+        self._stop_by_id: dict[str, _PeerStop] = {}
+
+    def on_message(self, message: StopMessage, now_ms: float) -> None:
+        """Apply the message of a router that is known and of this incarnation."""
+        known = self._stop_by_id.get(message.sender)
+        signaled_ms = now_ms - message.since_ms
+        if known is not None and known.incarnation == message.incarnation:
+            if signaled_ms > known.signaled_ms + SILENCE_MS:
+                return  # It was delayed.
+            signaled_ms = min(signaled_ms, known.signaled_ms)
+        self._stop_by_id[message.sender] = _PeerStop(
+            message.incarnation,
+            signaled_ms,
+            now_ms + message.exits_in_ms,
+            message.is_listening,
+            now_ms,
+        )
+
+    def on_incarnation(self, peer_id: str, incarnation: int) -> None:
+        """Forget the stop of a process whose successor has been heard."""
+        known = self._stop_by_id.get(peer_id)
+        if known is not None and known.incarnation != incarnation:
+            del self._stop_by_id[peer_id]
+
+    def is_stopping(self, peer_id: str) -> bool:
+        """Return whether a router has announced its stop and not started again."""
+        return peer_id in self._stop_by_id
+
+    def others(self, ready: int, signaled_ms: float, now_ms: float) -> OtherRouters:
+        """Return what the others do, seen by one that was told to stop at a time.
+
+        `ready` is the number of others that run and have announced no stop.
+        """
+        stops = self._stop_by_id.values()
+        return OtherRouters(
+            ready,
+            sum(
+                each.signaled_ms > signaled_ms and each.listens(now_ms)
+                for each in stops
+            ),
+            sum(
+                each.signaled_ms <= signaled_ms
+                and now_ms - each.signaled_ms < BALANCER_MS
+                for each in stops
+            ),
+            sum(
+                not each.listens(now_ms) and each.is_expected(now_ms) for each in stops
+            ),
+        )
+
+    def ready_in_ms(self, now_ms: float) -> Iterator[float]:
+        """Yield the times until the successors of stopped routers should be ready."""
+        for each in self._stop_by_id.values():
+            if each.is_expected(now_ms):
+                yield max(0.0, each.exits_ms + START_MS - now_ms)
--- a/wigeonwind/routing/planned_stop.py
+++ b/wigeonwind/routing/planned_stop.py
@@ -2,10 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
-
-ACCEPT_MS = 3_000.0
-"""Time after a stop signal for which requests are still served. The load balancer
-checks readiness every second and removes a process after two failed checks."""
+from math import inf
 
 EXIT_MARGIN_MS = 300.0
 """Time before the limit of the stop at which the process exits by itself."""
@@ -15,45 +12,45 @@
 
 
 class StopPhase(Enum):
-    """What a process does with requests."""
+    """What a process does with connections and requests."""
 
     RUNNING = "running"
-    ACCEPTING = "accepting"
-    """Requests are served; responses end their connections."""
-    REFUSING = "refusing"
-    """Requests in flight are served, all others refused."""
+    LISTENING = "listening"
+    """Connections are accepted; responses end them."""
+    LEAVING = "leaving"
+    """The listener and idle connections are closed, requests in flight are served."""
     ENDING = "ending"
     """Requests in flight get their final response at once."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PlannedStop:
     """The times of a planned stop, clock readings in milliseconds."""
 
     signaled_ms: float
-    refuses_from_ms: float
     ends_from_ms: float
     exits_ms: float
+    leaves_from_ms: float = inf
+    """When the process began to leave; infinite before."""
 
     def phase(self, now_ms: float) -> StopPhase:
         """Return the phase at a time from the signal on."""
         if now_ms >= self.ends_from_ms:
             return StopPhase.ENDING
-        if now_ms >= self.refuses_from_ms:
-            return StopPhase.REFUSING
-        return StopPhase.ACCEPTING
+        if now_ms >= self.leaves_from_ms:
+            return StopPhase.LEAVING
+        return StopPhase.LISTENING
 
 
 def plan_stop(signaled_ms: float, limit_ms: float) -> PlannedStop:
     """Return the times of a stop that must end within `limit_ms`.
 
     >>> stop = plan_stop(0.0, 8_000.0)
-    >>> stop.refuses_from_ms, stop.ends_from_ms, stop.exits_ms
-    (3000.0, 7500.0, 7700.0)
-    >>> stop.phase(3_000.0)
-    <StopPhase.REFUSING: 'refusing'>
+    >>> stop.ends_from_ms, stop.exits_ms
+    (7500.0, 7700.0)
+    >>> stop.leaves_from_ms = 2_500.0
+    >>> stop.phase(2_499.0), stop.phase(2_500.0)
+    (<StopPhase.LISTENING: 'listening'>, <StopPhase.LEAVING: 'leaving'>)
     """
     exits_ms = signaled_ms + max(0.0, limit_ms - EXIT_MARGIN_MS)
-    ends_from_ms = max(signaled_ms, exits_ms - ENDING_MS)
-    refuses_from_ms = min(signaled_ms + ACCEPT_MS, ends_from_ms)
-    return PlannedStop(signaled_ms, refuses_from_ms, ends_from_ms, exits_ms)
+    return PlannedStop(signaled_ms, max(signaled_ms, exits_ms - ENDING_MS), exits_ms)
--- a/wigeonwind/routing/refusals.py
+++ b/wigeonwind/routing/refusals.py
@@ -1,5 +1,7 @@
 """Failures with which this process answers requests that it does not forward."""
 
+from dataclasses import replace
+
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 
 NO_CONFIGURATION_RETRY_MS = 300.0
@@ -17,6 +19,12 @@
     STOPPING_RETRY_MS,
 )
 
+
+def stopping_failure(retry_ms: float) -> Failure:
+    """Return the refusal of a stopping process; `retry_ms` is its Retry-After."""
+    return replace(STOPPING, retry_after_ms=retry_ms)
+
+
 NO_CONFIGURATION = Failure(
     Outcome.NOT_RUN,
     ErrorCode.STORE_UNAVAILABLE,
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -8,11 +8,13 @@
 from wigeonwind.decisions.engine_profile import ServiceProfile
 from wigeonwind.decisions.interfaces import GiveUp, Resend
 from wigeonwind.decisions.quarantine import SuspectStatus
+from wigeonwind.decisions.stop_admission import StopDecision
 from wigeonwind.outcomes import Failure
 from wigeonwind.routing.exchange import Exchange
 from wigeonwind.routing.header_codec import RequestMetadata
 from wigeonwind.routing.planned_stop import PlannedStop
-from wigeonwind.routing.routes import HttpRoute, RouteTable
+from wigeonwind.routing.routed_request import RoutedRequest
+from wigeonwind.routing.routes import RouteTable
 from wigeonwind.routing.send_outcomes import (
     Broken,
     CallerDisconnected,
@@ -67,6 +69,11 @@
             "Requests that began to be served after a stop signal.",
             ("route",),
         )
+        self._refused_during_stop = self._metrics.counter(
+            "stop_requests_refused",
+            "Requests that a stopping process refused, by reason.",
+            ("route", "reason"),
+        )
         self._cut_off = self._metrics.counter(
             "stop_requests_cut_off",
             "Requests that were in flight when a planned stop ended.",
@@ -191,17 +198,26 @@
         )
 
     def on_request_during_stop(
-        self, metadata: RequestMetadata, route: HttpRoute, stop: PlannedStop
+        self, routed: RoutedRequest, stop: PlannedStop, decision: StopDecision
     ) -> None:
-        """Record a request that is served after the stop signal."""
+        """Record that a request is taken or refused after the stop signal."""
         now_ms = self._clock.now_ms()
-        self._taken_during_stop.labels(route.name).inc()
+        route = routed.route.name
+        reason = decision.reason.value
+        if decision.is_taken:
+            event = "request taken during a stop"
+            self._taken_during_stop.labels(route).inc()
+        else:
+            event = "request refused during a stop"
+            self._refused_during_stop.labels(route, reason).inc()
         log.info(
-            "request taken during a stop",
-            request_id=metadata.request_id,
-            route=route.name,
+            event,
+            request_id=routed.metadata.request_id,
+            route=route,
             since_signal_ms=round(now_ms - stop.signaled_ms),
-            left_ms=round(stop.ends_from_ms - now_ms),
+            left_ms=round(decision.left_ms),
+            estimate_ms=round(decision.estimate_ms),
+            reason=reason,
         )
 
     def on_cut_off(self, exchange: Exchange) -> None:
@@ -266,5 +282,6 @@
             longest_pause_ms=round(exchange.longest_pause_ms, 1),
             on_time=exchange.is_on_time(),
             prompt_tokens=exchange.metadata.prompt_tokens,
+            expected_tokens=exchange.metadata.expected_output_tokens,
             timeout_ms=round(exchange.deadline_ms - exchange.started_ms),
         )
--- /dev/null
+++ b/wigeonwind/routing/stop_messages.py
@@ -0,0 +1,83 @@
+"""Encoding of messages about planned stops between routers (CBOR datagrams).
+
+They are separate from load messages: a router sends them only while it stops, and
+routers of earlier versions ignore them.
+"""
+
+from dataclasses import dataclass
+
+import cbor2
+
+MESSAGE_TYPE = "stops/1"
+"""First element of each message."""
+
+MAX_INCARNATION = 2**64 - 1
+MAX_MS = 600_000
+"""Bound of the times in a message; no stop takes that long."""
+
+
+@dataclass(frozen=True, slots=True)
+class StopMessage:
+    """A router's planned stop, as of the moment of sending; times in milliseconds.
+
+    `since_ms` is the time since the stop signal, `exits_in_ms` the expected time until
+    the exit. `is_listening` says that callers may still connect.
+    """
+
+    sender: str
+    incarnation: int
+    since_ms: int
+    exits_in_ms: int
+    is_listening: bool
+
+
+def encode_stop(message: StopMessage) -> bytes:
+    """Return a message as CBOR."""
+    return cbor2.dumps(
+        [
+            MESSAGE_TYPE,
+            message.sender,
+            message.incarnation,
+            message.since_ms,
+            message.exits_in_ms,
+            message.is_listening,
+        ]
+    )
+
+
+def is_stop_message(data: bytes) -> bool:
+    """Return whether a datagram is a stop message, valid or not.
+
+    >>> is_stop_message(encode_stop(StopMessage("r1", 1, 0, 7_700, True)))
+    True
+    """
+    return data[1:].startswith(cbor2.dumps(MESSAGE_TYPE))
+
+
+def decode_stop(data: bytes) -> StopMessage | str:
+    """Decode a datagram; a returned string is the reason why it is invalid.
+
+    >>> decode_stop(b"x")[:19]
+    'not a stop message:'
+    """
+    try:
+        message_type, sender, incarnation, since_ms, exits_in_ms, listens = cbor2.loads(
+            data
+        )
+        if message_type != MESSAGE_TYPE or not isinstance(sender, str):
+            return f"unsupported message type {message_type!r}"
+        return StopMessage(
+            sender,
+            _number(incarnation, MAX_INCARNATION),
+            _number(since_ms, MAX_MS),
+            _number(exits_in_ms, MAX_MS),
+            bool(listens),
+        )
+    except (cbor2.CBORError, ValueError, TypeError, RecursionError) as error:
+        return f"not a stop message: {error}"
+
+
+def _number(value: object, limit: int) -> int:
+    if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= limit:
+        raise ValueError(f"{value!r} is not a number up to {limit}")
+    return value
--- /dev/null
+++ b/wigeonwind/routing/stop_requests.py
@@ -0,0 +1,90 @@
+"""Admission of requests during a planned stop, and the durations it is based on."""
+
+from collections.abc import Iterable, Iterator
+from typing import TYPE_CHECKING
+
+from wigeonwind.clock import Clock
+from wigeonwind.decisions.response_times import MIN_SAMPLES, ResponseTimes
+from wigeonwind.decisions.stop_admission import (
+    LIKELY_QUANTILE,
+    SURE_QUANTILE,
+    SURE_SAMPLES,
+    OtherRouters,
+    StopDecision,
+    StopSituation,
+    decide_in_stop,
+    estimate_duration,
+)
+from wigeonwind.routing.header_codec import RequestMetadata
+from wigeonwind.routing.planned_stop import PlannedStop
+from wigeonwind.routing.routed_request import RoutedRequest
+from wigeonwind.routing.routes import HttpRoute
+from wigeonwind.routing.send_outcomes import Delivered, NotRun, SendOutcome
+
+if TYPE_CHECKING:
+    from wigeonwind.routing.exchange import Exchange
+
+
+def duration_groups(route: HttpRoute, metadata: RequestMetadata) -> tuple[str, ...]:
+    """Return the groups of requests of like duration, the narrowest one first.
+
+    The narrow group has the same expected length, within a factor of two.
+    """
+    if not metadata.expected_output_tokens:
+        return (route.name,)
+    return (f"{route.name} {metadata.expected_output_tokens.bit_length()}", route.name)
+
+
+class StopRequests:
+    """Learns how long requests take and decides which ones a stopping process takes."""
+
+    def __init__(self, clock: Clock, in_flight: Iterable["Exchange"]) -> None:
+        self._clock = clock
+        self._in_flight = in_flight
+        self._times = ResponseTimes()
+
+    def on_outcome(self, exchange: "Exchange", outcome: SendOutcome) -> None:
+        """Record how long a request took, or ran until it broke off."""
+        if isinstance(outcome, NotRun) or not exchange.sends:
+            return
+        now_ms = self._clock.now_ms()
+        took_ms = now_ms - exchange.started_ms
+        is_whole = isinstance(outcome, Delivered)
+        for group in duration_groups(exchange.route, exchange.metadata):
+            self._times.add(group, now_ms, took_ms, is_whole)
+
+    def decide(
+        self, routed: RoutedRequest, stop: PlannedStop, others: OtherRouters
+    ) -> StopDecision:
+        """Return whether to take a request during a planned stop."""
+        now_ms = self._clock.now_ms()
+        sure_ms = self._quantile_ms(routed, SURE_QUANTILE, SURE_SAMPLES, now_ms)
+        likely_ms = self._quantile_ms(routed, LIKELY_QUANTILE, MIN_SAMPLES, now_ms)
+        estimate = estimate_duration(
+            sure_ms, likely_ms, routed.route.is_stream, routed.timeout_ms
+        )
+        is_leaving = now_ms >= stop.leaves_from_ms
+        situation = StopSituation(
+            now_ms - stop.signaled_ms,
+            stop.ends_from_ms - now_ms,
+            now_ms - stop.leaves_from_ms if is_leaving else None,
+            others,
+        )
+        return decide_in_stop(situation, estimate, likely_ms is not None)
+
+    def _quantile_ms(
+        self, routed: RoutedRequest, quantile: float, min_samples: int, now_ms: float
+    ) -> float | None:
+        for group in duration_groups(routed.route, routed.metadata):
+            running = self._running_ms(group, now_ms)
+            value = self._times.quantile_ms(
+                group, quantile, now_ms, running, min_samples
+            )
+            if value is not None:
+                return value
+        return None
+
+    def _running_ms(self, group: str, now_ms: float) -> Iterator[float]:
+        for exchange in self._in_flight:
+            if group in duration_groups(exchange.route, exchange.metadata):
+                yield now_ms - exchange.started_ms
