--- a/tests/entry_fakes.py
+++ b/tests/entry_fakes.py
@@ -188,9 +188,12 @@
     """A listening entry in the test process, with the sidecars that a test adds."""
 
     def __init__(
-        self, catalog: Catalog | None = None, tracer: Tracer | None = None
+        self,
+        catalog: Catalog | None = None,
+        tracer: Tracer | None = None,
+        source: str = SETTINGS,
     ) -> None:
-        parsed = read_settings(SETTINGS)
+        parsed = read_settings(source)
         assert isinstance(parsed, Ok), parsed
         settings: Settings = parsed.value
         self.catalog = catalog or make_catalog()
