--- a/wigeonwind/entry/admission.py
+++ b/wigeonwind/entry/admission.py
@@ -12,8 +12,9 @@
     choose_class,
     identify,
 )
+from wigeonwind.entry.drain_times import DrainTimes
 from wigeonwind.entry.http_call import HttpCall
-from wigeonwind.entry.replies import refusal
+from wigeonwind.entry.replies import refusal, stopping_refusal
 from wigeonwind.entry.request_response import AdmittedRequest
 from wigeonwind.outcomes import ErrorCode, Failure, Ok
 
@@ -58,11 +59,16 @@
     """Checks every request before it is dispatched."""
 
     def __init__(
-        self, clock: Clock, limits: LimitDecisions, request_timeout_ms: float
+        self,
+        clock: Clock,
+        limits: LimitDecisions,
+        request_timeout_ms: float,
+        drain_times: DrainTimes,
     ) -> None:
         self._clock = clock
         self._limits = limits
         self._request_timeout_ms = request_timeout_ms
+        self._drain_times = drain_times
         self._directory: CustomerDirectory | None = None
         self._key_index = KeyIndex()
 
@@ -101,7 +107,8 @@
     ) -> Ok[AdmittedRequest] | Failure:
         """Admit one request; the caller must pass it to `end` when it has ended.
 
-        It is refused if its class, its timeout or a limit of its customer forbids it.
+        It is refused if its class, its timeout or a limit of its customer forbids it,
+        or if the drain of the entry leaves no time for it.
         """
         requested_class = call.header_by_name.get(CLASS_HEADER, "")
         chosen = choose_class(
@@ -112,6 +119,8 @@
         timeout = self._timeout_ms(call)
         if isinstance(timeout, Failure):
             return timeout
+        if self._drain_times.ending_in_ms() <= 0.0:
+            return stopping_refusal()
         limited = self._check_limits(identified.caller, chosen.value, spec)
         if limited is not None:
             return limited
--- a/wigeonwind/entry/attempt.py
+++ b/wigeonwind/entry/attempt.py
@@ -31,6 +31,9 @@
 WITHDRAW_WAIT_MS = 500.0
 """Time a sidecar has to confirm a withdrawal after the deadline."""
 
+STOP_WITHDRAW_WAIT_MS = 150.0
+"""The same when the entry stops: it must answer before its drain's limit."""
+
 REROUTE_CHECK_MS = 100.0
 """Interval between checks whether a queued attempt should be rerouted."""
 
@@ -78,13 +81,27 @@
     certainly_ran: bool
 
 
+@dataclass(frozen=True)
+class Stopped:
+    """The entry stopped before the response was complete; fields as in TimedOut."""
+
+    certainly_not_run: bool
+    certainly_ran: bool
+
+
 @dataclass(frozen=True)
 class CallerDisconnected:
     """The caller closed its connection before the response was complete."""
 
 
 AttemptOutcome = (
-    ResponseEnd | NotRun | AttemptFailed | Withdrawn | TimedOut | CallerDisconnected
+    ResponseEnd
+    | NotRun
+    | AttemptFailed
+    | Withdrawn
+    | TimedOut
+    | Stopped
+    | CallerDisconnected
 )
 AttemptEvent = ResponseHead | ResponseData
 AttemptEvents = Generator[AttemptEvent, None, AttemptOutcome]
@@ -135,6 +152,8 @@
             if self.mailbox.caller_disconnected:
                 return CallerDisconnected()
             yield from self._process_messages()
+            if self.mailbox.is_stopping and self._outcome is None:
+                self._outcome = self._on_stop()
         return self._outcome
 
     def cancel(self) -> None:
@@ -158,13 +177,20 @@
             self.link.send(Withdraw(*self.key))
 
     def _on_deadline(self) -> TimedOut:
-        """Try to withdraw the attempt; if that succeeds, the outcome is not-run."""
+        not_run = self._try_withdraw(WITHDRAW_WAIT_MS)
+        return TimedOut(not_run, self._certainly_ran())
+
+    def _on_stop(self) -> Stopped:
+        not_run = self._try_withdraw(STOP_WITHDRAW_WAIT_MS)
+        return Stopped(not_run, self._certainly_ran())
+
+    def _try_withdraw(self, wait_ms: float) -> bool:
+        """Try to withdraw the attempt; return whether it certainly does not run."""
         if not self.started and self.link.send(Withdraw(*self.key)):
-            limit_ms = self.clock.now_ms() + WITHDRAW_WAIT_MS
+            limit_ms = self.clock.now_ms() + wait_ms
             while self._outcome is None and self._wait_until(limit_ms):
                 self._process_messages()
-        not_run = isinstance(self._outcome, (Withdrawn, NotRun))
-        return TimedOut(not_run, self._is_model and self.started)
+        return isinstance(self._outcome, (Withdrawn, NotRun))
 
     def _wait_until(self, limit_ms: float) -> bool:
         remaining_ms = limit_ms - self.clock.now_ms()
--- a/wigeonwind/entry/booking_call.py
+++ b/wigeonwind/entry/booking_call.py
@@ -12,7 +12,13 @@
 from wigeonwind.entry.dispatch import Dispatcher
 from wigeonwind.entry.http_call import HttpCall
 from wigeonwind.entry.plain_headers import reply_headers
-from wigeonwind.entry.replies import Reply, failure, failure_reply, status_line
+from wigeonwind.entry.replies import (
+    Reply,
+    failure,
+    failure_reply,
+    status_line,
+    stopping_refusal,
+)
 from wigeonwind.entry.request_execution import RequestExecution
 from wigeonwind.entry.request_response import (
     AdmittedRequest,
@@ -194,6 +200,10 @@
 
 def _choose_target(execution: RequestExecution) -> Target | NoTarget:
     """Choose the endpoint of the next claim; after an attempt if a retry may follow."""
+    if execution.mailbox.is_stopping:
+        stopping = stopping_refusal()
+        code = stopping.code.value
+        return NoTarget(stopping.message, stopping.retry_after_ms, code)
     if execution.attempt_count and not execution.may_resend_not_run():
         return NoTarget("no further attempt is allowed", None)
     chosen = execution.choose()
--- a/wigeonwind/entry/entry_http.py
+++ b/wigeonwind/entry/entry_http.py
@@ -9,6 +9,7 @@
 from urllib.parse import unquote
 
 import gevent
+from gevent import get_hub
 from gevent.pool import Pool
 from gevent.pywsgi import MAX_REQUEST_LINE, Input, WSGIHandler, WSGIServer
 
@@ -22,6 +23,7 @@
     ReplyAbortedError,
 )
 from wigeonwind.entry.http_limits import (
+    REFUSAL_DRAIN_S,
     BoundedHeaderReader,
     RequestRefusedError,
     body_too_large,
@@ -67,6 +69,7 @@
         timer = gevent.Timeout.start_new(self.server.read_timeout_s)
         self._read_timer = timer
         self.server.in_flight += 1
+        self.server.greenlet_by_unread[self] = gevent.getcurrent()
         try:
             return super().handle_one_request()
         except RequestRefusedError as error:
@@ -80,6 +83,7 @@
             return None
         finally:
             self.server.in_flight -= 1
+            self.server.greenlet_by_unread.pop(self, None)
             timer.close()
 
     def _await_request(self) -> bool:
@@ -162,6 +166,7 @@
         self._reserved_bytes = 0
         try:
             if self._receive_body():
+                self.server.greenlet_by_unread.pop(self, None)
                 self._read_timer.close()
                 super().handle_one_response()
         finally:
@@ -214,8 +219,9 @@
     def _refuse(self, error: Failure) -> None:
         """Send a refusal and close the connection."""
         self.close_connection = True
+        self.server.greenlet_by_unread.pop(self, None)
         self.server.count_refusal(error)
-        send_refusal(self.socket, error)
+        send_refusal(self.socket, error, self.server.linger_s)
 
     def finalize_headers(self) -> None:
         """Add `Connection: close` while the entry drains."""
@@ -267,9 +273,16 @@
         try:
             super().process_result()
         except ReplyAbortedError:
-            self.close_connection = True
-            if not (self.response_use_chunked or self.provided_content_length):
-                self._reset_on_close()
+            self._cut_off()
+        except BaseException:
+            if self.headers_sent:
+                self._cut_off()
+            raise
+
+    def _cut_off(self) -> None:
+        self.close_connection = True
+        if not (self.response_use_chunked or self.provided_content_length):
+            self._reset_on_close()
 
     def _reset_on_close(self) -> None:
         """Reset the connection, as an unframed reply would otherwise seem complete."""
@@ -282,7 +295,9 @@
         if not self.headers_sent:
             message = "the entry stopped or failed before the request was answered"
             code = ErrorCode.ENDPOINT_FAILED
-            self._refuse(failure(Outcome.UNKNOWN, code, message, http_status=500))
+            is_stop = self.server.is_draining and issubclass(t, gevent.GreenletExit)
+            status = 502 if is_stop else 500
+            self._refuse(failure(Outcome.UNKNOWN, code, message, http_status=status))
 
     def log_request(self) -> None:
         """Write no access log; the metrics count requests."""
@@ -321,6 +336,9 @@
         self.read_timeout_s = limits.read_timeout_ms / MS_PER_SECOND
         self.count_refusal = count_refusal
         self.idle_handlers: set[CallerHandler] = set()
+        self.greenlet_by_unread: dict[CallerHandler, gevent.Greenlet] = {}
+        """Greenlets of the handlers that are receiving a request."""
+        self.linger_s = REFUSAL_DRAIN_S
         self.in_flight = 0
         self.connections = 0
         self.large_body_bytes = 0
@@ -369,6 +387,18 @@
         for handler in tuple(self.idle_handlers):
             handler.close_idle_connection()
 
+    def refuse_unread(self, error: Failure) -> int:
+        """Refuse all requests that are being received; return their number."""
+        for handler in tuple(self.greenlet_by_unread):
+            get_hub().loop.run_callback(self._refuse_if_unread, handler, error)
+        return len(self.greenlet_by_unread)
+
+    def _refuse_if_unread(self, handler: CallerHandler, error: Failure) -> None:
+        # The request may have been received completely since the callback was added.
+        greenlet = self.greenlet_by_unread.pop(handler, None)
+        if greenlet is not None:
+            greenlet.throw(RequestRefusedError(error))
+
     @property
     def bound_address(self) -> SocketAddress:
         """Return the listening address; its port is known after `start`."""
--- a/wigeonwind/entry/http_limits.py
+++ b/wigeonwind/entry/http_limits.py
@@ -95,13 +95,13 @@
     return value.isascii() and value.isdigit() and len(value) <= 18
 
 
-def send_refusal(sock: Any, error: Failure) -> None:
-    """Send a refusal as the last reply of a connection."""
+def send_refusal(sock: Any, error: Failure, linger_s: float = REFUSAL_DRAIN_S) -> None:
+    """Send a refusal as the last reply of a connection; it lingers for `linger_s`."""
     reply = encode_reply(failure_reply(error, new_id()))
     try:
         sock.sendall(reply)
         sock.shutdown(socket.SHUT_WR)
-        with gevent.Timeout(REFUSAL_DRAIN_S, False):
+        with gevent.Timeout(linger_s, False):
             discarded = 0
             while discarded < REFUSAL_DRAIN_BYTES and (
                 data := sock.recv(DRAIN_READ_BYTES)
--- a/wigeonwind/entry/pending_attempts.py
+++ b/wigeonwind/entry/pending_attempts.py
@@ -36,6 +36,10 @@
         self.reason = reason
 
 
+class EntryStopping:
+    """Message to a request that the entry ends now."""
+
+
 class Mailbox:
     """Queue of messages for one request; one greenlet reads it.
 
@@ -48,6 +52,8 @@
     def __init__(self) -> None:
         self.messages: deque[object] = deque()
         self.caller_disconnected = False
+        self.is_stopping = False
+        """Whether the entry ends: the request must end without another attempt."""
         self.unread_bytes = 0
         self._waiter: Waiter | None = None
         self._timer: Any = None
@@ -64,6 +70,12 @@
         self.caller_disconnected = True
         self._wake()
 
+    def stop(self) -> None:
+        """Ask the request to end at once with its final outcome; wake the reader."""
+        if not self.is_stopping:
+            self.is_stopping = True
+            self.put(EntryStopping())
+
     def wait(self, timeout_ms: float) -> bool:
         """Wait for a message or a disconnect; return False after about `timeout_ms`.
 
--- a/wigeonwind/entry/replies.py
+++ b/wigeonwind/entry/replies.py
@@ -39,6 +39,9 @@
 }
 """The `type` field that OpenAI clients expect; others get one for 4xx or 5xx."""
 
+STOPPING_RETRY_AFTER_MS = 1000.0
+"""Retry-After of a stopping entry; the load balancer sends the retry to another."""
+
 
 def refusal(
     code: ErrorCode,
@@ -50,6 +53,12 @@
     return failure(Outcome.NOT_RUN, code, message, retry_after_ms, http_status)
 
 
+def stopping_refusal() -> Failure:
+    """Return the refusal of a request for which a stopping entry has no time left."""
+    message = "the entry is stopping"
+    return refusal(ErrorCode.DRAINING, message, STOPPING_RETRY_AFTER_MS)
+
+
 def failure(
     outcome: Outcome,
     code: ErrorCode,
--- a/wigeonwind/entry/request_execution.py
+++ b/wigeonwind/entry/request_execution.py
@@ -14,6 +14,7 @@
     AttemptOutcome,
     CallerDisconnected,
     NotRun,
+    Stopped,
     TimedOut,
     Withdrawn,
     failure_code,
@@ -21,7 +22,7 @@
 from wigeonwind.entry.entry_context import EntryContext
 from wigeonwind.entry.metrics_sink import NO_LABELS
 from wigeonwind.entry.pending_attempts import Mailbox
-from wigeonwind.entry.replies import failure
+from wigeonwind.entry.replies import failure, stopping_refusal
 from wigeonwind.entry.request_response import (
     AdmittedRequest,
     PartialResponse,
@@ -85,6 +86,9 @@
         """
         self.context.retry.on_request(self.clock.now_ms())
         while True:
+            if self.mailbox.is_stopping:
+                yield self._stopped()
+                return
             if self.request.deadline_ms <= self.clock.now_ms():
                 yield self._deadline_passed()
                 return
@@ -252,7 +256,7 @@
         now_ms = self.clock.now_ms()
         ok = _is_healthy_outcome(outcome)
         self.context.choice.on_ended(endpoint_id, self._route_request(), ok, now_ms)
-        if isinstance(outcome, (CallerDisconnected, TimedOut, AttemptFailed)):
+        if isinstance(outcome, (CallerDisconnected, TimedOut, Stopped, AttemptFailed)):
             attempt.cancel()
         if isinstance(outcome, CallerDisconnected):
             self.context.metrics.count("entry_cancelled", NO_LABELS)
@@ -292,7 +296,11 @@
                 message = "the caller closed its connection"
                 return failure(self._disconnect_outcome(), ErrorCode.CANCELLED, message)
             case TimedOut():
-                return self._on_timeout(outcome)
+                self._note_end(outcome)
+                return self._deadline_passed()
+            case Stopped():
+                self._note_end(outcome)
+                return self._stopped()
             case Withdrawn():
                 self._reroutes.on_rerouted()
                 self.context.metrics.count("entry_moved", NO_LABELS)
@@ -305,11 +313,17 @@
                 self.certainly_ran = self.certainly_ran or outcome.certainly_ran
                 return self._on_failed(outcome, may_retry)
 
-    def _on_timeout(self, outcome: TimedOut) -> Failure:
+    def _note_end(self, outcome: TimedOut | Stopped) -> None:
         if not outcome.certainly_not_run:
             self.may_have_run = True
             self.certainly_ran = self.certainly_ran or outcome.certainly_ran
-        return self._deadline_passed()
+
+    def _stopped(self) -> Failure:
+        """Return the failure of a request that the stop of the entry ends."""
+        if self._outcome() is Outcome.NOT_RUN:
+            return stopping_refusal()
+        message = "the entry stopped before the response was complete"
+        return failure(self._outcome(), ErrorCode.ENDPOINT_FAILED, message)
 
     def _deadline_passed(self) -> Failure:
         message = "the deadline of the request has passed"
@@ -349,6 +363,8 @@
         """Ask the retry decisions and wait for the delay that they return."""
         request = self.request
         repeatable = request.repeatable
+        if self.mailbox.is_stopping:
+            return False
         if self.attempt_count >= MAX_ATTEMPTS or not (certainly_not_run or repeatable):
             return False
         now_ms = self.clock.now_ms()
@@ -369,7 +385,7 @@
         self.mailbox.clear()
         if decision.delay_ms > 0:
             self.mailbox.wait(decision.delay_ms)
-        return not self.mailbox.caller_disconnected
+        return not (self.mailbox.caller_disconnected or self.mailbox.is_stopping)
 
     def _outcome(self) -> Outcome:
         if self.certainly_ran:
--- a/wigeonwind/entry/request_tracker.py
+++ b/wigeonwind/entry/request_tracker.py
@@ -42,11 +42,13 @@
             request, self.mailbox
         )
         self.events = self._observed_events()
+        tracker.active_requests.add(self)
         if disconnect_watcher is not None:
             disconnect_watcher.start(self.mailbox.set_caller_disconnected)
 
     def close(self) -> None:
         """End the request, cancel an attempt in flight and record the outcome."""
+        self._tracker.active_requests.discard(self)
         self.events.close()
         self._execution_events.close()
         self.mailbox.close()
@@ -111,6 +113,7 @@
         self.metrics = metrics
         self._tracer = tracer
         self.recent_outcomes = RecentOutcomes(clock)
+        self.active_requests: set[ActiveRequest] = set()
 
     def start_span(self, name: str, call: HttpCall) -> Span:
         """Start the entry's trace span of a request."""
@@ -128,6 +131,12 @@
         """Start an admitted request."""
         return ActiveRequest(self, request, call.disconnect_watcher, span)
 
+    def end_all(self) -> int:
+        """Ask all active requests for their final response; return their number."""
+        for active_request in tuple(self.active_requests):
+            active_request.mailbox.stop()
+        return len(self.active_requests)
+
     def count_refusal(self, error: Failure) -> None:
         """Count a request that was refused before admission."""
         labels = {"code": error.code.value}
--- a/wigeonwind/entry/role.py
+++ b/wigeonwind/entry/role.py
@@ -1,11 +1,12 @@
 """The entry role: accepts callers' requests and serves them through sidecars."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from ssl import SSLContext
 from typing import Any
 
 import gevent
 from gevent.event import Event
+from structlog import get_logger
 
 from wigeonwind.addresses import SocketAddress, parse_address
 from wigeonwind.catalog import Catalog
@@ -20,6 +21,7 @@
 from wigeonwind.entry.admission import Admission
 from wigeonwind.entry.booking_call import BookingCalls
 from wigeonwind.entry.dispatch import Dispatcher
+from wigeonwind.entry.drain_times import DrainTimes
 from wigeonwind.entry.endpoint_links import EndpointLinks
 from wigeonwind.entry.entry_context import EntryContext, ListsEndpoints
 from wigeonwind.entry.entry_http import CallerServer
@@ -31,7 +33,7 @@
 from wigeonwind.entry.openai_api import OpenAiApi
 from wigeonwind.entry.pending_attempts import PendingAttempts
 from wigeonwind.entry.plain_api import PLAIN_PREFIX, PlainApi
-from wigeonwind.entry.replies import failure_reply, refusal
+from wigeonwind.entry.replies import failure_reply, refusal, stopping_refusal
 from wigeonwind.entry.request_tracker import RequestTracker
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import CacheEvents, ClaimState, Leaving, LoadReport
@@ -44,6 +46,8 @@
 DRAIN_POLL_MS = 20.0
 """Interval between checks during a drain whether requests are in flight."""
 
+log = get_logger("wigeonwind.entry")
+
 
 class EntryRole:
     """Composes an entry and holds its state: starting, ready, draining, stopped."""
@@ -67,7 +71,7 @@
         self._links = EndpointLinks()
         self._endpoint_was_ready = False
         self._started = False
-        self._draining = False
+        self._drain_times = DrainTimes(clock, settings.drain)
         self._grace_period_over = Event()
         self._pending = PendingAttempts()
         context = EntryContext(
@@ -78,7 +82,7 @@
         """Set before `start` if limits are shared with other entries."""
         self.loops = SupervisedLoops(self.stop)
         timeout_ms = float(settings.limits.request_timeout_ms)
-        self._admission = Admission(clock, limits, timeout_ms)
+        self._admission = Admission(clock, limits, timeout_ms, self._drain_times)
         tracker = RequestTracker(
             clock, self._admission, self.dispatcher, metrics, tracer
         )
@@ -101,7 +105,7 @@
     @property
     def ready(self) -> bool:
         """Return whether the entry may receive new requests."""
-        if not self._started or self._draining:
+        if not self._started or self._drain_times.is_draining:
             return False
         return self._admission.has_catalog and self._endpoint_was_ready
 
@@ -208,19 +212,30 @@
         return self._server.bound_address
 
     def drain(self) -> None:
-        """Stop gracefully; block until nothing is in flight or the limit has passed.
+        """Stop gracefully; block until nothing is in flight or the limit is near.
 
-        A second call ends the grace period early and waits for the same condition.
+        Shortly before the limit each open request gets its final response. A second
+        call ends the grace period early and waits for the same condition.
         """
-        if self._draining:
+        times = self._drain_times
+        if times.is_draining:
             self._grace_period_over.set()
-        limit_ms = self._clock.now_ms() + self._settings.drain.limit_ms
-        self._draining = True
+        times.begin()
         self._server.is_draining = True
-        self._grace_period_over.wait(self._settings.drain.grace_ms / MS_PER_SECOND)
+        self._grace_period_over.wait(times.grace_left_ms() / MS_PER_SECOND)
         self._server.close_idle()
-        while self._server.in_flight and self._clock.now_ms() < limit_ms:
-            gevent.sleep(DRAIN_POLL_MS / MS_PER_SECOND)
+        self._wait_while_in_flight(times.ending_in_ms)
+        if not self._server.in_flight:
+            return
+        active = self._tracker.end_all()
+        unread = self._server.refuse_unread(stopping_refusal())
+        log.info("open requests ended by the drain", active=active, unread=unread)
+        self._wait_while_in_flight(times.abort_in_ms)
+        self._server.linger_s = times.limit_in_ms() / MS_PER_SECOND
+
+    def _wait_while_in_flight(self, left_ms: Callable[[], float]) -> None:
+        while self._server.in_flight and left_ms() > 0.0:
+            gevent.sleep(min(DRAIN_POLL_MS, left_ms()) / MS_PER_SECOND)
 
     def stop(self) -> None:
         """Stop at once; requests in flight are aborted."""
