--- a/wigeonwind/entry/entry_http.py
+++ b/wigeonwind/entry/entry_http.py
@@ -1,10 +1,14 @@
 """The HTTP server for callers: gevent's WSGI server with limits per connection."""
 
+import fcntl
 import socket
 import ssl
 import struct
+import sys
+import termios
 from collections.abc import Callable, Iterable
 from http.client import HTTPException
+from time import monotonic
 from typing import Any
 from urllib.parse import unquote
 
@@ -35,6 +39,9 @@
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.settings import LimitSettings
 
+IDLE_CLOSE_S = 0.3
+"""Time for which a draining entry still reads from a connection that has no request."""
+
 IDLE_TIMEOUT_S = 60.0
 """Socket timeout: for the next request of a connection and for a blocked write.
 
@@ -88,9 +95,10 @@
 
     def _await_request(self) -> bool:
         """Wait for the first byte of a request; False if none will be served."""
-        if self.server.is_closing:
-            return False
+        self._idle_since_s = monotonic()
         self.server.idle_handlers.add(self)
+        if self.server.is_closing:
+            self.close_when_idle()
         try:
             return bool(self.rfile.peek(1))
         except (OSError, ValueError):
@@ -98,8 +106,20 @@
         finally:
             self.server.idle_handlers.discard(self)
 
-    def close_idle_connection(self) -> None:
-        """Close a connection on which no request has started."""
+    def close_when_idle(self) -> None:
+        """Close the connection once no request has started on it for IDLE_CLOSE_S.
+
+        Its caller may be sending one, as no response has said that it will be closed.
+        """
+        idle_s = monotonic() - self._idle_since_s
+        if self not in self.server.idle_handlers:
+            return
+        if idle_s < IDLE_CLOSE_S:
+            gevent.spawn_later(IDLE_CLOSE_S - idle_s, self.close_when_idle)
+        elif not _has_unread_input(self.socket):
+            self._shut_down()
+
+    def _shut_down(self) -> None:
         try:
             self.socket.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -224,14 +244,28 @@
         send_refusal(self.socket, error, self.server.linger_s)
 
     def finalize_headers(self) -> None:
-        """Add `Connection: close` while the entry drains."""
-        if self.server.is_draining and not self.close_connection:
+        """Add `Connection: close` while the entry drains.
+
+        A caller that has sent requests behind this one gets it with the last response.
+        """
+        ends = self.server.is_draining and not self._has_pipelined_request()
+        if ends and not self.close_connection:
             self.close_connection = True
             self.response_headers.append((b"Connection", b"close"))
         super().finalize_headers()
         if self.command == "HEAD":
             self.response_use_chunked = False
 
+    def _has_pipelined_request(self) -> bool:
+        """Return whether the caller has sent more, without waiting for it."""
+        self.socket.settimeout(0.0)
+        try:
+            return bool(self.rfile.peek(1))
+        except (OSError, ValueError):
+            return False
+        finally:
+            self.socket.settimeout(IDLE_TIMEOUT_S)
+
     def _write_with_headers(self, data: bytes) -> None:
         """Send the head and the first data in one packet if they fit."""
         self.headers_sent = True
@@ -303,6 +337,15 @@
         """Write no access log; the metrics count requests."""
 
 
+def _has_unread_input(sock: Any) -> bool:
+    """Return whether the kernel holds bytes that have not been read."""
+    try:
+        buffer = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+    except (OSError, ValueError):
+        return False
+    return bool(int.from_bytes(buffer, sys.byteorder))
+
+
 class CallerServer(WSGIServer):
     """Accepts callers' connections.
 
@@ -385,7 +428,12 @@
         self.is_closing = True
         self.close()
         for handler in tuple(self.idle_handlers):
-            handler.close_idle_connection()
+            handler.close_when_idle()
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is open or may still come on a connection."""
+        return bool(self.in_flight or self.idle_handlers)
 
     def refuse_unread(self, error: Failure) -> int:
         """Refuse all requests that are being received; return their number."""
--- a/wigeonwind/entry/role.py
+++ b/wigeonwind/entry/role.py
@@ -224,17 +224,17 @@
         self._server.is_draining = True
         self._grace_period_over.wait(times.grace_left_ms() / MS_PER_SECOND)
         self._server.close_idle()
-        self._wait_while_in_flight(times.ending_in_ms)
-        if not self._server.in_flight:
+        self._wait_while_busy(times.ending_in_ms)
+        if not self._server.is_busy:
             return
         active = self._tracker.end_all()
         unread = self._server.refuse_unread(stopping_refusal())
         log.info("open requests ended by the drain", active=active, unread=unread)
-        self._wait_while_in_flight(times.abort_in_ms)
+        self._wait_while_busy(times.abort_in_ms)
         self._server.linger_s = times.limit_in_ms() / MS_PER_SECOND
 
-    def _wait_while_in_flight(self, left_ms: Callable[[], float]) -> None:
-        while self._server.in_flight and left_ms() > 0.0:
+    def _wait_while_busy(self, left_ms: Callable[[], float]) -> None:
+        while self._server.is_busy and left_ms() > 0.0:
             gevent.sleep(min(DRAIN_POLL_MS, left_ms()) / MS_PER_SECOND)
 
     def stop(self) -> None:
