--- a/wigeonwind/entry/entry_http.py
+++ b/wigeonwind/entry/entry_http.py
@@ -35,7 +35,7 @@
     request_refused,
     send_refusal,
 )
-from wigeonwind.entry.replies import failure, refusal
+from wigeonwind.entry.replies import failure, refusal, stopping_refusal
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.settings import LimitSettings
 
@@ -163,12 +163,12 @@
         Building the complete environment costs as much as the rest of a short request.
         """
         headers = [list(pair) for pair in self.headers.items()]
-        expects_continue = self.headers.get("expect", "").lower() == "100-continue"
+        self._expects_continue = self.headers.get("expect", "").lower() == "100-continue"
         chunked = self.headers.get("transfer-encoding") is not None
         self.wsgi_input = Input(
             self.rfile,
             self.content_length,
-            socket=self.socket if expects_continue else None,
+            socket=self.socket if self._expects_continue else None,
             chunked_input=chunked,
         )
         environ = self.server.get_environ()
@@ -193,7 +193,13 @@
             self.server.large_body_bytes -= self._reserved_bytes
 
     def _receive_body(self) -> bool:
-        """Read the body; return False if the request has been refused."""
+        """Read the body; return False if the request has been refused.
+
+        After the grace period of a drain no caller is asked to send a body.
+        """
+        if self.server.is_closing and self._expects_continue:
+            self._refuse(stopping_refusal())
+            return False
         try:
             self.environ[BODY_KEY] = self._read_body()
         except RequestRefusedError as error:
