--- a/wigeonwind/entry/admission.py
+++ b/wigeonwind/entry/admission.py
@@ -15,6 +15,7 @@
 from wigeonwind.entry.drain_times import DrainTimes
 from wigeonwind.entry.http_call import HttpCall
 from wigeonwind.entry.replies import refusal, stopping_refusal
+from wigeonwind.entry.request_durations import RequestDurations, RequestKind
 from wigeonwind.entry.request_response import AdmittedRequest
 from wigeonwind.outcomes import ErrorCode, Failure, Ok
 
@@ -64,11 +65,13 @@
         limits: LimitDecisions,
         request_timeout_ms: float,
         drain_times: DrainTimes,
+        durations: RequestDurations,
     ) -> None:
         self._clock = clock
         self._limits = limits
         self._request_timeout_ms = request_timeout_ms
         self._drain_times = drain_times
+        self._durations = durations
         self._directory: CustomerDirectory | None = None
         self._key_index = KeyIndex()
 
@@ -119,7 +122,7 @@
         timeout = self._timeout_ms(call)
         if isinstance(timeout, Failure):
             return timeout
-        if self._drain_times.ending_in_ms() <= 0.0:
+        if not self._has_time(spec, chosen.value, timeout.value):
             return stopping_refusal()
         limited = self._check_limits(identified.caller, chosen.value, spec)
         if limited is not None:
@@ -150,6 +153,19 @@
         now_ms = self._clock.now_ms()
         self._limits.on_ended(request.customer, request.request_class.name, now_ms)
 
+    def _has_time(
+        self, spec: RequestSpec, request_class: RequestClass, timeout_ms: float
+    ) -> bool:
+        """Return whether a drain leaves the time that the request is expected to take.
+
+        A request with a shorter timeout of its own ends with that.
+        """
+        if not self._drain_times.is_draining:
+            return True
+        kind = RequestKind(spec.service.name, request_class.name, spec.stream)
+        needed_ms = min(self._durations.expected_ms(kind), timeout_ms)
+        return needed_ms < self._drain_times.ending_in_ms()
+
     def _check_limits(
         self, caller: Caller, request_class: RequestClass, spec: RequestSpec
     ) -> Failure | None:
--- a/wigeonwind/entry/entry_http.py
+++ b/wigeonwind/entry/entry_http.py
@@ -163,7 +163,9 @@
         Building the complete environment costs as much as the rest of a short request.
         """
         headers = [list(pair) for pair in self.headers.items()]
-        self._expects_continue = self.headers.get("expect", "").lower() == "100-continue"
+        self._expects_continue = (
+            self.headers.get("expect", "").lower() == "100-continue"
+        )
         chunked = self.headers.get("transfer-encoding") is not None
         self.wsgi_input = Input(
             self.rfile,
--- a/wigeonwind/entry/request_tracker.py
+++ b/wigeonwind/entry/request_tracker.py
@@ -9,6 +9,7 @@
 from wigeonwind.entry.metrics_sink import MetricsSink
 from wigeonwind.entry.pending_attempts import Mailbox
 from wigeonwind.entry.recent_outcomes import RecentOutcomes, meets_target
+from wigeonwind.entry.request_durations import RequestDurations, RequestKind
 from wigeonwind.entry.request_execution import RequestEvent, RequestEvents
 from wigeonwind.entry.request_response import AdmittedRequest, ResponseData, ResponseEnd
 from wigeonwind.outcomes import Failure
@@ -43,12 +44,17 @@
         )
         self.events = self._observed_events()
         tracker.active_requests.add(self)
+        kind = RequestKind(
+            request.service.name, request.request_class.name, request.stream
+        )
+        self._duration_number = tracker.durations.start(kind)
         if disconnect_watcher is not None:
             disconnect_watcher.start(self.mailbox.set_caller_disconnected)
 
     def close(self) -> None:
         """End the request, cancel an attempt in flight and record the outcome."""
         self._tracker.active_requests.discard(self)
+        self._tracker.durations.end(self._duration_number, self._outcome == "whole")
         self.events.close()
         self._execution_events.close()
         self.mailbox.close()
@@ -106,8 +112,10 @@
         dispatcher: Dispatcher,
         metrics: MetricsSink,
         tracer: Tracer,
+        durations: RequestDurations,
     ) -> None:
         self.clock = clock
+        self.durations = durations
         self.admission = admission
         self.dispatcher = dispatcher
         self.metrics = metrics
--- a/wigeonwind/entry/role.py
+++ b/wigeonwind/entry/role.py
@@ -34,6 +34,7 @@
 from wigeonwind.entry.pending_attempts import PendingAttempts
 from wigeonwind.entry.plain_api import PLAIN_PREFIX, PlainApi
 from wigeonwind.entry.replies import failure_reply, refusal, stopping_refusal
+from wigeonwind.entry.request_durations import RequestDurations
 from wigeonwind.entry.request_tracker import RequestTracker
 from wigeonwind.links.link_types import Link
 from wigeonwind.links.messages import CacheEvents, ClaimState, Leaving, LoadReport
@@ -82,9 +83,12 @@
         """Set before `start` if limits are shared with other entries."""
         self.loops = SupervisedLoops(self.stop)
         timeout_ms = float(settings.limits.request_timeout_ms)
-        self._admission = Admission(clock, limits, timeout_ms, self._drain_times)
+        durations = RequestDurations(clock)
+        self._admission = Admission(
+            clock, limits, timeout_ms, self._drain_times, durations
+        )
         tracker = RequestTracker(
-            clock, self._admission, self.dispatcher, metrics, tracer
+            clock, self._admission, self.dispatcher, metrics, tracer, durations
         )
         self._tracker = tracker
         self._bookings = BookingCalls(store, self.dispatcher, tracer)
