--- a/wigeonwind/daemon.py
+++ b/wigeonwind/daemon.py
@@ -12,9 +12,11 @@
 from absl import app, flags
 from structlog import get_logger
 
+from wigeonwind.clock import SystemClock
 from wigeonwind.outcomes import Invalid, Ok
 from wigeonwind.runtime.logs import configure_logs
 from wigeonwind.runtime.process import EXIT_OK, Process, build_process
+from wigeonwind.runtime.stop_signals import StopSignals
 from wigeonwind.settings import Settings, read_settings
 
 EXIT_BAD_SETTINGS = 2
@@ -44,8 +46,8 @@
 
     SIGTERM and SIGINT start a drain; SIGHUP reloads the settings.
     """
-    gevent.signal_handler(signal.SIGTERM, process.drain)
-    gevent.signal_handler(signal.SIGINT, process.drain)
+    signals = StopSignals(SystemClock(), process.drain)
+    signals.install()
     gevent.signal_handler(signal.SIGHUP, process.reload)
     try:
         addresses = process.start()
--- a/wigeonwind/entry/drain_times.py
+++ b/wigeonwind/entry/drain_times.py
@@ -21,7 +21,7 @@
     >>> times = DrainTimes(ManualClock(), DrainSettings(grace_ms=2000, limit_ms=10000))
     >>> times.ending_in_ms()
     inf
-    >>> times.begin()
+    >>> times.begin(0.0)
     >>> times.grace_left_ms(), times.ending_in_ms(), times.abort_in_ms()
     (2000.0, 9700.0, 9900.0)
     """
@@ -36,10 +36,10 @@
         """Return whether the drain has begun."""
         return self._started_ms is not None
 
-    def begin(self) -> None:
-        """Start the drain; its times count from now."""
+    def begin(self, started_ms: float) -> None:
+        """Start the drain; its times count from the clock reading `started_ms`."""
         if self._started_ms is None:
-            self._started_ms = self._clock.now_ms()
+            self._started_ms = started_ms
 
     def grace_left_ms(self) -> float:
         """Return the time for which new connections are still accepted."""
--- a/wigeonwind/entry/role.py
+++ b/wigeonwind/entry/role.py
@@ -215,16 +215,17 @@
             self.loops.start(self.grants.run)
         return self._server.bound_address
 
-    def drain(self) -> None:
+    def drain(self, started_ms: float | None = None) -> None:
         """Stop gracefully; block until nothing is in flight or the limit is near.
 
         Shortly before the limit each open request gets its final response. A second
-        call ends the grace period early and waits for the same condition.
+        call ends the grace period early and waits for the same condition. The times
+        count from the clock reading `started_ms`, by default from now.
         """
         times = self._drain_times
         if times.is_draining:
             self._grace_period_over.set()
-        times.begin()
+        times.begin(self._clock.now_ms() if started_ms is None else started_ms)
         self._server.is_draining = True
         self._grace_period_over.wait(times.grace_left_ms() / MS_PER_SECOND)
         self._server.close_idle()
--- a/wigeonwind/runtime/node.py
+++ b/wigeonwind/runtime/node.py
@@ -73,8 +73,12 @@
         """Start serving."""
         ...
 
-    def drain(self) -> None:
-        """Reject new requests and finish running ones; block until done."""
+    def drain(self, started_ms: float | None = None) -> None:
+        """Reject new requests and finish running ones; block until done.
+
+        The times of the drain count from the clock reading `started_ms`, by default
+        from now.
+        """
         ...
 
     def stop(self) -> None:
@@ -250,13 +254,19 @@
         self.gossip.announce(rows)
         log.info("leaving", member_id=local.member_id)
 
-    def drain(self) -> None:
-        """Shut down gracefully: announce, release the lease, drain the role, stop."""
+    def drain(self, started_ms: float | None = None) -> None:
+        """Shut down gracefully: announce, release the lease, drain the role, stop.
+
+        The times of the drain count from the clock reading `started_ms`, by default
+        from now.
+        """
+        if started_ms is None:
+            started_ms = self.clock.now_ms()
         self.announce_leaving()
         if self.rollout_controller is not None:
             self.rollout_controller.stop()
         if self.role is not None:
-            self.role.drain()
+            self.role.drain(started_ms)
         if self.settings.node.role == "side":
             self._wait_for_entries()
         self.stop()
--- a/wigeonwind/runtime/process.py
+++ b/wigeonwind/runtime/process.py
@@ -234,18 +234,24 @@
         log.info("keys and certificates reloaded", problems=len(problems))
         return tuple(problems)
 
-    def drain(self) -> None:
+    def drain(self, signaled_ms: float | None = None) -> None:
         """Start a graceful shutdown without blocking.
 
-        A second call ends the grace period early.
+        Its times count from the clock reading `signaled_ms`, by default from now. A
+        second call ends the grace period early.
         """
         if self._drain_greenlet is None:
-            self._drain_greenlet = spawn(self._drain_and_stop)
+            now_ms = self.node.clock.now_ms()
+            started_ms = now_ms if signaled_ms is None else signaled_ms
+            log.info(
+                "draining", id=self.settings.node.id, signal_ms_ago=now_ms - started_ms
+            )
+            self._drain_greenlet = spawn(self._drain_and_stop, started_ms)
         elif self.entry is not None:
             spawn(self.entry.drain)
 
-    def _drain_and_stop(self) -> None:
-        self.node.drain()
+    def _drain_and_stop(self, started_ms: float) -> None:
+        self.node.drain(started_ms)
         self._close()
 
     def stop(self) -> None:
--- a/wigeonwind/side/draining.py
+++ b/wigeonwind/side/draining.py
@@ -48,13 +48,13 @@
         for attempt in self._table.queued():
             self._return_to_entry(attempt, Rejected(code.value, reason, 0.0))
 
-    def finish(self, code: ErrorCode, reason: str) -> None:
+    def finish(self, code: ErrorCode, reason: str, elapsed_ms: float = 0.0) -> None:
         """Block until all attempts have ended.
 
-        After the time limit, queued attempts are refused and running ones cancelled,
-        with `code` and `reason`.
+        After the time limit, of which `elapsed_ms` have passed, queued attempts are
+        refused and running ones cancelled, with `code` and `reason`.
         """
-        self._wait(self._limit_ms)
+        self._wait(self._limit_ms - elapsed_ms)
         self.return_queued(code, reason)
         for attempt in self._table.started():
             self._cancel(attempt, reason, code)
--- a/wigeonwind/side/role.py
+++ b/wigeonwind/side/role.py
@@ -237,15 +237,21 @@
             self._stop_orphaned(attempt)
         self._run_queue_actions()
 
-    def drain(self) -> None:
-        """Announce the drain, return queued attempts and block until all have ended."""
+    def drain(self, started_ms: float | None = None) -> None:
+        """Announce the drain, return queued attempts and block until all have ended.
+
+        Its limit counts from the clock reading `started_ms`, by default from now.
+        """
+        if started_ms is None:
+            started_ms = self._clock.now_ms()
         if not self._is_draining:
             self._is_draining = True
             for link in self._links:
                 link.send(Leaving(self.member_id, self.incarnation))
         reason = "the endpoint is draining"
         self._drainer.return_queued(ErrorCode.DRAINING, reason)
-        self._drainer.finish(ErrorCode.DRAINING, reason)
+        elapsed_ms = self._clock.now_ms() - started_ms
+        self._drainer.finish(ErrorCode.DRAINING, reason, elapsed_ms)
         self.stop()
 
     def stop(self) -> None:
