--- a/wigeonwind/runtime/node.py
+++ b/wigeonwind/runtime/node.py
@@ -268,15 +268,16 @@
         if self.role is not None:
             self.role.drain(started_ms)
         if self.settings.node.role == "side":
-            self._wait_for_entries()
+            limit_ms = started_ms + self.settings.drain.limit_ms
+            self._wait_for_entries(limit_ms)
         self.stop()
 
-    def _wait_for_entries(self) -> None:
-        """Wait until the entries have closed their links.
+    def _wait_for_entries(self, limit_ms: float) -> None:
+        """Wait until the entries have closed their links, at most until `limit_ms`.
 
         Until then the sidecar returns the attempts that still arrive.
         """
-        deadline_ms = self.clock.now_ms() + ENTRIES_CLOSE_TIMEOUT_MS
+        deadline_ms = min(self.clock.now_ms() + ENTRIES_CLOSE_TIMEOUT_MS, limit_ms)
         while self.clock.now_ms() < deadline_ms:
             if not any(
                 link.hello.role == "entry" for link in self.links.active_links()
--- a/wigeonwind/side/role.py
+++ b/wigeonwind/side/role.py
@@ -40,7 +40,7 @@
 from wigeonwind.side.cache_event_forwarder import CacheEventForwarder
 from wigeonwind.side.claim_registry import ClaimRegistry
 from wigeonwind.side.control_commands import CommandExecutor, VersionCounts
-from wigeonwind.side.draining import AttemptDrainer, EndpointQuiescer
+from wigeonwind.side.draining import ABORT_WAIT_MS, AttemptDrainer, EndpointQuiescer
 from wigeonwind.side.engine_client import EngineClient, EngineLoad
 from wigeonwind.side.load_reporter import LoadReporter
 from wigeonwind.side.missed_targets import attempts_past_target
@@ -250,7 +250,8 @@
                 link.send(Leaving(self.member_id, self.incarnation))
         reason = "the endpoint is draining"
         self._drainer.return_queued(ErrorCode.DRAINING, reason)
-        elapsed_ms = self._clock.now_ms() - started_ms
+        # The entries must hear how their attempts ended before the limit.
+        elapsed_ms = self._clock.now_ms() - started_ms + ABORT_WAIT_MS
         self._drainer.finish(ErrorCode.DRAINING, reason, elapsed_ms)
         self.stop()
 
