--- a/wigeonwind/runtime/process.py
+++ b/wigeonwind/runtime/process.py
@@ -9,7 +9,6 @@
 
 from gevent import Greenlet, sleep, spawn
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
 from structlog import get_logger
 
 from wigeonwind.addresses import SocketAddress, parse_address
@@ -37,6 +36,7 @@
 from wigeonwind.runtime.node import Node
 from wigeonwind.runtime.node_status import node_status
 from wigeonwind.runtime.operators_api import OperatorsApi
+from wigeonwind.runtime.operators_server import OperatorsServer
 from wigeonwind.runtime.rollout_controller import RolloutController
 from wigeonwind.runtime.tracing import make_tracer
 from wigeonwind.runtime.vm_list_client import VmListClient
@@ -119,7 +119,7 @@
             key,
             self._serve_health,
         )
-        self._operators_server: WSGIServer | None = None
+        self._operators_server: OperatorsServer | None = None
 
     def _attach_role(self) -> None:
         node = self.node
@@ -188,7 +188,9 @@
         if not self.settings.listen.operators:
             return None
         address = parse_address(self.settings.listen.operators)
-        server = WSGIServer((address.host, address.port), self._operators_api, log=None)
+        server = OperatorsServer(
+            (address.host, address.port), self._operators_api, log=None
+        )
         server.start()
         self._operators_server = server
         return SocketAddress(server.server_host, server.server_port)
@@ -252,6 +254,9 @@
 
     def _drain_and_stop(self, started_ms: float) -> None:
         self.node.drain(started_ms)
+        if self._operators_server is not None:
+            limit_ms = started_ms + self.settings.drain.limit_ms
+            self._operators_server.finish(self.node.clock, limit_ms)
         self._close()
 
     def stop(self) -> None:
