--- a/wigeonwind/standins/object_store.py
+++ b/wigeonwind/standins/object_store.py
@@ -116,6 +116,17 @@
     rate_limited: int
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """The content of an ObjectStore at one time."""
+
+    object_by_key: dict[str, StoredObject]
+    last_version_by_key: dict[str, int]
+    last_event_by_key: dict[str, WatchEvent]
+    events: tuple[WatchEvent, ...]
+    revision: int
+
+
 class ObjectStore:
     """Objects with versions, conditional writes and watches.
 
@@ -161,6 +172,35 @@
         """Return the numbers of operations since the store was created."""
         return CallCounts(self._read_count, self._write_count, self._rate_limited_count)
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy to which the store can return."""
+        return StoreCopy(
+            dict(self._object_by_key),
+            dict(self._last_version_by_key),
+            dict(self._last_event_by_key),
+            tuple(self._event_log),
+            self._revision,
+        )
+
+    def return_to(self, copy: StoreCopy) -> None:
+        """Continue from a copy, as after the loss of all newer data.
+
+        Versions and revisions after the copy are given out again.
+
+        >>> store = ObjectStore()
+        >>> copy = store.take_copy()
+        >>> store.put("a", b"1", 0, now_ms=0.0)
+        Ok(value=1)
+        >>> store.return_to(copy)
+        >>> store.put("a", b"2", 0, now_ms=0.0), store.revision
+        (Ok(value=1), 1)
+        """
+        self._object_by_key = dict(copy.object_by_key)
+        self._last_version_by_key = dict(copy.last_version_by_key)
+        self._last_event_by_key = dict(copy.last_event_by_key)
+        self._event_log = deque(copy.events, maxlen=EVENT_LOG_LENGTH)
+        self._revision = copy.revision
+
     def peek(self, key: str) -> StoredObject | None:
         """Return an object without counting a read, for checkers."""
         return self._object_by_key.get(key)
--- a/wigeonwind/state/memory_store.py
+++ b/wigeonwind/state/memory_store.py
@@ -37,6 +37,15 @@
     """Watches that return all events since the first revision."""
 
 
+@dataclass(frozen=True)
+class MemoryStoreCopy:
+    """The content of a MemoryStore at one time."""
+
+    object_by_key: dict[str, StoredObject]
+    revision: int
+    events: tuple[WatchEvent, ...]
+
+
 @dataclass
 class MemoryStore:
     """Implements `Store`: versions, conditional writes, watches that return at once.
@@ -114,6 +123,18 @@
             events = []
         return Ok(WatchBatch(self.revision, tuple(events)))
 
+    def take_copy(self) -> MemoryStoreCopy:
+        """Return a copy to which the store can return."""
+        return MemoryStoreCopy(
+            dict(self.object_by_key), self.revision, tuple(self._events)
+        )
+
+    def return_to(self, copy: MemoryStoreCopy) -> None:
+        """Continue from a copy: versions and revisions after it are used again."""
+        self.object_by_key = dict(copy.object_by_key)
+        self.revision = copy.revision
+        self._events = deque(copy.events)
+
     def version_of(self, key: str) -> int:
         """Return the version of an object, 0 if there is none."""
         stored = self.object_by_key.get(key)
