--- a/tests/test_store_returns_from_copy.py
+++ b/tests/test_store_returns_from_copy.py
@@ -138,7 +138,7 @@
 
 
 def new_lease(store, name, clock):
-    return Lease(store, name, clock)
+    return Lease(store, name, clock, lambda: 1_000_000.0 + clock.now_ms())
 
 
 def make_lease_pair():
--- a/wigeonwind/clock.py
+++ b/wigeonwind/clock.py
@@ -7,6 +7,11 @@
 """Milliseconds in one second."""
 
 
+def wall_clock_ms() -> float:
+    """Return the wall-clock time in milliseconds since 1970."""
+    return time.time() * MS_PER_SECOND
+
+
 class Clock(Protocol):
     """A monotonic clock; only differences between readings are meaningful."""
 
--- a/wigeonwind/runtime/node.py
+++ b/wigeonwind/runtime/node.py
@@ -11,7 +11,7 @@
 
 from wigeonwind.addresses import SocketAddress, parse_address, parse_address_list
 from wigeonwind.catalog import Catalog, ServiceKind
-from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.clock import MS_PER_SECOND, Clock, wall_clock_ms
 from wigeonwind.decisions.interfaces import EndpointInfo
 from wigeonwind.ids import new_incarnation
 from wigeonwind.links.link import LinkServer, connect_link
@@ -213,7 +213,7 @@
         self.members.set_local_address(f"{host}:{bound.port}")
 
     def _start_rollout_controller(self) -> None:
-        lease = Lease(self.store, self.settings.node.id, self.clock)
+        lease = Lease(self.store, self.settings.node.id, self.clock, wall_clock_ms)
         self.rollout_controller = RolloutController(
             self.store,
             lease,
--- a/wigeonwind/runtime/process.py
+++ b/wigeonwind/runtime/process.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from random import Random
 from ssl import SSLContext
-from time import time
 from typing import Any
 
 from gevent import Greenlet, sleep, spawn
@@ -12,7 +11,7 @@
 from structlog import get_logger
 
 from wigeonwind.addresses import SocketAddress, parse_address
-from wigeonwind.clock import MS_PER_SECOND, SystemClock
+from wigeonwind.clock import MS_PER_SECOND, SystemClock, wall_clock_ms
 from wigeonwind.decisions.choice import EndpointChooser
 from wigeonwind.decisions.endpoint_queue import EndpointQueue
 from wigeonwind.decisions.limits import RequestLimiter
@@ -318,7 +317,7 @@
         """Delete expired bookings, on one entry at a time."""
         store = self.node.store
         assert isinstance(store, ListingStore), store
-        sweep = BookingSweep(store, _wall_clock_ms)
+        sweep = BookingSweep(store, wall_clock_ms)
         while True:
             _sleep_ms(self.node.rng.uniform(0.8, 1.2) * SWEEP_INTERVAL_MS)
             sweep_if_lease_held(self.node.rollout_controller, sweep)
@@ -350,10 +349,6 @@
     return sweep.step()
 
 
-def _wall_clock_ms() -> float:
-    return time() * MS_PER_SECOND
-
-
 def _sleep_ms(duration_ms: float) -> None:
     sleep(duration_ms / MS_PER_SECOND)
 
--- a/wigeonwind/state/lease.py
+++ b/wigeonwind/state/lease.py
@@ -1,12 +1,13 @@
 """The lease for rollouts: one object in the store, with a fencing token.
 
-The clocks of two VMs are never compared. A holder measures its lease from the time at
-which it sent the write that the store confirmed; a challenger measures from the time at
-which it first read the version it wants to replace. Each new holder increments the
-fencing token, a renewal keeps it.
+The clocks of two VMs are never compared to measure a lease. A holder measures it from
+the time at which it sent the write that the store confirmed; a challenger measures from
+the time at which it first read the version it wants to replace. Each new holder raises
+the fencing token, a renewal keeps it.
 """
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from wigeonwind.clock import Clock
@@ -58,12 +59,22 @@
 
     `_version` is the object version that this process has written, -1 if it does not
     hold the lease. `_nonce` distinguishes two processes with the same holder id.
+
+    `wall_ms` returns the wall-clock time in milliseconds since 1970. New fencing tokens
+    are at least that: a store that returns from an older copy has lost tokens.
     """
 
-    def __init__(self, store: Store, holder_id: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: Store,
+        holder_id: str,
+        clock: Clock,
+        wall_ms: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._store = store
         self._holder_id = holder_id
         self._clock = clock
+        self._wall_ms = wall_ms
         self._nonce = new_id()
         self._fence = 0
         self._version = -1
@@ -98,7 +109,7 @@
         if isinstance(found, StoreFailure):
             return
         if isinstance(found, NotFound):
-            self._write(1, 0)
+            self._write(self._next_fence(0), 0)
             return
         self._handle_stored_lease(found.value)
 
@@ -116,7 +127,10 @@
             self._observed_version = found.version
             self._observed_ms = now_ms
         if not value.holder or now_ms - self._observed_ms > TAKEOVER_MS:
-            self._write(value.fence + 1, found.version)
+            self._write(self._next_fence(value.fence), found.version)
+
+    def _next_fence(self, fence: int) -> int:
+        return max(fence + 1, int(self._wall_ms()))
 
     def _accept_write(self, version: int, fence: int) -> None:
         """Accept a write whose response was lost; the lease counts from its sending.
