--- a/wigeonwind/state/lease.py
+++ b/wigeonwind/state/lease.py
@@ -80,7 +80,10 @@
         self._version = -1
         self._valid_until_ms = 0.0
         self._observed_version = -1
+        self._observed_value = b""
         self._observed_ms = 0.0
+        self._went_back_ms: float | None = None
+        """When the lease object was found older than before, None if it never was."""
         self._unconfirmed_write_ms: float | None = None
 
     def fence(self) -> int | None:
@@ -109,7 +112,9 @@
         if isinstance(found, StoreFailure):
             return
         if isinstance(found, NotFound):
-            self._write(self._next_fence(0), 0)
+            self._observe(0, b"")
+            if self._may_take_released():
+                self._write(self._next_fence(0), 0)
             return
         self._handle_stored_lease(found.value)
 
@@ -122,13 +127,28 @@
             self._accept_write(found.version, value.fence)
             return
         self._discard()
-        now_ms = self._clock.now_ms()
-        if found.version != self._observed_version:
-            self._observed_version = found.version
-            self._observed_ms = now_ms
-        if not value.holder or now_ms - self._observed_ms > TAKEOVER_MS:
+        self._observe(found.version, found.value)
+        is_expired = self._clock.now_ms() - self._observed_ms > TAKEOVER_MS
+        if is_expired or (not value.holder and self._may_take_released()):
             self._write(self._next_fence(value.fence), found.version)
 
+    def _observe(self, version: int, value: bytes) -> None:
+        """Record what is stored; an older version, or another value, went back."""
+        if (version, value) == (self._observed_version, self._observed_value):
+            return
+        now_ms = self._clock.now_ms()
+        if version <= self._observed_version:
+            self._went_back_ms = now_ms
+        self._observed_version = version
+        self._observed_value = value
+        self._observed_ms = now_ms
+
+    def _may_take_released(self) -> bool:
+        """Return whether no holder can be left whose lease the store has lost."""
+        if self._went_back_ms is None:
+            return True
+        return self._clock.now_ms() - self._went_back_ms > TAKEOVER_MS
+
     def _next_fence(self, fence: int) -> int:
         return max(fence + 1, int(self._wall_ms()))
 
@@ -152,6 +172,7 @@
             self._version = result.value
             self._fence = fence
             self._valid_until_ms = sent_ms + LEASE_MS
+            self._observe(result.value, value.to_bytes())
         elif isinstance(result, StoreFailure):
             if result.maybe_written and self._unconfirmed_write_ms is None:
                 self._unconfirmed_write_ms = sent_ms
