--- a/wigeonwind/state/configuration_watcher.py
+++ b/wigeonwind/state/configuration_watcher.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from random import Random
 
+from structlog import get_logger
+
 from wigeonwind.state.configuration_chunks import split_into_chunks
 from wigeonwind.state.configuration_head import HEAD_KEY
 from wigeonwind.state.configuration_replica import ConfigurationReplica
@@ -42,6 +44,8 @@
 PAUSE_JITTER = 0.5
 """Pauses are uniformly distributed around the mean, plus or minus this share."""
 
+log = get_logger("wigeonwind.configuration")
+
 
 class ConfigurationWatcher:
     """Fetches new configurations from the store.
@@ -69,7 +73,8 @@
         self.problem = ""
         """Why the configuration in the store cannot be used, empty if it can."""
         self.count_by_event: dict[str, int] = {}
-        """Event counters: fetched, fetch_failed, fetch_unusable, watch_failed."""
+        """Event counters: fetched, fetch_failed, fetch_unusable, watch_failed,
+        store_went_back."""
 
     def watch_step(self) -> float:
         """Wait for an event; fetch the configuration unless peers deliver it."""
@@ -81,8 +86,17 @@
         if isinstance(result, HistoryExpired):
             self._revision = 0
             return self.poll_step()
-        # A repeated batch may have an older revision than an earlier batch.
-        self._revision = max(self._revision, result.value.revision)
+        went_back = result.value.revision < self._revision
+        # Events of a repeated batch are harmless; events of another history that would
+        # be skipped are not.
+        self._revision = result.value.revision
+        if went_back:
+            self._count("store_went_back")
+            log.warning("store went back to an older revision", revision=self._revision)
+            failure = self.fetch()
+            return (
+                self._backoff_ms(failure) if failure else self._jittered(WATCH_PAUSE_MS)
+            )
         announced_version = _newest_version(result.value)
         if announced_version <= self._newest_known_version():
             return 0.0 if announced_version == 0 else self._jittered(WATCH_PAUSE_MS)
