--- a/tests/test_store_returns_from_copy.py
+++ b/tests/test_store_returns_from_copy.py
@@ -7,6 +7,7 @@
 from test_configuration_parse import GOOD
 from test_configuration_store import submit
 from test_lease import make_pair
+from test_operators_api import Entry
 
 from wigeonwind.clock import ManualClock
 from wigeonwind.state.configuration_replica import ConfigurationReplica
@@ -16,12 +17,8 @@
 from wigeonwind.state.lease import TAKEOVER_MS, Lease
 from wigeonwind.state.memory_store import MemoryStore
 
-SOURCES = [
-    split_configuration(
-        GOOD.replace("weight = 2", f"weight = {weight}")
-    ).sections.source
-    for weight in (2, 3, 4)
-]
+EDITS = [GOOD.replace("weight = 2", f"weight = {weight}") for weight in (2, 3, 4)]
+SOURCES = [split_configuration(source).sections.source for source in EDITS]
 
 
 class Watching:
@@ -107,6 +104,43 @@
     assert submit(store, 2, "three", SOURCES[2]) == SubmitConflict(1, SOURCES[0])
 
 
+def make_operators_entry(watching):
+    entry = Entry(watching.store)
+    watching.watcher._replica = watching.replica = entry.replica
+    entry.api._refresh = watching.watcher.fetch
+    return entry
+
+
+def test_a_change_is_confirmed_only_when_it_is_in_force():
+    # Guards against a confirmed submission whose version the processes have for another
+    # configuration, so that it is in force nowhere.
+    watching = Watching()
+    entry = make_operators_entry(watching)
+    entry.submit(0, "s1", EDITS[0])
+    copy = watching.store.take_copy()
+    entry.submit(1, "s2", EDITS[1])
+    watching.store.return_to(copy)
+    status, fields = entry.submit(1, "s3", EDITS[2])
+    assert (status, fields["version"]) == (200, 3)
+    assert (entry.replica.version, entry.replica.source) == (3, SOURCES[2])
+    assert entry.confirmed[-1] == 3
+
+
+def test_a_conflict_after_a_return_shows_the_configuration_in_force():
+    # Guards against an operator who is shown the lost store's configuration as current
+    # and undoes accepted changes by editing it.
+    watching = Watching()
+    entry = make_operators_entry(watching)
+    entry.submit(0, "s1", EDITS[0])
+    copy = watching.store.take_copy()
+    entry.submit(1, "s2", EDITS[1])
+    watching.store.return_to(copy)
+    status, fields = entry.submit(2, "s3", EDITS[2])
+    assert (status, fields["version"], fields["source"]) == (409, 3, SOURCES[1])
+    assert entry.submit(3, "s3", EDITS[2])[0] == 200
+    assert entry.replica.source == SOURCES[2]
+
+
 def test_a_fencing_token_is_never_given_out_twice():
     # Guards against two holders whose commands an endpoint cannot tell apart.
     store, clock, first, second = make_lease_pair()
--- a/wigeonwind/runtime/operators_api.py
+++ b/wigeonwind/runtime/operators_api.py
@@ -81,7 +81,8 @@
     `wait_for_confirmation(version, timeout_ms)` waits until every reachable zone has
     the version in force and returns the zones that confirmed it. `status` returns the
     fields of `/admin/status`. Other paths are served by `fallback`. An empty `key`
-    disables authentication.
+    disables authentication. `refresh` reads the store's configuration, and writes it
+    again if the store has lost the one in force.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         sleep_ms: Callable[[float], None],
         key: str = "",
         fallback: WsgiApp | None = None,
+        refresh: Callable[[], object] = lambda: None,
     ) -> None:
         self._replica = replica
         self._store = store
@@ -101,6 +103,7 @@
         self._sleep_ms = sleep_ms
         self._key = key
         self._fallback = fallback
+        self._refresh = refresh
         self._chunks: list[Chunk] = []
         """Chunks of the last submission; unchanged ones are used again."""
         self._handler_by_route: dict[
@@ -209,11 +212,20 @@
             return ApiResponse(422, {"problems": _problem_rows(checked.problems)})
         result = self._write(request, checked.value)
         if isinstance(result, Accepted):
-            self._replica.offer_checked(result.version, checked.value, base)
-            zones = self._wait_for_confirmation(result.version, CONFIRMATION_TIMEOUT_MS)
-            fields = {"version": result.version, "confirmed_zones": zones}
+            version = result.version
+            if not self._replica.offer_checked(version, checked.value, base):
+                # The version is not above all that are in force: the store went back.
+                self._refresh()
+                version = max(version, self._replica.version)
+            zones = self._wait_for_confirmation(version, CONFIRMATION_TIMEOUT_MS)
+            fields = {"version": version, "confirmed_zones": zones}
             return ApiResponse(200, fields)
         if isinstance(result, SubmitConflict):
+            if result.version < self._replica.version:
+                # The store has lost the version in force.
+                self._refresh()
+                replica = self._replica
+                result = SubmitConflict(replica.version, replica.source)
             return self._conflict(result, request.base_version)
         if isinstance(result, SubmitUnavailable):
             return _unavailable(result, request.submission_id)
--- a/wigeonwind/runtime/process.py
+++ b/wigeonwind/runtime/process.py
@@ -117,6 +117,7 @@
             _sleep_ms,
             key,
             self._serve_health,
+            self._configuration_watcher.fetch,
         )
         self._operators_server: OperatorsServer | None = None
 
--- a/wigeonwind/state/configuration_replica.py
+++ b/wigeonwind/state/configuration_replica.py
@@ -66,6 +66,7 @@
         self._subscribers: list[Callable[[Catalog], None]] = []
         self._change_by_base_version: OrderedDict[int, _AppliedChange] = OrderedDict()
         self._assembler = ChunkAssembler()
+        self._digest_by_version: OrderedDict[int, str] = OrderedDict()
         self._requested_version = 0
         self._requested_at_ms = 0.0
         self.refused_version = 0
@@ -104,6 +105,13 @@
         """Return the catalog in force, an empty one of version 0 before the first."""
         return self._configuration.catalog if self._configuration else Catalog(0)
 
+    def digest_of(self, version: int) -> str | None:
+        """Return the digest that a version had when it was put in force here.
+
+        None for a version that was not, or longer than MAX_CHANGE_HISTORY versions ago.
+        """
+        return self._digest_by_version.get(version)
+
     def customer_for_key(self, key_digest: str) -> str | None:
         """Return the customer of the API key with this digest, or None."""
         return (
@@ -238,6 +246,9 @@
             return False
         old, self._configuration = self._configuration, result.value
         self._record_change(old, result.value)
+        self._digest_by_version[version] = result.value.digest
+        while len(self._digest_by_version) > MAX_CHANGE_HISTORY:
+            self._digest_by_version.popitem(last=False)
         self._count("adopted")
         for callback in self._subscribers:
             callback(result.value.catalog)
--- a/wigeonwind/state/configuration_store.py
+++ b/wigeonwind/state/configuration_store.py
@@ -88,9 +88,13 @@
 
 @dataclass(frozen=True)
 class NotNewer:
-    """The head in the store is not newer than the version the caller has."""
+    """The head in the store is not newer than the version the caller has.
+
+    `head` is None if it is malformed.
+    """
 
     version: int
+    head: Head | None = None
 
 
 def submit_steps(
@@ -291,7 +295,7 @@
     if isinstance(read, NotFound | StoreFailure):
         return read
     if read.version <= newer_than:
-        return NotNewer(read.version)
+        return NotNewer(read.version, read if isinstance(read, Head) else None)
     if isinstance(read, UnusableHead):
         return read
     return (yield from read_chunks_steps(read, known_chunks()))
--- a/wigeonwind/state/configuration_watcher.py
+++ b/wigeonwind/state/configuration_watcher.py
@@ -2,18 +2,23 @@
 
 from collections.abc import Callable
 from random import Random
+from typing import TypeVar
 
 from structlog import get_logger
 
+from wigeonwind.outcomes import Ok
 from wigeonwind.state.configuration_chunks import split_into_chunks
 from wigeonwind.state.configuration_head import HEAD_KEY
+from wigeonwind.state.configuration_recovery import raise_version_steps
 from wigeonwind.state.configuration_replica import ConfigurationReplica
+from wigeonwind.state.configuration_sections import Sections
 from wigeonwind.state.configuration_store import (
     FetchedConfiguration,
     NotNewer,
     fetch_steps,
+    read_chunks_steps,
 )
-from wigeonwind.state.store_steps import run_steps
+from wigeonwind.state.store_steps import Steps, run_steps
 from wigeonwind.state.store_types import (
     HistoryExpired,
     Store,
@@ -46,6 +51,8 @@
 
 log = get_logger("wigeonwind.configuration")
 
+T = TypeVar("T")
+
 
 class ConfigurationWatcher:
     """Fetches new configurations from the store.
@@ -74,7 +81,7 @@
         """Why the configuration in the store cannot be used, empty if it can."""
         self.count_by_event: dict[str, int] = {}
         """Event counters: fetched, fetch_failed, fetch_unusable, watch_failed,
-        store_went_back."""
+        store_went_back, recovered."""
 
     def watch_step(self) -> float:
         """Wait for an event; fetch the configuration unless peers deliver it."""
@@ -123,11 +130,61 @@
         self.has_read_store = True
         if isinstance(result, FetchedConfiguration):
             self._offer(result)
-        elif not isinstance(result, NotNewer):
+        elif isinstance(result, NotNewer):
+            return self._recover(result)
+        else:
             self._count("fetch_unusable")
             self.problem = getattr(result, "reason", "the store has no configuration")
         return None
 
+    def _recover(self, found: NotNewer) -> StoreFailure | None:
+        """Put the store and this process in agreement after a return to a copy.
+
+        If the head is one that was in force here before, the store has lost the
+        configuration in force, which is written again. If it is another one, it was
+        accepted after the return and replaces the configuration in force. Where this
+        process cannot tell, it leaves the recovery to others.
+        """
+        replica, head = self._replica, found.head
+        if head is None or replica.configuration is None:
+            return None
+        known_digest = replica.digest_of(found.version)
+        if known_digest is None or found.version > replica.version:
+            return None
+        is_old = known_digest == head.digest
+        if is_old and found.version == replica.version:
+            return None
+        sections = replica.configuration.sections
+        if not is_old:
+            fetched = self._run(read_chunks_steps(head, self._known_chunks()))
+            if isinstance(fetched, StoreFailure):
+                return fetched
+            if not isinstance(fetched, FetchedConfiguration):
+                return None
+            checked = replica.check(fetched.source)
+            if not isinstance(checked, Ok):
+                return None
+            sections = checked.value.sections
+        self._raise_version(found.version, sections)
+        return None
+
+    def _raise_version(self, stored_version: int, sections: Sections) -> None:
+        known_version = self._replica.version
+        steps = raise_version_steps(stored_version, known_version, sections)
+        version = self._run(steps)
+        self._count("recovered")
+        log.warning(
+            "configuration written again after a return of the store",
+            stored_version=stored_version,
+            known_version=known_version,
+            version=version,
+        )
+        if version > known_version:
+            self._replica.offer(version, sections.source)
+
+    def _run(self, steps: Steps[T]) -> T:
+        return run_steps(steps, self._store, self._sleep_ms)
+
     def _known_chunks(self) -> dict[str, str]:
         """Return the chunks of the configuration in force, which need not be read."""
         configuration = self._replica.configuration
