--- a/wigeonwind/state/bookings.py
+++ b/wigeonwind/state/bookings.py
@@ -291,10 +291,16 @@
     def _record_response(
         self, record: BookingRecord, version: int, response: RecordedResponse
     ) -> Generator[Step, StepResult, None]:
-        """Record the response; after a conflict, another request has recorded it."""
+        """Record the response; after a conflict, another request has recorded it.
+
+        If the store has lost the claim, the response is recorded without it.
+        """
         done = replace(record, state=RecordState.DONE, answer=omit_large_body(response))
         for _ in range(MAX_RESPONSE_WRITES):
             written = yield self._write(done, version)
+            if isinstance(written, Conflict) and version and not written.version:
+                version = 0
+                continue
             if not isinstance(written, StoreFailure):
                 return
             yield Pause(min(written.retry_after_ms, MAX_RESPONSE_WRITE_PAUSE_MS))
