--- a/tests/test_store_returns_from_copy.py
+++ b/tests/test_store_returns_from_copy.py
@@ -214,3 +214,20 @@
     entry.store.objects.clear()
     again = entry.call("POST", "/svc/spot-desk/x", b"", headers)
     assert (again.status, len(sidecar.submits)) == (200, 1)
+
+
+def test_a_lost_booking_is_not_run_again_by_another_entry(entry):
+    # Guards against a booking that runs again because the store lost its record and
+    # its repetition reached another entry.
+    other = EntryUnderTest()
+    other.role._bookings._store = entry.store
+    headers = {"Idempotency-Key": "k"}
+    sidecars = [
+        each.add_sidecar(respond_plain(200, b"ok"), "spot-desk")
+        for each in (entry, other)
+    ]
+    assert entry.call("POST", "/svc/spot-desk/x", b"", headers).status == 200
+    entry.store.objects.clear()
+    other.call("POST", "/svc/spot-desk/x", b"", headers)
+    other.role.stop()
+    assert sum(len(sidecar.submits) for sidecar in sidecars) == 1
--- a/wigeonwind/entry/booking_call.py
+++ b/wigeonwind/entry/booking_call.py
@@ -12,6 +12,7 @@
 from wigeonwind.entry.dispatch import Dispatcher
 from wigeonwind.entry.http_call import HttpCall
 from wigeonwind.entry.plain_headers import reply_headers
+from wigeonwind.entry.recent_bookings import RecentBookings
 from wigeonwind.entry.replies import (
     Reply,
     failure,
@@ -58,7 +59,7 @@
     WriteRecord,
 )
 from wigeonwind.state.bookings import body_digest, book, record_key
-from wigeonwind.state.store_types import Store
+from wigeonwind.state.store_types import NotFound, Store
 
 RESOLVE_TIMEOUT_MS = 2000.0
 """Time a sidecar has to report the state of a claim."""
@@ -74,6 +75,7 @@
         self._store = store
         self._tracer = tracer
         self._dispatcher = dispatcher
+        self._recent = RecentBookings(dispatcher.context.clock)
         self._pending_by_token: dict[str, tuple[Link, AsyncResult]] = {}
 
     def handle(
@@ -89,7 +91,10 @@
             body_digest(request.method, request.path, request.body),
         )
         execution = self._dispatcher.execute(request, active_request.mailbox)
-        result = self._run_protocol(booking, execution, request.traceparent)
+        result = self._result_of_lost_record(booking, request.traceparent)
+        if result is None:
+            result = self._run_protocol(booking, execution, request.traceparent)
+        self._recent.add(booking, result)
         active_request.set_outcome(_outcome_of(result))
         yield from _reply(call, result)
 
@@ -107,6 +112,17 @@
             if pending_link is link:
                 result.set(None)
 
+    def _result_of_lost_record(
+        self, booking: BookingRequest, traceparent: str
+    ) -> BookingResult | None:
+        """Return the result of a recent key whose record is gone, None otherwise."""
+        if not self._recent.is_known(booking):
+            return None
+        found = self._call_store(ReadRecord(booking.record_key), traceparent)
+        if not isinstance(found, NotFound):
+            return None
+        return self._recent.result_without_record(booking)
+
     def _run_protocol(
         self, booking: BookingRequest, execution: RequestExecution, traceparent: str
     ) -> BookingResult:
