--- a/wigeonwind/entry/admission.py
+++ b/wigeonwind/entry/admission.py
@@ -12,8 +12,10 @@
     choose_class,
     identify,
 )
+from wigeonwind.entry.drain_times import DrainTimes
 from wigeonwind.entry.http_call import HttpCall
-from wigeonwind.entry.replies import refusal
+from wigeonwind.entry.replies import refusal, stopping_refusal
+from wigeonwind.entry.request_durations import RequestDurations, RequestKind
 from wigeonwind.entry.request_response import AdmittedRequest
 from wigeonwind.outcomes import ErrorCode, Failure, Ok
 
@@ -58,11 +60,18 @@
     """Checks every request before it is dispatched."""
 
     def __init__(
-        self, clock: Clock, limits: LimitDecisions, request_timeout_ms: float
+        self,
+        clock: Clock,
+        limits: LimitDecisions,
+        request_timeout_ms: float,
+        drain_times: DrainTimes,
+        durations: RequestDurations,
     ) -> None:
         self._clock = clock
         self._limits = limits
         self._request_timeout_ms = request_timeout_ms
+        self._drain_times = drain_times
+        self._durations = durations
         self._directory: CustomerDirectory | None = None
         self._key_index = KeyIndex()
 
@@ -101,7 +110,8 @@
     ) -> Ok[AdmittedRequest] | Failure:
         """Admit one request; the caller must pass it to `end` when it has ended.
 
-        It is refused if its class, its timeout or a limit of its customer forbids it.
+        It is refused if its class, its timeout or a limit of its customer forbids it,
+        or if the drain of the entry leaves no time for it.
         """
         requested_class = call.header_by_name.get(CLASS_HEADER, "")
         chosen = choose_class(
@@ -112,6 +122,8 @@
         timeout = self._timeout_ms(call)
         if isinstance(timeout, Failure):
             return timeout
+        if not self._has_time(spec, chosen.value, timeout.value):
+            return stopping_refusal()
         limited = self._check_limits(identified.caller, chosen.value, spec)
         if limited is not None:
             return limited
@@ -141,6 +153,19 @@
         now_ms = self._clock.now_ms()
         self._limits.on_ended(request.customer, request.request_class.name, now_ms)
 
+    def _has_time(
+        self, spec: RequestSpec, request_class: RequestClass, timeout_ms: float
+    ) -> bool:
+        """Return whether a drain leaves the time that the request is expected to take.
+
+        A request with a shorter timeout of its own ends with that.
+        """
+        if not self._drain_times.is_draining:
+            return True
+        kind = RequestKind(spec.service.name, request_class.name, spec.stream)
+        needed_ms = min(self._durations.expected_ms(kind), timeout_ms)
+        return needed_ms < self._drain_times.ending_in_ms()
+
     def _check_limits(
         self, caller: Caller, request_class: RequestClass, spec: RequestSpec
     ) -> Failure | None:
--- a/wigeonwind/entry/entry_http.py
+++ b/wigeonwind/entry/entry_http.py
@@ -1,14 +1,19 @@
 """The HTTP server for callers: gevent's WSGI server with limits per connection."""
 
+import fcntl
 import socket
 import ssl
 import struct
+import sys
+import termios
 from collections.abc import Callable, Iterable
 from http.client import HTTPException
+from time import monotonic
 from typing import Any
 from urllib.parse import unquote
 
 import gevent
+from gevent import get_hub
 from gevent.pool import Pool
 from gevent.pywsgi import MAX_REQUEST_LINE, Input, WSGIHandler, WSGIServer
 
@@ -22,6 +27,7 @@
     ReplyAbortedError,
 )
 from wigeonwind.entry.http_limits import (
+    REFUSAL_DRAIN_S,
     BoundedHeaderReader,
     RequestRefusedError,
     body_too_large,
@@ -29,10 +35,13 @@
     request_refused,
     send_refusal,
 )
-from wigeonwind.entry.replies import failure, refusal
+from wigeonwind.entry.replies import failure, refusal, stopping_refusal
 from wigeonwind.outcomes import ErrorCode, Failure, Outcome
 from wigeonwind.settings import LimitSettings
 
+IDLE_CLOSE_S = 0.3
+"""Time for which a draining entry still reads from a connection that has no request."""
+
 IDLE_TIMEOUT_S = 60.0
 """Socket timeout: for the next request of a connection and for a blocked write.
 
@@ -67,6 +76,7 @@
         timer = gevent.Timeout.start_new(self.server.read_timeout_s)
         self._read_timer = timer
         self.server.in_flight += 1
+        self.server.greenlet_by_unread[self] = gevent.getcurrent()
         try:
             return super().handle_one_request()
         except RequestRefusedError as error:
@@ -80,13 +90,15 @@
             return None
         finally:
             self.server.in_flight -= 1
+            self.server.greenlet_by_unread.pop(self, None)
             timer.close()
 
     def _await_request(self) -> bool:
         """Wait for the first byte of a request; False if none will be served."""
-        if self.server.is_closing:
-            return False
+        self._idle_since_s = monotonic()
         self.server.idle_handlers.add(self)
+        if self.server.is_closing:
+            self.close_when_idle()
         try:
             return bool(self.rfile.peek(1))
         except (OSError, ValueError):
@@ -94,8 +106,20 @@
         finally:
             self.server.idle_handlers.discard(self)
 
-    def close_idle_connection(self) -> None:
-        """Close a connection on which no request has started."""
+    def close_when_idle(self) -> None:
+        """Close the connection once no request has started on it for IDLE_CLOSE_S.
+
+        Its caller may be sending one, as no response has said that it will be closed.
+        """
+        idle_s = monotonic() - self._idle_since_s
+        if self not in self.server.idle_handlers:
+            return
+        if idle_s < IDLE_CLOSE_S:
+            gevent.spawn_later(IDLE_CLOSE_S - idle_s, self.close_when_idle)
+        elif not _has_unread_input(self.socket):
+            self._shut_down()
+
+    def _shut_down(self) -> None:
         try:
             self.socket.shutdown(socket.SHUT_RDWR)
         except OSError:
@@ -139,12 +163,14 @@
         Building the complete environment costs as much as the rest of a short request.
         """
         headers = [list(pair) for pair in self.headers.items()]
-        expects_continue = self.headers.get("expect", "").lower() == "100-continue"
+        self._expects_continue = (
+            self.headers.get("expect", "").lower() == "100-continue"
+        )
         chunked = self.headers.get("transfer-encoding") is not None
         self.wsgi_input = Input(
             self.rfile,
             self.content_length,
-            socket=self.socket if expects_continue else None,
+            socket=self.socket if self._expects_continue else None,
             chunked_input=chunked,
         )
         environ = self.server.get_environ()
@@ -162,13 +188,20 @@
         self._reserved_bytes = 0
         try:
             if self._receive_body():
+                self.server.greenlet_by_unread.pop(self, None)
                 self._read_timer.close()
                 super().handle_one_response()
         finally:
             self.server.large_body_bytes -= self._reserved_bytes
 
     def _receive_body(self) -> bool:
-        """Read the body; return False if the request has been refused."""
+        """Read the body; return False if the request has been refused.
+
+        After the grace period of a drain no caller is asked to send a body.
+        """
+        if self.server.is_closing and self._expects_continue:
+            self._refuse(stopping_refusal())
+            return False
         try:
             self.environ[BODY_KEY] = self._read_body()
         except RequestRefusedError as error:
@@ -214,18 +247,33 @@
     def _refuse(self, error: Failure) -> None:
         """Send a refusal and close the connection."""
         self.close_connection = True
+        self.server.greenlet_by_unread.pop(self, None)
         self.server.count_refusal(error)
-        send_refusal(self.socket, error)
+        send_refusal(self.socket, error, self.server.linger_s)
 
     def finalize_headers(self) -> None:
-        """Add `Connection: close` while the entry drains."""
-        if self.server.is_draining and not self.close_connection:
+        """Add `Connection: close` while the entry drains.
+
+        A caller that has sent requests behind this one gets it with the last response.
+        """
+        ends = self.server.is_draining and not self._has_pipelined_request()
+        if ends and not self.close_connection:
             self.close_connection = True
             self.response_headers.append((b"Connection", b"close"))
         super().finalize_headers()
         if self.command == "HEAD":
             self.response_use_chunked = False
 
+    def _has_pipelined_request(self) -> bool:
+        """Return whether the caller has sent more, without waiting for it."""
+        self.socket.settimeout(0.0)
+        try:
+            return bool(self.rfile.peek(1))
+        except (OSError, ValueError):
+            return False
+        finally:
+            self.socket.settimeout(IDLE_TIMEOUT_S)
+
     def _write_with_headers(self, data: bytes) -> None:
         """Send the head and the first data in one packet if they fit."""
         self.headers_sent = True
@@ -267,9 +315,16 @@
         try:
             super().process_result()
         except ReplyAbortedError:
-            self.close_connection = True
-            if not (self.response_use_chunked or self.provided_content_length):
-                self._reset_on_close()
+            self._cut_off()
+        except BaseException:
+            if self.headers_sent:
+                self._cut_off()
+            raise
+
+    def _cut_off(self) -> None:
+        self.close_connection = True
+        if not (self.response_use_chunked or self.provided_content_length):
+            self._reset_on_close()
 
     def _reset_on_close(self) -> None:
         """Reset the connection, as an unframed reply would otherwise seem complete."""
@@ -282,12 +337,23 @@
         if not self.headers_sent:
             message = "the entry stopped or failed before the request was answered"
             code = ErrorCode.ENDPOINT_FAILED
-            self._refuse(failure(Outcome.UNKNOWN, code, message, http_status=500))
+            is_stop = self.server.is_draining and issubclass(t, gevent.GreenletExit)
+            status = 502 if is_stop else 500
+            self._refuse(failure(Outcome.UNKNOWN, code, message, http_status=status))
 
     def log_request(self) -> None:
         """Write no access log; the metrics count requests."""
 
 
+def _has_unread_input(sock: Any) -> bool:
+    """Return whether the kernel holds bytes that have not been read."""
+    try:
+        buffer = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+    except (OSError, ValueError):
+        return False
+    return bool(int.from_bytes(buffer, sys.byteorder))
+
+
 class CallerServer(WSGIServer):
     """Accepts callers' connections.
 
@@ -321,6 +387,9 @@
         self.read_timeout_s = limits.read_timeout_ms / MS_PER_SECOND
         self.count_refusal = count_refusal
         self.idle_handlers: set[CallerHandler] = set()
+        self.greenlet_by_unread: dict[CallerHandler, gevent.Greenlet] = {}
+        """Greenlets of the handlers that are receiving a request."""
+        self.linger_s = REFUSAL_DRAIN_S
         self.in_flight = 0
         self.connections = 0
         self.large_body_bytes = 0
@@ -367,7 +436,24 @@
         self.is_closing = True
         self.close()
         for handler in tuple(self.idle_handlers):
-            handler.close_idle_connection()
+            handler.close_when_idle()
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request is open or may still come on a connection."""
+        return bool(self.in_flight or self.idle_handlers)
+
+    def refuse_unread(self, error: Failure) -> int:
+        """Refuse all requests that are being received; return their number."""
+        for handler in tuple(self.greenlet_by_unread):
+            get_hub().loop.run_callback(self._refuse_if_unread, handler, error)
+        return len(self.greenlet_by_unread)
+
+    def _refuse_if_unread(self, handler: CallerHandler, error: Failure) -> None:
+        # The request may have been received completely since the callback was added.
+        greenlet = self.greenlet_by_unread.pop(handler, None)
+        if greenlet is not None:
+            greenlet.throw(RequestRefusedError(error))
 
     @property
     def bound_address(self) -> SocketAddress:
--- a/wigeonwind/runtime/node.py
+++ b/wigeonwind/runtime/node.py
@@ -11,7 +11,7 @@
 
 from wigeonwind.addresses import SocketAddress, parse_address, parse_address_list
 from wigeonwind.catalog import Catalog, ServiceKind
-from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.clock import MS_PER_SECOND, Clock, wall_clock_ms
 from wigeonwind.decisions.interfaces import EndpointInfo
 from wigeonwind.ids import new_incarnation
 from wigeonwind.links.link import LinkServer, connect_link
@@ -73,8 +73,12 @@
         """Start serving."""
         ...
 
-    def drain(self) -> None:
-        """Reject new requests and finish running ones; block until done."""
+    def drain(self, started_ms: float | None = None) -> None:
+        """Reject new requests and finish running ones; block until done.
+
+        The times of the drain count from the clock reading `started_ms`, by default
+        from now.
+        """
         ...
 
     def stop(self) -> None:
@@ -209,7 +213,7 @@
         self.members.set_local_address(f"{host}:{bound.port}")
 
     def _start_rollout_controller(self) -> None:
-        lease = Lease(self.store, self.settings.node.id, self.clock)
+        lease = Lease(self.store, self.settings.node.id, self.clock, wall_clock_ms)
         self.rollout_controller = RolloutController(
             self.store,
             lease,
@@ -250,23 +254,30 @@
         self.gossip.announce(rows)
         log.info("leaving", member_id=local.member_id)
 
-    def drain(self) -> None:
-        """Shut down gracefully: announce, release the lease, drain the role, stop."""
+    def drain(self, started_ms: float | None = None) -> None:
+        """Shut down gracefully: announce, release the lease, drain the role, stop.
+
+        The times of the drain count from the clock reading `started_ms`, by default
+        from now.
+        """
+        if started_ms is None:
+            started_ms = self.clock.now_ms()
         self.announce_leaving()
         if self.rollout_controller is not None:
             self.rollout_controller.stop()
         if self.role is not None:
-            self.role.drain()
+            self.role.drain(started_ms)
         if self.settings.node.role == "side":
-            self._wait_for_entries()
+            limit_ms = started_ms + self.settings.drain.limit_ms
+            self._wait_for_entries(limit_ms)
         self.stop()
 
-    def _wait_for_entries(self) -> None:
-        """Wait until the entries have closed their links.
+    def _wait_for_entries(self, limit_ms: float) -> None:
+        """Wait until the entries have closed their links, at most until `limit_ms`.
 
         Until then the sidecar returns the attempts that still arrive.
         """
-        deadline_ms = self.clock.now_ms() + ENTRIES_CLOSE_TIMEOUT_MS
+        deadline_ms = min(self.clock.now_ms() + ENTRIES_CLOSE_TIMEOUT_MS, limit_ms)
         while self.clock.now_ms() < deadline_ms:
             if not any(
                 link.hello.role == "entry" for link in self.links.active_links()
--- a/wigeonwind/runtime/process.py
+++ b/wigeonwind/runtime/process.py
@@ -4,16 +4,14 @@
 from dataclasses import dataclass
 from random import Random
 from ssl import SSLContext
-from time import time
 from typing import Any
 
 from gevent import Greenlet, sleep, spawn
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
 from structlog import get_logger
 
 from wigeonwind.addresses import SocketAddress, parse_address
-from wigeonwind.clock import MS_PER_SECOND, SystemClock
+from wigeonwind.clock import MS_PER_SECOND, SystemClock, wall_clock_ms
 from wigeonwind.decisions.choice import EndpointChooser
 from wigeonwind.decisions.endpoint_queue import EndpointQueue
 from wigeonwind.decisions.limits import RequestLimiter
@@ -37,6 +35,7 @@
 from wigeonwind.runtime.node import Node
 from wigeonwind.runtime.node_status import node_status
 from wigeonwind.runtime.operators_api import OperatorsApi
+from wigeonwind.runtime.operators_server import OperatorsServer
 from wigeonwind.runtime.rollout_controller import RolloutController
 from wigeonwind.runtime.tracing import make_tracer
 from wigeonwind.runtime.vm_list_client import VmListClient
@@ -118,8 +117,9 @@
             _sleep_ms,
             key,
             self._serve_health,
+            self._configuration_watcher.fetch,
         )
-        self._operators_server: WSGIServer | None = None
+        self._operators_server: OperatorsServer | None = None
 
     def _attach_role(self) -> None:
         node = self.node
@@ -188,7 +188,9 @@
         if not self.settings.listen.operators:
             return None
         address = parse_address(self.settings.listen.operators)
-        server = WSGIServer((address.host, address.port), self._operators_api, log=None)
+        server = OperatorsServer(
+            (address.host, address.port), self._operators_api, log=None
+        )
         server.start()
         self._operators_server = server
         return SocketAddress(server.server_host, server.server_port)
@@ -234,18 +236,27 @@
         log.info("keys and certificates reloaded", problems=len(problems))
         return tuple(problems)
 
-    def drain(self) -> None:
+    def drain(self, signaled_ms: float | None = None) -> None:
         """Start a graceful shutdown without blocking.
 
-        A second call ends the grace period early.
+        Its times count from the clock reading `signaled_ms`, by default from now. A
+        second call ends the grace period early.
         """
         if self._drain_greenlet is None:
-            self._drain_greenlet = spawn(self._drain_and_stop)
+            now_ms = self.node.clock.now_ms()
+            started_ms = now_ms if signaled_ms is None else signaled_ms
+            log.info(
+                "draining", id=self.settings.node.id, signal_ms_ago=now_ms - started_ms
+            )
+            self._drain_greenlet = spawn(self._drain_and_stop, started_ms)
         elif self.entry is not None:
             spawn(self.entry.drain)
 
-    def _drain_and_stop(self) -> None:
-        self.node.drain()
+    def _drain_and_stop(self, started_ms: float) -> None:
+        self.node.drain(started_ms)
+        if self._operators_server is not None:
+            limit_ms = started_ms + self.settings.drain.limit_ms
+            self._operators_server.finish(self.node.clock, limit_ms)
         self._close()
 
     def stop(self) -> None:
@@ -307,7 +318,7 @@
         """Delete expired bookings, on one entry at a time."""
         store = self.node.store
         assert isinstance(store, ListingStore), store
-        sweep = BookingSweep(store, _wall_clock_ms)
+        sweep = BookingSweep(store, wall_clock_ms)
         while True:
             _sleep_ms(self.node.rng.uniform(0.8, 1.2) * SWEEP_INTERVAL_MS)
             sweep_if_lease_held(self.node.rollout_controller, sweep)
@@ -339,10 +350,6 @@
     return sweep.step()
 
 
-def _wall_clock_ms() -> float:
-    return time() * MS_PER_SECOND
-
-
 def _sleep_ms(duration_ms: float) -> None:
     sleep(duration_ms / MS_PER_SECOND)
 
--- a/wigeonwind/side/role.py
+++ b/wigeonwind/side/role.py
@@ -40,7 +40,7 @@
 from wigeonwind.side.cache_event_forwarder import CacheEventForwarder
 from wigeonwind.side.claim_registry import ClaimRegistry
 from wigeonwind.side.control_commands import CommandExecutor, VersionCounts
-from wigeonwind.side.draining import AttemptDrainer, EndpointQuiescer
+from wigeonwind.side.draining import ABORT_WAIT_MS, AttemptDrainer, EndpointQuiescer
 from wigeonwind.side.engine_client import EngineClient, EngineLoad
 from wigeonwind.side.load_reporter import LoadReporter
 from wigeonwind.side.missed_targets import attempts_past_target
@@ -237,15 +237,22 @@
             self._stop_orphaned(attempt)
         self._run_queue_actions()
 
-    def drain(self) -> None:
-        """Announce the drain, return queued attempts and block until all have ended."""
+    def drain(self, started_ms: float | None = None) -> None:
+        """Announce the drain, return queued attempts and block until all have ended.
+
+        Its limit counts from the clock reading `started_ms`, by default from now.
+        """
+        if started_ms is None:
+            started_ms = self._clock.now_ms()
         if not self._is_draining:
             self._is_draining = True
             for link in self._links:
                 link.send(Leaving(self.member_id, self.incarnation))
         reason = "the endpoint is draining"
         self._drainer.return_queued(ErrorCode.DRAINING, reason)
-        self._drainer.finish(ErrorCode.DRAINING, reason)
+        # The entries must hear how their attempts ended before the limit.
+        elapsed_ms = self._clock.now_ms() - started_ms + ABORT_WAIT_MS
+        self._drainer.finish(ErrorCode.DRAINING, reason, elapsed_ms)
         self.stop()
 
     def stop(self) -> None:
--- a/wigeonwind/state/lease.py
+++ b/wigeonwind/state/lease.py
@@ -1,12 +1,13 @@
 """The lease for rollouts: one object in the store, with a fencing token.
 
-The clocks of two VMs are never compared. A holder measures its lease from the time at
-which it sent the write that the store confirmed; a challenger measures from the time at
-which it first read the version it wants to replace. Each new holder increments the
-fencing token, a renewal keeps it.
+The clocks of two VMs are never compared to measure a lease. A holder measures it from
+the time at which it sent the write that the store confirmed; a challenger measures from
+the time at which it first read the version it wants to replace. Each new holder raises
+the fencing token, a renewal keeps it.
 """
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from wigeonwind.clock import Clock
@@ -58,18 +59,31 @@
 
     `_version` is the object version that this process has written, -1 if it does not
     hold the lease. `_nonce` distinguishes two processes with the same holder id.
+
+    `wall_ms` returns the wall-clock time in milliseconds since 1970. New fencing tokens
+    are at least that: a store that returns from an older copy has lost tokens.
     """
 
-    def __init__(self, store: Store, holder_id: str, clock: Clock) -> None:
+    def __init__(
+        self,
+        store: Store,
+        holder_id: str,
+        clock: Clock,
+        wall_ms: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._store = store
         self._holder_id = holder_id
         self._clock = clock
+        self._wall_ms = wall_ms
         self._nonce = new_id()
         self._fence = 0
         self._version = -1
         self._valid_until_ms = 0.0
         self._observed_version = -1
+        self._observed_value = b""
         self._observed_ms = 0.0
+        self._went_back_ms: float | None = None
+        """When the lease object was found older than before, None if it never was."""
         self._unconfirmed_write_ms: float | None = None
 
     def fence(self) -> int | None:
@@ -98,7 +112,9 @@
         if isinstance(found, StoreFailure):
             return
         if isinstance(found, NotFound):
-            self._write(1, 0)
+            self._observe(0, b"")
+            if self._may_take_released():
+                self._write(self._next_fence(0), 0)
             return
         self._handle_stored_lease(found.value)
 
@@ -111,12 +127,30 @@
             self._accept_write(found.version, value.fence)
             return
         self._discard()
+        self._observe(found.version, found.value)
+        is_expired = self._clock.now_ms() - self._observed_ms > TAKEOVER_MS
+        if is_expired or (not value.holder and self._may_take_released()):
+            self._write(self._next_fence(value.fence), found.version)
+
+    def _observe(self, version: int, value: bytes) -> None:
+        """Record what is stored; an older version, or another value, went back."""
+        if (version, value) == (self._observed_version, self._observed_value):
+            return
         now_ms = self._clock.now_ms()
-        if found.version != self._observed_version:
-            self._observed_version = found.version
-            self._observed_ms = now_ms
-        if not value.holder or now_ms - self._observed_ms > TAKEOVER_MS:
-            self._write(value.fence + 1, found.version)
+        if version <= self._observed_version:
+            self._went_back_ms = now_ms
+        self._observed_version = version
+        self._observed_value = value
+        self._observed_ms = now_ms
+
+    def _may_take_released(self) -> bool:
+        """Return whether no holder can be left whose lease the store has lost."""
+        if self._went_back_ms is None:
+            return True
+        return self._clock.now_ms() - self._went_back_ms > TAKEOVER_MS
+
+    def _next_fence(self, fence: int) -> int:
+        return max(fence + 1, int(self._wall_ms()))
 
     def _accept_write(self, version: int, fence: int) -> None:
         """Accept a write whose response was lost; the lease counts from its sending.
@@ -138,6 +172,7 @@
             self._version = result.value
             self._fence = fence
             self._valid_until_ms = sent_ms + LEASE_MS
+            self._observe(result.value, value.to_bytes())
         elif isinstance(result, StoreFailure):
             if result.maybe_written and self._unconfirmed_write_ms is None:
                 self._unconfirmed_write_ms = sent_ms
