--- a/wigeonwind/standins/platform_store.py
+++ b/wigeonwind/standins/platform_store.py
@@ -1,6 +1,7 @@
 """A test double of the outer platform's store: objects by kind and name over HTTP."""
 
 import json
+import re
 import socket
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -19,14 +20,26 @@
 SOCKET_KEY = "wigeonwind.socket"
 """Key of the connection's socket in the WSGI environment."""
 
+RAW_MARK = "raw object "
+RAW_PATTERN = re.compile(b'"%s([0-9a-f]*)"' % RAW_MARK.encode())
+"""Placeholder for the text of a `RawObject` in a response."""
+
 SILENCE_POLL_MS = 50.0
 """Interval at which a request to a silent store polls for the end of the silence."""
 
 
+@dataclass(frozen=True)
+class RawObject:
+    """The text of a whole object, which is sent as it is, valid or not."""
+
+    text: bytes
+
+
 @dataclass
 class _StoredObject:
     revision: int
     spec: Any
+    """The JSON value of the spec, or a `RawObject`."""
 
 
 @dataclass(frozen=True)
@@ -108,6 +121,10 @@
         self._wake_watches()
         return state.revision
 
+    def put_raw(self, kind: str, name: str, text: bytes) -> int:
+        """Write an object whose text is sent as it is; return its revision."""
+        return self.put(kind, name, RawObject(text))
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object, if it exists."""
         state = self.state
@@ -210,13 +227,19 @@
         return 200, _object(name, _StoredObject(revision, document.get("spec")))
 
 
-def _object(name: str, stored: _StoredObject) -> dict[str, Any]:
+def _object(name: str, stored: _StoredObject) -> Any:
+    if isinstance(stored.spec, RawObject):
+        return RAW_MARK + stored.spec.text.hex()
     metadata = {"name": name, "revision": stored.revision, "created": 1}
     return {"metadata": metadata, "spec": stored.spec, "status": None}
 
 
 def _respond(start: Any, status: int, document: Any) -> Iterable[bytes]:
-    body = json.dumps(document).encode()
+    body = RAW_PATTERN.sub(_raw_text, json.dumps(document).encode())
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
     start(f"{status} Status", headers)
     return [body]
+
+
+def _raw_text(match: re.Match[bytes]) -> bytes:
+    return bytes.fromhex(match[1].decode())
