--- a/wigeonwind/addresses.py
+++ b/wigeonwind/addresses.py
@@ -1,6 +1,12 @@
 """Socket addresses: an IPv4 address with a port."""
 
 from dataclasses import dataclass
+from ipaddress import AddressValueError, IPv4Address
+
+MAX_PORT_DIGITS = 5
+
+SHOWN_CHARS = 20
+"""Characters of an invalid port that an error message contains."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +28,8 @@
     SocketAddress(host='127.0.0.1', port=80)
     """
     host, _, port = value.rpartition(":")
+    if not (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS):
+        raise ValueError(f"the port {port[:SHOWN_CHARS]!r} is not a number")
     return SocketAddress(host, int(port))
 
 
@@ -41,6 +49,8 @@
     >>> is_valid_address(SocketAddress("10.0.0.256", 80))
     False
     """
-    octets = [int(part) for part in address.host.split(".") if part.isdigit()]
-    in_range = len(octets) == 4 and all(octet <= 255 for octet in octets)
-    return in_range and 0 <= address.port <= 65535
+    try:
+        IPv4Address(address.host)
+    except AddressValueError:
+        return False
+    return 0 <= address.port <= 65535
--- a/wigeonwind/platform/json_text.py
+++ b/wigeonwind/platform/json_text.py
@@ -17,7 +17,7 @@
 def split_array(text: bytes) -> list[bytes] | None:
     """Return the texts of the elements, None if the text is not one array.
 
-    Strings and brackets are matched, but the elements are not checked.
+    Strings and brackets are matched. The elements are not checked, but none is empty.
 
     >>> split_array(b'[1, {"a": [2, NaN]}]')
     [b'1', b'{"a": [2, NaN]}']
@@ -81,8 +81,13 @@
             if mark.end() != len(text):
                 return None
             last = text[start : mark.start()].strip(_WHITESPACE)
-            return [*parts, last] if parts or last else []
+            if last:
+                return [*parts, last]
+            return None if parts else []
         if first == _COMMA and depth == 1:
-            parts.append(text[start : mark.start()].strip(_WHITESPACE))
+            part = text[start : mark.start()].strip(_WHITESPACE)
+            if not part:
+                return None
+            parts.append(part)
             start = mark.end()
     return None
