Discovery: log an invalid entry once, count it, and leave its endpoint at once

Each listing repeated the line of each invalid entry, with values of any length, and nothing counted them. An entry that became invalid around an outage was used on, as if it had expired. Reasons are shortened, logged and counted when they change, and invalid entries are not passed on to peers (one of 1 MB filled their state).

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,15 +1,30 @@
 """One odd object in the store must not hide the sound ones or end a process."""
 
+import json
+import re
+import time
+
 import gevent
 import pytest
-from odd_values import odd_objects, unnamed_objects
-from routing_fleet import running_fleet
+from odd_values import SPEC, odd_objects, place, stored, unnamed_objects
+from routing_fleet import entry, running_fleet
 from structlog.testing import capture_logs
 
+from wigeonwind.platform.endpoint_entries import decode_endpoint
+from wigeonwind.platform.store_format import PlatformStoreFormat
+from wigeonwind.routing.endpoints import Endpoint
+from wigeonwind.state.store_http import StoreResponse
+from wigeonwind.state.store_types import Conflict
+
 ODD = dict(odd_objects("odd"))
 UNNAMED = dict(unnamed_objects())
 IGNORED = "ignored an invalid endpoint entry"
 
+MAX_LINE_CHARS = 600
+
+MAX_SPLIT_S = 3.0
+"""Processor time for two responses of 1 MB; a quadratic search takes minutes."""
+
 LARGE_BYTES = 100_000
 LARGE = ("1 MB in spec", "very deep in spec", "very deep in metadata")
 """The large objects that are in the answers; the store client bounds a response."""
@@ -80,3 +95,111 @@
     "warmup_left_ms": 0,
     "seq": 1,
 }
+
+
+SOUND = json.dumps(stored("sound")).encode()
+LAST = json.dumps(stored("z-last")).encode()
+
+
+def answers(odd):
+    """Return a listing and a watch answer with an odd element among sound ones."""
+    listing = b'{"entries": [%s, %s, %s], "has_more": true, "store_revision": 30}'
+    event = b'{"removed": false, "object": %s}'
+    events = b", ".join(event % text for text in (SOUND, odd, LAST))
+    changes = b'{"events": [%s], "store_revision": 30}' % events
+    return listing % (SOUND, odd, LAST), changes
+
+
+@pytest.mark.parametrize("label", [*ODD, *UNNAMED])
+def test_each_odd_object_is_decoded_alone(label):
+    # Guards against an odd object that raises, spoils its response or is used.
+    odd = ODD.get(label) or UNNAMED[label]
+    listing, changes = answers(odd)
+    store_format = PlatformStoreFormat()
+    page = store_format.read_list_page("servers/", StoreResponse(200, listing))
+    batch = store_format.read_watch("servers/", 5, StoreResponse(200, changes))
+    assert (page.value.revision, page.value.next_after) == (30, "z-last")
+    assert batch.value.revision == 30
+    for objects in (page.value.objects, batch.value.events):
+        first, second, third = objects
+        assert [first.key, third.key] == ["servers/sound", "servers/z-last"]
+        assert (second.key == "servers/odd") == (label in ODD)
+        assert isinstance(decode_endpoint(second.key, second.value), str)
+        for sound in (first, third):
+            assert isinstance(decode_endpoint(sound.key, sound.value), Endpoint)
+
+
+@pytest.mark.parametrize("label", [*ODD, *UNNAMED])
+def test_a_conflict_with_an_odd_object_is_a_conflict(label):
+    # Guards against a router that cannot replace its own record in the directory.
+    odd = ODD.get(label) or UNNAMED[label]
+    written = PlatformStoreFormat().read_put("k/odd", StoreResponse(409, odd))
+    assert isinstance(written, Conflict)
+    if "revision" not in label and label in ODD:
+        assert written.version == 5
+    PlatformStoreFormat().read_get("k/odd", StoreResponse(200, odd))
+
+
+@pytest.mark.parametrize("text", [b'{"removed": 1, "object": %s}', b"[]", b"7", b"{}"])
+def test_an_odd_event_leaves_the_others(text):
+    # Guards against a lost change, or a listing for each watch.
+    odd = text.replace(b"%s", SOUND)
+    changes = b'{"events": [%s, {"object": %s}], "store_revision": 30}' % (odd, LAST)
+    batch = PlatformStoreFormat().read_watch("k/", 5, StoreResponse(200, changes))
+    assert [each.key for each in batch.value.events][1:] == ["k/z-last"]
+    assert not batch.value.events[0].deleted
+
+
+@pytest.mark.parametrize("count", [200, 1_000_000])
+@pytest.mark.parametrize(
+    "text", ["[", "{", '"', '\\"', '"\\"', ",", "]", '{"a":', "\\"]
+)
+def test_any_response_is_split_in_linear_time(text, count):
+    # Guards against a response that blocks the process, which has one thread.
+    body = b'{"entries": [' + (text * (count // len(text))).encode()
+    for end in (b"", b"]}", b'"]}', b'], "store_revision": 3}'):
+        response = StoreResponse(200, body + end)
+        started_s = time.process_time()
+        PlatformStoreFormat().read_list_page("servers/", response)
+        PlatformStoreFormat().read_watch("servers/", 1, response)
+        assert time.process_time() - started_s < MAX_SPLIT_S
+
+
+def test_an_entry_that_turns_odd_is_not_used_until_it_is_sound():
+    # Guards against requests to an address that a foreign writer has replaced, also
+    # after an outage, when missing entries are used for a while.
+    with running_fleet(workers=2) as fleet:
+        fleet.router.endpoints.on_view_interrupted()
+        assert not fleet.router.endpoints.is_authoritative
+        fleet.store.put("servers", "w1", entry(fleet.workers[1], address="x:0"))
+        wait_for_entries(fleet, fleet.router, {"w0"})
+        assert not fleet.router.endpoints.is_authoritative
+        fleet.store.put("servers", "w1", entry(fleet.workers[1], seq=2))
+        wait_for_entries(fleet, fleet.router, {"w0", "w1"})
+        fleet.router.endpoints.on_view_interrupted()
+        fleet.store.put("servers", "w1", entry(fleet.workers[1], address="x:0"))
+        fleet.store.compact()
+        wait_for_entries(fleet, fleet.router, {"w0"})
+        assert not fleet.router.endpoints.is_authoritative
+
+
+def test_an_odd_entry_is_logged_and_counted_once():
+    # Guards against a line for each listing, and against lines as long as the entry.
+    with running_fleet(workers=1) as fleet, capture_logs() as logs:
+        text = place(stored("odd", SPEC | {"state": "PLACE"}), f'"{"x" * 9_000}"')
+        fleet.store.put_raw("servers", "odd", text)
+        fleet.wait_for(lambda: ignored_lines(logs))
+        for _ in range(3):
+            listings = len(fleet.store.requests)
+            fleet.store.put("servers", "later", {})
+            fleet.store.remove("servers", "later")
+            fleet.store.compact()
+            fleet.wait_for(lambda n=listings: len(fleet.store.requests) > n + 1)
+        lines = [line for line in ignored_lines(logs) if line["key"] == "servers/odd"]
+        assert len(lines) == 1
+        assert len(str(lines[0])) < MAX_LINE_CHARS
+        metrics = fleet.router.metrics.render().decode()
+        count = re.search(r"wigeonwind_endpoint_entries_ignored_total (\d+)", metrics)
+        assert count is not None
+        assert int(count[1]) >= 1
+        check_router(fleet, fleet.router)
--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -117,6 +117,18 @@
             self._remove(instance_id, self.is_authoritative)
             self._update()
 
+    def on_invalid(self, instance_id: str) -> None:
+        """Remove an endpoint whose entry is present but invalid.
+
+        It is not used in an outage of the store either, as its entry has not expired.
+        """
+        expired = self._expired_by_id.pop(instance_id, None)
+        if instance_id in self._by_id:
+            self._remove(instance_id, is_authoritative=True)
+            self._update()
+        elif expired is not None:
+            self._update()
+
     def on_misdirected(self, endpoint: Endpoint) -> None:
         """Exclude an endpoint whose address now belongs to another endpoint."""
         until_ms = self._clock.now_ms() + MISDIRECTED_HOLD_MS
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -141,7 +141,9 @@
             self.metrics.on_outcome,
             self.metrics.on_retry,
         )
-        entries = EndpointEntryHandler(schema, self.endpoints)
+        entries = EndpointEntryHandler(
+            schema, self.endpoints, self.metrics.on_entry_ignored
+        )
         self._followers = (
             StoreFollower(
                 store,
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -105,6 +105,10 @@
         self._config_version = self._metrics.gauge(
             "configuration_version", "Version of the configuration in force."
         )
+        self._ignored_entries = self._metrics.counter(
+            "endpoint_entries_ignored",
+            "Endpoint entries in the store that became invalid.",
+        )
         self._store_reachable = self._metrics.gauge(
             "store_reachable",
             "1 while the platform's store answers.",
@@ -169,6 +173,10 @@
             self._base_latency.labels(each.service).set(each.base_ms)
             self._prefill_window.labels(each.service).set(each.prefill_window)
 
+    def on_entry_ignored(self) -> None:
+        """Count an endpoint entry that has become invalid."""
+        self._ignored_entries.inc()
+
     def on_store_watched(self, is_watching: bool) -> None:
         """Record whether this process watches the store itself."""
         self._watches_store.set(1 if is_watching else 0)
--- a/wigeonwind/routing/routing_state.py
+++ b/wigeonwind/routing/routing_state.py
@@ -12,6 +12,9 @@
 from wigeonwind.runtime.error_boundary import call_isolated
 from wigeonwind.state.store_types import StoredObject
 
+MAX_REASON_CHARS = 200
+"""Longest reason in a log line; a reason may contain a value of any length."""
+
 log = get_logger("wigeonwind.configuration")
 
 
@@ -56,7 +59,7 @@
     def _apply(self, changed: StoredObject) -> None:
         result = self._schema.decode_configuration(changed.value)
         if isinstance(result, Invalid):
-            problems = [str(problem) for problem in result.problems]
+            problems = [shorten(str(problem)) for problem in result.problems]
             log.error(
                 "invalid configuration; the active one stays in force",
                 problems=problems,
@@ -87,12 +90,24 @@
 
 
 class EndpointEntryHandler:
-    """Decodes endpoint entries and passes them to an endpoint set."""
+    """Decodes endpoint entries and passes them to an endpoint set.
+
+    `on_ignored` is called for each entry that becomes invalid, or invalid for another
+    reason. Such entries are not passed on to peers.
+    """
 
-    def __init__(self, schema: StoreSchema, endpoints: EndpointSet) -> None:
+    def __init__(
+        self,
+        schema: StoreSchema,
+        endpoints: EndpointSet,
+        on_ignored: Callable[[], None] = lambda: None,
+    ) -> None:
         self._schema = schema
         self._endpoints = endpoints
+        self._on_ignored = on_ignored
+        self._reason_by_ignored_key: dict[str, str] = {}
         self.stored_by_key: dict[str, StoredObject] = {}
+        """The valid entries."""
 
     def on_listed(
         self, objects: tuple[StoredObject, ...], is_authoritative: bool = False
@@ -102,16 +117,24 @@
         With `is_authoritative`, endpoints missing from the listing are removed even if
         the local view of the store is not authoritative.
         """
-        self.stored_by_key = {each.key: each for each in objects}
-        decoded = [self._decode(each) for each in objects]
-        valid = [each for each in decoded if each is not None]
+        keys = {each.key for each in objects}
+        for key in self._reason_by_ignored_key.keys() - keys:
+            del self._reason_by_ignored_key[key]
+        decoded = [(each, self._decode(each)) for each in objects]
+        self.stored_by_key = {
+            stored.key: stored for stored, endpoint in decoded if endpoint is not None
+        }
+        valid = [endpoint for _, endpoint in decoded if endpoint is not None]
         self._endpoints.on_listed(valid, is_authoritative)
+        for key in self._reason_by_ignored_key.keys() - self.stored_by_key.keys():
+            self._endpoints.on_invalid(self._schema.endpoint_id(key))
 
     def on_changed(self, changed: StoredObject) -> None:
-        """Add or replace an entry; one that has become invalid is removed."""
+        """Add or replace an entry; the endpoint of an invalid one is not used."""
         endpoint = self._decode(changed)
         if endpoint is None:
-            self.on_removed(changed.key)
+            self.stored_by_key.pop(changed.key, None)
+            self._endpoints.on_invalid(self._schema.endpoint_id(changed.key))
         else:
             self.stored_by_key[changed.key] = changed
             self._endpoints.on_changed(endpoint)
@@ -119,6 +142,7 @@
     def on_removed(self, key: str) -> None:
         """Remove an entry."""
         self.stored_by_key.pop(key, None)
+        self._reason_by_ignored_key.pop(key, None)
         self._endpoints.on_removed(self._schema.endpoint_id(key))
 
     def _decode(self, stored: StoredObject) -> Endpoint | None:
@@ -130,6 +154,24 @@
             unexpected,
         )
         if isinstance(result, Endpoint):
+            self._reason_by_ignored_key.pop(stored.key, None)
             return result
-        log.warning("ignored an invalid endpoint entry", key=stored.key, reason=result)
+        reason = shorten(result)
+        if self._reason_by_ignored_key.get(stored.key) != reason:
+            self._reason_by_ignored_key[stored.key] = reason
+            self._on_ignored()
+            log.warning(
+                "ignored an invalid endpoint entry", key=stored.key, reason=reason
+            )
         return None
+
+
+def shorten(text: str) -> str:
+    """Return a text, or its beginning if it has more than MAX_REASON_CHARS.
+
+    >>> len(shorten("x" * 1_000_000)) <= MAX_REASON_CHARS
+    True
+    """
+    if len(text) <= MAX_REASON_CHARS:
+        return text
+    return text[: MAX_REASON_CHARS - 3] + "..."
