Routing: an unexpected error while the store is followed is tried again

RecursionError for one entry ended the follower's loop, and SupervisedLoops then stopped the process; every router read the same listing. The steps of the followers, of the peer directory and of the reading of peers' states now have an error boundary: the traceback is logged, the failure counted, and the store is listed again after 1 s, because the changes of the failed step may be in force in part. A loop that fails by itself still stops the process (test with maintenance). Before, five of the six new tests failed: the process had stopped.

--- a/tests/test_error_isolation.py
+++ b/tests/test_error_isolation.py
@@ -9,6 +9,8 @@
 
 from wigeonwind.decisions.latency_choice import LatencyChooser
 from wigeonwind.routing.exchange import Exchange
+from wigeonwind.routing.peer_exchange import PeerExchange
+from wigeonwind.routing.peer_state import PeerState
 
 
 def fail(*_args, **_kwargs):
@@ -83,3 +85,59 @@
             sock.sendto(b"\x82", (address.host, address.port))
         fleet.wait_for(lambda: fleet.router.peers.undecodable_datagrams)
         assert fleet.call("/safe/x").status == 200
+
+
+def fail_times(count, original):
+    """Return a function that fails `count` times before it calls `original`."""
+    left = [count]
+
+    def call(*args, **kwargs):
+        if left[0]:
+            left[0] -= 1
+            raise RecursionError("unexpected")
+        return original(*args, **kwargs)
+
+    return call
+
+
+@pytest.mark.parametrize("name", ["on_changed", "on_listed"])
+def test_an_error_in_the_following_of_the_store_is_tried_again(monkeypatch, name):
+    # Guards against an error that ends all routers, which read the same data, and
+    # against a change that is lost with the step that failed.
+    with running_fleet(workers=2) as fleet:
+        router = fleet.router
+        handler = router._followers[1]._handler
+        monkeypatch.setattr(handler, name, fail_times(2, getattr(handler, name)))
+        fleet.store.put("servers", "w9", entry(fleet.workers[0], backend="other"))
+        if name == "on_listed":
+            fleet.store.compact()
+        fleet.wait_for(lambda: len(router.endpoints) == 3)
+        assert not router.stopped.is_set()
+        fleet.wait_for(
+            lambda: b"wigeonwind_store_failed_steps 0" not in router.metrics.render()
+        )
+        assert fleet.call("/safe/x").status == 200
+
+
+@pytest.mark.parametrize("name", ["_register", "_read_directory"])
+def test_an_error_in_the_peer_directory_is_tried_again(monkeypatch, name):
+    # Guards against a record that ends the process that reads it.
+    failing = fail_times(2, getattr(PeerExchange, name))
+    monkeypatch.setattr(PeerExchange, name, lambda exchange: failing(exchange))
+    with running_fleet(workers=1, routers=2) as fleet:
+        assert not any(router.stopped.is_set() for router in fleet.routers)
+
+
+def test_an_error_in_the_polling_of_peers_does_not_stop_the_process(monkeypatch):
+    # Guards against a state of a peer that ends the process that reads it.
+    with running_fleet(workers=1) as fleet:
+        monkeypatch.setattr(PeerState, "_poll_if_needed", fail)
+        gevent.sleep(0.6)
+        assert not fleet.router.stopped.is_set()
+
+
+def test_a_loop_with_a_fault_of_its_own_stops_the_process(monkeypatch):
+    # Guards against a process that keeps running without one of its functions.
+    with running_fleet(workers=1) as fleet:
+        monkeypatch.setattr(type(fleet.router.pool), "close_expired", fail)
+        fleet.wait_for(fleet.router.stopped.is_set)
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -351,9 +351,15 @@
 
     def _maintain_directory(self) -> None:
         while True:
-            self._is_registered = self._is_registered or self._register()
+            key = self._prefix + self._local_id
+            if not self._is_registered:
+                self._is_registered = call_isolated(
+                    "the local directory record", key, self._register, False
+                )
             gevent.sleep(DIRECTORY_READ_DELAY_MS / MS_PER_SECOND)
-            if self._is_registered and self._read_directory():
+            if self._is_registered and call_isolated(
+                "the peer directory", self._prefix, self._read_directory, False
+            ):
                 gevent.sleep(DIRECTORY_INTERVAL_MS / MS_PER_SECOND)
             else:
                 gevent.sleep(DIRECTORY_RETRY_MS / MS_PER_SECOND)
--- a/wigeonwind/routing/peer_state.py
+++ b/wigeonwind/routing/peer_state.py
@@ -148,11 +148,14 @@
         """Poll peers while the store is not followed (runs until killed)."""
         while True:
             gevent.sleep(POLL_MS / MS_PER_SECOND)
-            is_refused = not all(each.is_reachable for each in self._followers)
-            if is_refused:
-                self.poll_once(self._peers())
-            elif self._watchers.is_passive(is_refused):
-                self.poll_once(self._peers_ahead())
+            call_isolated("the states of peers", "all", self._poll_if_needed, None)
+
+    def _poll_if_needed(self) -> None:
+        is_refused = not all(each.is_reachable for each in self._followers)
+        if is_refused:
+            self.poll_once(self._peers())
+        elif self._watchers.is_passive(is_refused):
+            self.poll_once(self._peers_ahead())
 
     def _peers_ahead(self) -> list[SocketAddress]:
         table = self._configuration.table
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -284,6 +284,8 @@
             self.metrics.set_engine_profiles(self._chooser.service_profiles())
             self.metrics.set_suspects(self.quarantine.statuses())
             self.metrics.on_store_watched(self._store_view().is_watching)
+            failed_steps = sum(each.failed_steps for each in self._followers)
+            self.metrics.set_failed_store_steps(failed_steps)
 
     def _readiness_response(self, _method: str, _path: str) -> bytes:
         status = 200 if self.is_ready else 503
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -109,6 +109,10 @@
             "endpoint_entries_ignored",
             "Endpoint entries in the store that became invalid.",
         )
+        self._failed_store_steps = self._metrics.gauge(
+            "store_failed_steps",
+            "Lists and watches that ended with an unexpected error.",
+        )
         self._store_reachable = self._metrics.gauge(
             "store_reachable",
             "1 while the platform's store answers.",
@@ -177,6 +181,10 @@
         """Count an endpoint entry that has become invalid."""
         self._ignored_entries.inc()
 
+    def set_failed_store_steps(self, count: int) -> None:
+        """Record how many steps of the store's followers failed."""
+        self._failed_store_steps.set(count)
+
     def on_store_watched(self, is_watching: bool) -> None:
         """Record whether this process watches the store itself."""
         self._watches_store.set(1 if is_watching else 0)
--- a/wigeonwind/routing/store_follower.py
+++ b/wigeonwind/routing/store_follower.py
@@ -8,6 +8,7 @@
 
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.outcomes import Ok
+from wigeonwind.runtime.error_boundary import call_isolated
 from wigeonwind.state.store_types import (
     HistoryExpired,
     ObjectPage,
@@ -31,6 +32,9 @@
 RETRY_DELAY_MS = 100.0
 """Pause after a failed call, in addition to the backoff of the store client."""
 
+FAILED_STEP_DELAY_MS = 1_000.0
+"""Pause after a step that failed with an unexpected error, which may do so again."""
+
 log = get_logger("wigeonwind.store")
 
 
@@ -93,6 +97,8 @@
         """Newest store revision that the handler has received, 0 for none."""
         self.changed_revision = 0
         """Store revision at the last change that the handler has received."""
+        self.failed_steps = 0
+        """Number of steps that ended with an unexpected error."""
         self._watch_after: int | None = None
         """Revision to watch from; None if the next call is a listing."""
         self._had_changes = False
@@ -102,11 +108,24 @@
         while True:
             if self._watch_after is not None and self._is_passive():
                 self._pause()
-            if not self.step():
+            is_ok = call_isolated("changes in the store", self._prefix, self.step, None)
+            if is_ok is None:
+                self._on_step_failed()
+                gevent.sleep(FAILED_STEP_DELAY_MS / MS_PER_SECOND)
+            elif not is_ok:
                 gevent.sleep(RETRY_DELAY_MS / MS_PER_SECOND)
             elif self._had_changes:
                 gevent.sleep(CHANGE_PAUSE_MS / MS_PER_SECOND)
 
+    def _on_step_failed(self) -> None:
+        """List again: the changes of the failed step may be in force in part.
+
+        The process continues with the last known data. All routers read the same
+        data, so an end of the process would be the end of all of them.
+        """
+        self.failed_steps += 1
+        self._watch_after = None
+
     def _pause(self) -> None:
         """Wait until the store must be followed again."""
         log.info("leaving the watching of the store to peers", prefix=self._prefix)
