--- a/wigeonwind/addresses.py
+++ b/wigeonwind/addresses.py
@@ -54,3 +54,16 @@
     except AddressValueError:
         return False
     return 0 <= address.port <= 65535
+
+
+def parse_valid_address(value: str) -> SocketAddress | None:
+    """Return the address in `host:port`, None if it is invalid.
+
+    >>> parse_valid_address("127.0.0.1:65536") is None
+    True
+    """
+    try:
+        address = parse_address(value)
+    except ValueError:
+        return None
+    return address if is_valid_address(address) else None
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -17,7 +17,7 @@
 from gevent.event import Event
 from structlog import get_logger
 
-from wigeonwind.addresses import SocketAddress, is_valid_address, parse_address
+from wigeonwind.addresses import SocketAddress, parse_valid_address
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.latency_choice import LatencyChooser
 from wigeonwind.decisions.peer_loads import MAX_AGE_MS
@@ -85,6 +85,9 @@
 between messages, as messages to a sample of a large fleet reach each peer less often.
 """
 
+MAX_REASON_CHARS = 200
+"""Longest reason in a log line."""
+
 log = get_logger("wigeonwind.peers")
 
 
@@ -94,6 +97,22 @@
     address: str
 
 
+def decode_record(value: bytes) -> SocketAddress | str:
+    """Decode a record; a returned string is the reason why it is invalid.
+
+    >>> decode_record(b'{"address": "127.0.0.1:80"}')
+    SocketAddress(host='127.0.0.1', port=80)
+    """
+    try:
+        record = msgspec.json.decode(value, type=PeerRecord)
+    except (ValueError, RecursionError) as error:
+        return f"not a record: {error}"[:MAX_REASON_CHARS]
+    address = parse_valid_address(record.address)
+    if address is None or not address.port:
+        return f"{record.address[:MAX_REASON_CHARS]!r} is not the address of a peer"
+    return address
+
+
 class SuspectSource(Protocol):
     """Exchanges what routers know of requests that may crash endpoints.
 
@@ -180,6 +199,8 @@
         self._sock = gevent_socket.socket(
             gevent_socket.AF_INET, gevent_socket.SOCK_DGRAM
         )
+        self._reason_by_invalid_key: dict[str, str] = {}
+        """Records in the directory that were logged as invalid."""
         self.undecodable_datagrams = 0
         """Number of datagrams received that were no valid messages."""
 
@@ -388,6 +409,9 @@
         local_key = self._prefix + self._local_id
         # Peers delete the record of a process that they could not reach for long.
         self._is_registered = any(each.key == local_key for each in page.value.objects)
+        keys = {each.key for each in page.value.objects}
+        for key in self._reason_by_invalid_key.keys() - keys:
+            del self._reason_by_invalid_key[key]
         for stored in page.value.objects:
             self._on_record(stored)
             self._remove_if_expired(stored)
@@ -424,20 +448,19 @@
         peer_id = stored.key.removeprefix(self._prefix)
         if peer_id == self._local_id:
             return
-        try:
-            record = msgspec.json.decode(stored.value, type=PeerRecord)
-            address = parse_address(record.address)
-        except (msgspec.DecodeError, ValueError) as error:
-            log.warning(
-                "ignored an invalid record in the peer directory",
-                key=stored.key,
-                reason=str(error),
-            )
+        address = decode_record(stored.value)
+        if isinstance(address, str):
+            if self._reason_by_invalid_key.get(stored.key) != address:
+                self._reason_by_invalid_key[stored.key] = address
+                log.warning(
+                    "ignored an invalid record in the peer directory",
+                    key=stored.key,
+                    reason=address,
+                )
             return
+        self._reason_by_invalid_key.pop(stored.key, None)
         known_peer = self._peer_by_id.get(peer_id)
-        if is_valid_address(address) and (
-            known_peer is None or not known_peer.sequence
-        ):
+        if known_peer is None or not known_peer.sequence:
             first_seen_ms = (
                 self._clock.now_ms() if known_peer is None else known_peer.first_seen_ms
             )
--- a/wigeonwind/runtime/dialer.py
+++ b/wigeonwind/runtime/dialer.py
@@ -6,7 +6,7 @@
 
 from gevent import spawn
 
-from wigeonwind.addresses import SocketAddress, parse_address
+from wigeonwind.addresses import SocketAddress, parse_valid_address
 from wigeonwind.clock import Clock
 from wigeonwind.links.link_types import Link
 from wigeonwind.outcomes import Failure, Ok
@@ -76,17 +76,17 @@
         return link
 
     def _start_dial(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit() or address in self._dialling_addresses:
+        target = parse_valid_address(address)
+        if target is None or address in self._dialling_addresses:
             return
         if self._backoff.may_dial(address, self._clock.now_ms()):
             self._dialling_addresses.add(address)
-            spawn(self._open_link, address)
+            spawn(self._open_link, address, target)
 
-    def _open_link(self, address: str) -> None:
+    def _open_link(self, address: str, target: SocketAddress) -> None:
         self.counts.dials += 1
         try:
-            result = self._connect(parse_address(address))
+            result = self._connect(target)
         finally:
             self._dialling_addresses.discard(address)
         if isinstance(result, Ok):
--- a/wigeonwind/runtime/peering.py
+++ b/wigeonwind/runtime/peering.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from wigeonwind.addresses import SocketAddress, parse_address
+from wigeonwind.addresses import SocketAddress, parse_valid_address
 from wigeonwind.state.membership import MemberRecord, Membership, MemberState
 from wigeonwind.state.subset import (
     choose_entry_peers,
@@ -137,7 +137,4 @@
 
 def link_address_of(record: MemberRecord) -> SocketAddress | None:
     """Return a member's link address, None if it has none or it is invalid."""
-    host, _, port = record.address.rpartition(":")
-    if not host or not port.isdigit():
-        return None
-    return parse_address(record.address)
+    return parse_valid_address(record.address)
