Configuration: reject numbers without bound, and nesting beyond recursion

A timeout or weight of "nan", "inf" or hundreds of digits was taken, and deep nesting raised RecursionError, of which only the boundary of the handler kept the process.

--- a/wigeonwind/platform/configuration.py
+++ b/wigeonwind/platform/configuration.py
@@ -1,5 +1,7 @@
 """Decoding of the operators' configuration object into a route table."""
 
+from typing import Annotated
+
 import msgspec
 
 from wigeonwind.clock import MS_PER_SECOND
@@ -23,9 +25,19 @@
 SAFE = "safe"
 
 
+MAX_NUMBER = 2.0**53
+"""Largest number in the configuration, in the unit of its field."""
+
+MAX_WHOLE = 2**63 - 1
+"""Largest whole number in the configuration."""
+
+Number = Annotated[float, msgspec.Meta(ge=-MAX_NUMBER, le=MAX_NUMBER)]
+Whole = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+
+
 class _Split(msgspec.Struct):
     backend: str
-    weight: float
+    weight: Number
 
 
 class _Route(msgspec.Struct):
@@ -34,27 +46,27 @@
     path_prefix: str
     route_type: str
     """`safe`, `unsafe` or `streaming`."""
-    timeout_ms: float
-    slo_ms: float
+    timeout_ms: Number
+    slo_ms: Number
     """Latency target; a response that takes longer is worth less."""
-    priority: int = 5
+    priority: Whole = 5
     backend: str = ""
     split: list[_Split] = []
     """Replaces `backend` if the route has several services."""
-    attempts: int = 1
+    attempts: Whole = 1
     """Number of endpoints that a request may be sent to."""
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0.0
+    gap_aim_ms: Number = 0.0
     """Target for the pauses between the events of a stream, 0 for none."""
 
 
 class _Engine(msgspec.Struct):
     moves: bool = False
     """Whether engines copy KV cache from each other."""
-    kv_token_bytes: float = 0.0
+    kv_token_bytes: Number = 0.0
     """Size of the KV cache of one token."""
-    link_mbps: float = 0.0
+    link_mbps: Number = 0.0
     """Rate of copies, in megabits per second."""
 
 
@@ -65,20 +77,20 @@
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: Whole = 16_384
+    max_body_bytes: Whole = 4_194_304
+    header_timeout_ms: Number = 3_000.0
+    idle_timeout_ms: Number = 15_000.0
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Whole | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Whole
     routes: list[_Route]
     backends: list[_Backend] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -92,7 +104,7 @@
     """Decode the configuration object."""
     try:
         document = _decode_document(value)
-    except msgspec.DecodeError as error:
+    except (ValueError, RecursionError) as error:
         shown = value[:40].decode(errors="replace")
         return Invalid((Problem("", CONFIGURATION_KEY, shown, str(error)),))
     tenants = document.tenants or []
