Node settings: bound ports and the grace period, report deep nesting

A settings file with nested lists raised RecursionError, also at a reload in a running process, whose loop it ended; grace_s = nan and ports of 30 digits were taken. Such a file is invalid: the current settings stay in force. tests/test_decoders.py failed before.

--- a/wigeonwind/platform/node_file.py
+++ b/wigeonwind/platform/node_file.py
@@ -2,6 +2,7 @@
 
 import tomllib
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
@@ -11,6 +12,12 @@
 PATH_VARIABLE = "WIGEONWIND_NODE_FILE"
 
 
+MAX_GRACE_S = 86_400.0
+"""Longest time from SIGTERM to SIGKILL, in seconds."""
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+
+
 class _Listen(msgspec.Struct):
     ingress: str
     """Address for callers."""
@@ -21,7 +28,7 @@
 class _Bounds(msgspec.Struct):
     """Time limits of the platform, of which only `grace_s` is used."""
 
-    grace_s: float = 8.0
+    grace_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_GRACE_S)] = 8.0
     """Time from SIGTERM to SIGKILL."""
     drain_ms: float = 2_000.0
     config_apply_ms: float = 2_000.0
@@ -38,7 +45,7 @@
     ip: str
     listen: _Listen
     platform: _Platform
-    port_range: tuple[int, int]
+    port_range: tuple[Port, Port]
     """Ports for the traffic between routing processes."""
     region: str = ""
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -76,5 +83,5 @@
                 document.bounds.grace_s * 1_000.0,
             )
         )
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as error:
+    except (ValueError, RecursionError) as error:
         return Invalid((Problem("", PATH_VARIABLE, "", str(error)),))
