Load messages: bound all counts

A count of hundreds of digits in a message of a peer was taken and went into the choice of endpoints, where the conversion to float raises.

--- a/wigeonwind/routing/peer_messages.py
+++ b/wigeonwind/routing/peer_messages.py
@@ -14,10 +14,23 @@
 MAX_MESSAGE_BYTES = 8_192
 """Largest datagram that can be decoded; a larger one is truncated and rejected."""
 
+MAX_COUNT = 2**64 - 1
+"""Largest number in a message; keys of prefixes have 64 bits."""
+
 MAX_ROWS = 600
 """Most endpoints, and most prefixes, in a message."""
 
 
+DECODE_ERRORS = (
+    cbor2.CBORError,
+    ValueError,
+    TypeError,
+    OverflowError,
+    RecursionError,
+)
+"""What the decoding of CBOR raises, and the use of items of a wrong type or size."""
+
+
 @dataclass(frozen=True, slots=True)
 class LoadMessage:
     """The requests that a process has in flight, and the prefixes it has sent recently.
@@ -105,7 +118,7 @@
             pairs,
             None if view is None else _decode_view(view),
         )
-    except (cbor2.CBORError, ValueError, TypeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return f"not a load message: {error}"
 
 
@@ -123,6 +136,8 @@
 
 
 def _count(value: object) -> int:
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise ValueError(f"{value!r} is not a count")
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise ValueError("a count is not an integer")
+    if not 0 <= value <= MAX_COUNT:
+        raise ValueError(f"a count is not from 0 to {MAX_COUNT}")
     return value
--- a/wigeonwind/routing/suspect_messages.py
+++ b/wigeonwind/routing/suspect_messages.py
@@ -10,6 +10,7 @@
 import cbor2
 
 from wigeonwind.decisions.quarantine import MAX_CRASHES_PER_KEY, SuspectRow
+from wigeonwind.routing.peer_messages import DECODE_ERRORS
 
 MESSAGE_TYPE = "suspects/1"
 """First element of each message."""
@@ -78,7 +79,7 @@
                 for key, endpoint in trials
             ),
         )
-    except (cbor2.CBORError, ValueError, TypeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return f"not a suspect message: {error}"
 
 
