Peer state: bound revisions and report every error of the decoding

A state with infinity as revision or with deep nesting raised in the loop that polls peers; a revision of hundreds of digits was adopted, after which no other state was newer.

--- a/wigeonwind/routing/peer_state.py
+++ b/wigeonwind/routing/peer_state.py
@@ -17,6 +17,7 @@
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.routing.discovery import EndpointSet
+from wigeonwind.routing.peer_messages import DECODE_ERRORS
 from wigeonwind.routing.response_parser import ResponseParser
 from wigeonwind.routing.routing_state import ConfigurationHandler, EndpointEntryHandler
 from wigeonwind.routing.small_http import SmallHttpServer
@@ -40,6 +41,12 @@
 MAX_STATE_BYTES = 8_000_000
 """Largest accepted state. Objects have up to 1 MB, endpoints about 300 bytes."""
 
+MAX_REVISION = 2**63 - 1
+"""Largest revision of an object or of the store."""
+
+MAX_REASON_CHARS = 200
+"""Longest reason in a log line; a state may contain values of any length."""
+
 READ_BYTES = 65_536
 
 log = get_logger("wigeonwind.peers")
@@ -86,25 +93,31 @@
     try:
         version, *fields = cbor2.loads(data)
         if version != STATE_VERSION:
-            return f"unsupported state version {version}"
+            return f"unsupported state version {version}"[:MAX_REASON_CHARS]
         revision, is_current, configuration, endpoints = fields
         return SharedState(
-            int(revision),
+            _decode_revision(revision),
             bool(is_current),
             None if configuration is None else _decode_row(configuration),
             tuple(_decode_row(row) for row in endpoints),
         )
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
-        return f"invalid state: {error}"
+    except DECODE_ERRORS as error:
+        return f"invalid state: {error}"[:MAX_REASON_CHARS]
 
 
 def _decode_row(row: Sequence[object]) -> StoredObject:
     key, version, value = row
     if not isinstance(key, str) or not isinstance(value, bytes):
         raise ValueError("a row is not a stored object")
-    if not isinstance(version, int):
-        raise ValueError("an object version is not an integer")
-    return StoredObject(key, version, value)
+    return StoredObject(key, _decode_revision(version), value)
+
+
+def _decode_revision(value: object) -> int:
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise ValueError("a revision is not an integer")
+    if not 0 <= value <= MAX_REVISION:
+        raise ValueError(f"a revision is not from 0 to {MAX_REVISION}")
+    return value
 
 
 class PeerState:
