--- a/wigeonwind/routing/request_keys.py
+++ b/wigeonwind/routing/request_keys.py
@@ -11,6 +11,10 @@
 """Most keys of a request, those of the last chunks; working callers send fewer."""
 
 
+KEY_CHARS = 16
+"""Length of a formatted key: 64 bits in hexadecimal digits."""
+
+
 def request_keys(
     service: str, request: HttpRequest, metadata: RequestMetadata
 ) -> tuple[int, ...]:
@@ -54,6 +58,8 @@
     >>> parse_key(format_key(42)), parse_key("x")
     (42, None)
     """
+    if len(text) != KEY_CHARS:
+        return None
     try:
         key = int(text, 16)
     except ValueError:
