Headers: bound prompt tokens, chunk ids, event ids and Keep-Alive

Token-Usage, Prefix-Hash and Last-Event-Id of hundreds of digits were taken, Prefix-Hash also with negative tokens; a caller got 502 where a float conversion raised.

--- a/wigeonwind/platform/headers.py
+++ b/wigeonwind/platform/headers.py
@@ -20,6 +20,15 @@
 LAST_EVENT_ID = b"last-event-id"
 WORKER_SIGNATURE = b"worker-signature"
 NOT_EXECUTED = b"not-executed"
+MAX_PROMPT_TOKENS = 100_000_000
+"""Largest number of tokens of a prompt, or of a chunk of it; a larger one is not
+believed."""
+
+MAX_CHUNK_ID = 2**64 - 1
+
+MAX_EVENT_ID = 2**53
+"""Largest id of an event; beyond it a float is not exact."""
+
 MAX_PRIORITY = 9
 """Highest value of Request-Priority, the least urgent one."""
 
@@ -65,7 +74,7 @@
             tuple(each for each in headers if each[0].lower() not in dropped),
             None if api_key is None else api_key.decode("latin-1"),
             _non_negative_number(by_name.get(DEADLINE_MS)),
-            int(_non_negative_number(prompt_tokens) or 0),
+            int(min(_non_negative_number(prompt_tokens) or 0.0, MAX_PROMPT_TOKENS)),
             tuple(_prompt_chunks(by_name.get(PREFIX_HASH, b""))),
             _event_id(by_name.get(LAST_EVENT_ID)),
         )
@@ -132,7 +141,7 @@
 
 def _event_id(value: bytes | None) -> int | None:
     number = _non_negative_number(value)
-    return None if number is None else int(number)
+    return None if number is None or number > MAX_EVENT_ID else int(number)
 
 
 def _prompt_chunks(value: bytes) -> Iterator[PromptChunk]:
@@ -140,6 +149,10 @@
     for entry in value.split(b","):
         chunk_id, _, tokens = entry.strip().partition(b":")
         try:
-            yield PromptChunk(int(chunk_id, 16), int(tokens))
+            chunk = PromptChunk(int(chunk_id, 16), int(tokens))
         except ValueError:
             return
+        is_in_range = 0 <= chunk.chunk_id <= MAX_CHUNK_ID
+        if not is_in_range or not 0 <= chunk.tokens <= MAX_PROMPT_TOKENS:
+            return
+        yield chunk
--- a/wigeonwind/routing/event_stream.py
+++ b/wigeonwind/routing/event_stream.py
@@ -15,6 +15,9 @@
 ID_FIELD = b"id:"
 """Prefix of the line with the id of an event."""
 
+MAX_ID_DIGITS = 18
+"""Most digits of an event id; a longer one is no id."""
+
 FIRST_ID = 1
 """Id of the first event of a stream; later events have higher ids."""
 
@@ -120,5 +123,6 @@
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
-            return int(text) if text.isdigit() else None
+            is_id = text.isdigit() and len(text) <= MAX_ID_DIGITS
+            return int(text) if is_id else None
     return None
--- a/wigeonwind/routing/response_parser.py
+++ b/wigeonwind/routing/response_parser.py
@@ -9,6 +9,12 @@
 from wigeonwind.routing.header_codec import Header
 from wigeonwind.routing.response_limits import MAX_FRAMING_BYTES
 
+MAX_KEEP_ALIVE_S = 86_400
+"""Longest time for which an idle connection is used again, in seconds."""
+
+MAX_DIGITS = 9
+"""Digits of a number in a header that are read."""
+
 FIRST_FINAL_STATUS = 200
 """Responses with a lower status are interim (RFC 9110 section 15.2)."""
 
@@ -161,5 +167,6 @@
             for part in value.split(b","):
                 key, _, number = part.strip().partition(b"=")
                 if key.lower() == b"timeout" and number.isdigit():
-                    return int(number) * MS_PER_SECOND
+                    seconds = int(number[:MAX_DIGITS])
+                    return min(seconds, MAX_KEEP_ALIVE_S) * MS_PER_SECOND
     return None
