--- a/wigeonwind/state/booking_record.py
+++ b/wigeonwind/state/booking_record.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from math import isfinite, nan
+from typing import TypeVar
 
 import cbor2
 
@@ -25,6 +27,23 @@
     """The claim ended without an execution, so the next call may claim the key."""
 
 
+MAX_INTEGER = 2**64 - 1
+"""Largest number in a record."""
+
+DECODE_ERRORS = (
+    cbor2.CBORError,
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+"""What the decoding of CBOR raises, and the use of items of a wrong type or size."""
+
+T = TypeVar("T")
+
+
 @dataclass(frozen=True)
 class RecordedResponse:
     """The response of the endpoint; `body` is None if it was too large to record."""
@@ -91,17 +110,46 @@
         response = fields.get("answer")
         return BookingRecord(
             RecordState(fields["state"]),
-            fields["token"],
-            fields["digest"],
-            fields["endpoint"],
-            fields["incarnation"],
-            float(fields["claimed_ms"]),
-            None if response is None else RecordedResponse(*response),
+            _check(fields["token"], str),
+            _check(fields["digest"], str),
+            _check(fields["endpoint"], str),
+            _check_integer(fields["incarnation"]),
+            _check_time(fields["claimed_ms"]),
+            None if response is None else _decode_response(*response),
         )
-    except (cbor2.CBORDecodeError, KeyError, TypeError, ValueError, AttributeError):
+    except DECODE_ERRORS:
         return None
 
 
+def _decode_response(status: object, headers: object, body: object) -> RecordedResponse:
+    rows = [
+        [_check(item, str) for item in _check(row, list)]
+        for row in _check(headers, list)
+    ]
+    content = None if body is None else _check(body, bytes)
+    return RecordedResponse(_check_integer(status), rows, content)
+
+
+def _check(value: object, expected: type[T]) -> T:
+    if not isinstance(value, expected):
+        raise ValueError(f"a field is not of the type {expected.__name__}")
+    return value
+
+
+def _check_integer(value: object) -> int:
+    number = _check(value, int)
+    if isinstance(number, bool) or not 0 <= number <= MAX_INTEGER:
+        raise ValueError(f"a number is not from 0 to {MAX_INTEGER}")
+    return number
+
+
+def _check_time(value: object) -> float:
+    time_ms = float(value) if isinstance(value, (int, float)) else nan
+    if not isfinite(time_ms):
+        raise ValueError("a time is not finite")
+    return time_ms
+
+
 def is_expired(record: BookingRecord, wall_ms: float) -> bool:
     """Return whether a record is past its retention and may be replaced or deleted."""
     return wall_ms - record.claimed_ms > RETENTION_MS
