Rollout records and leases: check the types of all fields

Deep nesting raised RecursionError, infinity as a fence OverflowError, in the loop of the rollout controller; fields of any type were taken.

--- a/wigeonwind/state/lease.py
+++ b/wigeonwind/state/lease.py
@@ -9,6 +9,8 @@
 import json
 from dataclasses import dataclass
 
+import msgspec
+
 from wigeonwind.clock import Clock
 from wigeonwind.ids import new_id
 from wigeonwind.outcomes import Ok
@@ -24,6 +26,9 @@
 """Two renewals may fail before the lease is lost; one write in 5 s is a negligible load
 for the store."""
 
+MAX_FENCE = 2**63 - 1
+"""Largest fencing token."""
+
 TAKEOVER_MS = LEASE_MS * 1.5
 """A challenger waits longer than the lease because clocks run at different rates."""
 
@@ -42,15 +47,16 @@
         return json.dumps(fields).encode()
 
 
+_decode_value = msgspec.json.Decoder(LeaseValue).decode
+
+
 def decode_lease_value(data: bytes) -> LeaseValue | None:
     """Return the value of a lease object, or None if it is malformed."""
     try:
-        fields = json.loads(data)
-        return LeaseValue(
-            str(fields["holder"]), int(fields["fence"]), str(fields["nonce"])
-        )
-    except (ValueError, KeyError, TypeError):
+        value = _decode_value(data)
+    except (ValueError, RecursionError):
         return None
+    return value if 0 <= value.fence <= MAX_FENCE else None
 
 
 class Lease:
--- a/wigeonwind/state/rollouts.py
+++ b/wigeonwind/state/rollouts.py
@@ -10,6 +10,8 @@
 from dataclasses import asdict, dataclass, replace
 from enum import Enum
 
+import msgspec
+
 MAX_LOADING_SHARE = 0.2
 """Share of a service's endpoints that may be out of service for loading, at least one.
 """
@@ -74,13 +76,14 @@
         return json.dumps({**asdict(self), "verdict": self.verdict.value}).encode()
 
 
+_decode_record = msgspec.json.Decoder(RolloutRecord).decode
+
+
 def decode_rollout_record(data: bytes) -> RolloutRecord | None:
     """Return a stored record, or None if it is malformed."""
     try:
-        fields = json.loads(data)
-        fields["verdict"] = Verdict(fields["verdict"])
-        return RolloutRecord(**fields)
-    except (ValueError, KeyError, TypeError):
+        return _decode_record(data)
+    except (ValueError, RecursionError):
         return None
 
 
