--- a/wigeonwind/state/store_format.py
+++ b/wigeonwind/state/store_format.py
@@ -20,6 +20,9 @@
     WatchEvent,
 )
 
+MAX_VERSION = 2**63 - 1
+"""Largest version of an object, and largest revision of the store."""
+
 CONTENT_TYPE = "application/octet-stream"
 
 
@@ -104,7 +107,7 @@
         body = _json(response)
         try:
             value = b64decode(body["value"], validate=True)
-            return Ok(StoredObject(key, int(body["version"]), value))
+            return Ok(StoredObject(key, _number(body["version"]), value))
         except (*MALFORMED_RESPONSE_ERRORS, Base64Error):
             return None
 
@@ -149,7 +152,8 @@
         rows: Any = body.get("objects") if isinstance(body, dict) else body
         try:
             objects = [
-                StoredObject(str(row["key"]), int(row["version"]), b"") for row in rows
+                StoredObject(_key(row["key"]), _number(row["version"]), b"")
+                for row in rows
             ]
         except MALFORMED_RESPONSE_ERRORS:
             return None
@@ -167,7 +171,7 @@
         body = _json(response)
         try:
             events = tuple(_event(row) for row in body["events"])
-            return Ok(WatchBatch(int(body["revision"]), events))
+            return Ok(WatchBatch(_number(body["revision"]), events))
         except MALFORMED_RESPONSE_ERRORS:
             return None
 
@@ -187,15 +191,34 @@
         return {}
 
 
-def _version(response: StoreResponse) -> object:
+def _version(response: StoreResponse) -> int | None:
     """Return the field `version` of a response, or None if it has none."""
     body = _json(response)
-    return body.get("version") if isinstance(body, dict) else None
+    version = body.get("version") if isinstance(body, dict) else None
+    try:
+        return _number(version) if isinstance(version, int) else None
+    except ValueError:
+        return None
+
+
+def _number(value: Any) -> int:
+    """Return a version or revision; raises ValueError if it is out of range."""
+    number = int(value)
+    if not 0 <= number <= MAX_VERSION:
+        raise ValueError(f"a version is not from 0 to {MAX_VERSION}")
+    return number
+
+
+def _key(value: Any) -> str:
+    """Return a key; raises ValueError if it has no encoding."""
+    key = str(value)
+    key.encode()
+    return key
 
 
 def _event(row: Any) -> WatchEvent:
-    revision, version = int(row["revision"]), int(row["version"])
-    return WatchEvent(str(row["key"]), version, revision, bool(row["deleted"]))
+    revision, version = _number(row["revision"]), _number(row["version"])
+    return WatchEvent(_key(row["key"]), version, revision, bool(row["deleted"]))
 
 
 def _conflict(key: str, response: StoreResponse) -> Conflict:
--- a/wigeonwind/state/store_http.py
+++ b/wigeonwind/state/store_http.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from math import isnan
 from random import Random
 from socket import IPPROTO_TCP, TCP_NODELAY
 from typing import Any
@@ -20,6 +21,9 @@
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.state.store_types import StoreFailure
 
+MAX_RETRY_AFTER_MS = 60_000.0
+"""Longest Retry-After that is passed on."""
+
 INITIAL_BACKOFF_MS = 50.0
 """Shortest backoff after a first failure; it doubles with each consecutive failure."""
 
@@ -314,8 +318,15 @@
 
 
 def _retry_after_ms(value: object) -> float:
-    """Return a Retry-After header in ms; one second if it is absent or not a number."""
+    """Return a Retry-After header in ms; one second if it is absent or not a number.
+
+    >>> _retry_after_ms("0.5"), _retry_after_ms("nan"), _retry_after_ms("1e300")
+    (500.0, 1000.0, 60000.0)
+    """
     try:
-        return float(str(value)) * MS_PER_SECOND
+        retry_ms = float(str(value)) * MS_PER_SECOND
     except ValueError:
         return MS_PER_SECOND
+    if isnan(retry_ms):
+        return MS_PER_SECOND
+    return min(max(0.0, retry_ms), MAX_RETRY_AFTER_MS)
