--- a/wigeonwind/entry/openai_request.py
+++ b/wigeonwind/entry/openai_request.py
@@ -39,8 +39,8 @@
         return document
     fields = document.value
     model = fields.get("model")
-    if not isinstance(model, str) or not model:
-        return _bad_request("`model` must be a non-empty string")
+    if not isinstance(model, str) or not model or not _is_encodable(model):
+        return _bad_request("`model` must be a non-empty string of valid Unicode")
     stream = fields.get("stream")
     if stream is not None and not isinstance(stream, bool):
         return _bad_request("`stream` must be true or false")
@@ -91,6 +91,11 @@
     return Ok(document)
 
 
+def _is_encodable(text: str) -> bool:
+    """Return whether a text has no lone surrogates, which JSON may contain."""
+    return text.encode(errors="replace").decode() == text
+
+
 def _chat_prompt(fields: dict[str, object]) -> Ok[str] | Failure:
     messages = fields.get("messages")
     if not isinstance(messages, list) or not messages:
