--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -12,7 +12,8 @@
 import pytest
 from odd_values import ODD_TEXTS, PLACE, SPEC, nested, stored
 from pydantic import BaseModel
-from routing_fleet import configuration
+from routing_fleet import configuration, running_fleet
+from structlog.testing import capture_logs
 
 import wigeonwind
 from wigeonwind.addresses import (
@@ -72,6 +73,9 @@
 )
 from wigeonwind.state.store_types import StoredObject
 
+MAX_SENT_BYTES = 4_000
+"""Longest header value that is sent; the limit of the test's configuration is 4,096."""
+
 MAX_INTEGER = 2**64
 """Largest integer that a decoder may return; the hashes of keys have 64 bits."""
 
@@ -539,3 +543,19 @@
     text = value.decode("utf-8", "replace")
     assert 0.0 <= _retry_after_ms(text) <= MAX_RETRY_AFTER_MS
     check_bounded(_event_id(b"id: " + value.replace(b"\n", b" ") + b"\ndata: x"))
+
+
+@pytest.mark.parametrize("header", HEADERS)
+def test_odd_headers_of_a_caller_raise_nowhere(header):
+    # Guards against a header that passes its decoder and raises in a later decision.
+    values = [v for v in HEADER_VALUES if not re.search(rb"[\0\r\n]", v)]
+    texts = [v.decode("latin-1") for v in values if len(v) < MAX_SENT_BYTES]
+    ascii_texts = [text for text in texts if text.isascii()]
+    with running_fleet(workers=1) as fleet, capture_logs() as logs:
+        for number, text in enumerate(ascii_texts):
+            line = f"{header.decode()}: {text}"
+            for path in ("/safe/x", "/stream/x"):
+                fleet.call(path, "POST", b"p", (line,), f"r{number}-{path}")
+        assert fleet.call("/safe/x", request_id="last").status == 200
+    errors = [line for line in logs if line["event"].startswith("unexpected error")]
+    assert errors == []
--- a/wigeonwind/routing/peer_state.py
+++ b/wigeonwind/routing/peer_state.py
@@ -41,8 +41,8 @@
 MAX_STATE_BYTES = 8_000_000
 """Largest accepted state. Objects have up to 1 MB, endpoints about 300 bytes."""
 
-MAX_REVISION = 2**63 - 1
-"""Largest revision of an object or of the store."""
+MAX_REVISION = 2**64 - 1
+"""Largest revision of an object or of the store, an unsigned integer of CBOR."""
 
 MAX_REASON_CHARS = 200
 """Longest reason in a log line; a state may contain values of any length."""
