--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -49,6 +49,7 @@
 )
 from wigeonwind.runtime.demo import CONFIGURATION_PATH, settings_source
 from wigeonwind.settings import Settings, read_settings
+from wigeonwind.standins.platform_worker import FullResponse
 from wigeonwind.state.booking_record import (
     BookingRecord,
     RecordedResponse,
@@ -559,3 +560,29 @@
         assert fleet.call("/safe/x", request_id="last").status == 200
     errors = [line for line in logs if line["event"].startswith("unexpected error")]
     assert errors == []
+
+
+DEADLINE = ("Deadline-Ms: 300",)
+
+RESPONSE_HEADERS = [
+    *("Keep-Alive", "Retry-After", "Weight-Versions", "Connection", "Content-Type"),
+    *("Content-Length", "Request-Id", "Not-Executed", "Worker-Signature", "Date"),
+]
+
+
+@pytest.mark.parametrize("header", RESPONSE_HEADERS)
+def test_odd_headers_of_an_endpoint_raise_nowhere(header):
+    # Guards against a header of an endpoint that raises after its answer was decoded.
+    values = [v for v in HEADER_VALUES if not re.search(rb"[\0\r\n]", v)]
+    texts = [v.decode() for v in values if v.isascii() and len(v) <= 10_000]
+    with running_fleet(workers=1) as fleet, capture_logs() as logs:
+        (worker,) = fleet.workers
+        for number, text in enumerate(texts):
+            worker.default = FullResponse(headers=(f"{header}: {text}",))
+            for path in ("/safe/x", "/stream/x"):
+                request_id = f"r{number}-{path[1:3]}"
+                reply = fleet.call(path, "GET", b"", DEADLINE, request_id)
+                assert reply.status in (0, 200, 502, 503, 504)
+        assert not fleet.router.stopped.is_set()
+    errors = [line for line in logs if line["event"].startswith("unexpected error")]
+    assert errors == []
