--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -136,7 +136,9 @@
             self._on_outcome,
             self.metrics.on_retry,
         )
-        entries = EndpointEntryHandler(schema, self.endpoints)
+        entries = EndpointEntryHandler(
+            schema, self.endpoints, self.metrics.on_entry_ignored
+        )
         self._followers = (
             StoreFollower(
                 store,
@@ -282,6 +284,8 @@
             self.metrics.set_engine_profiles(self._chooser.service_profiles())
             self.metrics.set_suspects(self.quarantine.statuses())
             self.metrics.on_store_watched(self._store_view().is_watching)
+            failed_steps = sum(each.failed_steps for each in self._followers)
+            self.metrics.set_failed_store_steps(failed_steps)
 
     def _readiness_response(self, _method: str, _path: str) -> bytes:
         status = 200 if self.is_ready else 503
