Stops: processes whose work ends at the same moment leave one after the other

Seen on the merged code, with the machine busy: test_a_rolling_stop_leaves_no_caller_without_a_connection failed, 4 to 6 tries found no connection. The log shows three processes that stop listening within 30 ms, as their streams ended together: each asked whether another one had left before any message could say so. The random delay counted from the signal, so that it had passed long ago.

The delay now counts from when a process may leave, and grows with the number of listening processes that were told to stop before it.

--- a/tests/test_stop_decisions.py
+++ b/tests/test_stop_decisions.py
@@ -18,6 +18,7 @@
     StopSituation,
     decide_in_stop,
     estimate_duration,
+    leave_delay_ms,
     may_leave,
     retry_after_ms,
 )
@@ -219,3 +220,21 @@
 def test_a_message_with_wild_numbers_is_invalid(message):
     # Guards against a datagram that puts a stop into the far past or future.
     assert isinstance(decode_stop(encode_stop(message)), str)
+
+
+def test_processes_whose_work_ends_at_once_leave_one_after_the_other():
+    # Guards against processes that all leave before they hear of each other, so that
+    # callers find no connection.
+    first = [leave_delay_ms(OtherRouters(), jitter) for jitter in (0.0, 0.99)]
+    second = [leave_delay_ms(OtherRouters(leaves_first=1), jitter) for jitter in (0, 1)]
+    assert max(first) < min(second)
+    assert leave_delay_ms(OtherRouters(ready=1, leaves_first=1), 1.0) == 0.0
+
+
+def test_a_stop_that_began_earlier_leaves_first():
+    # Guards against an order of leaving that counts processes which have left.
+    stops = PeerStops()
+    stops.on_message(stop(3_000, 4_000), 0.0)
+    assert stops.others(0, -1.0, 0.0).leaves_first == 1
+    assert stops.others(0, -5_000.0, 0.0).leaves_first == 0
+    assert stops.others(0, -1.0, SILENCE_MS).leaves_first == 0
--- a/wigeonwind/decisions/stop_admission.py
+++ b/wigeonwind/decisions/stop_admission.py
@@ -40,6 +40,9 @@
 ENOUGH_READY = 2
 """Ready processes that can take the longer requests of one that stops alone."""
 
+LEAVE_STEP_MS = 200.0
+"""Time between the leaving of two processes; their messages arrive well within it."""
+
 LEAVING_MS = 500.0
 """Longest time for which new requests may keep a process that is leaving."""
 
@@ -74,12 +77,14 @@
     `ready` of them serve callers. `stops_later` listen and were told to stop after this
     one. `stops_earlier` were told to stop shortly before it, so that the load balancer
     may not have noticed. `away` have exited or are about to, and should start again.
+    `leaves_first` listen and were told to stop before this one.
     """
 
     ready: int = 0
     stops_later: int = 0
     stops_earlier: int = 0
     away: int = 0
+    leaves_first: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,6 +186,23 @@
     return others.ready > 0 or not others.away
 
 
+def leave_delay_ms(others: OtherRouters, jitter: float) -> float:
+    """Return how long a process waits that may leave, in milliseconds.
+
+    Without a ready process, those whose work ends at the same moment must hear of each
+    other before the next one leaves. `jitter`, from 0 to 1, spreads those that were
+    told to stop at the same time.
+
+    >>> leave_delay_ms(OtherRouters(leaves_first=2), 0.5)
+    500.0
+    >>> leave_delay_ms(OtherRouters(ready=1, leaves_first=2), 0.5)
+    0.0
+    """
+    if others.ready:
+        return 0.0
+    return LEAVE_STEP_MS * (others.leaves_first + jitter)
+
+
 def retry_after_ms(ready: int, ready_in_ms: Iterable[float]) -> float:
     """Return when a refused caller should try again.
 
--- a/wigeonwind/routing/peer_stops.py
+++ b/wigeonwind/routing/peer_stops.py
@@ -92,6 +92,10 @@
             sum(
                 not each.listens(now_ms) and each.is_expected(now_ms) for each in stops
             ),
+            sum(
+                each.signaled_ms <= signaled_ms and each.listens(now_ms)
+                for each in stops
+            ),
         )
 
     def ready_in_ms(self, now_ms: float) -> Iterator[float]:
--- a/wigeonwind/routing/stop_sequence.py
+++ b/wigeonwind/routing/stop_sequence.py
@@ -8,7 +8,11 @@
 from structlog import get_logger
 
 from wigeonwind.clock import MS_PER_SECOND, Clock
-from wigeonwind.decisions.stop_admission import BALANCER_MS, may_leave
+from wigeonwind.decisions.stop_admission import (
+    BALANCER_MS,
+    leave_delay_ms,
+    may_leave,
+)
 from wigeonwind.routing.caller_connection import CallerConnection
 from wigeonwind.routing.exchange import Exchange
 from wigeonwind.routing.peer_exchange import PeerExchange
@@ -22,10 +26,6 @@
 STOP_POLL_MS = 25.0
 """Interval of the checks whether the next step of a stop is due."""
 
-MAX_LEAVE_DELAY_MS = 200.0
-"""Bound of a random delay of processes that were told to stop at the same time, so that
-they do not all leave before they hear of each other."""
-
 log = get_logger("wigeonwind.router")
 
 
@@ -45,7 +45,9 @@
     ) -> None:
         self._clock = clock
         self._rng = rng
-        self._leave_delay_ms = 0.0
+        self._leave_jitter = 0.0
+        self._may_leave_since_ms: float | None = None
+        """Since when the process may leave, None if it must not."""
         self._server = server
         self._peers = peers
         self._metrics = metrics
@@ -65,7 +67,7 @@
     def run(self, plan: PlannedStop) -> None:
         """Go through the stop; on return all connections have been closed."""
         self.plan = plan
-        self._leave_delay_ms = self._rng.uniform(0.0, MAX_LEAVE_DELAY_MS)
+        self._leave_jitter = self._rng.random()
         self._log("stopping")
         self._peers.announce_stop(plan, self._expected_exit_ms)
         self._wait_until(lambda: self._may_leave(plan), plan.ends_from_ms)
@@ -90,14 +92,20 @@
         return any(each.started_ms <= until_ms for each in self._in_flight)
 
     def _may_leave(self, plan: PlannedStop) -> bool:
+        if self._is_stopped():
+            return True
         now_ms = self._clock.now_ms()
         others = self._peers.others(plan)
-        since_ms = now_ms - plan.signaled_ms
-        if not others.ready and self._peers.peer_count():
-            since_ms -= self._leave_delay_ms
-        return self._is_stopped() or may_leave(
-            since_ms, self._has_early_work(plan), others
-        )
+        since_signal_ms = now_ms - plan.signaled_ms
+        if not may_leave(since_signal_ms, self._has_early_work(plan), others):
+            self._may_leave_since_ms = None
+            return False
+        if not self._peers.peer_count():
+            return True
+        if self._may_leave_since_ms is None:
+            self._may_leave_since_ms = now_ms
+        waited_ms = now_ms - self._may_leave_since_ms
+        return waited_ms >= leave_delay_ms(others, self._leave_jitter)
 
     def _expected_exit_ms(self) -> float:
         """Return the clock reading at which the process should have exited."""
