--- a/tests/test_store_returns_from_copy.py
+++ b/tests/test_store_returns_from_copy.py
@@ -16,6 +16,13 @@
 from wigeonwind.state.configuration_watcher import ConfigurationWatcher
 from wigeonwind.state.lease import TAKEOVER_MS, Lease
 from wigeonwind.state.memory_store import MemoryStore
+from wigeonwind.state.rollouts import (
+    EndpointView,
+    LoadVersion,
+    RolloutPlanner,
+    RolloutRecord,
+    Verdict,
+)
 
 EDITS = [GOOD.replace("weight = 2", f"weight = {weight}") for weight in (2, 3, 4)]
 SOURCES = [split_configuration(source).sections.source for source in EDITS]
@@ -231,3 +238,15 @@
     other.call("POST", "/svc/spot-desk/x", b"", headers)
     other.role.stop()
     assert sum(len(sidecar.submits) for sidecar in sidecars) == 1
+
+
+def test_a_halted_rollout_whose_record_is_lost_is_not_started_again():
+    # Guards against a worse version that is loaded a second time because the store lost
+    # the record of its halt.
+    planner = RolloutPlanner("llm")
+    views = [EndpointView(f"e{number}", "tartu-a", "1", True) for number in range(5)]
+    halted = RolloutRecord("llm", "2", "1", Verdict.HALTED, "error rate rose")
+    running = RolloutRecord("llm", "2", "1", Verdict.RUNNING)
+    assert list(planner.plan("2", halted, views, 0.0)) == []
+    steps = list(planner.plan("2", running, views, 1000.0))
+    assert not any(isinstance(step, LoadVersion) for step in steps)
