--- a/wigeonwind/platform/json_text.py
+++ b/wigeonwind/platform/json_text.py
@@ -6,7 +6,7 @@
 """Deepest nesting of lists and objects in a stored object, in levels."""
 
 # Possessive quantifiers and the optional end keep the search linear in the text.
-_MARK = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[\[\]{},]', re.DOTALL)
+_MARK = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[\[{]++|[\]}]++|,', re.DOTALL)
 _KEY = re.compile(rb'\s*"((?:[^"\\]++|\\.)*+)"\s*:', re.DOTALL)
 _WHITESPACE = b" \t\r\n"
 _OPENING = frozenset(b"[{")
@@ -57,11 +57,11 @@
     for mark in _MARK.finditer(text):
         first = text[mark.start()]
         if first in _OPENING:
-            depth += 1
+            depth += len(mark[0])
             if depth > MAX_NESTING:
                 return True
         elif first in _CLOSING:
-            depth -= 1
+            depth -= len(mark[0])
     return False
 
 
@@ -74,13 +74,14 @@
     for mark in _MARK.finditer(text):
         first = text[mark.start()]
         if first in _OPENING:
-            depth += 1
+            depth += len(mark[0])
         elif first in _CLOSING:
-            depth -= 1
-        if depth == 0:
-            if mark.end() != len(text):
+            depth -= len(mark[0])
+        if depth <= 0:
+            end = mark.end() + depth
+            if end != len(text):
                 return None
-            last = text[start : mark.start()].strip(_WHITESPACE)
+            last = text[start : end - 1].strip(_WHITESPACE)
             if last:
                 return [*parts, last]
             return None if parts else []
