Store: log and count at which era and revision listings and watches were answered

A listing, the first watch after one, a lost history and each change of the era have a line; other watches are counted. Adoption of a peer's endpoints is counted. No change of logic.

--- a/wigeonwind/platform/store_format.py
+++ b/wigeonwind/platform/store_format.py
@@ -61,6 +61,8 @@
     version of an object is the store revision of its last change.
     """
 
+    era_header = "Store-Era"
+
     def get(self, key: str) -> StoreRequest:
         """Return the request that reads one object."""
         return StoreRequest("GET", OBJECTS_PATH + quote(key, safe="/"))
--- a/wigeonwind/routing/peer_state.py
+++ b/wigeonwind/routing/peer_state.py
@@ -123,8 +123,10 @@
         entries: EndpointEntryHandler,
         followers: tuple[StoreFollower, StoreFollower],
         watchers: StoreWatchers,
+        on_adopted: Callable[[], None] = lambda: None,
     ) -> None:
         self._watchers = watchers
+        self._on_adopted = on_adopted
         self._rng = rng
         self._peers = peers
         self._configuration = configuration
@@ -207,11 +209,13 @@
         has_no_revision = not follower.revision_seen
         if not is_newer or not (state.is_current or has_no_revision):
             return True
+        self._on_adopted()
         log.info(
             "endpoints adopted from a peer",
             peer=str(peer),
             revision=state.revision,
             before=follower.revision_seen,
+            is_current=state.is_current,
             entries=len(state.endpoints),
         )
         follower.revision_seen = follower.changed_revision = state.revision
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -149,6 +149,7 @@
                 self.configuration,
                 self.metrics.on_store_reachable,
                 self._is_store_passive,
+                on_answer=self.metrics.on_store_answer,
             ),
             StoreFollower(
                 store,
@@ -157,6 +158,7 @@
                 self._on_discovery_reachable,
                 self._is_store_passive,
                 self.endpoints.on_view_interrupted,
+                self.metrics.on_store_answer,
             ),
         )
         self.peers = PeerExchange(
@@ -180,6 +182,7 @@
             entries,
             self._followers,
             self._watchers,
+            self.metrics.on_state_adopted,
         )
         listen_address = (settings.callers.host, settings.callers.port)
         self._server = StreamServer(listen_address, self._accept, backlog=BACKLOG)
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -109,6 +109,17 @@
             "store_reachable",
             "1 while the platform's store answers.",
         )
+        self._store_era = self._metrics.gauge(
+            "store_era", "Era of the store at its last answer, -1 if it states none."
+        )
+        self._store_answers = self._metrics.counter(
+            "store_answers",
+            "Listings and watches that the store answered, by prefix.",
+            ("call", "prefix"),
+        )
+        self._states_adopted = self._metrics.counter(
+            "peer_states_adopted", "Lists of endpoints adopted from a peer."
+        )
         self._prefill_rate = self._metrics.gauge(
             "engine_prefill_tokens_per_ms",
             "Learned prefill rate of the engines of a service.",
@@ -177,6 +188,15 @@
         """Record whether the last call to the store succeeded."""
         self._store_reachable.set(1 if is_reachable else 0)
 
+    def on_store_answer(self, call: str, prefix: str, era: int) -> None:
+        """Count an answer of the store and record its era."""
+        self._store_answers.labels(call, prefix).inc()
+        self._store_era.set(era)
+
+    def on_state_adopted(self) -> None:
+        """Count endpoints adopted from a peer."""
+        self._states_adopted.inc()
+
     def on_refused(
         self, metadata: RequestMetadata, failure: Failure, version: int | None
     ) -> None:
--- a/wigeonwind/routing/store_follower.py
+++ b/wigeonwind/routing/store_follower.py
@@ -9,6 +9,7 @@
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.outcomes import Ok
 from wigeonwind.state.store_types import (
+    UNKNOWN_ERA,
     HistoryExpired,
     ObjectPage,
     StoredObject,
@@ -80,6 +81,7 @@
         on_reachable: Callable[[bool], None],
         is_passive: Callable[[], bool] = lambda: False,
         on_resumed: Callable[[], None] = lambda: None,
+        on_answer: Callable[[str, str, int], None] = lambda call, prefix, era: None,
     ) -> None:
         self._is_passive = is_passive
         self._on_resumed = on_resumed
@@ -87,6 +89,9 @@
         self._prefix = prefix
         self._handler = handler
         self._on_reachable = on_reachable
+        self._on_answer = on_answer
+        self._era = UNKNOWN_ERA
+        self._is_first_watch = False
         self.is_reachable = True
         """Whether the last call to the store succeeded."""
         self.revision_seen = 0
@@ -126,13 +131,28 @@
             return self._on_failure(result)
         self._on_response()
         if isinstance(result, HistoryExpired):
+            self._record_answer("history-expired", result.era)
             log.info(
                 "watch history is no longer available; listing again",
                 prefix=self._prefix,
+                era=result.era,
+                after=self._watch_after,
             )
             self._watch_after = None
             return True
-        for event in result.value.events:
+        batch = result.value
+        self._record_answer("watch", batch.era)
+        if self._is_first_watch:
+            self._is_first_watch = False
+            log.info(
+                "store watched",
+                prefix=self._prefix,
+                era=batch.era,
+                after=self._watch_after,
+                revision=batch.revision,
+                events=len(batch.events),
+            )
+        for event in batch.events:
             if event.deleted:
                 self._handler.on_removed(event.key)
             else:
@@ -150,11 +170,35 @@
         if isinstance(result, StoreFailure):
             return self._on_failure(result)
         self._on_response()
-        self._handler.on_listed(result.value.objects)
+        page = result.value
+        self._record_answer("listing", page.era)
+        self._is_first_watch = True
+        log.info(
+            "store listed",
+            prefix=self._prefix,
+            era=page.era,
+            revision=page.revision,
+            before=self.revision_seen,
+            objects=len(page.objects),
+        )
+        self._handler.on_listed(page.objects)
         self._watch_after = self.revision_seen = result.value.revision
         self.changed_revision = self.revision_seen
         return True
 
+    def _record_answer(self, call: str, era: int) -> None:
+        self._on_answer(call, self._prefix, era)
+        if era != self._era:
+            log.info(
+                "era of the store changed",
+                prefix=self._prefix,
+                call=call,
+                era=era,
+                before=self._era,
+                revision_seen=self.revision_seen,
+            )
+            self._era = era
+
     def _on_failure(self, failure: StoreFailure) -> bool:
         # A recovered store answers a listing at once. A watch would wait for the next
         # change, and would not report the entries that expired in the outage.
--- a/wigeonwind/state/store_client.py
+++ b/wigeonwind/state/store_client.py
@@ -1,7 +1,7 @@
 """Client of the object store; implements `Store` over its HTTP interface."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -18,6 +18,7 @@
     StoreResponse,
 )
 from wigeonwind.state.store_types import (
+    UNKNOWN_ERA,
     Conflict,
     HistoryExpired,
     NotFound,
@@ -69,7 +70,13 @@
 
         def pool(pool_limits: PoolLimits) -> StoreConnectionPool:
             return StoreConnectionPool(
-                address, pool_limits, clock, random, breaker, sleep_ms
+                address,
+                pool_limits,
+                clock,
+                random,
+                breaker,
+                sleep_ms,
+                self._format.era_header,
             )
 
         self.pool_by_kind = {
@@ -153,6 +160,7 @@
         """
         objects: list[StoredObject] = []
         revision: int | None = None
+        era = UNKNOWN_ERA
         after = ""
         while True:
             response = self._call("reads", self._format.list_page(prefix, after))
@@ -162,9 +170,10 @@
             if page is None:
                 return _unexpected_response(response, maybe_written=False)
             objects += page.value.objects
-            revision = page.value.revision if revision is None else revision
+            if revision is None:
+                revision, era = page.value.revision, response.era
             if not page.value.next_after:
-                return Ok(ObjectPage(tuple(objects), revision))
+                return Ok(ObjectPage(tuple(objects), revision, era=era))
             after = page.value.next_after
 
     def put(
@@ -200,9 +209,12 @@
         response = self._call("watches", request, hold_ms=timeout_ms)
         if isinstance(response, StoreFailure):
             return _as_read_failure(response)
-        return self._format.read_watch(prefix, after, response) or _unexpected_response(
-            response, False
-        )
+        result = self._format.read_watch(prefix, after, response)
+        if isinstance(result, HistoryExpired):
+            return replace(result, era=response.era)
+        if result is None:
+            return _unexpected_response(response, False)
+        return Ok(replace(result.value, era=response.era))
 
 
 def _as_read_failure(failure: StoreFailure) -> StoreFailure:
--- a/wigeonwind/state/store_format.py
+++ b/wigeonwind/state/store_format.py
@@ -34,7 +34,13 @@
 
 
 class StoreFormat(Protocol):
-    """Encodes the requests of one object store API and decodes its responses."""
+    """Encodes the requests of one object store API and decodes its responses.
+
+    `era_header` names the response header that states the store's era, empty if the API
+    has none.
+    """
+
+    era_header: str
 
     def get(self, key: str) -> StoreRequest:
         """Return the request that reads one object."""
@@ -91,6 +97,8 @@
     Its listings and watch events contain versions but no values.
     """
 
+    era_header = ""
+
     def get(self, key: str) -> StoreRequest:
         """Return the request that reads one object."""
         return StoreRequest("GET", _path(key))
--- a/wigeonwind/state/store_http.py
+++ b/wigeonwind/state/store_http.py
@@ -18,7 +18,7 @@
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
-from wigeonwind.state.store_types import StoreFailure
+from wigeonwind.state.store_types import UNKNOWN_ERA, StoreFailure
 
 INITIAL_BACKOFF_MS = 50.0
 """Shortest backoff after a first failure; it doubles with each consecutive failure."""
@@ -28,6 +28,8 @@
 
 CONNECT_TIMEOUT_MS = 1_000.0
 
+MAX_ERA = 2**63 - 1
+
 
 @dataclass(frozen=True)
 class PoolLimits:
@@ -45,10 +47,11 @@
 
 @dataclass(frozen=True)
 class StoreResponse:
-    """Status and body of an HTTP response of the store."""
+    """Status and body of an HTTP response of the store, and the era that it states."""
 
     status: int
     body: bytes
+    era: int = UNKNOWN_ERA
 
 
 @dataclass(frozen=True)
@@ -90,8 +93,10 @@
         random: Random,
         breaker: BreakerLimits | None,
         sleep_ms: Callable[[float], None] | None = None,
+        era_header: str = "",
     ) -> None:
         self.limits = limits
+        self._era_header = era_header
         self.counts = PoolCounts()
         self._clock = clock
         self._random = random
@@ -246,10 +251,11 @@
         status = response.status_code
         by_status = self.counts.by_status
         by_status[status] = by_status.get(status, 0) + 1
-        return self._classify(status, bytes(data), response.get("retry-after"))
+        era = _era(response.get(self._era_header)) if self._era_header else UNKNOWN_ERA
+        return self._classify(status, bytes(data), response.get("retry-after"), era)
 
     def _classify(
-        self, status: int, data: bytes, retry_after: object
+        self, status: int, data: bytes, retry_after: object, era: int
     ) -> StoreResponse | StoreFailure:
         """Return the response, or a failure for status 429 and 5xx.
 
@@ -262,7 +268,7 @@
             return StoreFailure("store answered 429 (rate limit)", False, retry_ms)
         if status >= 500:
             return StoreFailure(f"store answered {status}", True, retry_ms)
-        return StoreResponse(status, data)
+        return StoreResponse(status, data, era)
 
     def _record_result(
         self, result: StoreResponse | StoreFailure, sent_ms: float
@@ -313,6 +319,14 @@
     sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
 
 
+def _era(value: object) -> int:
+    """Return the era that a header states, UNKNOWN_ERA if it states none."""
+    text = str(value)
+    if not (text.isascii() and text.isdecimal()) or len(text) > len(str(MAX_ERA)):
+        return UNKNOWN_ERA
+    return min(int(text), MAX_ERA)
+
+
 def _retry_after_ms(value: object) -> float:
     """Return a Retry-After header in ms; one second if it is absent or not a number."""
     try:
--- a/wigeonwind/state/store_types.py
+++ b/wigeonwind/state/store_types.py
@@ -5,6 +5,25 @@
 
 from wigeonwind.outcomes import Ok
 
+UNKNOWN_ERA = -1
+"""Era of a store that does not state any; it is older than every known era."""
+
+
+@dataclass(frozen=True, order=True, slots=True)
+class StoreRevision:
+    """A point in the history of a store, ordered by era, then by number.
+
+    The era rises each time the store returns from a copy. The number counts the changes
+    of the store; after a return it goes back, and numbers are given out again.
+    """
+
+    era: int
+    number: int
+
+
+NO_REVISION = StoreRevision(UNKNOWN_ERA, 0)
+"""Older than every revision of a store, as these start above 0."""
+
 
 @dataclass(frozen=True)
 class StoredObject:
@@ -63,11 +82,13 @@
     """One page of a listing; `revision` is that of the store when it was created.
 
     `next_after` is the key after which the next page starts, empty on the last page.
+    `era` is that of the store when it answered.
     """
 
     objects: tuple[StoredObject, ...]
     revision: int
     next_after: str = ""
+    era: int = UNKNOWN_ERA
 
 
 @dataclass(frozen=True)
@@ -75,6 +96,7 @@
     """The store no longer has the changes after a revision; the caller must relist."""
 
     revision: int
+    era: int = UNKNOWN_ERA
 
 
 @dataclass(frozen=True)
@@ -83,6 +105,7 @@
 
     revision: int
     events: tuple[WatchEvent, ...]
+    era: int = UNKNOWN_ERA
 
 
 class Store(Protocol):
