Platform store double: return from a copy with another era and lower revisions

The double could not lose what it had acknowledged. It states Store-Era in every response, goes on from a copy made earlier, gives revisions out again and answers 410 to a watch from one that it does not have; a return may also pass unnoticed by open watches.

--- a/wigeonwind/standins/platform_store.py
+++ b/wigeonwind/standins/platform_store.py
@@ -3,7 +3,7 @@
 import json
 import socket
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -16,6 +16,8 @@
 
 OBJECTS_PATH = "/api/objects/"
 
+ERA_HEADER = "Store-Era"
+
 SOCKET_KEY = "wigeonwind.socket"
 """Key of the connection's socket in the WSGI environment."""
 
@@ -56,12 +58,24 @@
 class PlatformStoreState:
     """The objects and all changes since the last compaction."""
 
+    era: int = 1
+    """Rises by one each time that the store returns from a copy."""
     revision: int = 1
     objects_by_kind: dict[str, dict[str, _StoredObject]] = field(default_factory=dict)
     changes: list[_Change] = field(default_factory=list)
     oldest_revision: int = 0
     """Revision of the last compaction; watches from before it get status 410."""
 
+    def copy(self) -> "PlatformStoreState":
+        """Return a copy that later writes do not change."""
+        return replace(
+            self,
+            objects_by_kind={
+                kind: dict(objects) for kind, objects in self.objects_by_kind.items()
+            },
+            changes=list(self.changes),
+        )
+
 
 class _Handler(WSGIHandler):
     """Puts the connection's socket into the WSGI environment."""
@@ -74,15 +88,20 @@
 class PlatformStore:
     """Serves the store's HTTP API; tests write objects with `put` and `remove`.
 
-    `requests` holds the method and path of every request received.
+    `requests` holds the method and path of every request received. With `states_era`,
+    every response has the header ERA_HEADER.
     """
 
-    def __init__(self, address: SocketAddress | None = None) -> None:
+    def __init__(
+        self, address: SocketAddress | None = None, states_era: bool = True
+    ) -> None:
         address = address or SocketAddress("127.0.0.1", 0)
+        self.states_era = states_era
         self.state = PlatformStoreState()
         self.faults = PlatformStoreFaults()
         self.requests: list[str] = []
         self._changed = Event()
+        self._interruptions = 0
         target = (address.host, address.port)
         self._server = WSGIServer(
             target, self._application, handler_class=_Handler, log=None, error_log=None
@@ -123,6 +142,22 @@
         self.state.oldest_revision = self.state.revision
         self._wake_watches()
 
+    def return_from(
+        self, copy: PlatformStoreState, is_noticed_by_watches: bool = True
+    ) -> None:
+        """Go on from a copy made earlier; what was written since is lost.
+
+        Without `is_noticed_by_watches`, open watches wait on: their revision is not
+        checked again, and they get the next change beyond it.
+        """
+        self.state = replace(copy.copy(), era=self.state.era + 1)
+        if is_noticed_by_watches:
+            self._interrupt_watches()
+
+    def _interrupt_watches(self) -> None:
+        self._interruptions += 1
+        self._wake_watches()
+
     def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = Event()
@@ -134,7 +169,7 @@
         while self.faults.is_silent:
             gevent.sleep(SILENCE_POLL_MS / MS_PER_SECOND)
         if self.faults.status:
-            return _respond(start, self.faults.status, {})
+            return self._respond(start, self.faults.status, {})
         kind, _, name = unquote(path.removeprefix(OBJECTS_PATH)).partition("/")
         query = {
             key: rows[0] for key, rows in parse_qs(environ["QUERY_STRING"]).items()
@@ -144,7 +179,7 @@
             self._write(method, kind, name, query, body)
             # The response below does not reach the client after this.
             environ[SOCKET_KEY].shutdown(socket.SHUT_RDWR)
-            return _respond(start, 500, {})
+            return self._respond(start, 500, {})
         if method == "GET" and "watch" in query:
             wait_ms = float(query.get("wait_ms", 0))
             status, document = self._watch(kind, int(query["watch"]), wait_ms)
@@ -152,7 +187,11 @@
             status, document = self._read(kind, name)
         else:
             status, document = self._write(method, kind, name, query, body)
-        return _respond(start, status, document)
+        return self._respond(start, status, document)
+
+    def _respond(self, start: Any, status: int, document: Any) -> Iterable[bytes]:
+        era = str(self.state.era) if self.states_era else None
+        return _respond(start, status, document, era)
 
     def _read(self, kind: str, name: str) -> tuple[int, Any]:
         objects = self.state.objects_by_kind.get(kind, {})
@@ -165,9 +204,12 @@
 
     def _watch(self, kind: str, after: int, wait_ms: float) -> tuple[int, Any]:
         deadline_s = gevent.get_hub().loop.now() + wait_ms / MS_PER_SECOND
+        interruptions, is_known = self._interruptions, after <= self.state.revision
         while True:
             state = self.state
-            if after < state.oldest_revision:
+            if self._interruptions != interruptions:
+                is_known = after <= state.revision
+            if after < state.oldest_revision or not is_known:
                 return 410, {}
             events = [
                 {
@@ -215,8 +257,12 @@
     return {"metadata": metadata, "spec": stored.spec, "status": None}
 
 
-def _respond(start: Any, status: int, document: Any) -> Iterable[bytes]:
+def _respond(
+    start: Any, status: int, document: Any, era: str | None
+) -> Iterable[bytes]:
     body = json.dumps(document).encode()
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    if era is not None:
+        headers.append((ERA_HEADER, era))
     start(f"{status} Status", headers)
     return [body]
