Known red: twelve reproductions of a store that returns from a copy

The router doesn't notice the return unless a call fails, compares revisions of two histories as numbers, and believes the first listing as it is.

--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -1,15 +1,20 @@
 """A store that returns from a copy some seconds old, with lower revisions."""
 
 import json
+from copy import deepcopy
 from random import Random
 from urllib.request import Request, urlopen
 
+import gevent
 import pytest
+from routing_fleet import ANY, configuration, entry, running_fleet
+from test_peer_state import two_routers
 
 from wigeonwind.clock import SystemClock
 from wigeonwind.outcomes import Ok
 from wigeonwind.platform.__main__ import STORE_LIMITS
 from wigeonwind.platform.store_format import PlatformStoreFormat
+from wigeonwind.soak.loopback_proxy import ProxyFault
 from wigeonwind.standins.platform_store import PlatformStore
 from wigeonwind.state.store_client import StoreClient
 from wigeonwind.state.store_types import UNKNOWN_ERA, HistoryExpired
@@ -81,3 +86,213 @@
         return [body]
 
     return respond
+
+
+def instance_ids(router):
+    return sorted(each.instance_id for each in router.endpoints.all())
+
+
+def holds_for(seconds, condition):
+    """Return whether a condition holds all the time."""
+    with gevent.Timeout(seconds, False):
+        while condition():
+            gevent.sleep(0.01)
+        return False
+    return True
+
+
+def raise_revision(store, count):
+    for number in range(count):
+        store.put("other", "x", number)
+
+
+def test_change_under_a_revision_given_out_again_is_followed():
+    # Guards against a watch that goes on over another history: no call fails, and the
+    # change has the revision that the watch began from.
+    with running_fleet(workers=3) as fleet:
+        fleet.store.remove("servers", "w1")
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w0", "w2"])
+        copy = fleet.store.state.copy()
+        fleet.store.put("servers", "w1", entry(fleet.workers[1]))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w0", "w1", "w2"])
+        gevent.sleep(0.5)  # The watch from the newest revision is open.
+        fleet.store.return_from(copy, is_noticed_by_watches=False)
+        fleet.store.put("servers", "w2", entry(fleet.workers[2], state="draining"))
+        raise_revision(fleet.store, 2)
+        fleet.store.put("config", "main", configuration(2))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w0"])
+
+
+def test_refused_router_follows_a_peer_over_a_return():
+    # Guards against a router that keeps its state because the true revision is lower.
+    with two_routers() as (fleet, second, proxy):
+        copy = fleet.store.state.copy()
+        raise_revision(fleet.store, 20)
+        fleet.store.put("servers", "w1", entry(fleet.workers[1], warmup_left_ms=5))
+        gevent.sleep(0.5)
+        proxy.fault = ProxyFault.REFUSED
+        proxy.reset_all()
+        fleet.wait_for(lambda: not second.is_store_reachable)
+        fleet.store.return_from(copy)
+        fleet.store.put("servers", "w0", entry(fleet.workers[0], state="draining"))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w1"])
+        fleet.wait_for(lambda: instance_ids(second) == ["w1"])
+
+
+def test_state_of_the_earlier_era_is_not_adopted():
+    # Guards against the entries of a router that has not noticed the return yet.
+    with two_routers() as (fleet, second, _):
+        copy = fleet.store.state.copy()
+        raise_revision(fleet.store, 20)
+        fleet.store.put("servers", "w1", entry(fleet.workers[1], warmup_left_ms=5))
+        gevent.sleep(0.5)
+        stale = deepcopy(second.peer_state.local_state())
+        fleet.store.return_from(copy)
+        fleet.store.put("servers", "w0", entry(fleet.workers[0], state="draining"))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w1"])
+        fleet.router.peer_state._apply(stale, ANY)
+        assert instance_ids(fleet.router) == ["w1"]
+
+
+def test_lost_directory_record_is_written_again():
+    # Guards against a router that others do not find until the next regular check.
+    with running_fleet(workers=1) as fleet:
+        records = fleet.store.state.objects_by_kind
+        fleet.wait_for(lambda: "edge-1" in records.get("routers", {}))
+        listing = "GET /api/objects/routers"
+        fleet.wait_for(lambda: listing in fleet.store.requests)
+        copy = fleet.store.state.copy()
+        del copy.objects_by_kind["routers"]
+        fleet.store.return_from(copy)
+        records = fleet.store.state.objects_by_kind
+        fleet.wait_for(lambda: "edge-1" in records.get("routers", {}))
+
+
+def test_fresh_router_does_not_serve_an_older_configuration():
+    # Guards against a revoked key and a removed route in force again at a router that
+    # starts right after the return, when only its peers know the newer configuration.
+    with running_fleet(workers=1, routers=2) as fleet:
+        copy = fleet.store.state.copy()
+        newer = configuration(2, tenants=[{"name": "mill", "api_keys": ["key-2"]}])
+        newer["routes"] = [each for each in newer["routes"] if each["name"] != "open"]
+        fleet.store.put("config", "main", newer)
+        for each in fleet.routers:
+            fleet.wait_for(lambda each=each: each.configuration.table.version == 2)
+        fleet.store.return_from(copy)
+        fresh = fleet.add_router()
+        statuses = set()
+
+        def call_fresh():
+            statuses.add(fleet.call("/safe/x", router=fresh).status)
+            statuses.add(fleet.call("/open/x", router=fresh).status)
+            gevent.sleep(0.005)
+            return fresh.is_ready
+
+        fleet.wait_for(call_fresh)
+        assert holds_for(1.5, call_fresh)
+        assert statuses <= {503, 401, 404}
+        assert {401, 404} <= statuses
+
+
+def test_endpoint_that_the_copy_lists_as_ready_stays_draining():
+    # Guards against requests to an endpoint whose draining the store acknowledged
+    # before it returned from a copy (DRAIN).
+    with running_fleet(workers=2) as fleet:
+        copy = fleet.store.state.copy()
+        fleet.store.put("servers", "w0", entry(fleet.workers[0], state="draining"))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w1"])
+        fleet.store.return_from(copy)
+        assert holds_for(3.0, lambda: instance_ids(fleet.router) == ["w1"])
+        fleet.store.put("servers", "w0", entry(fleet.workers[0], born=2000))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w0", "w1"])
+
+
+def test_endpoint_that_has_left_is_not_used_from_the_copy():
+    # Guards against requests to an endpoint whose removal the store acknowledged before
+    # it returned from a copy; one that is written again is used.
+    with running_fleet(workers=2) as fleet:
+        copy = fleet.store.state.copy()
+        fleet.store.remove("servers", "w0")
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w1"])
+        fleet.store.return_from(copy)
+        assert holds_for(3.0, lambda: instance_ids(fleet.router) == ["w1"])
+        fleet.store.put("servers", "w0", entry(fleet.workers[0], warmup_left_ms=5))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w0", "w1"])
+
+
+@pytest.mark.parametrize("is_noticed", [True, False])
+def test_endpoint_that_the_copy_lacks_is_used_until_it_is_written_again(is_noticed):
+    # Guards against dropping live endpoints that registered after the copy was made.
+    with running_fleet(workers=2) as fleet:
+        fleet.store.remove("servers", "w0")
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w1"])
+        copy = fleet.store.state.copy()
+        fleet.store.put("servers", "w0", entry(fleet.workers[0]))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w0", "w1"])
+        fleet.store.return_from(copy, is_noticed)
+        assert holds_for(1.5, lambda: instance_ids(fleet.router) == ["w0", "w1"])
+        fleet.store.put("servers", "w0", entry(fleet.workers[0]))
+        assert holds_for(5.0, lambda: instance_ids(fleet.router) == ["w0", "w1"])
+
+
+def test_endpoint_that_is_not_written_again_is_dropped():
+    # Guards against an endpoint that is used for ever after a return.
+    with running_fleet(workers=2) as fleet:
+        copy = fleet.store.state.copy()
+        del copy.objects_by_kind["servers"]["w0"]
+        fleet.store.return_from(copy)
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w1"])
+
+
+def test_several_returns_in_a_row_are_followed():
+    # Guards against state of any earlier era that is kept or missed.
+    with running_fleet(workers=3) as fleet:
+        for number in range(4):
+            copy = fleet.store.state.copy()
+            raise_revision(fleet.store, 3)
+            fleet.store.put(
+                "servers", "w1", entry(fleet.workers[1], zone=f"z-{number}")
+            )
+            gevent.sleep(0.3)
+            fleet.store.return_from(copy, is_noticed_by_watches=number % 2 == 0)
+            fleet.store.put(
+                "servers", "w2", entry(fleet.workers[2], zone=f"y-{number}")
+            )
+            raise_revision(fleet.store, number)
+            gevent.sleep(0.1)
+        expected = [("w0", "tartu-a"), ("w1", "tartu-a"), ("w2", "y-3")]
+        fleet.wait_for(lambda: zones(fleet.router) == expected)
+
+
+def zones(router):
+    return sorted((each.instance_id, each.zone) for each in router.endpoints.all())
+
+
+def test_return_during_an_outage_is_followed():
+    # Guards against a grace period for the outage alone, or none for the return.
+    with running_fleet(workers=2) as fleet:
+        copy = fleet.store.state.copy()
+        fleet.store.put("servers", "w0", entry(fleet.workers[0], state="draining"))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w1"])
+        fleet.store.faults.status = 503
+        fleet.wait_for(lambda: not fleet.router.is_store_reachable)
+        del copy.objects_by_kind["servers"]["w1"]
+        fleet.store.return_from(copy)
+        gevent.sleep(0.3)
+        fleet.store.faults.status = 0
+        assert holds_for(1.5, lambda: instance_ids(fleet.router) == ["w1"])
+        fleet.store.put("servers", "w1", entry(fleet.workers[1]))
+        assert holds_for(1.5, lambda: instance_ids(fleet.router) == ["w1"])
+
+
+def test_store_without_an_era_is_followed():
+    # Guards against a router that needs the header: other stores do not have it.
+    with running_fleet(workers=2) as fleet:
+        fleet.store.states_era = False
+        fleet.store.put("servers", "w0", entry(fleet.workers[0], state="draining"))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == ["w1"])
+        fleet.store.compact()
+        fleet.store.remove("servers", "w1")
+        fleet.store.put("config", "main", configuration(2))
+        fleet.wait_for(lambda: instance_ids(fleet.router) == [])
+        fleet.wait_for(lambda: fleet.router.configuration.table.version == 2)
--- a/wigeonwind/standins/platform_store.py
+++ b/wigeonwind/standins/platform_store.py
@@ -147,6 +147,7 @@
     ) -> None:
         """Go on from a copy made earlier; what was written since is lost.
 
+        Open watches are answered, with status 410 if the copy lacks their revision.
         Without `is_noticed_by_watches`, open watches wait on: their revision is not
         checked again, and they get the next change beyond it.
         """
@@ -207,7 +208,8 @@
         interruptions, is_known = self._interruptions, after <= self.state.revision
         while True:
             state = self.state
-            if self._interruptions != interruptions:
+            is_interrupted = self._interruptions != interruptions
+            if is_interrupted:
                 is_known = after <= state.revision
             if after < state.oldest_revision or not is_known:
                 return 410, {}
@@ -222,7 +224,7 @@
                 if change.revision > after and change.kind == kind
             ]
             remaining_s = deadline_s - gevent.get_hub().loop.now()
-            if events or remaining_s <= 0:
+            if events or remaining_s <= 0 or is_interrupted:
                 return 200, {"events": events, "store_revision": state.revision}
             self._changed.wait(remaining_s)
             gevent.get_hub().loop.update_now()
