Store follower: list again when the store returns from a copy

Callers would see a change that is missed for ever, or an endpoint that is used for ever, if no call failed during the return: the watch went on from a revision of the earlier history, and changes that had got this revision in the new one were not reported. The era of each answer (StoreEras, fed by every call of the store client) is now compared; a change gives up open watches and lists again. An answer of an earlier era is late if the era has changed since its call was sent, and ignored; pages of two eras are not joined. More watch connections, as an abandoned one stays busy.

--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -9,15 +9,24 @@
 import pytest
 from routing_fleet import ANY, configuration, entry, running_fleet
 from test_peer_state import two_routers
+from test_routing_parts import RecordingHandler
 
 from wigeonwind.clock import SystemClock
 from wigeonwind.outcomes import Ok
 from wigeonwind.platform.__main__ import STORE_LIMITS
 from wigeonwind.platform.store_format import PlatformStoreFormat
+from wigeonwind.routing.store_follower import StoreFollower
 from wigeonwind.soak.loopback_proxy import ProxyFault
 from wigeonwind.standins.platform_store import PlatformStore
 from wigeonwind.state.store_client import StoreClient
-from wigeonwind.state.store_types import UNKNOWN_ERA, HistoryExpired
+from wigeonwind.state.store_eras import StoreEras
+from wigeonwind.state.store_types import (
+    UNKNOWN_ERA,
+    HistoryExpired,
+    ObjectPage,
+    StoredObject,
+    StoreRevision,
+)
 
 
 @pytest.fixture
@@ -123,6 +132,75 @@
         fleet.wait_for(lambda: instance_ids(fleet.router) == ["w0"])
 
 
+class LateStore:
+    """Answers a listing of era 1 after another call has had an answer of era 2."""
+
+    def __init__(self, eras):
+        self.eras = eras
+        self.calls = []
+
+    def list_objects(self, prefix):
+        self.calls.append("list")
+        is_late, number = len(self.calls) == 2, 30 if len(self.calls) < 3 else 10
+        era_at_send = self.eras.current
+        if is_late:
+            self.eras.observe(2, era_at_send)
+        era = self.eras.observe(1 if number == 30 else 2, era_at_send)
+        stored = StoredObject(f"k/{number}", number, b"{}")
+        return Ok(ObjectPage((stored,), number, era=era))
+
+    def watch(self, prefix, after, timeout_ms):
+        self.calls.append(f"watch {after}")
+        gevent.sleep(60.0)
+
+
+def test_late_answer_of_the_earlier_era_is_ignored():
+    # Guards against an answer on a slow connection that undoes a return of the store.
+    eras, handler = StoreEras(), RecordingHandler()
+    store = LateStore(eras)
+    follower = StoreFollower(store, "k/", handler, lambda _: None, eras=eras)
+    follower.step()
+    assert follower.revision_seen == StoreRevision(1, 30)
+    follower._watch_after = None
+    follower.step()
+    assert follower.revision_seen == StoreRevision(1, 30)
+    follower.step()
+    assert follower.revision_seen == StoreRevision(2, 10)
+    assert handler.events == [("listed", ["k/30"]), ("listed", ["k/10"])]
+
+
+def test_open_watch_is_given_up_when_another_call_shows_a_return():
+    # Guards against a follower that waits for its watch while the store has returned.
+    eras = StoreEras()
+    store = LateStore(eras)
+    follower = StoreFollower(store, "k/", RecordingHandler(), lambda _: None, eras=eras)
+    loop = gevent.spawn(follower.run)
+    gevent.sleep(0.05)
+    eras.observe(2, 1)
+    gevent.sleep(0.05)
+    loop.kill()
+    assert store.calls[:3] == ["list", "watch 30", "list"]
+
+
+def test_era_is_the_one_of_the_newest_answer():
+    # Guards against a router that ignores the store because of a peer, or of an answer
+    # that arrived late.
+    eras, changes = StoreEras(), []
+    eras.subscribe(lambda: changes.append(eras.current))
+    assert eras.observe(UNKNOWN_ERA, UNKNOWN_ERA) == UNKNOWN_ERA
+    assert eras.observe(1, UNKNOWN_ERA) == 1
+    assert eras.observe(3, 1) == 3
+    assert (eras.observe(2, 1), eras.current) == (2, 3)
+    assert eras.observe(UNKNOWN_ERA, 3) == 3
+    eras.learn(9)
+    assert (eras.observe(3, 3), eras.current) == (3, 9)
+    assert (eras.observe(3, 9), eras.current) == (3, 3)
+    eras.learn(9)
+    eras.learn(UNKNOWN_ERA)
+    assert eras.current == 3
+    assert changes == [3, 9, 3]
+
+
 def test_refused_router_follows_a_peer_over_a_return():
     # Guards against a router that keeps its state because the true revision is lower.
     with two_routers() as (fleet, second, proxy):
--- a/wigeonwind/platform/__main__.py
+++ b/wigeonwind/platform/__main__.py
@@ -49,10 +49,12 @@
 STORE_LIMITS = StoreLimits(
     reads=PoolLimits(2, 20, 1_500, max_backoff_ms=300),
     writes=PoolLimits(2, 10, 1_500, max_backoff_ms=300),
-    watches=PoolLimits(4, 30, 800, hold_ms=30_000, max_backoff_ms=300),
+    watches=PoolLimits(8, 30, 800, hold_ms=30_000, max_backoff_ms=300),
 )
 """A call takes about 4 ms; a watch is abandoned 0.8 s after the store should have ended
-it. The backoff is short because changes must be in force within 2 s."""
+it, or at once if the store has returned from a copy. The connection of an abandoned
+watch stays busy until then. The backoff is short because changes must be in force
+within 2 s."""
 
 log = get_logger("wigeonwind.platform")
 
--- a/wigeonwind/routing/peer_state.py
+++ b/wigeonwind/routing/peer_state.py
@@ -23,7 +23,7 @@
 from wigeonwind.routing.store_follower import StoreFollower
 from wigeonwind.routing.store_watchers import StoreWatchers
 from wigeonwind.runtime.error_boundary import call_isolated
-from wigeonwind.state.store_types import StoredObject
+from wigeonwind.state.store_types import NO_REVISION, StoredObject, StoreRevision
 
 STATE_VERSION = 1
 """First element of each state; states of other versions are rejected."""
@@ -160,7 +160,7 @@
         table = self._configuration.table
         return self._watchers.peers_ahead(
             table.version if table is not None else 0,
-            self._entries_follower.revision_seen,
+            self._entries_follower.revision_seen.number,
         )
 
     def local_state(self) -> SharedState:
@@ -168,7 +168,7 @@
         is_current = self._endpoints.is_authoritative
         is_current = is_current and all(each.is_reachable for each in self._followers)
         return SharedState(
-            self._entries_follower.revision_seen,
+            self._entries_follower.revision_seen.number,
             is_current,
             self._configuration.stored,
             tuple(self._entries.stored_by_key.values()),
@@ -205,8 +205,8 @@
         if state.configuration is not None:
             self._configuration.on_changed(state.configuration)
         follower = self._entries_follower
-        is_newer = state.revision > follower.revision_seen
-        has_no_revision = not follower.revision_seen
+        is_newer = state.revision > follower.revision_seen.number
+        has_no_revision = follower.revision_seen == NO_REVISION
         if not is_newer or not (state.is_current or has_no_revision):
             return True
         self._on_adopted()
@@ -214,11 +214,12 @@
             "endpoints adopted from a peer",
             peer=str(peer),
             revision=state.revision,
-            before=follower.revision_seen,
+            before=follower.revision_seen.number,
             is_current=state.is_current,
             entries=len(state.endpoints),
         )
-        follower.revision_seen = follower.changed_revision = state.revision
+        revision = StoreRevision(follower.revision_seen.era, state.revision)
+        follower.revision_seen = follower.changed_revision = revision
         self._entries.on_listed(state.endpoints, is_authoritative=state.is_current)
         return True
 
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -56,6 +56,8 @@
 from wigeonwind.routing.store_watchers import StoreView, StoreWatchers
 from wigeonwind.runtime.error_boundary import call_isolated
 from wigeonwind.runtime.loops import SupervisedLoops
+from wigeonwind.state.store_eras import StoreEras
+from wigeonwind.state.store_types import NO_REVISION
 
 LAST_RESPONSES_MS = 100.0
 """Time for the responses that are sent at the exit. A caller that does not read its
@@ -96,6 +98,9 @@
 class RouterStore(FollowedStore, DirectoryStore, Protocol):
     """The store calls that a routing process makes."""
 
+    eras: StoreEras
+    """Era of the store, from the answers to these calls."""
+
 
 class Router:
     """Accepts callers' connections and forwards their requests until it is stopped."""
@@ -150,6 +155,7 @@
                 self.metrics.on_store_reachable,
                 self._is_store_passive,
                 on_answer=self.metrics.on_store_answer,
+                eras=store.eras,
             ),
             StoreFollower(
                 store,
@@ -159,6 +165,7 @@
                 self._is_store_passive,
                 self.endpoints.on_view_interrupted,
                 self.metrics.on_store_answer,
+                store.eras,
             ),
         )
         self.peers = PeerExchange(
@@ -226,12 +233,12 @@
 
     def _store_view(self) -> StoreView:
         table = self.configuration.table
-        has_listed = all(each.revision_seen for each in self._followers)
+        has_listed = all(each.revision_seen != NO_REVISION for each in self._followers)
         is_refused = not (has_listed and self.is_store_reachable)
         return StoreView(
             self._settings.zone,
             table.version if table is not None else 0,
-            self._followers[1].changed_revision,
+            self._followers[1].changed_revision.number,
             not is_refused and not self._watchers.is_passive(is_refused),
             is_refused,
         )
--- a/wigeonwind/routing/store_follower.py
+++ b/wigeonwind/routing/store_follower.py
@@ -4,16 +4,19 @@
 from typing import Protocol
 
 import gevent
+from gevent.event import Event
 from structlog import get_logger
 
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.outcomes import Ok
+from wigeonwind.state.store_eras import StoreEras
 from wigeonwind.state.store_types import (
-    UNKNOWN_ERA,
+    NO_REVISION,
     HistoryExpired,
     ObjectPage,
     StoredObject,
     StoreFailure,
+    StoreRevision,
     WatchBatch,
 )
 
@@ -68,9 +71,11 @@
 class StoreFollower:
     """Keeps a handler up to date with the objects under one prefix.
 
-    It lists again after a failure, or if the store no longer has the watch history, so
-    that no change is missed. While `is_passive` returns true it makes no calls, because
-    changes are read from peers; `on_resumed` is called when it makes calls again.
+    It lists again after a failure, if the store no longer has the watch history, or if
+    the store's era has changed, so that no change is missed. Answers of another era
+    than the current one of `eras` are ignored. While `is_passive` returns true it makes
+    no calls, because changes are read from peers; `on_resumed` is called when it makes
+    calls again.
     """
 
     def __init__(
@@ -82,6 +87,7 @@
         is_passive: Callable[[], bool] = lambda: False,
         on_resumed: Callable[[], None] = lambda: None,
         on_answer: Callable[[str, str, int], None] = lambda call, prefix, era: None,
+        eras: StoreEras | None = None,
     ) -> None:
         self._is_passive = is_passive
         self._on_resumed = on_resumed
@@ -90,13 +96,15 @@
         self._handler = handler
         self._on_reachable = on_reachable
         self._on_answer = on_answer
-        self._era = UNKNOWN_ERA
+        self._eras = eras or StoreEras()
+        self._era_changed = Event()
+        self._eras.subscribe(self._era_changed.set)
         self._is_first_watch = False
         self.is_reachable = True
         """Whether the last call to the store succeeded."""
-        self.revision_seen = 0
-        """Newest store revision that the handler has received, 0 for none."""
-        self.changed_revision = 0
+        self.revision_seen = NO_REVISION
+        """Newest store revision that the handler has received."""
+        self.changed_revision = NO_REVISION
         """Store revision at the last change that the handler has received."""
         self._watch_after: int | None = None
         """Revision to watch from; None if the next call is a listing."""
@@ -110,7 +118,7 @@
             if not self.step():
                 gevent.sleep(RETRY_DELAY_MS / MS_PER_SECOND)
             elif self._had_changes:
-                gevent.sleep(CHANGE_PAUSE_MS / MS_PER_SECOND)
+                self._era_changed.wait(CHANGE_PAUSE_MS / MS_PER_SECOND)
 
     def _pause(self) -> None:
         """Wait until the store must be followed again."""
@@ -124,14 +132,16 @@
     def step(self) -> bool:
         """Make one list or watch call; return whether it succeeded."""
         self._had_changes = False
-        if self._watch_after is None:
+        if self._watch_after is None or self._era_changed.is_set():
             return self._list()
-        result = self._store.watch(self._prefix, self._watch_after, WATCH_TIMEOUT_MS)
+        result = self._watch(self._watch_after)
+        if result is None:
+            return True
         if isinstance(result, StoreFailure):
             return self._on_failure(result)
         self._on_response()
         if isinstance(result, HistoryExpired):
-            self._record_answer("history-expired", result.era)
+            self._on_answer("history-expired", self._prefix, result.era)
             log.info(
                 "watch history is no longer available; listing again",
                 prefix=self._prefix,
@@ -141,7 +151,9 @@
             self._watch_after = None
             return True
         batch = result.value
-        self._record_answer("watch", batch.era)
+        self._on_answer("watch", self._prefix, batch.era)
+        if self._is_of_another_era(batch.era, self.revision_seen.era):
+            return True
         if self._is_first_watch:
             self._is_first_watch = False
             log.info(
@@ -159,46 +171,64 @@
                 value = event.value or b""
                 changed = StoredObject(event.key, event.version, value)
                 self._handler.on_changed(changed)
-        self._watch_after = self.revision_seen = result.value.revision
-        self._had_changes = bool(result.value.events)
+        self._watch_after = batch.revision
+        self.revision_seen = StoreRevision(batch.era, batch.revision)
+        self._had_changes = bool(batch.events)
         if self._had_changes:
             self.changed_revision = self.revision_seen
         return True
 
+    def _watch(
+        self, after: int
+    ) -> Ok[WatchBatch] | HistoryExpired | StoreFailure | None:
+        """Watch until the store answers; return None if its era changes before."""
+        call = gevent.spawn(self._store.watch, self._prefix, after, WATCH_TIMEOUT_MS)
+        try:
+            gevent.wait((call, self._era_changed), count=1)
+        except BaseException:
+            call.kill(block=False)
+            raise
+        # An abandoned watch ends by its timeout; its connection cannot be interrupted.
+        return call.get() if call.ready() else None
+
+    def _is_of_another_era(self, *eras: int) -> bool:
+        """Return whether an answer is not of the current era; list again if so."""
+        if all(era == self._eras.current for era in eras):
+            return False
+        log.info(
+            "ignored an answer of another era of the store",
+            prefix=self._prefix,
+            eras=eras,
+            current=self._eras.current,
+        )
+        self._watch_after = None
+        return True
+
     def _list(self) -> bool:
+        self._era_changed.clear()
         result = self._store.list_objects(self._prefix)
         if isinstance(result, StoreFailure):
             return self._on_failure(result)
         self._on_response()
         page = result.value
-        self._record_answer("listing", page.era)
+        self._on_answer("listing", self._prefix, page.era)
+        if self._is_of_another_era(page.era):
+            return True
         self._is_first_watch = True
         log.info(
             "store listed",
             prefix=self._prefix,
             era=page.era,
             revision=page.revision,
-            before=self.revision_seen,
+            before=self.revision_seen.number,
             objects=len(page.objects),
         )
         self._handler.on_listed(page.objects)
-        self._watch_after = self.revision_seen = result.value.revision
+        self._watch_after = page.revision
+        self.revision_seen = StoreRevision(page.era, page.revision)
         self.changed_revision = self.revision_seen
         return True
 
-    def _record_answer(self, call: str, era: int) -> None:
-        self._on_answer(call, self._prefix, era)
-        if era != self._era:
-            log.info(
-                "era of the store changed",
-                prefix=self._prefix,
-                call=call,
-                era=era,
-                before=self._era,
-                revision_seen=self.revision_seen,
-            )
-            self._era = era
-
     def _on_failure(self, failure: StoreFailure) -> bool:
         # A recovered store answers a listing at once. A watch would wait for the next
         # change, and would not report the entries that expired in the outage.
--- a/wigeonwind/state/store_client.py
+++ b/wigeonwind/state/store_client.py
@@ -10,6 +10,7 @@
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import Clock, SystemClock
 from wigeonwind.outcomes import Ok
+from wigeonwind.state.store_eras import StoreEras
 from wigeonwind.state.store_format import NativeStoreFormat, StoreFormat, StoreRequest
 from wigeonwind.state.store_http import (
     BreakerLimits,
@@ -63,6 +64,8 @@
         format: StoreFormat | None = None,
     ) -> None:
         self._format = format or NativeStoreFormat()
+        self.eras = StoreEras()
+        """Era of the store, from the answers to all calls."""
         limits = limits or StoreLimits()
         clock = clock or SystemClock()
         random = random or Random()
@@ -77,6 +80,7 @@
                 breaker,
                 sleep_ms,
                 self._format.era_header,
+                self.eras,
             )
 
         self.pool_by_kind = {
@@ -156,7 +160,7 @@
         """Return all objects whose key begins with `prefix`, as one page.
 
         Its revision is that of the first page, so a watch from there includes changes
-        made while the other pages were read.
+        made while the other pages were read. Pages of two eras are not joined.
         """
         objects: list[StoredObject] = []
         revision: int | None = None
@@ -166,6 +170,9 @@
             response = self._call("reads", self._format.list_page(prefix, after))
             if isinstance(response, StoreFailure):
                 return _as_read_failure(response)
+            if after and response.era != era:
+                objects, revision, after = [], None, ""
+                continue
             page = self._format.read_list_page(prefix, response)
             if page is None:
                 return _unexpected_response(response, maybe_written=False)
--- a/wigeonwind/state/store_http.py
+++ b/wigeonwind/state/store_http.py
@@ -18,6 +18,7 @@
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.state.store_eras import StoreEras
 from wigeonwind.state.store_types import UNKNOWN_ERA, StoreFailure
 
 INITIAL_BACKOFF_MS = 50.0
@@ -47,7 +48,7 @@
 
 @dataclass(frozen=True)
 class StoreResponse:
-    """Status and body of an HTTP response of the store, and the era that it states."""
+    """Status, body and era of an HTTP response of the store."""
 
     status: int
     body: bytes
@@ -94,8 +95,10 @@
         breaker: BreakerLimits | None,
         sleep_ms: Callable[[float], None] | None = None,
         era_header: str = "",
+        eras: StoreEras | None = None,
     ) -> None:
         self.limits = limits
+        self._eras = eras or StoreEras()
         self._era_header = era_header
         self.counts = PoolCounts()
         self._clock = clock
@@ -237,6 +240,7 @@
     ) -> StoreResponse | StoreFailure:
         try:
             left_s = (deadline_ms - self._clock.now_ms()) / MS_PER_SECOND
+            era_at_send = self._eras.current
             # The library releases its socket on an OSError such as TimeoutError.
             with gevent.Timeout(max(left_s, 0.001), TimeoutError("deadline exceeded")):
                 response = self._client.request(method, path, body, dict(headers))
@@ -252,6 +256,7 @@
         by_status = self.counts.by_status
         by_status[status] = by_status.get(status, 0) + 1
         era = _era(response.get(self._era_header)) if self._era_header else UNKNOWN_ERA
+        era = self._eras.observe(era, era_at_send)
         return self._classify(status, bytes(data), response.get("retry-after"), era)
 
     def _classify(
