Discovery: keep departures and live endpoints over a return of the store

Departures of the last 60 s are remembered: one that drained is held back for that time, as a start never becomes ready again after it drains; one whose entry was removed for 10 s or until its entry changes.

--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -12,6 +12,8 @@
 from wigeonwind.decisions.peer_loads import InFlightLoad
 from wigeonwind.outcomes import Ok
 from wigeonwind.routing.discovery import (
+    DEPARTURE_HOLD_MS,
+    DEPARTURE_MEMORY_MS,
     EXPIRED_ENTRY_GRACE_MS,
     MISDIRECTED_HOLD_MS,
     EndpointSet,
@@ -206,6 +208,39 @@
     assert discovery.instance_ids() == ["w0", "w1"]
 
 
+def test_departed_endpoint_is_held_back_after_each_return_of_the_store():
+    # Guards against requests to endpoints whose departure a return has undone, also by
+    # a second return, and against holding back an endpoint that is written again.
+    discovery = DiscoveryHarness()
+    discovery.endpoints.on_changed(endpoint("w0", is_draining=True))
+    discovery.endpoints.on_removed("w1")
+    for _ in range(2):
+        discovery.endpoints.on_store_returned()
+        discovery.endpoints.on_listed([endpoint("w0"), endpoint("w1")])
+        assert discovery.instance_ids() == []
+        discovery.advance_ms(DEPARTURE_HOLD_MS / 2.0)
+    discovery.endpoints.on_changed(endpoint("w0"))
+    discovery.endpoints.on_changed(endpoint("w1"))
+    assert discovery.instance_ids() == ["w1"]
+    discovery.endpoints.on_changed(endpoint("w0", started_ms=6))
+    assert discovery.instance_ids() == ["w0", "w1"]
+
+
+def test_departures_are_forgotten():
+    # Guards against memory that grows, and against an endpoint that is held back for
+    # ever.
+    discovery = DiscoveryHarness()
+    discovery.endpoints.on_changed(endpoint("w0", is_draining=True))
+    discovery.endpoints.on_removed("w1")
+    discovery.endpoints.on_store_returned()
+    discovery.endpoints.on_listed([endpoint("w0"), endpoint("w1")])
+    discovery.advance_ms(DEPARTURE_HOLD_MS + 1.0)
+    assert discovery.instance_ids() == ["w1"]
+    discovery.advance_ms(DEPARTURE_MEMORY_MS)
+    assert discovery.instance_ids() == ["w0", "w1"]
+    assert not discovery.endpoints._departure_by_key
+
+
 class ScriptedStore:
     """Returns the next scripted result for each call."""
 
--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -15,6 +15,14 @@
 """Time after an outage of the store for which expired entries are still used. Live
 endpoints write their entries again within about two seconds."""
 
+DEPARTURE_MEMORY_MS = 60_000.0
+"""Time for which a departed endpoint is remembered. The store may return from a copy
+some seconds old, which lists it as ready again."""
+
+DEPARTURE_HOLD_MS = 10_000.0
+"""Time after such a return for which an endpoint whose entry had been removed is not
+used without a change of its entry. The platform removes entries that nobody renews."""
+
 MISDIRECTED_HOLD_MS = 10_000.0
 """Time for which an endpoint is excluded after its address answered with status 421."""
 
@@ -29,12 +37,21 @@
     until_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Departure:
+    """When an endpoint began to drain, or when its entry was removed."""
+
+    at_ms: float
+    was_draining: bool
+
+
 class EndpointSet:
     """Endpoints by key; updates the chooser and the connection pool on changes.
 
     A removed entry means that its endpoint has left, except around an outage of the
     store, in which the entries of live endpoints expire. Such endpoints are used for
-    EXPIRED_ENTRY_GRACE_MS after the store has recovered.
+    EXPIRED_ENTRY_GRACE_MS after the store has recovered, or has returned from a copy.
+    After such a return, entries of endpoints that had departed before are held back.
     """
 
     def __init__(
@@ -46,6 +63,8 @@
         self._by_id: dict[str, Endpoint] = {}
         self._expired_by_id: dict[str, _ExpiredEntry] = {}
         self._misdirected_until_ms: dict[EndpointKey, float] = {}
+        self._departure_by_key: dict[EndpointKey, _Departure] = {}
+        self._held_until_ms: dict[EndpointKey, float] = {}
         self._usable_by_key: dict[EndpointKey, Endpoint] = {}
         self._store_is_unreachable = False
         self._authoritative_from_ms = float("-inf")
@@ -81,6 +100,29 @@
         """
         self._authoritative_from_ms = self._clock.now_ms() + EXPIRED_ENTRY_GRACE_MS
 
+    def on_store_returned(self) -> None:
+        """Handle a return of the store from a copy some seconds old.
+
+        The copy may lack entries of live endpoints, and list departed endpoints.
+        """
+        now_ms = self._clock.now_ms()
+        self._authoritative_from_ms = now_ms + EXPIRED_ENTRY_GRACE_MS
+        self._forget_departures(now_ms)
+        for key, departure in self._departure_by_key.items():
+            if departure.was_draining:
+                until_ms = departure.at_ms + DEPARTURE_MEMORY_MS
+            else:
+                until_ms = now_ms + DEPARTURE_HOLD_MS
+            self._held_until_ms[key] = until_ms
+
+    def _forget_departures(self, now_ms: float) -> None:
+        since_ms = now_ms - DEPARTURE_MEMORY_MS
+        self._departure_by_key = {
+            key: departure
+            for key, departure in self._departure_by_key.items()
+            if departure.at_ms > since_ms
+        }
+
     @property
     def is_authoritative(self) -> bool:
         """Return whether a removed entry means that its endpoint has left."""
@@ -108,6 +150,9 @@
 
     def on_changed(self, endpoint: Endpoint) -> None:
         """Add or replace an entry."""
+        departure = self._departure_by_key.get(endpoint.key)
+        if departure is not None and not departure.was_draining:
+            self._held_until_ms.pop(endpoint.key, None)
         self._put(endpoint)
         self._update()
 
@@ -141,15 +186,22 @@
         readmitted_keys = [
             key for key, until_ms in misdirected.items() if until_ms <= now_ms
         ]
+        released_keys = [
+            key for key, until_ms in self._held_until_ms.items() if until_ms <= now_ms
+        ]
+        for key in released_keys:
+            del self._held_until_ms[key]
+        self._forget_departures(now_ms)
         for instance_id in expired_ids:
-            del self._expired_by_id[instance_id]
+            expired = self._expired_by_id.pop(instance_id)
+            self._departure_by_key[expired.endpoint.key] = _Departure(now_ms, False)
             log.info(
                 "endpoint removed; its expired entry was not renewed",
                 endpoint=instance_id,
             )
         for key in readmitted_keys:
             del misdirected[key]
-        if expired_ids or readmitted_keys:
+        if expired_ids or readmitted_keys or released_keys:
             self._update()
 
     def _deadline_ms(self, expired: _ExpiredEntry) -> float:
@@ -177,7 +229,16 @@
                 draining=endpoint.is_draining,
             )
         if endpoint.is_draining:
+            departure = _Departure(self._clock.now_ms(), True)
+            self._departure_by_key[endpoint.key] = departure
             self.on_draining(endpoint)
+        elif endpoint.key not in self._held_until_ms:
+            self._departure_by_key.pop(endpoint.key, None)
+        else:
+            log.info(
+                "endpoint held back; it had departed before the store returned",
+                endpoint=endpoint.instance_id,
+            )
 
     def _remove(self, instance_id: str, is_authoritative: bool) -> None:
         endpoint = self._by_id.pop(instance_id)
@@ -185,6 +246,10 @@
         if not is_authoritative and not endpoint.is_draining:
             until_ms = max(self._authoritative_from_ms, now_ms)
             self._expired_by_id[instance_id] = _ExpiredEntry(endpoint, until_ms)
+        else:
+            self._departure_by_key.setdefault(
+                endpoint.key, _Departure(now_ms, endpoint.is_draining)
+            )
         log.info(
             "endpoint entry removed from the store",
             endpoint=instance_id,
@@ -196,7 +261,7 @@
         expired = [each.endpoint for each in self._expired_by_id.values()]
         present = [each for each in self._by_id.values() if not each.is_draining]
         usable = {each.key: each for each in [*expired, *present]}
-        for key in self._misdirected_until_ms:
+        for key in (*self._misdirected_until_ms, *self._held_until_ms):
             usable.pop(key, None)
         for key in self._usable_by_key:
             if key not in usable:
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -191,6 +191,7 @@
             self._watchers,
             self.metrics.on_state_adopted,
         )
+        store.eras.subscribe(self.endpoints.on_store_returned)
         listen_address = (settings.callers.host, settings.callers.port)
         self._server = StreamServer(listen_address, self._accept, backlog=BACKLOG)
         self._readiness = SmallHttpServer(settings.readiness, self._readiness_response)
