Peers: compare store revisions with their era

After a return, a router that had not noticed it looked newest, as its revision was the higher number: passive and refused routers adopted its entries and ignored the true ones. StoreRevision orders by era, then number, in views, states and the follower. A state of another era than the current one is not adopted; one that may lack entries is while missing ones are kept. Load messages of version 3 carry the era and go to peers heard with it, or whose directory record states it; others get version 2. The state with an era has a path of its own.

--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -1,6 +1,7 @@
 """Configuration and endpoints from peers, for a process that cannot reach the store."""
 
 from contextlib import contextmanager
+from dataclasses import replace
 from random import Random
 
 import gevent
@@ -23,7 +24,12 @@
 from wigeonwind.routing.router import Router, RouterSettings
 from wigeonwind.soak.loopback_proxy import LoopbackProxy, ProxyFault
 from wigeonwind.state.store_client import StoreClient
-from wigeonwind.state.store_types import ObjectPage, StoredObject
+from wigeonwind.state.store_types import (
+    UNKNOWN_ERA,
+    ObjectPage,
+    StoredObject,
+    StoreRevision,
+)
 
 
 def second_router(store_address, peers=ANY):
@@ -110,7 +116,7 @@
 
 
 @given(
-    st.integers(0, 2**63),
+    st.builds(StoreRevision, st.integers(-1, 2**63), st.integers(0, 2**63)),
     st.booleans(),
     st.none() | STORED_OBJECTS,
     st.lists(STORED_OBJECTS),
@@ -119,6 +125,8 @@
     # Guards against decoding another state than was encoded.
     state = SharedState(revision, is_current, configuration, tuple(endpoints))
     assert decode_state(encode_state(state)) == state
+    earlier = replace(state, revision=StoreRevision(UNKNOWN_ERA, revision.number))
+    assert decode_state(encode_state(state, version=1)) == earlier
 
 
 @given(st.binary(max_size=200))
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -2,20 +2,28 @@
 
 import json
 from copy import deepcopy
+from dataclasses import replace
 from random import Random
 from urllib.request import Request, urlopen
 
+import cbor2
 import gevent
 import pytest
 from routing_fleet import ANY, configuration, entry, running_fleet
 from test_peer_state import two_routers
 from test_routing_parts import RecordingHandler
 
-from wigeonwind.clock import SystemClock
+from wigeonwind.addresses import SocketAddress
+from wigeonwind.clock import ManualClock, SystemClock
+from wigeonwind.decisions.latency_choice import LatencyChooser
 from wigeonwind.outcomes import Ok
 from wigeonwind.platform.__main__ import STORE_LIMITS
 from wigeonwind.platform.store_format import PlatformStoreFormat
+from wigeonwind.routing import peer_state
+from wigeonwind.routing.peer_exchange import PeerExchange
+from wigeonwind.routing.peer_messages import LoadMessage, decode_load, encode_load
 from wigeonwind.routing.store_follower import StoreFollower
+from wigeonwind.routing.store_watchers import StoreView
 from wigeonwind.soak.loopback_proxy import ProxyFault
 from wigeonwind.standins.platform_store import PlatformStore
 from wigeonwind.state.store_client import StoreClient
@@ -232,6 +240,79 @@
         assert instance_ids(fleet.router) == ["w1"]
 
 
+class RecordingSocket:
+    """Records the versions of the load messages sent."""
+
+    def __init__(self):
+        self.versions = []
+
+    def sendto(self, data, _):
+        self.versions.append(cbor2.loads(data)[0])
+
+
+def test_peers_get_the_latest_version_that_they_understand():
+    # Guards against messages that a process of an earlier version cannot decode, and
+    # against processes that never tell each other the era.
+    clock, chooser = ManualClock(), LatencyChooser("a", Random(1))
+    exchange = PeerExchange("me", clock, Random(1), chooser, None, "routers/")
+    exchange.stop()
+    exchange._sock = RecordingSocket()
+    source = SocketAddress("127.0.0.1", 9)
+
+    def sent_after(*message):
+        exchange._on_message(
+            LoadMessage("other", *message[:2], {}, (), None, message[2]), source
+        )
+        exchange._send_once()
+        return exchange._sock.versions[-1]
+
+    assert sent_after(1, 1, 2) == 2
+    assert sent_after(1, 2, 3) == 3
+    assert sent_after(1, 3, 2) == 3, "sent before the peer knew this process"
+    assert sent_after(2, 1, 2) == 2, "a start of an earlier version"
+    for record, version in (
+        (b'{"address":"127.0.0.1:9"}', 2),
+        (b'{"address":"127.0.0.1:9","message_version":4}', 3),
+    ):
+        exchange._on_record(StoredObject("routers/other", 1, record))
+        exchange._send_once()
+        assert exchange._sock.versions[-1] == version
+
+
+def test_views_of_an_earlier_version_have_no_era():
+    # Guards against a peer of an earlier version that cannot be read or looks newest.
+    view = StoreView("a", 5, StoreRevision(4, 9), True, False)
+    message = LoadMessage("other", 1, 1, {}, (), view, 2)
+    version, *fields = cbor2.loads(encode_load(message))
+    assert (version, fields[-1]) == (2, ["a", 5, 9, True, False])
+    decoded = decode_load(encode_load(message)).store_view
+    assert decoded.endpoints_revision == StoreRevision(UNKNOWN_ERA, 9)
+    assert decoded.endpoints_revision < StoreRevision(0, 1)
+
+
+def test_state_is_read_from_a_peer_of_an_earlier_version(monkeypatch):
+    # Guards against a fresh process that cannot start during an outage of the store
+    # because its peers are of an earlier version; and the other way round.
+    monkeypatch.setattr(peer_state, "VERSION_BY_PATH", {"/state-2": 2, "/state": 1})
+    with two_routers() as (fleet, second, proxy):
+        earlier = {"/state": 1}
+        server = fleet.router.peer_state
+        respond = server._server._respond
+        server._server._respond = lambda method, path: respond(
+            method, path if path in earlier else "/none"
+        )
+        address = fleet.router.peers.address
+        state = peer_state.decode_state(peer_state._fetch_state(address))
+        assert state.revision == StoreRevision(
+            UNKNOWN_ERA, fleet.router._followers[1].revision_seen.number
+        )
+        before = second._followers[1].revision_seen
+        raised = replace(state, revision=StoreRevision(UNKNOWN_ERA, 99), endpoints=())
+        second.peer_state._apply(raised, ANY)
+        assert second._followers[1].revision_seen == before
+        assert len(second.endpoints) == 2
+
+
 def test_lost_directory_record_is_written_again():
     # Guards against a router that others do not find until the next regular check.
     with running_fleet(workers=1) as fleet:
--- a/tests/test_store_watchers.py
+++ b/tests/test_store_watchers.py
@@ -15,6 +15,7 @@
     StoreView,
     StoreWatchers,
 )
+from wigeonwind.state.store_types import UNKNOWN_ERA, StoreRevision
 
 ZONES = ("a", "b", "c", "d", "e")
 
@@ -25,10 +26,13 @@
     def __init__(self, count):
         self.zone_by_id = {f"r{n}": ZONES[n % len(ZONES)] for n in range(count)}
         self.refused, self.stopped = set(), set()
+        self.era_by_id = {}
         self.watching = set(self.zone_by_id)
         self.hears = lambda listener, peer: True
         self.watchers_by_id = {
-            name: StoreWatchers(name, zone, lambda name=name: self.views_for(name))
+            name: StoreWatchers(
+                name, zone, lambda name=name: self.views_for(name), lambda: True
+            )
             for name, zone in self.zone_by_id.items()
         }
 
@@ -44,7 +48,7 @@
         return StoreView(
             self.zone_by_id[peer],
             1,
-            1,
+            StoreRevision(self.era_by_id.get(peer, 1), 1),
             peer in self.watching and not is_refused,
             is_refused,
         )
@@ -111,17 +115,47 @@
         assert len(fleet.watching) <= 40
 
 
+def test_watching_is_not_left_to_peers_that_state_no_era():
+    # Guards against a router that misses changes: revisions of processes of an earlier
+    # version cannot be compared with its own.
+    fleet = SimulatedFleet(60)
+    fleet.era_by_id = dict.fromkeys(list(fleet.zone_by_id)[30:], UNKNOWN_ERA)
+    for _ in range(3):
+        fleet.step()
+    of_known_era = fleet.watching - set(fleet.era_by_id)
+    assert {fleet.zone_by_id[name] for name in of_known_era} == set(ZONES)
+    fleet.stopped = of_known_era
+    assert fleet.step() - set(fleet.era_by_id)
+
+
+def test_only_peers_of_the_latest_era_are_ahead():
+    # Guards against taking a router for the newest that has not noticed that the store
+    # has returned from a copy, or that does not state an era.
+    eras = (1, 2, UNKNOWN_ERA)
+    views = {
+        f"r{era}": PeerView(
+            StoreView("a", 1, StoreRevision(era, 9), True, False),
+            SocketAddress("a", 10 + era),
+        )
+        for era in eras
+    }
+    watchers = StoreWatchers("me", "a", lambda: views)
+    assert watchers.peers_ahead(1, StoreRevision(1, 50)) == [SocketAddress("a", 12)]
+    assert watchers.peers_ahead(1, StoreRevision(2, 9)) == []
+
+
 def test_changes_are_read_within_the_zone_if_possible():
     # Guards against traffic between availability zones that is not needed.
+    newer, older = StoreRevision(1, 9), StoreRevision(1, 5)
     views = {
-        "near": PeerView(StoreView("a", 2, 9, True, False), SocketAddress("a", 1)),
-        "far": PeerView(StoreView("b", 3, 9, True, False), SocketAddress("b", 1)),
-        "old": PeerView(StoreView("a", 1, 5, True, False), SocketAddress("c", 1)),
+        "near": PeerView(StoreView("a", 2, newer, True, False), SocketAddress("a", 1)),
+        "far": PeerView(StoreView("b", 3, newer, True, False), SocketAddress("b", 1)),
+        "old": PeerView(StoreView("a", 1, older, True, False), SocketAddress("c", 1)),
     }
     watchers = StoreWatchers("me", "a", lambda: views)
-    assert watchers.peers_ahead(1, 9) == [SocketAddress("a", 1)]
-    assert watchers.peers_ahead(2, 9) == [SocketAddress("b", 1)]
-    assert watchers.peers_ahead(3, 9) == []
+    assert watchers.peers_ahead(1, StoreRevision(1, 9)) == [SocketAddress("a", 1)]
+    assert watchers.peers_ahead(2, StoreRevision(1, 9)) == [SocketAddress("b", 1)]
+    assert watchers.peers_ahead(3, StoreRevision(1, 9)) == []
 
 
 def test_a_passive_router_learns_of_changes_without_a_call(monkeypatch):
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 from typing import Protocol
@@ -25,7 +25,9 @@
 from wigeonwind.ids import new_incarnation
 from wigeonwind.outcomes import Ok
 from wigeonwind.routing.peer_messages import (
+    EARLIER_VERSION,
     MAX_MESSAGE_BYTES,
+    MESSAGE_VERSION,
     LoadMessage,
     decode_load,
     encode_load,
@@ -89,9 +91,13 @@
 
 
 class PeerRecord(msgspec.Struct):
-    """A process's record in the directory, which is kept in the store."""
+    """A process's record in the directory, which is kept in the store.
+
+    `message_version` is the latest version of load messages that it understands.
+    """
 
     address: str
+    message_version: int = EARLIER_VERSION
 
 
 class SuspectSource(Protocol):
@@ -144,6 +150,8 @@
     first_seen_ms: float = 0.0
     view: StoreView | None = None
     """Its view of the store, None if it sends none."""
+    message_version: int = EARLIER_VERSION
+    """Version of the load messages that it is sent."""
 
     def silence_ms(self, now_ms: float) -> float:
         """Return the time since its last message, or since it was discovered."""
@@ -163,8 +171,10 @@
         prefix: str,
         local_view: Callable[[], StoreView | None] = lambda: None,
         suspects: SuspectSource | None = None,
+        on_view: Callable[[StoreView], None] = lambda view: None,
     ) -> None:
         self._local_id = local_id
+        self._on_view = on_view
         self._suspects = suspects
         self._full_suspects_due_ms = clock.now_ms()
         self._local_view = local_view
@@ -269,10 +279,15 @@
         if position <= (peer.incarnation, peer.sequence) and not is_silent:
             return
         has_started = message.incarnation != peer.incarnation
+        if has_started and peer.incarnation:
+            peer.message_version = message.version
+        peer.message_version = max(peer.message_version, message.version)
         peer.address = source
         peer.incarnation, peer.sequence = position
         peer.last_received_ms = now_ms
         peer.view = message.store_view
+        if peer.view is not None:
+            self._on_view(peer.view)
         self._chooser.on_peer_load(message.sender, message.load_by_id, now_ms)
         self._chooser.on_peer_prefixes(message.prefixes, now_ms)
         if has_started and self._suspects is not None:
@@ -305,7 +320,7 @@
         peers = list(self._peer_by_id.values())
         if len(peers) > MAX_PEERS_PER_SEND:
             peers = self._rng.sample(peers, MAX_PEERS_PER_SEND)
-        self._send_data(encode_load(message), peers)
+        self._send_load(message, peers)
         if self._suspects is None:
             return
         self._send_changes(self._suspects, peers)
@@ -314,6 +329,14 @@
             sample = self._rng.sample(peers, min(len(peers), FULL_SUSPECTS_PEERS))
             self._send_all_suspects(self._suspects, sample)
 
+    def _send_load(self, message: LoadMessage, peers: Iterable[_Peer]) -> None:
+        """Send a message to each peer in the latest version that it understands."""
+        peers_by_version: dict[int, list[_Peer]] = {}
+        for peer in peers:
+            peers_by_version.setdefault(peer.message_version, []).append(peer)
+        for version, group in peers_by_version.items():
+            self._send_data(encode_load(replace(message, version=version)), group)
+
     def _send_urgent(self) -> None:
         """Send changes of suspects without waiting for the next interval."""
         suspects = self._suspects
@@ -361,7 +384,8 @@
     def _register(self) -> bool:
         """Write the local record; it replaces one of an earlier start on this VM."""
         key = self._prefix + self._local_id
-        value = msgspec.json.encode(PeerRecord(str(self.address)))
+        record = PeerRecord(str(self.address), MESSAGE_VERSION)
+        value = msgspec.json.encode(record)
         written = self._store.put(key, value, 0)
         if isinstance(written, Conflict):
             written = self._store.put(key, value, written.version)
@@ -436,3 +460,7 @@
                 self._clock.now_ms() if known_peer is None else known_peer.first_seen_ms
             )
             self._peer_by_id[peer_id] = _Peer(address, first_seen_ms=first_seen_ms)
+        peer = self._peer_by_id.get(peer_id)
+        if peer is not None and peer.address == address:
+            stated = min(record.message_version, MESSAGE_VERSION)
+            peer.message_version = max(peer.message_version, stated)
--- a/wigeonwind/routing/peer_messages.py
+++ b/wigeonwind/routing/peer_messages.py
@@ -6,10 +6,14 @@
 
 from wigeonwind.decisions.peer_loads import InFlightLoad
 from wigeonwind.routing.store_watchers import StoreView
+from wigeonwind.state.store_types import UNKNOWN_ERA, StoreRevision
 
-MESSAGE_VERSION = 2
-"""First element of each message. Version 1 has no store view; messages of later
-versions are ignored."""
+MESSAGE_VERSION = 3
+"""First element of each message. Version 1 has no store view, version 2 no era in it;
+messages of later versions are ignored."""
+
+EARLIER_VERSION = 2
+"""Version that is sent to peers that may not understand MESSAGE_VERSION."""
 
 MAX_MESSAGE_BYTES = 8_192
 """Largest datagram that can be decoded; a larger one is truncated and rejected."""
@@ -24,7 +28,8 @@
 
     Endpoints are identified by their `short_id`. `prefixes` are pairs of prefix key and
     endpoint. `incarnation` orders the starts of a process, `sequence` its messages.
-    `store_view` is None in messages of processes of an earlier version.
+    `store_view` is None in messages of processes of an earlier version. `version` is
+    that of the message.
     """
 
     sender: str
@@ -33,10 +38,11 @@
     load_by_id: dict[int, InFlightLoad]
     prefixes: tuple[tuple[int, int], ...]
     store_view: StoreView | None = None
+    version: int = MESSAGE_VERSION
 
 
 def encode_load(message: LoadMessage) -> bytes:
-    """Return a message as CBOR."""
+    """Return a message as CBOR, in its version or, from 2 on, an earlier one."""
     loads = [
         [
             short_id,
@@ -49,25 +55,28 @@
     view = message.store_view
     return cbor2.dumps(
         [
-            MESSAGE_VERSION,
+            message.version,
             message.sender,
             message.incarnation,
             message.sequence,
             loads,
             [list(pair) for pair in message.prefixes],
-            None if view is None else _encode_view(view),
+            None if view is None else _encode_view(view, message.version),
         ]
     )
 
 
-def _encode_view(view: StoreView) -> list[str | int | bool]:
-    return [
+def _encode_view(view: StoreView, version: int) -> list[str | int | bool]:
+    fields: list[str | int | bool] = [
         view.zone,
         view.configuration_version,
-        view.endpoints_revision,
+        view.endpoints_revision.number,
         view.is_watching,
         view.is_refused,
     ]
+    if version == EARLIER_VERSION:
+        return fields
+    return [*fields, view.endpoints_revision.era]
 
 
 def decode_load(data: bytes) -> LoadMessage | str:
@@ -80,7 +89,7 @@
         version, *fields = cbor2.loads(data)
         if version == 1:
             fields.append(None)
-        elif version != MESSAGE_VERSION:
+        elif version not in (EARLIER_VERSION, MESSAGE_VERSION):
             return f"unsupported message version {version!r}"
         sender, incarnation, sequence, loads, prefixes, view = fields
         if len(loads) > MAX_ROWS or len(prefixes) > MAX_ROWS:
@@ -103,20 +112,24 @@
             _count(sequence),
             rows,
             pairs,
-            None if view is None else _decode_view(view),
+            None if view is None else _decode_view(view, version),
+            version,
         )
     except (cbor2.CBORError, ValueError, TypeError, RecursionError) as error:
         return f"not a load message: {error}"
 
 
-def _decode_view(row: object) -> StoreView:
+def _decode_view(row: object, version: int) -> StoreView:
     if not isinstance(row, list):
         raise ValueError("the store view is not a list")
-    zone, configuration_version, endpoints_revision, is_watching, is_refused = row
+    fields = [*row, UNKNOWN_ERA] if version == EARLIER_VERSION else row
+    zone, configuration_version, number, is_watching, is_refused, era = fields
     return StoreView(
         str(zone),
         _count(configuration_version),
-        _count(endpoints_revision),
+        StoreRevision(
+            UNKNOWN_ERA if era == UNKNOWN_ERA else _count(era), _count(number)
+        ),
         bool(is_watching),
         bool(is_refused),
     )
--- a/wigeonwind/routing/peer_state.py
+++ b/wigeonwind/routing/peer_state.py
@@ -23,12 +23,22 @@
 from wigeonwind.routing.store_follower import StoreFollower
 from wigeonwind.routing.store_watchers import StoreWatchers
 from wigeonwind.runtime.error_boundary import call_isolated
-from wigeonwind.state.store_types import NO_REVISION, StoredObject, StoreRevision
-
-STATE_VERSION = 1
+from wigeonwind.state.store_eras import StoreEras
+from wigeonwind.state.store_types import (
+    NO_REVISION,
+    UNKNOWN_ERA,
+    StoredObject,
+    StoreRevision,
+)
+
+STATE_VERSION = 2
 """First element of each state; states of other versions are rejected."""
 
-STATE_PATH = "/state"
+EARLIER_STATE_VERSION = 1
+"""Version without an era, for processes of an earlier version."""
+
+VERSION_BY_PATH = {"/state-2": STATE_VERSION, "/state": EARLIER_STATE_VERSION}
+"""Version of the state that is served under each path, the latest first."""
 
 POLL_MS = 250.0
 """Interval of reads from peers while the store is unreachable."""
@@ -53,19 +63,21 @@
     process reaches the store, and that no entries are missing because of an outage.
     """
 
-    revision: int
+    revision: StoreRevision
     is_current: bool
     configuration: StoredObject | None
     endpoints: tuple[StoredObject, ...]
 
 
-def encode_state(state: SharedState) -> bytes:
-    """Return a state as CBOR."""
+def encode_state(state: SharedState, version: int = STATE_VERSION) -> bytes:
+    """Return a state as CBOR; its era is lost in the earlier version."""
     configuration = state.configuration
+    era = [state.revision.era] if version == STATE_VERSION else []
     return cbor2.dumps(
         [
-            STATE_VERSION,
-            state.revision,
+            version,
+            *era,
+            state.revision.number,
             state.is_current,
             None if configuration is None else _encode_row(configuration),
             [_encode_row(each) for each in state.endpoints],
@@ -85,11 +97,13 @@
     """
     try:
         version, *fields = cbor2.loads(data)
-        if version != STATE_VERSION:
+        if version not in VERSION_BY_PATH.values():
             return f"unsupported state version {version}"
-        revision, is_current, configuration, endpoints = fields
+        if version == EARLIER_STATE_VERSION:
+            fields.insert(0, UNKNOWN_ERA)
+        era, number, is_current, configuration, endpoints = fields
         return SharedState(
-            int(revision),
+            StoreRevision(int(era), int(number)),
             bool(is_current),
             None if configuration is None else _decode_row(configuration),
             tuple(_decode_row(row) for row in endpoints),
@@ -111,7 +125,8 @@
     """Serves the local copy of the store's contents and reads copies from peers.
 
     The endpoints of a peer are adopted only if their revision is newer than the local
-    one, so that an endpoint that has left is not added again.
+    one, so that an endpoint that has left is not added again. Revisions of the era that
+    the store was in before it returned from a copy are never newer.
     """
 
     def __init__(
@@ -123,10 +138,14 @@
         entries: EndpointEntryHandler,
         followers: tuple[StoreFollower, StoreFollower],
         watchers: StoreWatchers,
+        eras: StoreEras,
         on_adopted: Callable[[], None] = lambda: None,
     ) -> None:
         self._watchers = watchers
+        self._eras = eras
         self._on_adopted = on_adopted
+        self._unconfirmed_revision = NO_REVISION
+        """Revision adopted from a peer that may have lacked entries."""
         self._rng = rng
         self._peers = peers
         self._configuration = configuration
@@ -160,7 +179,7 @@
         table = self._configuration.table
         return self._watchers.peers_ahead(
             table.version if table is not None else 0,
-            self._entries_follower.revision_seen.number,
+            self._entries_follower.revision_seen,
         )
 
     def local_state(self) -> SharedState:
@@ -168,7 +187,7 @@
         is_current = self._endpoints.is_authoritative
         is_current = is_current and all(each.is_reachable for each in self._followers)
         return SharedState(
-            self._entries_follower.revision_seen.number,
+            self._entries_follower.revision_seen,
             is_current,
             self._configuration.stored,
             tuple(self._entries.stored_by_key.values()),
@@ -179,9 +198,10 @@
         return self._followers[1]
 
     def _respond(self, _method: str, path: str) -> bytes:
-        if path != STATE_PATH:
+        version = VERSION_BY_PATH.get(path)
+        if version is None:
             return b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
-        body = encode_state(self.local_state())
+        body = encode_state(self.local_state(), version)
         head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
         return head.encode() + body
 
@@ -205,32 +225,61 @@
         if state.configuration is not None:
             self._configuration.on_changed(state.configuration)
         follower = self._entries_follower
-        is_newer = state.revision > follower.revision_seen.number
-        has_no_revision = follower.revision_seen == NO_REVISION
-        if not is_newer or not (state.is_current or has_no_revision):
+        before = follower.revision_seen
+        self._eras.learn(state.revision.era)
+        is_of_current_era = state.revision.era == self._eras.current
+        if not is_of_current_era and before != NO_REVISION:
+            return True
+        if not self._is_newer(state, before):
             return True
         self._on_adopted()
         log.info(
             "endpoints adopted from a peer",
             peer=str(peer),
-            revision=state.revision,
-            before=follower.revision_seen.number,
+            era=state.revision.era,
+            revision=state.revision.number,
+            before=before.number,
+            era_before=before.era,
             is_current=state.is_current,
             entries=len(state.endpoints),
         )
-        revision = StoreRevision(follower.revision_seen.era, state.revision)
-        follower.revision_seen = follower.changed_revision = revision
-        self._entries.on_listed(state.endpoints, is_authoritative=state.is_current)
+        follower.revision_seen = follower.changed_revision = state.revision
+        is_current = state.is_current
+        self._unconfirmed_revision = NO_REVISION if is_current else state.revision
+        self._entries.on_listed(state.endpoints, is_authoritative=is_current)
         return True
 
+    def _is_newer(self, state: SharedState, before: StoreRevision) -> bool:
+        """Return whether the endpoints of a peer replace those of revision `before`.
+
+        A state that may lack entries is adopted only where missing ones are kept for a
+        time, and once more when it is current.
+        """
+        if state.revision == before:
+            return state.is_current and before == self._unconfirmed_revision
+        if state.revision < before:
+            return False
+        keeps_missing = not self._endpoints.is_authoritative
+        return state.is_current or before == NO_REVISION or keeps_missing
+
 
 def _fetch_state(peer: SocketAddress) -> bytes | str:
-    """Return the body of a peer's response, or the reason why there is none."""
+    """Return the latest version of a peer's state, or the reason why there is none."""
+    body: bytes | str = ""
+    for path in VERSION_BY_PATH:
+        body = _fetch(peer, path)
+        if body:
+            break
+    return body or "the peer serves no state"
+
+
+def _fetch(peer: SocketAddress, path: str) -> bytes | str:
+    """Return the body of a peer's response, empty for an unknown path."""
     timeout = gevent.Timeout(CALL_TIMEOUT_MS / MS_PER_SECOND, TimeoutError)
     server_address = (peer.host, peer.port)
     try:
         with timeout, gevent_socket.create_connection(server_address) as sock:
-            sock.sendall(f"GET {STATE_PATH} HTTP/1.1\r\nHost: {peer}\r\n\r\n".encode())
+            sock.sendall(f"GET {path} HTTP/1.1\r\nHost: {peer}\r\n\r\n".encode())
             return _read_body(sock)
     except OSError as error:
         return str(error) or type(error).__name__
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -57,7 +57,7 @@
 from wigeonwind.runtime.error_boundary import call_isolated
 from wigeonwind.runtime.loops import SupervisedLoops
 from wigeonwind.state.store_eras import StoreEras
-from wigeonwind.state.store_types import NO_REVISION
+from wigeonwind.state.store_types import NO_REVISION, UNKNOWN_ERA
 
 LAST_RESPONSES_MS = 100.0
 """Time for the responses that are sent at the exit. A caller that does not read its
@@ -177,9 +177,13 @@
             schema.peers_prefix,
             self._store_view,
             self.quarantine,
+            lambda view: store.eras.learn(view.endpoints_revision.era),
         )
         self._watchers = StoreWatchers(
-            settings.node_id, settings.zone, self.peers.live_views
+            settings.node_id,
+            settings.zone,
+            self.peers.live_views,
+            lambda: store.eras.current != UNKNOWN_ERA,
         )
         self.peer_state = PeerState(
             rng,
@@ -189,6 +193,7 @@
             entries,
             self._followers,
             self._watchers,
+            store.eras,
             self.metrics.on_state_adopted,
         )
         store.eras.subscribe(self.endpoints.on_store_returned)
@@ -239,7 +244,7 @@
         return StoreView(
             self._settings.zone,
             table.version if table is not None else 0,
-            self._followers[1].changed_revision.number,
+            self._followers[1].changed_revision,
             not is_refused and not self._watchers.is_passive(is_refused),
             is_refused,
         )
--- a/wigeonwind/routing/store_watchers.py
+++ b/wigeonwind/routing/store_watchers.py
@@ -11,6 +11,7 @@
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.hashing import stable_hash
+from wigeonwind.state.store_types import UNKNOWN_ERA, StoreRevision
 
 WATCHERS_PER_ZONE = 2
 """Routers of an availability zone that watch, so that one of them may be lost."""
@@ -23,14 +24,15 @@
 class StoreView:
     """What a router knows of the store, as its messages to peers state it.
 
-    `endpoints_revision` is the store revision of the last change of an endpoint entry.
+    `endpoints_revision` is the store revision of the last change of an endpoint entry;
+    its era is unknown in the messages of processes of an earlier version.
     `is_watching` says that the router follows the store itself and that the store
     answers it, `is_refused` that the last call of the router failed.
     """
 
     zone: str
     configuration_version: int
-    endpoints_revision: int
+    endpoints_revision: StoreRevision
     is_watching: bool
     is_refused: bool
 
@@ -51,10 +53,12 @@
         local_id: str,
         zone: str,
         live_views: Callable[[], Mapping[str, PeerView]],
+        knows_era: Callable[[], bool] = lambda: False,
     ) -> None:
         self._local_id = local_id
         self._zone = zone
         self._live_views = live_views
+        self._knows_era = knows_era
 
     def is_passive(self, is_refused: bool) -> bool:
         """Return whether the local router leaves the watching to others.
@@ -64,6 +68,13 @@
         by_id = self._live_views()
         if is_refused or len(by_id) < MIN_PEERS:
             return False
+        if self._knows_era():
+            # Revisions of an unknown era cannot be compared, so such peers are no help.
+            by_id = {
+                peer_id: each
+                for peer_id, each in by_id.items()
+                if each.view.endpoints_revision.era != UNKNOWN_ERA
+            }
         if not any(each.view.is_watching for each in by_id.values()):
             return False
         candidates = [
@@ -76,7 +87,7 @@
         return before >= WATCHERS_PER_ZONE
 
     def peers_ahead(
-        self, configuration_version: int, endpoints_revision: int
+        self, configuration_version: int, endpoints_revision: StoreRevision
     ) -> list[SocketAddress]:
         """Return the peers that know of a later change, those of the zone if any."""
         ahead = [
