Directory: check for a lost record when the store returns from a copy

The record of a process is written once and was read every 20 s, so that others did not find a process for so long. A change of the era starts the check within 1 s, at a random time, as all processes notice the return at once; it costs one listing. A write whose answer is of the earlier era counts as uncertain. One reproduction passes that failed.

--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -33,6 +33,7 @@
     HistoryExpired,
     ObjectPage,
     StoredObject,
+    StoreFailure,
     StoreRevision,
 )
 
@@ -327,6 +328,23 @@
         fleet.wait_for(lambda: "edge-1" in records.get("routers", {}))
 
 
+def test_write_acknowledged_before_a_return_may_be_lost(store):
+    # Guards against taking a write as done whose answer arrives after the return.
+    client = client_of(store)
+    assert client.put("k/a", b"1", 0) == Ok(2)
+    exchange = client.pool_by_kind["writes"]._exchange
+
+    def exchange_late(*call):
+        response = exchange(*call)
+        client.eras.observe(2, 1)
+        return response
+
+    client.pool_by_kind["writes"]._exchange = exchange_late
+    written = client.put("k/b", b"1", 0)
+    assert isinstance(written, StoreFailure)
+    assert written.maybe_written
+
+
 def test_fresh_router_does_not_serve_an_older_configuration():
     # Guards against a revoked key and a removed route in force again at a router that
     # starts right after the return, when only its peers know the newer configuration.
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -68,6 +68,10 @@
 
 DIRECTORY_RETRY_MS = 1_000.0
 
+DIRECTORY_SPREAD_MS = 1_000.0
+"""Longest random delay of the check for a lost record. All processes notice at once that
+the store has returned from a copy."""
+
 URGENT_INTERVAL_MS = 10.0
 """Least interval between urgent messages of a small fleet. It joins changes of the same
 moment."""
@@ -187,6 +191,7 @@
         self._incarnation = new_incarnation()
         self._sequence = 0
         self._is_registered = False
+        self._store_returned = Event()
         self._sock = gevent_socket.socket(
             gevent_socket.AF_INET, gevent_socket.SOCK_DGRAM
         )
@@ -376,11 +381,18 @@
         while True:
             self._is_registered = self._is_registered or self._register()
             gevent.sleep(DIRECTORY_READ_DELAY_MS / MS_PER_SECOND)
+            self._store_returned.clear()
             if self._is_registered and self._read_directory():
-                gevent.sleep(DIRECTORY_INTERVAL_MS / MS_PER_SECOND)
+                if self._store_returned.wait(DIRECTORY_INTERVAL_MS / MS_PER_SECOND):
+                    spread_ms = self._rng.uniform(0.0, DIRECTORY_SPREAD_MS)
+                    gevent.sleep(spread_ms / MS_PER_SECOND)
             else:
                 gevent.sleep(DIRECTORY_RETRY_MS / MS_PER_SECOND)
 
+    def on_store_returned(self) -> None:
+        """Check soon whether the store has lost the local record."""
+        self._store_returned.set()
+
     def _register(self) -> bool:
         """Write the local record; it replaces one of an earlier start on this VM."""
         key = self._prefix + self._local_id
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -197,6 +197,7 @@
             self.metrics.on_state_adopted,
         )
         store.eras.subscribe(self.endpoints.on_store_returned)
+        store.eras.subscribe(self.peers.on_store_returned)
         listen_address = (settings.callers.host, settings.callers.port)
         self._server = StreamServer(listen_address, self._accept, backlog=BACKLOG)
         self._readiness = SmallHttpServer(settings.readiness, self._readiness_response)
--- a/wigeonwind/state/store_client.py
+++ b/wigeonwind/state/store_client.py
@@ -193,6 +193,9 @@
         response = self._call("writes", self._format.put(key, value, if_version))
         if isinstance(response, StoreFailure):
             return response
+        if response.era != self.eras.current:
+            # What was written in the earlier era may be lost.
+            return StoreFailure("the store has returned from a copy meanwhile", True)
         found = self._format.read_put(key, response)
         return found or _unexpected_response(
             response, maybe_written=response.status == 200
