Start: compare the first configuration with that of the peers

A process that started right after the store had returned from a copy took the older configuration from it: a revoked key and a removed route were served (200 instead of 401 and 404), though its peers had the later version in force. A router behind its peers for two checks reads the configuration from one, also while it follows the store.

--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -69,8 +69,8 @@
 DIRECTORY_RETRY_MS = 1_000.0
 
 DIRECTORY_SPREAD_MS = 1_000.0
-"""Longest random delay of the check for a lost record. All processes notice at once that
-the store has returned from a copy."""
+"""Longest random delay of the check for a lost record. All processes notice at the same
+time that the store has returned from a copy."""
 
 URGENT_INTERVAL_MS = 10.0
 """Least interval between urgent messages of a small fleet. It joins changes of the same
@@ -176,7 +176,9 @@
         local_view: Callable[[], StoreView | None] = lambda: None,
         suspects: SuspectSource | None = None,
         on_view: Callable[[StoreView], None] = lambda view: None,
+        on_directory_read: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_directory_read = on_directory_read
         self._local_id = local_id
         self._on_view = on_view
         self._suspects = suspects
@@ -295,6 +297,9 @@
             self._on_view(peer.view)
         self._chooser.on_peer_load(message.sender, message.load_by_id, now_ms)
         self._chooser.on_peer_prefixes(message.prefixes, now_ms)
+        if has_started:
+            # A process that has just started compares its configuration with others.
+            self._send_load(self._load_message(()), (peer,))
         if has_started and self._suspects is not None:
             self._send_all_suspects(self._suspects, (peer,))
 
@@ -312,16 +317,7 @@
         prefixes = self._chooser.take_new_prefixes()
         if not self._peer_by_id:
             return
-        self._sequence += 1
-        load_by_id = self._chooser.local_load(now_ms)
-        message = LoadMessage(
-            self._local_id,
-            self._incarnation,
-            self._sequence,
-            load_by_id,
-            prefixes,
-            self._local_view(),
-        )
+        message = self._load_message(prefixes)
         peers = list(self._peer_by_id.values())
         if len(peers) > MAX_PEERS_PER_SEND:
             peers = self._rng.sample(peers, MAX_PEERS_PER_SEND)
@@ -334,6 +330,17 @@
             sample = self._rng.sample(peers, min(len(peers), FULL_SUSPECTS_PEERS))
             self._send_all_suspects(self._suspects, sample)
 
+    def _load_message(self, prefixes: tuple[tuple[int, int], ...]) -> LoadMessage:
+        self._sequence += 1
+        return LoadMessage(
+            self._local_id,
+            self._incarnation,
+            self._sequence,
+            self._chooser.local_load(self._clock.now_ms()),
+            prefixes,
+            self._local_view(),
+        )
+
     def _send_load(self, message: LoadMessage, peers: Iterable[_Peer]) -> None:
         """Send a message to each peer in the latest version that it understands."""
         peers_by_version: dict[int, list[_Peer]] = {}
@@ -378,6 +385,8 @@
                 log.debug("failed to send a datagram to a peer", reason=str(error))
 
     def _maintain_directory(self) -> None:
+        self._read_directory()
+        self._send_once()
         while True:
             self._is_registered = self._is_registered or self._register()
             gevent.sleep(DIRECTORY_READ_DELAY_MS / MS_PER_SECOND)
@@ -415,6 +424,7 @@
                 "failed to read the peer directory; retrying", reason=page.reason
             )
             return False
+        self._on_directory_read()
         local_key = self._prefix + self._local_id
         # Peers delete the record of a process that they could not reach for long.
         self._is_registered = any(each.key == local_key for each in page.value.objects)
--- a/wigeonwind/routing/peer_state.py
+++ b/wigeonwind/routing/peer_state.py
@@ -20,6 +20,7 @@
 from wigeonwind.routing.response_parser import ResponseParser
 from wigeonwind.routing.routing_state import ConfigurationHandler, EndpointEntryHandler
 from wigeonwind.routing.small_http import SmallHttpServer
+from wigeonwind.routing.start_check import StartCheck
 from wigeonwind.routing.store_follower import StoreFollower
 from wigeonwind.routing.store_watchers import StoreWatchers
 from wigeonwind.runtime.error_boundary import call_isolated
@@ -43,6 +44,9 @@
 POLL_MS = 250.0
 """Interval of reads from peers while the store is unreachable."""
 
+START_POLL_MS = 20.0
+"""Interval of the check for peers with a later configuration at the start."""
+
 CALL_TIMEOUT_MS = 400.0
 """Timeout of one read. The round trip is a few milliseconds, and the next read goes to
 another peer."""
@@ -139,10 +143,14 @@
         followers: tuple[StoreFollower, StoreFollower],
         watchers: StoreWatchers,
         eras: StoreEras,
+        start_check: StartCheck,
         on_adopted: Callable[[], None] = lambda: None,
     ) -> None:
         self._watchers = watchers
         self._eras = eras
+        self._start_check = start_check
+        self._is_behind = False
+        """Whether a peer had a later configuration at the last check."""
         self._on_adopted = on_adopted
         self._unconfirmed_revision = NO_REVISION
         """Revision adopted from a peer that may have lacked entries."""
@@ -166,20 +174,44 @@
             self._server.stop()
 
     def run(self) -> None:
-        """Poll peers while the store is not followed (runs until killed)."""
+        """Poll peers that know more than the store tells (runs until killed)."""
+        waited_ms = 0.0
+        while not self._start_check.update(self._version or None):
+            gevent.sleep(START_POLL_MS / MS_PER_SECOND)
+            waited_ms += START_POLL_MS
+            if self._version:
+                self.poll_once(self._peers_with_later_configuration())
+            elif waited_ms >= POLL_MS:
+                waited_ms = 0.0
+                self._poll_if_needed()
         while True:
             gevent.sleep(POLL_MS / MS_PER_SECOND)
-            is_refused = not all(each.is_reachable for each in self._followers)
-            if is_refused:
-                self.poll_once(self._peers())
-            elif self._watchers.is_passive(is_refused):
-                self.poll_once(self._peers_ahead())
+            self._poll_if_needed()
 
-    def _peers_ahead(self) -> list[SocketAddress]:
+    @property
+    def _version(self) -> int:
         table = self._configuration.table
+        return table.version if table is not None else 0
+
+    def _peers_with_later_configuration(self) -> list[SocketAddress]:
+        return self._watchers.peers_with_later_configuration(self._version)
+
+    def _poll_if_needed(self) -> None:
+        is_refused = not all(each.is_reachable for each in self._followers)
+        # A watch brings a change soon after a peer has it; a copy may lack it.
+        was_behind = self._is_behind
+        later = self._peers_with_later_configuration()
+        self._is_behind = bool(later)
+        if is_refused:
+            self.poll_once(self._peers())
+        elif self._watchers.is_passive(is_refused):
+            self.poll_once(self._peers_ahead())
+        elif was_behind:
+            self.poll_once(later)
+
+    def _peers_ahead(self) -> list[SocketAddress]:
         return self._watchers.peers_ahead(
-            table.version if table is not None else 0,
-            self._entries_follower.revision_seen,
+            self._version, self._entries_follower.revision_seen
         )
 
     def local_state(self) -> SharedState:
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -52,6 +52,7 @@
     StoreSchema,
 )
 from wigeonwind.routing.small_http import SmallHttpServer
+from wigeonwind.routing.start_check import StartCheck
 from wigeonwind.routing.store_follower import FollowedStore, StoreFollower
 from wigeonwind.routing.store_watchers import StoreView, StoreWatchers
 from wigeonwind.runtime.error_boundary import call_isolated
@@ -178,6 +179,10 @@
             self._store_view,
             self.quarantine,
             lambda view: store.eras.learn(view.endpoints_revision.era),
+            lambda: self._start_check.on_directory_read(),
+        )
+        self._start_check = StartCheck(
+            clock, self.peers.live_views, self.peers.peer_count
         )
         self._watchers = StoreWatchers(
             settings.node_id,
@@ -194,6 +199,7 @@
             self._followers,
             self._watchers,
             store.eras,
+            self._start_check,
             self.metrics.on_state_adopted,
         )
         store.eras.subscribe(self.endpoints.on_store_returned)
@@ -228,7 +234,8 @@
         has_routes_and_endpoints = (
             self.configuration.table is not None and len(self.endpoints) > 0
         )
-        return has_routes_and_endpoints and not self.is_draining
+        is_checked = self._start_check.is_done
+        return has_routes_and_endpoints and is_checked and not self.is_draining
 
     @property
     def is_store_reachable(self) -> bool:
@@ -366,7 +373,7 @@
             version = None if table is None else table.version
             self._refuse(caller, metadata, STOPPING, version)
             return
-        if table is None:
+        if table is None or not self._start_check.is_done:
             self._refuse(caller, metadata, NO_CONFIGURATION)
             return
         if not metadata.request_id:
--- a/wigeonwind/routing/store_watchers.py
+++ b/wigeonwind/routing/store_watchers.py
@@ -99,6 +99,14 @@
         near = [each.address for each in ahead if each.view.zone == self._zone]
         return near or [each.address for each in ahead]
 
+    def peers_with_later_configuration(self, version: int) -> list[SocketAddress]:
+        """Return the peers that know of a later version of the configuration."""
+        return [
+            each.address
+            for each in self._live_views().values()
+            if each.view.configuration_version > version
+        ]
+
 
 def _rank(router_id: str) -> tuple[int, str]:
     """Return the sort key that all routers derive for a router."""
