--- a/wigeonwind/soak/soak_faults.py
+++ b/wigeonwind/soak/soak_faults.py
@@ -25,6 +25,7 @@
     CrashingPart,
     soak_now_ms,
 )
+from wigeonwind.standins.platform_store import ObjectsByKind
 from wigeonwind.standins.platform_worker import (
     Behaviour,
     ConnectionReset,
@@ -53,6 +54,15 @@
 
 CRASH_POLL_S = 0.05
 
+STORE_RETURN = "store-returns"
+STORE_RETURN_SHARE = 0.5
+"""Share of the runs in which the store returns from a copy, once to three times."""
+
+MAX_COPY_AGE_S = 5.0
+MAX_UNNOTICED_S = 4.0
+"""Time until a router whose calls do not fail has an answer of the new era: the longest
+wait of its watch."""
+
 WORKER_FAULTS: tuple[Behaviour, ...] = (
     TruncatedResponse(),
     StaleResponse(),
@@ -93,7 +103,8 @@
 ) -> Iterator[tuple[float, str]]:
     """Yield (start time in seconds, fault name), ordered by time.
 
-    The long fault CRASHING_PART has a random source of its own, and at most one start.
+    CRASHING_PART, with at most one start, and STORE_RETURN have random sources of their
+    own.
     """
     names = [name for name in SOAK_FAULTS.names() if not only or name in only]
     faults = []
@@ -104,6 +115,14 @@
         latest_s = seconds - CRASHING_PART_S
         if is_drawn and latest_s > 1.0:
             faults.append((rng.uniform(1.0, latest_s), CRASHING_PART))
+    if STORE_RETURN in names:
+        names.remove(STORE_RETURN)
+        rng = Random(f"{STORE_RETURN}/{seed}")
+        if only or rng.random() < STORE_RETURN_SHARE:
+            faults += [
+                (rng.uniform(1.0, max(1.0, seconds)), STORE_RETURN)
+                for _ in range(rng.randint(1, 3))
+            ]
     rng = Random(f"faults/{seed}")
     at_s = 1.0 + rng.expovariate(1.0 / gap_s)
     while names and at_s < seconds:
@@ -158,6 +177,43 @@
                 fleet.store.put("servers", worker.name, worker.entry())
 
 
+@SOAK_FAULTS.register(STORE_RETURN)
+def _return_store_from_copy(context: FaultContext) -> None:
+    """Let the store return from a copy; what it has lost is written again later."""
+    store, rng = context.fleet.store, context.rng
+    copy = store.state.copy()
+    gevent.sleep(rng.uniform(0.0, MAX_COPY_AGE_S))
+    with _disturbance(context, STORE, "return"):
+        is_away = rng.random() < 0.5
+        if is_away:
+            store.faults.status = 503
+            gevent.sleep(rng.uniform(0.05, MAX_FAULT_S))
+        latest = store.state.copy().objects_by_kind
+        store.return_from(copy, is_noticed_by_watches=is_away or rng.random() < 0.5)
+        if is_away:
+            store.faults.status = 0
+        copied = store.state.copy().objects_by_kind
+        gevent.sleep(rng.uniform(0.1, RELIST_AFTER_S))
+        _write_again(context, copied, latest)
+        gevent.sleep(MAX_UNNOTICED_S)
+
+
+def _write_again(
+    context: FaultContext, copied: ObjectsByKind, latest: ObjectsByKind
+) -> None:
+    """Write what the operator and the workers know, unless it has changed since."""
+    fleet = context.fleet
+    state, names = fleet.store.state, {each.name for each in fleet.workers}
+    for kind, name in (("config", "main"), *(("servers", each) for each in names)):
+        stored = latest.get(kind, {}).get(name)
+        before = copied.get(kind, {}).get(name)
+        is_unchanged = state.objects_by_kind.get(kind, {}).get(name) == before
+        if stored is not None and is_unchanged and stored != before:
+            fleet.store.put(kind, name, stored.spec)
+    for name in set(state.objects_by_kind.get("servers", {})) - names:
+        fleet.store.remove("servers", name)
+
+
 @SOAK_FAULTS.register("store-silent")
 def _silence_store(context: FaultContext) -> None:
     with _disturbance(context, STORE, "silent"):
--- a/wigeonwind/standins/platform_store.py
+++ b/wigeonwind/standins/platform_store.py
@@ -31,6 +31,9 @@
     spec: Any
 
 
+ObjectsByKind = dict[str, dict[str, _StoredObject]]
+
+
 @dataclass(frozen=True)
 class _Change:
     revision: int
@@ -61,7 +64,7 @@
     era: int = 1
     """Rises by one each time that the store returns from a copy."""
     revision: int = 1
-    objects_by_kind: dict[str, dict[str, _StoredObject]] = field(default_factory=dict)
+    objects_by_kind: ObjectsByKind = field(default_factory=dict)
     changes: list[_Change] = field(default_factory=list)
     oldest_revision: int = 0
     """Revision of the last compaction; watches from before it get status 410."""
