--- a/wigeonwind/platform/store_format.py
+++ b/wigeonwind/platform/store_format.py
@@ -94,6 +94,8 @@
     its key is `kind//` with the beginning of that name; no other object has such a key.
     """
 
+    era_header = "Store-Era"
+
     def get(self, key: str) -> StoreRequest:
         """Return the request that reads one object."""
         return StoreRequest("GET", OBJECTS_PATH + quote(key, safe="/"))
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from random import Random
 from typing import Protocol
@@ -26,7 +26,9 @@
 from wigeonwind.ids import new_incarnation
 from wigeonwind.outcomes import Ok
 from wigeonwind.routing.peer_messages import (
+    EARLIER_VERSION,
     MAX_MESSAGE_BYTES,
+    MESSAGE_VERSION,
     LoadMessage,
     decode_load,
     encode_load,
@@ -75,6 +77,10 @@
 
 DIRECTORY_RETRY_MS = 1_000.0
 
+DIRECTORY_SPREAD_MS = 1_000.0
+"""Longest random delay of the check for a lost record. All processes notice at the same
+time that the store has returned from a copy."""
+
 URGENT_INTERVAL_MS = 10.0
 """Least interval between urgent messages of a small fleet. It joins changes of the same
 moment."""
@@ -105,15 +111,27 @@
 
 
 class PeerRecord(msgspec.Struct):
-    """A process's record in the directory, which is kept in the store."""
+    """A process's record in the directory, which is kept in the store.
+
+    `message_version` is the latest version of load messages that it understands.
+    """
 
     address: str
+    message_version: int = EARLIER_VERSION
+
+
+@dataclass(frozen=True, slots=True)
+class DirectoryEntry:
+    """A valid record of the directory, see `PeerRecord`."""
+
+    address: SocketAddress
+    message_version: int
 
 
-def decode_record(value: bytes) -> SocketAddress | str:
+def decode_record(value: bytes) -> DirectoryEntry | str:
     """Decode a record; a returned string is the reason why it is invalid.
 
-    >>> decode_record(b'{"address": "127.0.0.1:80"}')
+    >>> decode_record(b'{"address": "127.0.0.1:80"}').address
     SocketAddress(host='127.0.0.1', port=80)
     """
     try:
@@ -123,7 +141,7 @@
     address = parse_valid_address(record.address)
     if address is None or not address.port:
         return f"{record.address[:MAX_REASON_CHARS]!r} is not the address of a peer"
-    return address
+    return DirectoryEntry(address, record.message_version)
 
 
 class SuspectSource(Protocol):
@@ -178,6 +196,8 @@
     """When the first message of its present incarnation came."""
     view: StoreView | None = None
     """Its view of the store, None if it sends none."""
+    message_version: int = EARLIER_VERSION
+    """Version of the load messages that it is sent."""
 
     def silence_ms(self, now_ms: float) -> float:
         """Return the time since its last message, or since it was discovered."""
@@ -197,8 +217,12 @@
         prefix: str,
         local_view: Callable[[], StoreView | None] = lambda: None,
         suspects: SuspectSource | None = None,
+        on_view: Callable[[StoreView], None] = lambda view: None,
+        on_directory_read: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_directory_read = on_directory_read
         self._local_id = local_id
+        self._on_view = on_view
         self._suspects = suspects
         self._full_suspects_due_ms = clock.now_ms()
         self._local_view = local_view
@@ -211,6 +235,7 @@
         self._incarnation = new_incarnation()
         self._sequence = 0
         self._is_registered = False
+        self._store_returned = Event()
         self._sock = gevent_socket.socket(
             gevent_socket.AF_INET, gevent_socket.SOCK_DGRAM
         )
@@ -354,15 +379,22 @@
         if position <= (peer.incarnation, peer.sequence) and not is_silent:
             return
         has_started = message.incarnation != peer.incarnation
+        if has_started and peer.incarnation:
+            peer.message_version = message.version
+        peer.message_version = max(peer.message_version, message.version)
         peer.address = source
         peer.incarnation, peer.sequence = position
         peer.last_received_ms = now_ms
         peer.view = message.store_view
+        if peer.view is not None:
+            self._on_view(peer.view)
         self.stops.on_incarnation(message.sender, message.incarnation)
         self._chooser.on_peer_load(message.sender, message.load_by_id, now_ms)
         self._chooser.on_peer_prefixes(message.prefixes, now_ms)
         if has_started:
             peer.started_ms = now_ms
+            # A process that has just started compares its configuration with others.
+            self._send_load(self._load_message(()), (peer,))
         if has_started and self._suspects is not None:
             self._send_all_suspects(self._suspects, (peer,))
 
@@ -380,20 +412,11 @@
         prefixes = self._chooser.take_new_prefixes()
         if not self._peer_by_id:
             return
-        self._sequence += 1
-        load_by_id = self._chooser.local_load(now_ms)
-        message = LoadMessage(
-            self._local_id,
-            self._incarnation,
-            self._sequence,
-            load_by_id,
-            prefixes,
-            self._local_view(),
-        )
+        message = self._load_message(prefixes)
         peers = list(self._peer_by_id.values())
         if len(peers) > MAX_PEERS_PER_SEND:
             peers = self._rng.sample(peers, MAX_PEERS_PER_SEND)
-        self._send_data(encode_load(message), peers)
+        self._send_load(message, peers)
         if self._local_stop is not None:
             self._send_data(encode_stop(self._local_stop()), peers)
         if self._suspects is None:
@@ -404,6 +427,25 @@
             sample = self._rng.sample(peers, min(len(peers), FULL_SUSPECTS_PEERS))
             self._send_all_suspects(self._suspects, sample)
 
+    def _load_message(self, prefixes: tuple[tuple[int, int], ...]) -> LoadMessage:
+        self._sequence += 1
+        return LoadMessage(
+            self._local_id,
+            self._incarnation,
+            self._sequence,
+            self._chooser.local_load(self._clock.now_ms()),
+            prefixes,
+            self._local_view(),
+        )
+
+    def _send_load(self, message: LoadMessage, peers: Iterable[_Peer]) -> None:
+        """Send a message to each peer in the latest version that it understands."""
+        peers_by_version: dict[int, list[_Peer]] = {}
+        for peer in peers:
+            peers_by_version.setdefault(peer.message_version, []).append(peer)
+        for version, group in peers_by_version.items():
+            self._send_data(encode_load(replace(message, version=version)), group)
+
     def _send_urgent(self) -> None:
         """Send changes of suspects without waiting for the next interval."""
         suspects = self._suspects
@@ -440,6 +482,8 @@
                 log.debug("failed to send a datagram to a peer", reason=str(error))
 
     def _maintain_directory(self) -> None:
+        self._read_directory_isolated()
+        self._send_once()
         while True:
             key = self._prefix + self._local_id
             if not self._is_registered:
@@ -447,17 +491,29 @@
                     "the local directory record", key, self._register, False
                 )
             gevent.sleep(DIRECTORY_READ_DELAY_MS / MS_PER_SECOND)
-            if self._is_registered and call_isolated(
-                "the peer directory", self._prefix, self._read_directory, False
-            ):
-                gevent.sleep(DIRECTORY_INTERVAL_MS / MS_PER_SECOND)
+            self._store_returned.clear()
+            if self._is_registered and self._read_directory_isolated():
+                if self._store_returned.wait(DIRECTORY_INTERVAL_MS / MS_PER_SECOND):
+                    spread_ms = self._rng.uniform(0.0, DIRECTORY_SPREAD_MS)
+                    gevent.sleep(spread_ms / MS_PER_SECOND)
             else:
                 gevent.sleep(DIRECTORY_RETRY_MS / MS_PER_SECOND)
 
+    def on_store_returned(self) -> None:
+        """Check soon whether the store has lost the local record."""
+        self._store_returned.set()
+
+    def _read_directory_isolated(self) -> bool:
+        """Read the directory; an unexpected error counts as a failed read."""
+        return call_isolated(
+            "the peer directory", self._prefix, self._read_directory, False
+        )
+
     def _register(self) -> bool:
         """Write the local record; it replaces one of an earlier start on this VM."""
         key = self._prefix + self._local_id
-        value = msgspec.json.encode(PeerRecord(str(self.address)))
+        record = PeerRecord(str(self.address), MESSAGE_VERSION)
+        value = msgspec.json.encode(record)
         written = self._store.put(key, value, 0)
         if isinstance(written, Conflict):
             written = self._store.put(key, value, written.version)
@@ -475,6 +531,7 @@
                 "failed to read the peer directory; retrying", reason=page.reason
             )
             return False
+        self._on_directory_read()
         local_key = self._prefix + self._local_id
         # Peers delete the record of a process that they could not reach for long.
         self._is_registered = any(each.key == local_key for each in page.value.objects)
@@ -517,20 +574,25 @@
         peer_id = stored.key.removeprefix(self._prefix)
         if peer_id == self._local_id:
             return
-        address = decode_record(stored.value)
-        if isinstance(address, str):
-            if self._reason_by_invalid_key.get(stored.key) != address:
-                self._reason_by_invalid_key[stored.key] = address
+        record = decode_record(stored.value)
+        if isinstance(record, str):
+            if self._reason_by_invalid_key.get(stored.key) != record:
+                self._reason_by_invalid_key[stored.key] = record
                 log.warning(
                     "ignored an invalid record in the peer directory",
                     key=stored.key,
-                    reason=address,
+                    reason=record,
                 )
             return
         self._reason_by_invalid_key.pop(stored.key, None)
+        address = record.address
         known_peer = self._peer_by_id.get(peer_id)
         if known_peer is None or not known_peer.sequence:
             first_seen_ms = (
                 self._clock.now_ms() if known_peer is None else known_peer.first_seen_ms
             )
             self._peer_by_id[peer_id] = _Peer(address, first_seen_ms=first_seen_ms)
+        peer = self._peer_by_id.get(peer_id)
+        if peer is not None and peer.address == address:
+            stated = min(record.message_version, MESSAGE_VERSION)
+            peer.message_version = max(peer.message_version, stated)
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -52,12 +52,15 @@
 )
 from wigeonwind.routing.send_outcomes import SendOutcome
 from wigeonwind.routing.small_http import SmallHttpServer
+from wigeonwind.routing.start_check import StartCheck
 from wigeonwind.routing.stop_requests import StopRequests
 from wigeonwind.routing.stop_sequence import StopSequence
 from wigeonwind.routing.store_follower import FollowedStore, StoreFollower
 from wigeonwind.routing.store_watchers import StoreView, StoreWatchers
 from wigeonwind.runtime.error_boundary import call_isolated
 from wigeonwind.runtime.loops import SupervisedLoops
+from wigeonwind.state.store_eras import StoreEras
+from wigeonwind.state.store_types import NO_REVISION, UNKNOWN_ERA
 
 BACKLOG = 1_024
 """Most connections that wait to be accepted. Beyond that number a connection attempt is
@@ -91,6 +94,9 @@
 class RouterStore(FollowedStore, DirectoryStore, Protocol):
     """The store calls that a routing process makes."""
 
+    eras: StoreEras
+    """Era of the store, from the answers to these calls."""
+
 
 class Router:
     """Accepts callers' connections and forwards their requests until it is stopped."""
@@ -146,6 +152,8 @@
                 self.configuration,
                 self.metrics.on_store_reachable,
                 self._is_store_passive,
+                on_answer=self.metrics.on_store_answer,
+                eras=store.eras,
             ),
             StoreFollower(
                 store,
@@ -154,6 +162,8 @@
                 self._on_discovery_reachable,
                 self._is_store_passive,
                 self.endpoints.on_view_interrupted,
+                self.metrics.on_store_answer,
+                store.eras,
             ),
         )
         self.peers = PeerExchange(
@@ -165,9 +175,17 @@
             schema.peers_prefix,
             self._store_view,
             self.quarantine,
+            lambda view: store.eras.learn(view.endpoints_revision.era),
+            lambda: self._start_check.on_directory_read(),
+        )
+        self._start_check = StartCheck(
+            clock, self.peers.live_views, self.peers.peer_count
         )
         self._watchers = StoreWatchers(
-            settings.node_id, settings.zone, self.peers.live_views
+            settings.node_id,
+            settings.zone,
+            self.peers.live_views,
+            lambda: store.eras.current != UNKNOWN_ERA,
         )
         self.peer_state = PeerState(
             rng,
@@ -177,7 +195,12 @@
             entries,
             self._followers,
             self._watchers,
+            store.eras,
+            self._start_check,
+            self.metrics.on_state_adopted,
         )
+        store.eras.subscribe(self.endpoints.on_store_returned)
+        store.eras.subscribe(self.peers.on_store_returned)
         listen_address = (settings.callers.host, settings.callers.port)
         self._server = StreamServer(listen_address, self._accept, backlog=BACKLOG)
         self._readiness = SmallHttpServer(settings.readiness, self._readiness_response)
@@ -213,7 +236,8 @@
         has_routes_and_endpoints = (
             self.configuration.table is not None and len(self.endpoints) > 0
         )
-        return has_routes_and_endpoints and not self.is_draining
+        is_checked = self._start_check.is_done
+        return has_routes_and_endpoints and is_checked and not self.is_draining
 
     @property
     def is_store_reachable(self) -> bool:
@@ -225,7 +249,7 @@
 
     def _store_view(self) -> StoreView:
         table = self.configuration.table
-        has_listed = all(each.revision_seen for each in self._followers)
+        has_listed = all(each.revision_seen != NO_REVISION for each in self._followers)
         is_refused = not (has_listed and self.is_store_reachable)
         return StoreView(
             self._settings.zone,
@@ -349,7 +373,7 @@
     def _route_request(self, caller: CallerConnection, request: HttpRequest) -> None:
         metadata = self._header_codec.decode_request_headers(request.headers)
         table = self.configuration.table
-        if table is None:
+        if table is None or not self._start_check.is_done:
             self._refuse(caller, metadata, NO_CONFIGURATION)
             return
         if not metadata.request_id:
--- a/wigeonwind/state/store_client.py
+++ b/wigeonwind/state/store_client.py
@@ -1,7 +1,7 @@
 """Client of the object store; implements `Store` over its HTTP interface."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -10,6 +10,7 @@
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import Clock, SystemClock
 from wigeonwind.outcomes import Ok
+from wigeonwind.state.store_eras import StoreEras
 from wigeonwind.state.store_format import NativeStoreFormat, StoreFormat, StoreRequest
 from wigeonwind.state.store_http import (
     BreakerLimits,
@@ -18,6 +19,7 @@
     StoreResponse,
 )
 from wigeonwind.state.store_types import (
+    UNKNOWN_ERA,
     Conflict,
     HistoryExpired,
     NotFound,
@@ -62,6 +64,8 @@
         format: StoreFormat | None = None,
     ) -> None:
         self._format = format or NativeStoreFormat()
+        self.eras = StoreEras()
+        """Era of the store, from the answers to all calls."""
         limits = limits or StoreLimits()
         clock = clock or SystemClock()
         random = random or Random()
@@ -69,7 +73,14 @@
 
         def pool(pool_limits: PoolLimits) -> StoreConnectionPool:
             return StoreConnectionPool(
-                address, pool_limits, clock, random, breaker, sleep_ms
+                address,
+                pool_limits,
+                clock,
+                random,
+                breaker,
+                sleep_ms,
+                self._format.era_header,
+                self.eras,
             )
 
         self.pool_by_kind = {
@@ -149,22 +160,27 @@
         """Return all objects whose key begins with `prefix`, as one page.
 
         Its revision is that of the first page, so a watch from there includes changes
-        made while the other pages were read.
+        made while the other pages were read. Pages of two eras are not joined.
         """
         objects: list[StoredObject] = []
         revision: int | None = None
+        era = UNKNOWN_ERA
         after = ""
         while True:
             response = self._call("reads", self._format.list_page(prefix, after))
             if isinstance(response, StoreFailure):
                 return _as_read_failure(response)
+            if after and response.era != era:
+                objects, revision, after = [], None, ""
+                continue
             page = self._format.read_list_page(prefix, response)
             if page is None:
                 return _unexpected_response(response, maybe_written=False)
             objects += page.value.objects
-            revision = page.value.revision if revision is None else revision
+            if revision is None:
+                revision, era = page.value.revision, response.era
             if not page.value.next_after:
-                return Ok(ObjectPage(tuple(objects), revision))
+                return Ok(ObjectPage(tuple(objects), revision, era=era))
             after = page.value.next_after
 
     def put(
@@ -177,6 +193,9 @@
         response = self._call("writes", self._format.put(key, value, if_version))
         if isinstance(response, StoreFailure):
             return response
+        if response.era != self.eras.current:
+            # What was written in the earlier era may be lost.
+            return StoreFailure("the store has returned from a copy meanwhile", True)
         found = self._format.read_put(key, response)
         return found or _unexpected_response(
             response, maybe_written=response.status == 200
@@ -200,9 +219,12 @@
         response = self._call("watches", request, hold_ms=timeout_ms)
         if isinstance(response, StoreFailure):
             return _as_read_failure(response)
-        return self._format.read_watch(prefix, after, response) or _unexpected_response(
-            response, False
-        )
+        result = self._format.read_watch(prefix, after, response)
+        if isinstance(result, HistoryExpired):
+            return replace(result, era=response.era)
+        if result is None:
+            return _unexpected_response(response, False)
+        return Ok(replace(result.value, era=response.era))
 
 
 def _as_read_failure(failure: StoreFailure) -> StoreFailure:
