Daemon: one handler of stop signals for all programs

The daemon had a handler of its own, which did not notice that the process was paused when the signal came; that of the routing program does. StopSignal now calls its function for each signal, as a second one ends the grace period of a drain early. tests/test_late_stop_signals.py, test_process_drain.py and test_process.py pass.

--- a/wigeonwind/daemon.py
+++ b/wigeonwind/daemon.py
@@ -16,7 +16,7 @@
 from wigeonwind.outcomes import Invalid, Ok
 from wigeonwind.runtime.logs import configure_logs
 from wigeonwind.runtime.process import EXIT_OK, Process, build_process
-from wigeonwind.runtime.stop_signals import StopSignals
+from wigeonwind.runtime.stop_signal import STOP_SIGNALS, StopSignal
 from wigeonwind.settings import Settings, read_settings
 
 EXIT_BAD_SETTINGS = 2
@@ -46,8 +46,8 @@
 
     SIGTERM and SIGINT start a drain; SIGHUP reloads the settings.
     """
-    signals = StopSignals(SystemClock(), process.drain)
-    signals.install()
+    stop_signal = StopSignal(SystemClock(), process.drain)
+    stop_signal.install(STOP_SIGNALS)
     gevent.signal_handler(signal.SIGHUP, process.reload)
     try:
         addresses = process.start()
--- a/wigeonwind/platform/__main__.py
+++ b/wigeonwind/platform/__main__.py
@@ -39,7 +39,7 @@
 from wigeonwind.routing.router import Router, RouterSettings
 from wigeonwind.routing.routing_state import StoreSchema
 from wigeonwind.runtime.logs import configure_logs
-from wigeonwind.runtime.stop_signal import StopSignal
+from wigeonwind.runtime.stop_signal import STOP_SIGNALS, StopSignal
 from wigeonwind.state.store_client import StoreClient, StoreLimits
 from wigeonwind.state.store_http import PoolLimits
 
@@ -166,7 +166,7 @@
     configure_logs()
     router = build_router(result.value)
     stop_signal = StopSignal(SystemClock(), router.drain)
-    stop_signal.install((signal.SIGTERM, signal.SIGINT))
+    stop_signal.install(STOP_SIGNALS)
     gevent.signal_handler(signal.SIGHUP, reload_settings, router, result.value)
     try:
         router.start()
--- a/wigeonwind/runtime/stop_signal.py
+++ b/wigeonwind/runtime/stop_signal.py
@@ -11,6 +11,8 @@
 
 log = get_logger("wigeonwind.stop_signal")
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 LOOP_CHECK_MS = 50.0
 """Interval at which the loop records that it runs."""
 
@@ -19,12 +21,13 @@
 
 
 class StopSignal:
-    """Calls `on_stop` once, in a new greenlet, for the first of some stop signals.
+    """Calls `on_stop`, in a new greenlet, for each of some stop signals.
 
     `on_stop` gets the earliest time at which the signal may have come, a clock reading
     in milliseconds. That is when its handler ran, which Python does between any two
     instructions. A paused process or a long call into C delays even the handler; if the
-    loop was held up at that time, it is when the loop last recorded that it ran.
+    loop was held up when the first signal was handled, it is when the loop last
+    recorded that it ran.
     """
 
     def __init__(self, clock: Clock, on_stop: Callable[[float], None]) -> None:
@@ -34,7 +37,6 @@
         self._ran_ms = clock.now_ms()
         self.came_ms: float | None = None
         """Earliest time at which the first signal may have come, None before it."""
-        self._handled_ms = 0.0
 
     def install(self, signal_numbers: Iterable[int]) -> None:
         """Handle these signals; call it in the main thread."""
@@ -50,19 +52,20 @@
 
     def _handle(self, _number: int, _frame: FrameType | None) -> None:
         """Handle a signal; this may interrupt any code of the main thread."""
-        if self.came_ms is not None:
-            return
-        self._handled_ms = now_ms = self._clock.now_ms()
-        is_held_up = now_ms - self._ran_ms > LOOP_CHECK_MS + MAX_LOOP_LAG_MS
-        self.came_ms = self._ran_ms if is_held_up else now_ms
-        self._loop.run_callback_threadsafe(gevent.spawn, self._begin_stop)
+        now_ms = self._clock.now_ms()
+        came_ms = now_ms
+        if self.came_ms is None:
+            is_held_up = now_ms - self._ran_ms > LOOP_CHECK_MS + MAX_LOOP_LAG_MS
+            self.came_ms = came_ms = self._ran_ms if is_held_up else now_ms
+        self._loop.run_callback_threadsafe(
+            gevent.spawn, self._begin_stop, came_ms, now_ms
+        )
 
-    def _begin_stop(self) -> None:
-        assert self.came_ms is not None
+    def _begin_stop(self, came_ms: float, handled_ms: float) -> None:
         self._timer.stop()
         log.info(
             "stop signal received",
-            held_up_ms=round(self._handled_ms - self.came_ms, 1),
-            loop_lag_ms=round(self._clock.now_ms() - self._handled_ms, 1),
+            held_up_ms=round(handled_ms - came_ms, 1),
+            loop_lag_ms=round(self._clock.now_ms() - handled_ms, 1),
         )
-        self._on_stop(self.came_ms)
+        self._on_stop(came_ms)
