--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -35,12 +35,14 @@
 from wigeonwind.platform.store_format import PlatformStoreFormat
 from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.event_stream import _event_id
+from wigeonwind.routing.peer_exchange import DirectoryEntry
 from wigeonwind.routing.peer_exchange import decode_record as decode_peer_record
 from wigeonwind.routing.peer_messages import LoadMessage, decode_load, encode_load
 from wigeonwind.routing.peer_state import SharedState, decode_state, encode_state
 from wigeonwind.routing.request_keys import format_key, parse_key
 from wigeonwind.routing.response_parser import Response, keep_alive_ms
 from wigeonwind.routing.routes import RouteTable
+from wigeonwind.routing.stop_messages import StopMessage, decode_stop, encode_stop
 from wigeonwind.routing.store_watchers import StoreView
 from wigeonwind.routing.suspect_messages import (
     SuspectMessage,
@@ -72,7 +74,7 @@
     StoreResponse,
     _retry_after_ms,
 )
-from wigeonwind.state.store_types import StoredObject
+from wigeonwind.state.store_types import StoredObject, StoreRevision
 
 MAX_SENT_BYTES = 4_000
 """Longest header value that is sent; the limit of the test's configuration is 4,096."""
@@ -124,12 +126,13 @@
 PLATFORM, NATIVE = PlatformStoreFormat(), NativeStoreFormat()
 LOAD = LoadMessage(
     "edge-2", 7, 3, {5: InFlightLoad(1, 0, ((1, 40),))}, ((9, 5),),
-    StoreView("z", 1, 2, True, False),
+    StoreView("z", 1, StoreRevision(1, 2), True, False),
 )  # fmt: skip
 SUSPECTS = SuspectMessage("edge-2", True, (SuspectRow(4, ((3, 9),), 5),), ((4, 3),))
 ENTRY_OBJECT = stored("a")
 STORED = StoredObject("k/a", 5, json.dumps(SPEC).encode())
-STATE = SharedState(5, True, STORED, (STORED,))
+STOP = StopMessage("r2", 1, 500, 7_000, True)
+STATE = SharedState(StoreRevision(1, 5), True, STORED, (STORED,))
 ANSWER = RecordedResponse(200, [["a", "b"]], b"x")
 BOOKING = BookingRecord(RecordState.DONE, "t", "d", "side-1", 7, 1.0, ANSWER)
 HEAD = {"version": 1, "digest": "d", "source": "x", "submission_id": "s", "recent": []}
@@ -151,7 +154,10 @@
         of_text(decode_node_file), NODE_FILE, "text", (Ok, Invalid)
     ),
     "routing.peer_exchange.decode_record": Decoder(
-        decode_peer_record, {"address": "10.0.0.1:80"}, "json", (SocketAddress, str)
+        decode_peer_record,
+        {"address": "10.0.0.1:80", "message_version": 3},
+        "json",
+        (DirectoryEntry, str),
     ),
     "routing.peer_messages.decode_load": Decoder(
         decode_load, encode_load(LOAD), "cbor", (LoadMessage, str)
@@ -159,6 +165,9 @@
     "routing.suspect_messages.decode_suspects": Decoder(
         decode_suspects, encode_suspects(SUSPECTS), "cbor", (SuspectMessage, str)
     ),
+    "routing.stop_messages.decode_stop": Decoder(
+        decode_stop, encode_stop(STOP), "cbor", (StopMessage, str)
+    ),
     "routing.peer_state.decode_state": Decoder(
         decode_state, encode_state(STATE), "cbor", (SharedState, str)
     ),
--- a/wigeonwind/platform/headers.py
+++ b/wigeonwind/platform/headers.py
@@ -21,7 +21,7 @@
 LAST_EVENT_ID = b"last-event-id"
 WORKER_SIGNATURE = b"worker-signature"
 NOT_EXECUTED = b"not-executed"
-MAX_PROMPT_TOKENS = 100_000_000
+MAX_TOKENS = 100_000_000
 """Largest number of tokens of a prompt, or of a chunk of it; a larger one is not
 believed."""
 
@@ -75,10 +75,10 @@
             tuple(each for each in headers if each[0].lower() not in dropped),
             None if api_key is None else api_key.decode("latin-1"),
             _non_negative_number(by_name.get(DEADLINE_MS)),
-            int(min(_non_negative_number(prompt_tokens) or 0.0, MAX_PROMPT_TOKENS)),
+            _token_count(prompt_tokens),
             tuple(_prompt_chunks(by_name.get(PREFIX_HASH, b""))),
             _event_id(by_name.get(LAST_EVENT_ID)),
-            int(_non_negative_number(by_name.get(LENGTH_HINT)) or 0),
+            _token_count(by_name.get(LENGTH_HINT)),
         )
 
     def encode_request_headers(
@@ -141,6 +141,11 @@
     return number if isfinite(number) and number >= 0.0 else None
 
 
+def _token_count(value: bytes | None) -> int:
+    """Return a bounded number of tokens, 0 for none or an invalid one."""
+    return int(min(_non_negative_number(value) or 0.0, MAX_TOKENS))
+
+
 def _event_id(value: bytes | None) -> int | None:
     number = _non_negative_number(value)
     return None if number is None or number > MAX_EVENT_ID else int(number)
@@ -155,6 +160,6 @@
         except ValueError:
             return
         is_in_range = 0 <= chunk.chunk_id <= MAX_CHUNK_ID
-        if not is_in_range or not 0 <= chunk.tokens <= MAX_PROMPT_TOKENS:
+        if not is_in_range or not 0 <= chunk.tokens <= MAX_TOKENS:
             return
         yield chunk
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -141,7 +141,8 @@
     address = parse_valid_address(record.address)
     if address is None or not address.port:
         return f"{record.address[:MAX_REASON_CHARS]!r} is not the address of a peer"
-    return DirectoryEntry(address, record.message_version)
+    version = min(max(record.message_version, EARLIER_VERSION), MESSAGE_VERSION)
+    return DirectoryEntry(address, version)
 
 
 class SuspectSource(Protocol):
@@ -483,6 +484,8 @@
 
     def _maintain_directory(self) -> None:
         self._read_directory_isolated()
+        # The record under the local name may be invalid or that of an earlier start.
+        self._is_registered = False
         self._send_once()
         while True:
             key = self._prefix + self._local_id
@@ -594,5 +597,4 @@
             self._peer_by_id[peer_id] = _Peer(address, first_seen_ms=first_seen_ms)
         peer = self._peer_by_id.get(peer_id)
         if peer is not None and peer.address == address:
-            stated = min(record.message_version, MESSAGE_VERSION)
-            peer.message_version = max(peer.message_version, stated)
+            peer.message_version = max(peer.message_version, record.message_version)
--- a/wigeonwind/routing/stop_messages.py
+++ b/wigeonwind/routing/stop_messages.py
@@ -8,6 +8,8 @@
 
 import cbor2
 
+from wigeonwind.routing.peer_messages import DECODE_ERRORS
+
 MESSAGE_TYPE = "stops/1"
 """First element of each message."""
 
@@ -65,7 +67,7 @@
             data
         )
         if message_type != MESSAGE_TYPE or not isinstance(sender, str):
-            return f"unsupported message type {message_type!r}"
+            return f"unsupported message type {message_type!r:.40}"
         return StopMessage(
             sender,
             _number(incarnation, MAX_INCARNATION),
@@ -73,11 +75,11 @@
             _number(exits_in_ms, MAX_MS),
             bool(listens),
         )
-    except (cbor2.CBORError, ValueError, TypeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return f"not a stop message: {error}"
 
 
 def _number(value: object, limit: int) -> int:
     if not isinstance(value, int) or isinstance(value, bool) or not 0 <= value <= limit:
-        raise ValueError(f"{value!r} is not a number up to {limit}")
+        raise ValueError(f"a value is not a number from 0 to {limit}")
     return value
