Tests: the directory record of a router states its message version

test_a_router_replaces_an_odd_record_under_its_name compared the record with its address alone; on the joined tree it also has the version of load messages. The test now asks for both, exactly.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,6 +14,7 @@
 from wigeonwind.platform.endpoint_entries import decode_endpoint
 from wigeonwind.platform.store_format import PlatformStoreFormat
 from wigeonwind.routing.endpoints import Endpoint
+from wigeonwind.routing.peer_messages import MESSAGE_VERSION
 from wigeonwind.state.store_http import StoreResponse
 from wigeonwind.state.store_types import Conflict
 
@@ -232,6 +233,9 @@
         assert fleet.store.put_raw("routers", "edge-2", text) == revision
         router = fleet.add_router()
         records = fleet.store.state.objects_by_kind["routers"]
-        address = str(router.peers.address)
-        fleet.wait_for(lambda: records["edge-2"].spec == {"address": address})
+        expected = {
+            "address": str(router.peers.address),
+            "message_version": MESSAGE_VERSION,
+        }
+        fleet.wait_for(lambda: records["edge-2"].spec == expected)
         fleet.wait_for(lambda: router.is_ready)
