Discovery: an endpoint that a peer's listing lacks has departed

What could happen: a router that the store refuses reads a peer's listing, in which an endpoint with an expired entry is gone. After a return of the store from a copy that still lists the endpoint, it got requests again: the entry was dropped without being noted as a departure. Found by reading; the new test failed before and passes now.

--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -226,6 +226,18 @@
     assert discovery.instance_ids() == ["w0", "w1"]
 
 
+def test_endpoint_that_a_peer_knows_to_have_left_is_held_back_after_a_return():
+    # Guards against requests to an endpoint whose entry expired in an outage and which
+    # is gone by the listing of a peer, after a return of the store has undone that.
+    discovery = DiscoveryHarness()
+    discovery.endpoints.on_store_unreachable()
+    discovery.endpoints.on_listed([])
+    discovery.endpoints.on_listed([endpoint("w1")], is_authoritative=True)
+    discovery.endpoints.on_store_returned()
+    discovery.endpoints.on_listed([endpoint("w0"), endpoint("w1")])
+    assert discovery.instance_ids() == ["w1"]
+
+
 def test_departures_are_forgotten():
     # Guards against memory that grows, and against an endpoint that is held back for
     # ever.
--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -143,6 +143,8 @@
         ]:
             self._remove(instance_id, is_authoritative or self.is_authoritative)
         if is_authoritative:
+            for instance_id in self._expired_by_id.keys() - listed.keys():
+                self._remove_expired(instance_id)
             self._expired_by_id.clear()
         for endpoint in listed.values():
             self._put(endpoint)
@@ -205,8 +207,7 @@
             del self._held_until_ms[key]
         self._forget_departures(now_ms)
         for instance_id in expired_ids:
-            expired = self._expired_by_id.pop(instance_id)
-            self._departure_by_key[expired.endpoint.key] = _Departure(now_ms, False)
+            self._remove_expired(instance_id)
             log.info(
                 "endpoint removed; its expired entry was not renewed",
                 endpoint=instance_id,
@@ -216,6 +217,12 @@
         if expired_ids or readmitted_keys or released_keys:
             self._update()
 
+    def _remove_expired(self, instance_id: str) -> None:
+        """Drop an expired entry, as its endpoint has departed."""
+        endpoint = self._expired_by_id.pop(instance_id).endpoint
+        departure = _Departure(self._clock.now_ms(), False)
+        self._departure_by_key[endpoint.key] = departure
+
     def _deadline_ms(self, expired: _ExpiredEntry) -> float:
         """Return until when an expired entry is used; no limit during an outage."""
         if self._store_is_unreachable:
