Stop signal: a loop that runs between a pause and the handler does not hide the pause

After SIGCONT the loop may record that it runs before Python calls the handler, as the kernel may give the signal to another thread; the handler then saw a fresh record. The end of the last hold-up is kept now, and a signal that is handled within 100 ms of it counts from its begin.

--- a/tests/test_late_stop_signals.py
+++ b/tests/test_late_stop_signals.py
@@ -157,3 +157,27 @@
         gevent.sleep(0.1)
         assert stop_signal.came_ms == came_ms
         assert stopping.fleet.router.is_draining
+
+
+def test_a_record_between_a_pause_and_the_handler_does_not_hide_the_pause():
+    # Guards against stops that count from the end of a pause: the kernel may give the
+    # signal to another thread, and the loop runs before Python calls the handler.
+    stop_signal = StopSignal(SystemClock(), lambda _: None)
+    before_ms = stop_signal._ran_ms = stop_signal._ran_ms - 1_500.0
+    stop_signal._timer = gevent.get_hub().loop.timer(1.0, ref=False)
+    stop_signal._record_running()
+    stop_signal._handle(0, None)
+    gevent.sleep(0.0)
+    assert stop_signal.came_ms == before_ms
+
+
+def test_a_hold_up_long_before_the_signal_does_not_count():
+    # Guards against stops that are shortened by a pause that had ended before.
+    stop_signal = StopSignal(SystemClock(), lambda _: None)
+    stop_signal._timer = gevent.get_hub().loop.timer(1.0, ref=False)
+    stop_signal._held_up_from_ms = stop_signal._ran_ms - 5_000.0
+    stop_signal._held_up_until_ms = stop_signal._ran_ms - 1_000.0
+    before_ms = stop_signal._ran_ms
+    stop_signal._handle(0, None)
+    gevent.sleep(0.0)
+    assert stop_signal.came_ms >= before_ms
--- a/wigeonwind/runtime/stop_signal.py
+++ b/wigeonwind/runtime/stop_signal.py
@@ -19,6 +19,10 @@
 MAX_LOOP_LAG_MS = 25.0
 """Delay of a record from which the process counts as held up."""
 
+HANDLER_DELAY_MS = 100.0
+"""Time after a hold-up within which the handler of a signal that came during it runs.
+The kernel may give the signal to another thread, so that the loop runs first."""
+
 
 class StopSignal:
     """Calls `on_stop`, in a new greenlet, for each of some stop signals.
@@ -35,6 +39,8 @@
         self._on_stop = on_stop
         self._loop = gevent.get_hub().loop
         self._ran_ms = clock.now_ms()
+        self._held_up_from_ms = self._held_up_until_ms = float("-inf")
+        """Begin and end of the last hold-up of the loop."""
         self.came_ms: float | None = None
         """Earliest time at which the first signal may have come, None before it."""
 
@@ -48,15 +54,25 @@
             signal.signal(number, self._handle)
 
     def _record_running(self) -> None:
-        self._ran_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        if now_ms - self._ran_ms > LOOP_CHECK_MS + MAX_LOOP_LAG_MS:
+            self._held_up_from_ms, self._held_up_until_ms = self._ran_ms, now_ms
+        self._ran_ms = now_ms
+
+    def _earliest_ms(self, now_ms: float) -> float:
+        """Return the earliest time at which a signal handled now may have come."""
+        if now_ms - self._ran_ms > LOOP_CHECK_MS + MAX_LOOP_LAG_MS:
+            return self._ran_ms
+        if now_ms - self._held_up_until_ms <= HANDLER_DELAY_MS:
+            return self._held_up_from_ms
+        return now_ms
 
     def _handle(self, _number: int, _frame: FrameType | None) -> None:
         """Handle a signal; this may interrupt any code of the main thread."""
         now_ms = self._clock.now_ms()
         came_ms = now_ms
         if self.came_ms is None:
-            is_held_up = now_ms - self._ran_ms > LOOP_CHECK_MS + MAX_LOOP_LAG_MS
-            self.came_ms = came_ms = self._ran_ms if is_held_up else now_ms
+            self.came_ms = came_ms = self._earliest_ms(now_ms)
         self._loop.run_callback_threadsafe(
             gevent.spawn, self._begin_stop, came_ms, now_ms
         )
