Stops: a process that leaves counts the connections that it has just accepted

Found by review: a request that comes while the listener closes was accepted and reset, in 3 of 3 processes that were held up for 0.2 s at that time. Connections are registered by the greenlets that serve them, which had not run when the process looked whether any is open. They run now before it looks. The test failed before.

--- a/wigeonwind/routing/stop_sequence.py
+++ b/wigeonwind/routing/stop_sequence.py
@@ -120,6 +120,8 @@
         while (accepted := self._server.do_read()) is not None:
             self._server.do_handle(*accepted)
         self._server.close()
+        # Connections are registered by greenlets that have not run yet.
+        gevent.sleep(0.0)
         for connection in list(self._connections):
             connection.on_stop_phase()
 
