Stops: after a pause that is longer than the stop, some of it is left

Found by review: after a hold-up of 10 s with a limit of 4 s a call of 500 ms got 502 at once, though the signal may have come 0.1 s before. At least 1.5 s of the stop, margins included, are left now, whenever the signal may have come. The test failed before.

--- a/tests/test_ends_of_stops.py
+++ b/tests/test_ends_of_stops.py
@@ -1,12 +1,15 @@
 """Ends of planned stops: connections, errors, hold-ups and other processes."""
 
-from routing_fleet import read_reply, request_bytes
-from test_requests_during_stops import stopping_fleet
+import gevent
+from routing_fleet import configuration, read_reply, request_bytes
+from test_requests_during_stops import SLOW_ROUTES, stopping_fleet
 from test_stop_admission_requests import (
     LONG,
     answer_requests,
 )
 
+from wigeonwind.clock import SystemClock
+from wigeonwind.runtime.stop_signal import StopSignal
 from wigeonwind.standins.platform_worker import EchoRequestId
 
 
@@ -32,3 +35,19 @@
         reply = read_reply(socks[0])
         assert reply.is_whole
         assert not registered
+
+
+def test_work_goes_on_after_a_pause_that_is_longer_than_the_stop():
+    # Guards against requests that are cut at once, as the signal may have come at the
+    # begin of a pause, though the whole time of the stop may be left.
+    config = configuration(routes=SLOW_ROUTES)
+    with stopping_fleet(EchoRequestId(delay_ms=500.0), config) as stopping:
+        with stopping.fleet.connect() as sock:
+            sock.sendall(request_bytes("/once/x", "POST", b"b", LONG, "a1"))
+            gevent.sleep(0.1)
+            stop_signal = StopSignal(SystemClock(), stopping.fleet.router.drain)
+            stop_signal._ran_ms -= 10_000.0
+            stop_signal._timer = gevent.get_hub().loop.timer(1.0, ref=False)
+            stop_signal._handle(0, None)
+            reply = read_reply(sock)
+        assert reply.status == 200
--- a/tests/test_stop_messages.py
+++ b/tests/test_stop_messages.py
@@ -22,9 +22,9 @@
         first, second = fleet.routers
         second.peers._peer_by_id["edge-1"].started_ms = -1e9
         now_ms = second._clock.now_ms()
-        view = plan_stop(now_ms, 8_000.0)
+        view = plan_stop(None, now_ms, 8_000.0)
         assert second.peers.others(view).ready == 1
-        plan = plan_stop(first._clock.now_ms(), 8_000.0)
+        plan = plan_stop(None, first._clock.now_ms(), 8_000.0)
         first.peers._local_stop = None
         first.peers.announce_stop(plan, lambda: plan.exits_ms)
         fleet.wait_for(lambda: second.peers.stops.is_stopping("edge-1"))
--- a/wigeonwind/routing/planned_stop.py
+++ b/wigeonwind/routing/planned_stop.py
@@ -11,6 +11,10 @@
 """Time before the exit at which every open request gets its final response."""
 
 
+MIN_STOP_MS = 1_500.0
+"""Least time that is left of a stop, margins included, whenever its signal came."""
+
+
 class StopPhase(Enum):
     """What a process does with connections and requests."""
 
@@ -42,15 +46,23 @@
         return StopPhase.LISTENING
 
 
-def plan_stop(signaled_ms: float, limit_ms: float) -> PlannedStop:
+def plan_stop(signaled_ms: float | None, now_ms: float, limit_ms: float) -> PlannedStop:
     """Return the times of a stop that must end within `limit_ms`.
 
-    >>> stop = plan_stop(0.0, 8_000.0)
+    `signaled_ms` is the earliest time at which the signal may have come, None for now.
+    After a pause that is longer than the stop, MIN_STOP_MS of it are left, because the
+    signal may have come late in the pause.
+
+    >>> stop = plan_stop(0.0, 0.0, 8_000.0)
     >>> stop.ends_from_ms, stop.exits_ms
     (7500.0, 7700.0)
     >>> stop.leaves_from_ms = 2_500.0
     >>> stop.phase(2_499.0), stop.phase(2_500.0)
     (<StopPhase.LISTENING: 'listening'>, <StopPhase.LEAVING: 'leaving'>)
+    >>> plan_stop(0.0, 20_000.0, 8_000.0).ends_from_ms
+    21000.0
     """
-    exits_ms = signaled_ms + max(0.0, limit_ms - EXIT_MARGIN_MS)
-    return PlannedStop(signaled_ms, max(signaled_ms, exits_ms - ENDING_MS), exits_ms)
+    earliest_ms = now_ms - max(0.0, limit_ms - MIN_STOP_MS)
+    began_ms = now_ms if signaled_ms is None else max(signaled_ms, earliest_ms)
+    exits_ms = began_ms + max(0.0, limit_ms - EXIT_MARGIN_MS)
+    return PlannedStop(began_ms, max(began_ms, exits_ms - ENDING_MS), exits_ms)
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -448,9 +448,8 @@
         """
         if self.is_draining:
             return
-        if signaled_ms is None:
-            signaled_ms = self._clock.now_ms()
-        self._stopping.run(plan_stop(signaled_ms, self.stop_limit_ms))
+        plan = plan_stop(signaled_ms, self._clock.now_ms(), self.stop_limit_ms)
+        self._stopping.run(plan)
         if not self.stopped.is_set():
             self.stop()
 
