Stops: an error in a stop ends the process

Found by review: with a fault in one step of a stop its greenlet ended, further signals did nothing, and the process stayed until it was killed. No trigger is known. The process now stops in any case. The tests failed before.

--- a/tests/test_ends_of_stops.py
+++ b/tests/test_ends_of_stops.py
@@ -1,8 +1,9 @@
 """Ends of planned stops: connections, errors, hold-ups and other processes."""
 
 import gevent
+import pytest
 from routing_fleet import configuration, read_reply, request_bytes
-from test_requests_during_stops import SLOW_ROUTES, stopping_fleet
+from test_requests_during_stops import SLOW_ROUTES, STOP_LIMIT_MS, stopping_fleet
 from test_stop_admission_requests import (
     LONG,
     answer_requests,
@@ -37,6 +38,19 @@
         assert not registered
 
 
+@pytest.mark.parametrize("step", ["announce_stop", "repeat_stop"])
+def test_a_stop_that_meets_an_error_ends_the_process(step):
+    # Guards against a process that ignores all further stop signals and never ends.
+    with stopping_fleet(EchoRequestId()) as stopping:
+
+        def fail(*_):
+            raise RuntimeError("a fault")
+
+        setattr(stopping.fleet.router.peers, step, fail)
+        stopping.stop()
+        assert stopping.wait_until_stopped() < STOP_LIMIT_MS
+
+
 def test_work_goes_on_after_a_pause_that_is_longer_than_the_stop():
     # Guards against requests that are cut at once, as the signal may have come at the
     # begin of a pause, though the whole time of the stop may be left.
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -449,9 +449,12 @@
         if self.is_draining:
             return
         plan = plan_stop(signaled_ms, self._clock.now_ms(), self.stop_limit_ms)
-        self._stopping.run(plan)
-        if not self.stopped.is_set():
-            self.stop()
+        try:
+            self._stopping.run(plan)
+        finally:
+            # A process whose stop fails must not go on: further signals do nothing.
+            if not self.stopped.is_set():
+                self.stop()
 
     def stop(self) -> None:
         """Stop at once; requests in flight are cut off."""
