Stops: a message that comes slowly does not keep a process that has left

Found by review: one byte of a body each 0.6 s kept a process that no longer listened until 7.73 s after the signal, with another one ready. From 0.5 s after a process has left, requests that have been read in part are refused with 503 not-run, as before in the last 0.5 s of the stop. The test failed before; tests/test_requests_during_stops.py passes unchanged.

--- a/tests/test_ends_of_stops.py
+++ b/tests/test_ends_of_stops.py
@@ -7,6 +7,9 @@
 from test_stop_admission_requests import (
     LONG,
     answer_requests,
+    fleet_with,
+    sleep_until,
+    stop_router,
 )
 
 from wigeonwind.clock import SystemClock
@@ -65,3 +68,20 @@
             stop_signal._handle(0, None)
             reply = read_reply(sock)
         assert reply.status == 200
+
+
+def test_a_slow_body_does_not_keep_a_process_that_no_longer_listens():
+    # Guards against a successor that is delayed until the end of a stop by one caller
+    # who sends its body slowly.
+    with fleet_with(EchoRequestId(delay_ms=10.0), 8_000.0, routers=2) as fleet:
+        data = request_bytes("/once/x", "POST", b"0123456789abcdef", LONG, "slow")
+        with fleet.connect() as sock:
+            sock.sendall(data[:-14])
+            gevent.sleep(0.1)
+            signaled_s = stop_router(fleet.router)
+            for step in range(10):
+                sleep_until(signaled_s, 0.6 * (step + 1))
+                if fleet.router.stopped.is_set():
+                    break
+                sock.sendall(data[step - 14 : step - 13])
+            assert fleet.router.stopped.is_set()
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -143,10 +143,10 @@
                 self.send_failure(self._parser.failure, "", ())
                 self._close_gracefully()
                 return
-            if self._stop_phase() is StopPhase.ENDING and (
-                self._parser.has_partial_message
+            if self._parser.has_partial_message and (
+                self._stop_phase() in (StopPhase.CLOSING, StopPhase.ENDING)
             ):
-                self._close_reason = "end of the stop"
+                self._close_reason = "message incomplete in a stop"
                 self.send_failure(STOPPING, "", ())
                 self._close_gracefully()
                 return
@@ -190,7 +190,7 @@
         return max(remaining_ms, 1.0) / MS_PER_SECOND
 
     def _is_leaving(self) -> bool:
-        return self._stop_phase() in (StopPhase.LEAVING, StopPhase.ENDING)
+        return self._stop_phase() not in (StopPhase.RUNNING, StopPhase.LISTENING)
 
     def _is_idle_in_stop(self) -> bool:
         """Return whether a stopping process should close the connection now."""
--- a/wigeonwind/routing/planned_stop.py
+++ b/wigeonwind/routing/planned_stop.py
@@ -4,6 +4,8 @@
 from enum import Enum
 from math import inf
 
+from wigeonwind.decisions.stop_admission import LEAVING_MS
+
 EXIT_MARGIN_MS = 300.0
 """Time before the limit of the stop at which the process exits by itself."""
 
@@ -23,6 +25,8 @@
     """Connections are accepted; responses end them."""
     LEAVING = "leaving"
     """The listener and idle connections are closed, requests in flight are served."""
+    CLOSING = "closing"
+    """Requests that have been read in part are refused, those in flight are served."""
     ENDING = "ending"
     """Requests in flight get their final response at once."""
 
@@ -41,6 +45,8 @@
         """Return the phase at a time from the signal on."""
         if now_ms >= self.ends_from_ms:
             return StopPhase.ENDING
+        if now_ms >= self.leaves_from_ms + LEAVING_MS:
+            return StopPhase.CLOSING
         if now_ms >= self.leaves_from_ms:
             return StopPhase.LEAVING
         return StopPhase.LISTENING
