Stops: a peer without a configuration does not count as ready

Found by review: a process left, and sent callers to a peer that had no configuration yet, as each peer that is heard and announces no stop counted as ready. Peers whose messages state no version of the configuration do not count now. The test failed before.

--- a/tests/test_ends_of_stops.py
+++ b/tests/test_ends_of_stops.py
@@ -1,5 +1,7 @@
 """Ends of planned stops: connections, errors, hold-ups and other processes."""
 
+from dataclasses import replace
+
 import gevent
 import pytest
 from routing_fleet import configuration, read_reply, request_bytes
@@ -85,3 +87,16 @@
                     break
                 sock.sendall(data[step - 14 : step - 13])
             assert fleet.router.stopped.is_set()
+
+
+def test_peers_that_cannot_serve_callers_do_not_count_as_ready():
+    # Guards against a process that leaves, or refuses long requests, because a peer
+    # without a configuration counts as ready.
+    with fleet_with(EchoRequestId(), 8_000.0, routers=2) as fleet:
+        gevent.sleep(1.2)
+        stopping, unconfigured = fleet.routers
+        view = replace(unconfigured._store_view(), configuration_version=0)
+        unconfigured.peers._local_view = lambda: view
+        gevent.sleep(0.3)
+        stop_router(stopping)
+        assert stopping.peers.others(stopping._stopping.plan).ready == 0
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -290,6 +290,8 @@
         ready = sum(
             peer.last_received_ms >= now_ms - MAX_AGE_MS
             and peer.started_ms <= now_ms - SETTLING_MS
+            and peer.view is not None
+            and peer.view.configuration_version > 0
             and not self.stops.is_stopping(peer_id)
             for peer_id, peer in self._peer_by_id.items()
         )
