Stops: routers that are told to stop at the same time agree on their order

Found by review: two processes that were told to stop at the same time each took the other one for the later one, by the delay of the messages, and refused long work from 2.5 s on. Signals within 100 ms of each other are ordered by router id now. The tests (delays of 0.6, 1 and 5 ms) failed before.

--- a/tests/test_ends_of_stops.py
+++ b/tests/test_ends_of_stops.py
@@ -15,6 +15,13 @@
 )
 
 from wigeonwind.clock import SystemClock
+from wigeonwind.decisions.stop_admission import (
+    DurationEstimate,
+    StopSituation,
+    decide_in_stop,
+)
+from wigeonwind.routing.peer_stops import PeerStops
+from wigeonwind.routing.stop_messages import StopMessage
 from wigeonwind.runtime.stop_signal import StopSignal
 from wigeonwind.standins.platform_worker import EchoRequestId
 
@@ -100,3 +107,22 @@
         gevent.sleep(0.3)
         stop_router(stopping)
         assert stopping.peers.others(stopping._stopping.plan).ready == 0
+
+
+@pytest.mark.parametrize("delay_ms", [0.6, 1.0, 5.0])
+def test_of_routers_that_stop_at_the_same_time_one_takes_long_work(delay_ms):
+    # Guards against callers who are sent from one stopping process to the other, each
+    # of which takes the other one for the one that stops later.
+    decisions = []
+    for local_id, peer_id in (("r1", "r2"), ("r2", "r1")):
+        stops = PeerStops(local_id)
+        for step in range(1, 31):
+            since_ms = round(step * 100.3)
+            message = StopMessage(peer_id, 1, since_ms, 4_000, True)
+            stops.on_message(message, step * 100.3 + delay_ms)
+        others = stops.others(0, 0.0, 3_010.0)
+        situation = StopSituation(3_010.0, 4_490.0, None, others)
+        estimate = DurationEstimate(2_000.0, 1_200.0)
+        decisions.append(decide_in_stop(situation, estimate, True))
+    print(decisions)
+    assert any(each.is_taken for each in decisions)
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -240,7 +240,7 @@
         self._sock = gevent_socket.socket(
             gevent_socket.AF_INET, gevent_socket.SOCK_DGRAM
         )
-        self.stops = PeerStops()
+        self.stops = PeerStops(local_id)
         self._local_stop: Callable[[], StopMessage] | None = None
         self._reason_by_invalid_key: dict[str, str] = {}
         """Records in the directory that were logged as invalid."""
--- a/wigeonwind/routing/peer_stops.py
+++ b/wigeonwind/routing/peer_stops.py
@@ -6,6 +6,10 @@
 from wigeonwind.decisions.stop_admission import BALANCER_MS, OtherRouters
 from wigeonwind.routing.stop_messages import StopMessage
 
+SAME_TIME_MS = 100.0
+"""Difference of two signals within which their order is that of the router ids, as the
+routers cannot agree on it by messages that take time."""
+
 SILENCE_MS = 500.0
 """Time without a message after which a stopping router no longer listens. It sends one
 with each load message."""
@@ -43,7 +47,8 @@
     the process is ignored once its successor has been heard.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, local_id: str = "") -> None:
+        self._local_id = local_id
         self._stop_by_id: dict[str, _PeerStop] = {}
 
     def on_message(self, message: StopMessage, now_ms: float) -> None:
@@ -77,27 +82,35 @@
 
         `ready` is the number of others that run and have announced no stop.
         """
-        stops = self._stop_by_id.values()
+        stops = self._stop_by_id
+        later_ids = {
+            peer_id
+            for peer_id, each in stops.items()
+            if self._is_later(peer_id, each.signaled_ms - signaled_ms)
+        }
+        listening_ids = {
+            peer_id for peer_id, each in stops.items() if each.listens(now_ms)
+        }
         return OtherRouters(
             ready,
+            len(later_ids & listening_ids),
             sum(
-                each.signaled_ms > signaled_ms and each.listens(now_ms)
-                for each in stops
-            ),
-            sum(
-                each.signaled_ms <= signaled_ms
-                and now_ms - each.signaled_ms < BALANCER_MS
-                for each in stops
+                peer_id not in later_ids and now_ms - each.signaled_ms < BALANCER_MS
+                for peer_id, each in stops.items()
             ),
             sum(
-                not each.listens(now_ms) and each.is_expected(now_ms) for each in stops
-            ),
-            sum(
-                each.signaled_ms <= signaled_ms and each.listens(now_ms)
-                for each in stops
+                peer_id not in listening_ids and each.is_expected(now_ms)
+                for peer_id, each in stops.items()
             ),
+            len(listening_ids - later_ids),
         )
 
+    def _is_later(self, peer_id: str, difference_ms: float) -> bool:
+        """Return whether a router was told to stop after the local one."""
+        if abs(difference_ms) <= SAME_TIME_MS:
+            return peer_id > self._local_id
+        return difference_ms > 0.0
+
     def ready_in_ms(self, now_ms: float) -> Iterator[float]:
         """Yield the times until the successors of stopped routers should be ready."""
         for each in self._stop_by_id.values():
