Stops: a caller that is passed on to a router that listens comes back at once

Found by review: a request that was refused because another router, which stops later, takes it got `Retry-After: 7.70`, the time until the next successor should be ready, while that router answered 200.

--- a/tests/test_ends_of_stops.py
+++ b/tests/test_ends_of_stops.py
@@ -126,3 +126,30 @@
         decisions.append(decide_in_stop(situation, estimate, True))
     print(decisions)
     assert any(each.is_taken for each in decisions)
+
+
+def test_a_caller_who_is_sent_to_a_router_that_listens_comes_back_at_once():
+    # Guards against a Retry-After of several seconds while another router, which stops
+    # later, takes requests at once.
+    with fleet_with(EchoRequestId(delay_ms=1_100.0), 8_000.0, routers=2) as fleet:
+        first, second = fleet.routers
+        answer_requests(fleet, "/once/x", first)
+        answer_requests(fleet, "/once/x", second)
+        fleet.workers[0].default = EchoRequestId(delay_ms=6_500.0)
+        socks = []
+        for number, router in enumerate(fleet.routers):
+            sock = fleet.connect(router)
+            sock.sendall(request_bytes("/safe/x", "POST", b"b", LONG, f"o{number}"))
+            socks.append(sock)
+        gevent.sleep(0.1)
+        fleet.workers[0].default = EchoRequestId(delay_ms=1_100.0)
+        signaled_s = stop_router(first)
+        sleep_until(signaled_s, 1.0)
+        stop_router(second)
+        sleep_until(signaled_s, 3.0)
+        reply = fleet.call("/once/x", "POST", b"b", LONG, "a", first)
+        other = fleet.call("/once/x", "POST", b"b", LONG, "b", second)
+        for sock in socks:
+            sock.close()
+        assert (reply.status, other.status) == (503, 200)
+        assert float(reply.headers["retry-after"]) < 1.0
--- a/tests/test_stop_decisions.py
+++ b/tests/test_stop_decisions.py
@@ -153,9 +153,10 @@
 
 def test_a_refused_caller_comes_back_when_another_process_is_ready():
     # Guards against callers who use up their one retry while no process can take it.
-    assert retry_after_ms(0, [1_800.0, 900.0]) == 900.0
-    assert retry_after_ms(1, [900.0]) < 100.0
-    assert 0.0 < retry_after_ms(0, []) < 1_000.0
+    reason, alone = StopReason.TOO_LONG, OtherRouters()
+    assert retry_after_ms(reason, alone, [1_800.0, 900.0]) == 900.0
+    assert retry_after_ms(reason, OtherRouters(ready=1), [900.0]) < 100.0
+    assert 0.0 < retry_after_ms(reason, alone, []) < 1_000.0
 
 
 def stop(since_ms, exits_in_ms=5_000, incarnation=1, is_listening=True):
--- a/wigeonwind/decisions/stop_admission.py
+++ b/wigeonwind/decisions/stop_admission.py
@@ -203,15 +203,20 @@
     return LEAVE_STEP_MS * (others.leaves_first + jitter)
 
 
-def retry_after_ms(ready: int, ready_in_ms: Iterable[float]) -> float:
+def retry_after_ms(
+    reason: StopReason, others: OtherRouters, ready_in_ms: Iterable[float]
+) -> float:
     """Return when a refused caller should try again.
 
-    `ready` counts other ready processes; `ready_in_ms` are the times until further ones
-    are expected to be ready.
+    `ready_in_ms` are the times until further processes are expected to be ready.
 
-    >>> retry_after_ms(1, [900.0]), retry_after_ms(0, [1_800.0, 900.0])
-    (50.0, 900.0)
+    >>> retry_after_ms(StopReason.TOO_LONG, OtherRouters(ready=1), [900.0])
+    50.0
+    >>> retry_after_ms(StopReason.OTHERS_READY, OtherRouters(stops_later=1), [900.0])
+    50.0
+    >>> retry_after_ms(StopReason.TOO_LONG, OtherRouters(), [1_800.0, 900.0])
+    900.0
     """
-    if ready:
+    if others.ready or reason is StopReason.OTHERS_READY:
         return OTHERS_RETRY_MS
     return max(MIN_RETRY_MS, min(ready_in_ms, default=MIN_RETRY_MS))
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -388,8 +388,9 @@
             self._refuse(caller, metadata, customer, table.version)
             return
         routed = RoutedRequest(request, metadata, route, customer, table.version)
-        if not self._is_taken(routed):
-            self._refuse(caller, metadata, self._stopping_failure(), table.version)
+        refusal = self._refusal_in_stop(routed)
+        if refusal is not None:
+            self._refuse(caller, metadata, refusal, table.version)
             return
         exchange = Exchange(self._context, caller, routed)
         self._in_flight.add(exchange)
@@ -408,22 +409,18 @@
             return UNAUTHORIZED
         return table.customer_by_key.get(metadata.api_key, UNAUTHORIZED)
 
-    def _is_taken(self, routed: RoutedRequest) -> bool:
-        """Return whether a request is served; a stopping process may refuse it."""
+    def _refusal_in_stop(self, routed: RoutedRequest) -> Failure | None:
+        """Return why a stopping process refuses a request, None if it is served."""
         plan = self._stopping.plan
         if plan is None:
-            return True
-        decision = self._stop_requests.decide(routed, plan, self.peers.others(plan))
+            return None
+        others = self.peers.others(plan)
+        decision = self._stop_requests.decide(routed, plan, others)
         self.metrics.on_request_during_stop(routed, plan, decision)
-        return decision.is_taken
-
-    def _stopping_failure(self) -> Failure:
-        """Return the refusal of a stopping process, with a time to come back."""
-        plan = self._stopping.plan
-        assert plan is not None
+        if decision.is_taken:
+            return None
         ready_in_ms = self.peers.stops.ready_in_ms(self._clock.now_ms())
-        ready = self.peers.others(plan).ready
-        return stopping_failure(retry_after_ms(ready, ready_in_ms))
+        return stopping_failure(retry_after_ms(decision.reason, others, ready_in_ms))
 
     def _on_outcome(self, exchange: Exchange, outcome: SendOutcome) -> None:
         self._stop_requests.on_outcome(exchange, outcome)
