Planned stops: compare the time left when a request is sent, not just taken

Requests that waited for capacity or for a trial, or that a worker refused as not run, were sent shortly before the end of a stop and cut. The exchange now asks again before each send while nothing of the request may have run, and ends as stopped (503 not-run) if the time left is too short. Waits end then.

--- /dev/null
+++ b/tests/test_sends_during_stops.py
@@ -0,0 +1,150 @@
+"""Sends during planned stops: the time left when a request is sent, not just taken."""
+
+import time
+
+import gevent
+import pytest
+from routing_fleet import RoutingFleet, configuration, read_reply, request_bytes, route
+from test_requests_during_stops import (
+    SLOW_ROUTES,
+    STOP_LIMIT_MS,
+    is_refused,
+    stopping_fleet,
+)
+from test_stop_admission_requests import (
+    LONG,
+    answer_requests,
+    sleep_until,
+    stop_router,
+)
+
+from wigeonwind.standins.platform_worker import (
+    EchoRequestId,
+    EventStream,
+    NotExecuted,
+)
+
+SAFE_ROUTE = route("safe", "/safe/", "safe", timeout_ms=20_000, slo_ms=3_000)
+PROMPT = (*LONG, "Token-Usage: 20000,50", "Prefix-Hash: 1:20000")
+
+
+@pytest.mark.parametrize("sent_at_ms", [-100.0, 1_500.0])
+def test_a_request_is_not_sent_so_late_that_it_is_cut(sent_at_ms):
+    # Guards against a stream that waits for capacity until shortly before the end of a
+    # stop, is sent then, and is cut, though it could be refused as not run.
+    config = configuration(routes=SLOW_ROUTES)
+    with stopping_fleet(EventStream(count=20, gap_ms=100.0), config) as stopping:
+        fleet = stopping.fleet
+        has_capacity = [False]
+        fleet.router._chooser.has_capacity = lambda *_: has_capacity[0]
+        with fleet.connect() as sock:
+            if sent_at_ms < 0:
+                sock.sendall(request_bytes("/stream/x", "POST", b"b", PROMPT, "a1"))
+                gevent.sleep(-sent_at_ms / 1_000.0)
+            stopping.stop()
+            if sent_at_ms > 0:
+                stopping.wait_until(sent_at_ms)
+                sock.sendall(request_bytes("/stream/x", "POST", b"b", PROMPT, "a1"))
+            stopping.wait_until(STOP_LIMIT_MS - 800.0)
+            has_capacity[0] = True
+            reply = read_reply(sock)
+        assert is_refused(reply)
+
+
+def test_a_request_is_not_sent_again_so_late_that_it_is_cut():
+    # Guards against a stream that one worker refuses shortly before the end of a stop,
+    # and that is sent to another one and cut, though it could be refused as not run.
+    config = configuration(routes=SLOW_ROUTES)
+    fleet = RoutingFleet(2, EventStream(count=20, gap_ms=100.0), config)
+    fleet.router.stop_limit_ms = STOP_LIMIT_MS
+    try:
+        for worker in fleet.workers:
+            respond = worker._respond
+            worker._respond = lambda sock, request, behaviour, respond=respond: (
+                late_refusal(sock, request, behaviour, respond)
+            )
+        refused = []
+
+        def late_refusal(sock, request, behaviour, respond):
+            if not refused and request.method == b"POST":
+                refused.append(request)
+                gevent.sleep(max(0.0, signaled_s + 3.1 - time.monotonic()))
+                return respond(sock, request, NotExecuted())
+            return respond(sock, request, behaviour)
+
+        with gevent.Timeout(8.0), fleet.connect() as sock:
+            signaled_s = stop_router(fleet.router)
+            sleep_until(signaled_s, 0.5)
+            sock.sendall(request_bytes("/stream/x", "POST", b"b", LONG, "a1"))
+            reply = read_reply(sock)
+        assert refused
+        assert is_refused(reply)
+    finally:
+        fleet.stop()
+
+
+def test_a_wait_ends_when_its_request_can_no_longer_end_in_time():
+    # Guards against a caller who is held until the end of a stop and refused only then.
+    config = configuration(routes=SLOW_ROUTES)
+    with stopping_fleet(EchoRequestId(), config) as stopping:
+        stopping.fleet.router._chooser.has_capacity = lambda *_: False
+        stopping.stop()
+        with stopping.fleet.connect() as sock:
+            sock.sendall(request_bytes("/once/x", "POST", b"b", PROMPT, "a1"))
+            reply = read_reply(sock)
+        took_ms = (time.monotonic() - stopping.signaled_s) * 1_000.0
+        assert is_refused(reply)
+        assert not stopping.executed_ids()
+        assert took_ms < 3_100.0
+
+
+def test_a_short_call_that_waited_in_a_stop_is_sent():
+    # Guards against a call that is refused after its wait, though it takes some ms.
+    config = configuration(routes=SLOW_ROUTES)
+    with stopping_fleet(EchoRequestId(), config) as stopping:
+        fleet = stopping.fleet
+        for _ in range(3):
+            answer_requests(fleet, "/once/x")
+        has_capacity = [False]
+        fleet.router._chooser.has_capacity = lambda *_: has_capacity[0]
+        stopping.stop()
+        with fleet.connect() as sock:
+            stopping.wait_until(1_500.0)
+            sock.sendall(request_bytes("/once/x", "POST", b"b", PROMPT, "a1"))
+            stopping.wait_until(2_700.0)
+            has_capacity[0] = True
+            reply = read_reply(sock)
+        assert reply.status == 200
+
+
+def test_a_request_that_may_have_run_is_not_refused_as_not_run():
+    # Guards against a 503 for a repeatable request that one worker began and lost.
+    config = configuration(routes=SLOW_ROUTES + [SAFE_ROUTE])
+    fleet = RoutingFleet(2, EchoRequestId(), config)
+    fleet.router.stop_limit_ms = STOP_LIMIT_MS
+    lost = []
+
+    def lose_first(sock, request, behaviour, respond):
+        if not lost and request.method == b"POST":
+            lost.append(request)
+            gevent.sleep(max(0.0, signaled_s + 3.1 - time.monotonic()))
+            sock.close()
+            return False
+        return respond(sock, request, behaviour)
+
+    try:
+        for worker in fleet.workers:
+            respond = worker._respond
+            worker._respond = lambda sock, request, behaviour, respond=respond: (
+                lose_first(sock, request, behaviour, respond)
+            )
+        with gevent.Timeout(8.0), fleet.connect() as sock:
+            signaled_s = stop_router(fleet.router)
+            sleep_until(signaled_s, 0.5)
+            sock.sendall(request_bytes("/safe/x", "POST", b"b", LONG, "a1"))
+            reply = read_reply(sock)
+        assert lost
+        print(reply.status, reply.headers)
+        assert reply.status == 200
+    finally:
+        fleet.stop()
--- a/wigeonwind/routing/capacity_wait.py
+++ b/wigeonwind/routing/capacity_wait.py
@@ -27,13 +27,14 @@
     started_ms: float,
     latest_ms: float,
     exclude: frozenset[str],
-    is_caller_gone: Callable[[], bool],
+    must_end: Callable[[], bool],
 ) -> bool:
     """Wait for an engine with capacity; return False if that takes too long.
 
     Only requests with long prompts wait, the newest first. `started_ms` is the arrival
     of the request and `latest_ms` the last time at which it may be sent, both clock
-    readings. A request whose caller has gone is let through.
+    readings. A request for which `must_end` returns True is let
+    through; the caller has gone, or it is too late to send it.
     """
     clock, chooser = context.clock, context.chooser
     waiting_queue = context.waiting_queue_of(request.service)
@@ -47,7 +48,7 @@
     limit_ms = min(started_ms + LATE_WAIT_FRACTION * request.target_ms, latest_ms)
     ticket = waiting_queue.enter()
     try:
-        while not is_caller_gone() and clock.now_ms() < limit_ms:
+        while not must_end() and clock.now_ms() < limit_ms:
             is_next = waiting_queue.is_next(ticket)
             if is_next and chooser.has_capacity(
                 request, clock.now_ms(), exclude, len(waiting_queue)
@@ -58,4 +59,4 @@
             sleep(CAPACITY_POLL_MS / MS_PER_SECOND)
     finally:
         waiting_queue.leave(ticket)
-    return is_caller_gone()
+    return must_end()
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -1,5 +1,6 @@
 """Forwarding of one request: sends, retries, resumed streams and the response."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from wigeonwind.addresses import SocketAddress
@@ -40,6 +41,7 @@
     Stopped,
     TimedOut,
 )
+from wigeonwind.routing.send_window import SendWindow
 from wigeonwind.routing.suspect_watch import SuspectWatch
 
 MAX_TRIED_ENDPOINTS = 6
@@ -66,6 +68,11 @@
 in time."""
 
 
+OpenSendWindow = Callable[[RoutedRequest, float, float], SendWindow]
+"""Returns the send window of a request from its arrival and deadline, clock readings in
+milliseconds."""
+
+
 @dataclass(frozen=True, slots=True)
 class _Destination:
     """The endpoint of the next send.
@@ -86,6 +93,7 @@
         context: ForwardingContext,
         caller: CallerConnection,
         routed: RoutedRequest,
+        open_send_window: OpenSendWindow,
     ) -> None:
         self.context = context
         self.caller = caller
@@ -94,6 +102,7 @@
         self.route = route = routed.route
         self.started_ms = context.clock.now_ms()
         self.deadline_ms = self.started_ms + routed.timeout_ms
+        self._send_window = open_send_window(routed, self.started_ms, self.deadline_ms)
         self.service = context.pick_service(route)
         self.placement_request = context.placement_request_of(
             self.service, routed.engine_priority, metadata, route
@@ -148,13 +157,14 @@
                 break
             if self.caller.is_disconnected:
                 continue
-            if self._is_stopped:
+            if self._is_stopped or self._send_window.is_over:
                 break
             if admission.trial_at is None:
                 if not self._wait_for_capacity():
                     outcome = NotRun("no engine has capacity for long prompts", False)
                     break
-                if not self.context.quarantine.is_free_of_suspects(self.keys):
+                is_free = self.context.quarantine.is_free_of_suspects(self.keys)
+                if self._send_window.is_over or not is_free:
                     continue
             destination = self._choose(admission)
             if isinstance(destination, NoEndpoint):
@@ -172,7 +182,7 @@
         return self._watch.admit(
             self._tried_keys,
             min(self.started_ms + wait_ms, self.deadline_ms - MIN_REMAINING_MS),
-            lambda: self.caller.is_disconnected or self._is_stopped,
+            self._must_end_wait,
         )
 
     def _wait_for_capacity(self) -> bool:
@@ -183,9 +193,21 @@
             self.started_ms,
             self.deadline_ms - MIN_REMAINING_MS,
             frozenset(self._tried_keys),
-            lambda: self.caller.is_disconnected or self._is_stopped,
+            self._must_end_wait,
         )
 
+    def _must_end_wait(self) -> bool:
+        if self.caller.is_disconnected or self._is_stopped:
+            return True
+        return not (self._may_have_run or self._send_window.check_in_wait())
+
+    def _may_send(self) -> bool:
+        """Return whether a planned stop allows a send now.
+
+        One that may have run is always allowed, as it can't be refused as not run.
+        """
+        return self._may_have_run or self._send_window.check()
+
     def _choose(self, admission: Admission) -> _Destination | NoEndpoint:
         if admission.trial_at is not None:
             return _Destination(admission.trial_at, None)
@@ -268,6 +290,9 @@
         if self.caller.is_disconnected or remaining_ms < MIN_REMAINING_MS:
             connection.close()
             return CallerDisconnected() if self.caller.is_disconnected else TimedOut()
+        if not self._may_send():
+            connection.close()
+            return Stopped()
         if self.waited_ms is None:
             self.waited_ms = round(now_ms - self.started_ms)
         source = destination.fetch_from
@@ -612,7 +637,7 @@
 
     def _should_retry(self, endpoint: Endpoint, outcome: SendOutcome) -> bool:
         """Record the outcome of a send and return whether to send the request again."""
-        if isinstance(outcome, (Delivered, TimedOut, CallerDisconnected)):
+        if isinstance(outcome, (Delivered, TimedOut, CallerDisconnected, Stopped)):
             return False
         self._tried_keys.add(endpoint.key)
         if isinstance(outcome, NotRun):
@@ -651,6 +676,8 @@
             return False
         if self._may_have_run_earlier and not self.route.is_repeatable:
             return False
+        if not self._may_send():
+            return False
         if not uses_budget:
             return True
         repeatable = self.route.is_repeatable
@@ -668,7 +695,8 @@
     def _finish(self, outcome: SendOutcome) -> None:
         """Respond to the caller unless that was done, and report the final outcome."""
         context = self.context
-        if self._is_stopped and not isinstance(
+        is_stopped = self._is_stopped or self._send_window.is_over
+        if is_stopped and not isinstance(
             outcome, (CallerDisconnected, Delivered, Failed)
         ):
             outcome = Stopped()
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -28,7 +28,7 @@
 from wigeonwind.routing.local_responses import status_response
 from wigeonwind.routing.peer_exchange import DirectoryStore, PeerExchange
 from wigeonwind.routing.peer_state import PeerState
-from wigeonwind.routing.planned_stop import plan_stop
+from wigeonwind.routing.planned_stop import PlannedStop, plan_stop
 from wigeonwind.routing.quarantine_api import QUARANTINE_PATH, quarantine_response
 from wigeonwind.routing.refusals import (
     NO_CONFIGURATION,
@@ -51,6 +51,7 @@
     StoreSchema,
 )
 from wigeonwind.routing.send_outcomes import SendOutcome
+from wigeonwind.routing.send_window import SendWindow
 from wigeonwind.routing.small_http import SmallHttpServer
 from wigeonwind.routing.start_check import StartCheck
 from wigeonwind.routing.stop_requests import StopRequests
@@ -391,7 +392,7 @@
         if not self._is_taken(routed):
             self._refuse(caller, metadata, self._stopping_failure(), table.version)
             return
-        exchange = Exchange(self._context, caller, routed)
+        exchange = Exchange(self._context, caller, routed, self._open_send_window)
         self._in_flight.add(exchange)
         try:
             exchange.run()
@@ -417,6 +418,21 @@
         self.metrics.on_request_during_stop(routed, plan, decision)
         return decision.is_taken
 
+    def _open_send_window(
+        self, routed: RoutedRequest, started_ms: float, deadline_ms: float
+    ) -> SendWindow:
+        return SendWindow(
+            self._clock,
+            self._stop_requests,
+            self._current_stop,
+            routed,
+            started_ms,
+            deadline_ms,
+        )
+
+    def _current_stop(self) -> PlannedStop | None:
+        return self._stopping.plan
+
     def _stopping_failure(self) -> Failure:
         """Return the refusal of a stopping process, with a time to come back."""
         plan = self._stopping.plan
