--- /dev/null
+++ b/tests/test_stop_estimates.py
@@ -0,0 +1,42 @@
+"""Estimates of durations in planned stops: groups, failures, and what is unknown."""
+
+import gevent
+from routing_fleet import configuration, entry, request_bytes
+from test_stop_admission_requests import (
+    LONG,
+    ROUTES,
+    answer_requests,
+    fleet_with,
+    sleep_until,
+    stop_router,
+)
+
+from wigeonwind.standins.platform_worker import EventStream, PlatformWorker
+
+
+def test_a_route_that_moved_is_not_judged_by_its_former_service():
+    # Guards against a stream that is taken because the service to which its route led
+    # before was quick.
+    with fleet_with(EventStream(count=2, gap_ms=10.0), 4_000.0) as fleet:
+        answer_requests(fleet, "/stream/x")
+        slow = PlatformWorker("w9", EventStream(count=30, gap_ms=100.0))
+        fleet.workers.append(slow)
+        fleet.store.put("servers", "w9", entry(slow, backend="slow"))
+        routes = [dict(each, backend="slow") for each in ROUTES]
+        backends = [
+            {"name": "desk", "max_conns": 100},
+            {"name": "slow", "max_conns": 100},
+        ]
+        fleet.store.put(
+            "config", "main", configuration(2, routes=routes, backends=backends)
+        )
+        fleet.wait_for(lambda: fleet.router.configuration.table.version == 2)
+        fleet.wait_for(lambda: len(fleet.router.endpoints) == 2)
+        with fleet.connect() as sock:
+            sock.sendall(request_bytes("/safe/x", "POST", b"b", LONG, "open"))
+            gevent.sleep(0.1)
+            signaled_s = stop_router(fleet.router)
+            sleep_until(signaled_s, 2.35)
+            reply = fleet.call("/stream/x", "POST", b"b", LONG, "late")
+        print(reply.status, reply.is_whole)
+        assert (reply.status, reply.is_whole) == (503, True)
--- a/wigeonwind/decisions/response_times.py
+++ b/wigeonwind/decisions/response_times.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass
 
 MAX_GROUPS = 512
@@ -44,10 +44,10 @@
     """
 
     def __init__(self) -> None:
-        self._samples_by_group: OrderedDict[str, deque[_Sample]] = OrderedDict()
+        self._samples_by_group: OrderedDict[Hashable, deque[_Sample]] = OrderedDict()
 
     def add(
-        self, group: str, now_ms: float, duration_ms: float, is_whole: bool = True
+        self, group: Hashable, now_ms: float, duration_ms: float, is_whole: bool = True
     ) -> None:
         """Add the duration of a request, or how long it ran until it broke off."""
         samples = self._samples_by_group.get(group)
@@ -60,7 +60,7 @@
 
     def quantile_ms(
         self,
-        group: str,
+        group: Hashable,
         quantile: float,
         now_ms: float,
         running_ms: Iterable[float] = (),
--- a/wigeonwind/routing/stop_requests.py
+++ b/wigeonwind/routing/stop_requests.py
@@ -1,7 +1,7 @@
 """Admission of requests during a planned stop, and the durations it is based on."""
 
 from collections.abc import Iterable, Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from wigeonwind.clock import Clock
 from wigeonwind.decisions.response_times import MIN_SAMPLES, ResponseTimes
@@ -25,14 +25,26 @@
     from wigeonwind.routing.exchange import Exchange
 
 
-def duration_groups(route: HttpRoute, metadata: RequestMetadata) -> tuple[str, ...]:
-    """Return the groups of requests of like duration, the narrowest one first.
+class DurationGroup(NamedTuple):
+    """Requests of like duration; `length_class` is None for those of any length."""
+
+    route: str
+    service: str
+    length_class: int | None
+
+
+def duration_groups(
+    route: HttpRoute, service: str, metadata: RequestMetadata
+) -> tuple[DurationGroup, ...]:
+    """Return the groups of a request, the narrowest one first.
 
     The narrow group has the same expected length, within a factor of two.
     """
+    any_length = DurationGroup(route.name, service, None)
     if not metadata.expected_output_tokens:
-        return (route.name,)
-    return (f"{route.name} {metadata.expected_output_tokens.bit_length()}", route.name)
+        return (any_length,)
+    length_class = metadata.expected_output_tokens.bit_length()
+    return any_length._replace(length_class=length_class), any_length
 
 
 class StopRequests:
@@ -50,7 +62,7 @@
         now_ms = self._clock.now_ms()
         took_ms = now_ms - exchange.started_ms
         is_whole = isinstance(outcome, Delivered)
-        for group in duration_groups(exchange.route, exchange.metadata):
+        for group in _groups_of(exchange):
             self._times.add(group, now_ms, took_ms, is_whole)
 
     def decide(
@@ -75,7 +87,28 @@
     def _quantile_ms(
         self, routed: RoutedRequest, quantile: float, min_samples: int, now_ms: float
     ) -> float | None:
-        for group in duration_groups(routed.route, routed.metadata):
+        """Return the quantile of the slowest service, None if one is not known."""
+        values = []
+        for share in routed.route.shares:
+            if share.weight <= 0.0:
+                continue
+            value = self._service_quantile_ms(
+                routed, share.service, quantile, min_samples, now_ms
+            )
+            if value is None:
+                return None
+            values.append(value)
+        return max(values, default=None)
+
+    def _service_quantile_ms(
+        self,
+        routed: RoutedRequest,
+        service: str,
+        quantile: float,
+        min_samples: int,
+        now_ms: float,
+    ) -> float | None:
+        for group in duration_groups(routed.route, service, routed.metadata):
             running = self._running_ms(group, now_ms)
             value = self._times.quantile_ms(
                 group, quantile, now_ms, running, min_samples
@@ -84,7 +117,11 @@
                 return value
         return None
 
-    def _running_ms(self, group: str, now_ms: float) -> Iterator[float]:
+    def _running_ms(self, group: DurationGroup, now_ms: float) -> Iterator[float]:
         for exchange in self._in_flight:
-            if group in duration_groups(exchange.route, exchange.metadata):
+            if group in _groups_of(exchange):
                 yield now_ms - exchange.started_ms
+
+
+def _groups_of(exchange: "Exchange") -> tuple[DurationGroup, ...]:
+    return duration_groups(exchange.route, exchange.service, exchange.metadata)
