--- a/tests/test_stop_estimates.py
+++ b/tests/test_stop_estimates.py
@@ -1,6 +1,7 @@
 """Estimates of durations in planned stops: groups, failures, and what is unknown."""
 
 import gevent
+import pytest
 from routing_fleet import configuration, entry, request_bytes
 from test_stop_admission_requests import (
     LONG,
@@ -11,7 +12,11 @@
     stop_router,
 )
 
-from wigeonwind.standins.platform_worker import EventStream, PlatformWorker
+from wigeonwind.standins.platform_worker import (
+    EventStream,
+    FullResponse,
+    PlatformWorker,
+)
 
 
 def test_a_route_that_moved_is_not_judged_by_its_former_service():
@@ -40,3 +45,21 @@
             reply = fleet.call("/stream/x", "POST", b"b", LONG, "late")
         print(reply.status, reply.is_whole)
         assert (reply.status, reply.is_whole) == (503, True)
+
+
+@pytest.mark.parametrize("status", [400, 500])
+def test_failures_do_not_count_as_durations(status):
+    # Guards against quick failures of workers that pass for durations of streams.
+    with fleet_with(FullResponse(status=status), 4_000.0) as fleet:
+        for number in range(30):
+            reply = fleet.call("/stream/x", "POST", b"b", LONG, f"c{number}")
+            assert reply.status == status
+        fleet.workers[0].default = EventStream(count=30, gap_ms=100.0)
+        with fleet.connect() as sock:
+            sock.sendall(request_bytes("/safe/x", "POST", b"b", LONG, "open"))
+            gevent.sleep(0.1)
+            signaled_s = stop_router(fleet.router)
+            sleep_until(signaled_s, 2.4)
+            reply = fleet.call("/stream/x", "POST", b"b", LONG, "late")
+        print(reply.status, reply.is_whole)
+        assert (reply.status, reply.is_whole) == (503, True)
--- a/wigeonwind/routing/stop_requests.py
+++ b/wigeonwind/routing/stop_requests.py
@@ -56,12 +56,12 @@
         self._times = ResponseTimes()
 
     def on_outcome(self, exchange: "Exchange", outcome: SendOutcome) -> None:
-        """Record how long a request took, or ran until it broke off."""
+        """Record how long a request took, or ran until it broke off or failed."""
         if isinstance(outcome, NotRun) or not exchange.sends:
             return
         now_ms = self._clock.now_ms()
         took_ms = now_ms - exchange.started_ms
-        is_whole = isinstance(outcome, Delivered)
+        is_whole = isinstance(outcome, Delivered) and 200 <= outcome.status < 300
         for group in _groups_of(exchange):
             self._times.add(group, now_ms, took_ms, is_whole)
 
