Planned stops: expected lengths are judged by those at least as long

A request with a Length-Hint that had not been seen was judged by all requests of its route, short ones included. A quantile above all whole durations is now infinite and no longer the same as one with too few samples.

--- a/tests/test_stop_estimates.py
+++ b/tests/test_stop_estimates.py
@@ -13,6 +13,7 @@
 )
 
 from wigeonwind.standins.platform_worker import (
+    EchoRequestId,
     EventStream,
     FullResponse,
     PlatformWorker,
@@ -63,3 +64,39 @@
             reply = fleet.call("/stream/x", "POST", b"b", LONG, "late")
         print(reply.status, reply.is_whole)
         assert (reply.status, reply.is_whole) == (503, True)
+
+
+def test_long_requests_are_not_judged_by_short_ones_of_their_route():
+    # Guards against a stream of an expected length that has not been seen, and that is
+    # taken as long as the short ones of its route.
+    short, long = ("Length-Hint: 8",), ("Length-Hint: 4000",)
+    with fleet_with(EventStream(count=2, gap_ms=10.0), 4_000.0) as fleet:
+        for number in range(30):
+            fleet.call("/stream/x", "POST", b"b", LONG + short, f"c{number}")
+        fleet.workers[0].default = EventStream(count=30, gap_ms=100.0)
+        with fleet.connect() as sock:
+            sock.sendall(request_bytes("/safe/x", "POST", b"b", LONG, "open"))
+            signaled_s = stop_router(fleet.router)
+            sleep_until(signaled_s, 2.35)
+            reply = fleet.call("/stream/x", "POST", b"b", LONG + long, "late")
+        print(reply.status, reply.is_whole)
+        assert (reply.status, reply.is_whole) == (503, True)
+
+
+def test_longer_requests_count_if_there_are_too_few_of_the_same_length():
+    # Guards against short calls that are turned away late in a stop because their
+    # length is rare, though those that are expected to take longer are known to end.
+    longer = ("Length-Hint: 4000",)
+    with fleet_with(EchoRequestId(delay_ms=10.0), 5_000.0) as fleet:
+        for number in range(30):
+            fleet.call("/once/x", "POST", b"b", LONG + longer, f"c{number}")
+        fleet.workers[0].default = EchoRequestId(delay_ms=4_000.0)
+        with fleet.connect() as sock:
+            sock.sendall(request_bytes("/safe/x", "POST", b"b", LONG, "open"))
+            gevent.sleep(0.1)
+            fleet.workers[0].default = EchoRequestId(delay_ms=10.0)
+            signaled_s = stop_router(fleet.router)
+            sleep_until(signaled_s, 2.6)
+            shorter = (*LONG, "Length-Hint: 100")
+            reply = fleet.call("/once/x", "POST", b"b", shorter, "late")
+        assert reply.status == 200
--- a/wigeonwind/decisions/response_times.py
+++ b/wigeonwind/decisions/response_times.py
@@ -5,6 +5,7 @@
 that started a moment ago would know short requests only.
 """
 
+import math
 from collections import OrderedDict, deque
 from collections.abc import Hashable, Iterable
 from dataclasses import dataclass
@@ -68,8 +69,9 @@
     ) -> float | None:
         """Return a quantile of the durations of a group, None if it is not known.
 
-        It is known from `min_samples` whole durations on. `running_ms` is how long each
-        request in flight has been running.
+        It is known from `min_samples` whole durations on, and infinite if requests that
+        run or were interrupted show that it lies above all whole durations.
+        `running_ms` is how long each request in flight has been running.
         """
         since_ms = now_ms - MAX_SAMPLE_AGE_MS
         samples = [
@@ -87,4 +89,4 @@
                 if surviving <= 1.0 - quantile + 1e-9:
                     return duration_ms
             at_risk -= 1
-        return None
+        return math.inf
--- a/wigeonwind/routing/stop_requests.py
+++ b/wigeonwind/routing/stop_requests.py
@@ -25,6 +25,10 @@
     from wigeonwind.routing.exchange import Exchange
 
 
+MAX_LENGTH_CLASS = 20
+"""Class of the longest responses; those of a class differ by a factor of two."""
+
+
 class DurationGroup(NamedTuple):
     """Requests of like duration; `length_class` is None for those of any length."""
 
@@ -36,17 +40,36 @@
 def duration_groups(
     route: HttpRoute, service: str, metadata: RequestMetadata
 ) -> tuple[DurationGroup, ...]:
-    """Return the groups of a request, the narrowest one first.
-
-    The narrow group has the same expected length, within a factor of two.
-    """
+    """Return the groups that the duration of a request is added to."""
     any_length = DurationGroup(route.name, service, None)
-    if not metadata.expected_output_tokens:
+    length_class = _length_class(metadata)
+    if length_class is None:
         return (any_length,)
-    length_class = metadata.expected_output_tokens.bit_length()
     return any_length._replace(length_class=length_class), any_length
 
 
+def comparable_groups(
+    route: HttpRoute, service: str, metadata: RequestMetadata
+) -> Iterator[DurationGroup]:
+    """Return the groups of requests that take at least as long, the closest one first.
+
+    Of a request with an expected length they are those of at least that length.
+    """
+    length_class = _length_class(metadata)
+    if length_class is None:
+        yield DurationGroup(route.name, service, None)
+        return
+    for each in range(length_class, MAX_LENGTH_CLASS + 1):
+        yield DurationGroup(route.name, service, each)
+
+
+def _length_class(metadata: RequestMetadata) -> int | None:
+    """Return the class of the expected length, None if the caller stated none."""
+    if not metadata.expected_output_tokens:
+        return None
+    return min(metadata.expected_output_tokens.bit_length(), MAX_LENGTH_CLASS)
+
+
 class StopRequests:
     """Learns how long requests take and decides which ones a stopping process takes."""
 
@@ -108,7 +131,7 @@
         min_samples: int,
         now_ms: float,
     ) -> float | None:
-        for group in duration_groups(routed.route, service, routed.metadata):
+        for group in comparable_groups(routed.route, service, routed.metadata):
             running = self._running_ms(group, now_ms)
             value = self._times.quantile_ms(
                 group, quantile, now_ms, running, min_samples
