--- a/wigeonwind/decisions/response_times.py
+++ b/wigeonwind/decisions/response_times.py
@@ -5,8 +5,9 @@
 that started a moment ago would know short requests only.
 """
 
+import math
 from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Hashable, Iterable
 from dataclasses import dataclass
 
 MAX_GROUPS = 512
@@ -44,10 +45,10 @@
     """
 
     def __init__(self) -> None:
-        self._samples_by_group: OrderedDict[str, deque[_Sample]] = OrderedDict()
+        self._samples_by_group: OrderedDict[Hashable, deque[_Sample]] = OrderedDict()
 
     def add(
-        self, group: str, now_ms: float, duration_ms: float, is_whole: bool = True
+        self, group: Hashable, now_ms: float, duration_ms: float, is_whole: bool = True
     ) -> None:
         """Add the duration of a request, or how long it ran until it broke off."""
         samples = self._samples_by_group.get(group)
@@ -60,7 +61,7 @@
 
     def quantile_ms(
         self,
-        group: str,
+        group: Hashable,
         quantile: float,
         now_ms: float,
         running_ms: Iterable[float] = (),
@@ -68,8 +69,9 @@
     ) -> float | None:
         """Return a quantile of the durations of a group, None if it is not known.
 
-        It is known from `min_samples` whole durations on. `running_ms` is how long each
-        request in flight has been running.
+        It is known from `min_samples` whole durations on, and infinite if requests that
+        run or were interrupted show that it lies above all whole durations.
+        `running_ms` is how long each request in flight has been running.
         """
         since_ms = now_ms - MAX_SAMPLE_AGE_MS
         samples = [
@@ -87,4 +89,4 @@
                 if surviving <= 1.0 - quantile + 1e-9:
                     return duration_ms
             at_risk -= 1
-        return None
+        return math.inf
