Discovery: an entry from before a restart does not replace the live start of an endpoint

Found by review: after a return of the store, the copy's entry of an earlier start under the same id replaced that of the live one, which was dropped at once, and the ended start got requests; where the earlier one had drained, the id had no endpoint. A start that is replaced is noted as a departure now, and for 2.2 s after a return a listing cannot bring an earlier start back: the live one is used on as one whose entry is missing.

--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -68,6 +68,8 @@
         self._usable_by_key: dict[EndpointKey, Endpoint] = {}
         self._store_is_unreachable = False
         self._authoritative_from_ms = float("-inf")
+        self._copy_listed_until_ms = float("-inf")
+        """Until when a listing may have entries from before a restart."""
         self.on_draining: Callable[[Endpoint], None] = lambda endpoint: None
         """Called when an endpoint is reported to be draining."""
 
@@ -107,6 +109,7 @@
         """
         now_ms = self._clock.now_ms()
         self._authoritative_from_ms = now_ms + EXPIRED_ENTRY_GRACE_MS
+        self._copy_listed_until_ms = self._authoritative_from_ms
         self._forget_departures(now_ms)
         for key, departure in self._departure_by_key.items():
             if departure.was_draining:
@@ -138,6 +141,13 @@
         while the store is unreachable.
         """
         listed = {each.instance_id: each for each in endpoints}
+        if self._clock.now_ms() < self._copy_listed_until_ms:
+            for instance_id in [
+                each.instance_id
+                for each in listed.values()
+                if self._has_later_start(each)
+            ]:
+                del listed[instance_id]
         for instance_id in [
             instance_id for instance_id in self._by_id if instance_id not in listed
         ]:
@@ -150,6 +160,17 @@
             self._put(endpoint)
         self._update()
 
+    def _has_later_start(self, endpoint: Endpoint) -> bool:
+        """Return whether a later start under the id of an endpoint is known.
+
+        A copy that the store has returned from may have an entry from before a restart.
+        """
+        known = self._by_id.get(endpoint.instance_id)
+        expired = self._expired_by_id.get(endpoint.instance_id)
+        if known is None and expired is not None:
+            known = expired.endpoint
+        return known is not None and known.started_ms > endpoint.started_ms
+
     def on_changed(self, endpoint: Endpoint) -> None:
         """Add or replace an entry."""
         departure = self._departure_by_key.get(endpoint.key)
@@ -233,6 +254,9 @@
         previous = self._by_id.get(endpoint.instance_id)
         self._by_id[endpoint.instance_id] = endpoint
         self._expired_by_id.pop(endpoint.instance_id, None)
+        if previous is not None and previous.key != endpoint.key:
+            departure = _Departure(self._clock.now_ms(), previous.is_draining)
+            self._departure_by_key[previous.key] = departure
         if previous is None or previous.key != endpoint.key:
             log.info(
                 "endpoint discovered",
