Planned stops: what is known to be long is not taken as unknown

A group with few whole durations counted as unknown although most of its requests had been running for longer than was left. A long service of a route counts even if another one is unknown. Longer requests that do not end in time leave the duration of shorter ones unknown.

--- a/tests/test_stop_estimates.py
+++ b/tests/test_stop_estimates.py
@@ -1,5 +1,8 @@
 """Estimates of durations in planned stops: groups, failures, and what is unknown."""
 
+import math
+from types import SimpleNamespace
+
 import gevent
 import pytest
 from routing_fleet import configuration, entry, request_bytes
@@ -12,6 +15,20 @@
     stop_router,
 )
 
+from wigeonwind.clock import ManualClock
+from wigeonwind.decisions.response_times import ResponseTimes
+from wigeonwind.decisions.stop_admission import (
+    OtherRouters,
+    StopSituation,
+    decide_in_stop,
+    estimate_duration,
+)
+from wigeonwind.routing.header_codec import RequestMetadata
+from wigeonwind.routing.planned_stop import plan_stop
+from wigeonwind.routing.routed_request import RoutedRequest
+from wigeonwind.routing.routes import HttpRoute, Repetition, ServiceShare
+from wigeonwind.routing.send_outcomes import Delivered
+from wigeonwind.routing.stop_requests import StopRequests
 from wigeonwind.standins.platform_worker import (
     EchoRequestId,
     EventStream,
@@ -48,6 +65,40 @@
         assert (reply.status, reply.is_whole) == (503, True)
 
 
+class StopTrial:
+    """Requests of a route with given services in a stop that ends after 7.5 s."""
+
+    def __init__(self, *services, is_stream=False):
+        self.clock = ManualClock()
+        self.running = []
+        self.requests = StopRequests(self.clock, self.running)
+        shares = tuple(ServiceShare(each, 1.0) for each in services)
+        self.route = HttpRoute(
+            "r", "h", "/", Repetition.ONCE, is_stream, shares, 0, 20_000.0, 1_000.0
+        )
+
+    def exchange(self, service, ran_ms, tokens=0):
+        metadata = RequestMetadata("a", "h", (), expected_output_tokens=tokens)
+        return SimpleNamespace(
+            route=self.route,
+            service=service,
+            metadata=metadata,
+            started_ms=self.clock.now_ms() - ran_ms,
+            sends=1,
+        )
+
+    def answer(self, service, durations_ms, tokens=0):
+        for took_ms in durations_ms:
+            exchange = self.exchange(service, took_ms, tokens)
+            self.requests.on_outcome(exchange, Delivered(200))
+
+    def decide(self, since_signal_ms, tokens=0):
+        metadata = RequestMetadata("a", "h", (), expected_output_tokens=tokens)
+        routed = RoutedRequest(None, metadata, self.route, None, 1)
+        stop = plan_stop(self.clock.now_ms() - since_signal_ms, 8_000.0)
+        return self.requests.decide(routed, stop, OtherRouters())
+
+
 @pytest.mark.parametrize("status", [400, 500])
 def test_failures_do_not_count_as_durations(status):
     # Guards against quick failures of workers that pass for durations of streams.
@@ -100,3 +151,53 @@
             shorter = (*LONG, "Length-Hint: 100")
             reply = fleet.call("/once/x", "POST", b"b", shorter, "late")
         assert reply.status == 200
+
+
+def test_a_long_group_with_few_whole_durations_is_not_unknown():
+    # Guards against requests that are taken as unknown although all that run have been
+    # running for longer than is left.
+    times = ResponseTimes()
+    for _ in range(8):
+        times.add("r", 0.0, 100.0)
+    likely_ms = times.quantile_ms("r", 0.75, 0.0, [6_000.0] * 30)
+    estimate = estimate_duration(None, likely_ms, True, 20_000.0)
+    situation = StopSituation(2_200.0, 5_300.0, None, OtherRouters())
+    decision = decide_in_stop(situation, estimate, likely_ms is not None)
+    assert not decision.is_taken
+
+
+@pytest.mark.parametrize("whole", [0, 3])
+def test_requests_that_run_for_long_show_that_a_group_is_long(whole):
+    # Guards against a fresh process that takes requests as unknown although those that
+    # run have been running for longer than is left, and against one that takes requests
+    # for long because many have just begun.
+    times = ResponseTimes()
+    for _ in range(whole):
+        times.add("r", 0.0, 100.0)
+    running = [6_000.0] * 30
+    assert times.quantile_ms("r", 0.75, 0.0, running, long_ms=5_300.0) == math.inf
+    for running in ([50.0] * 30, [6_000.0] * 4, [50.0] * 30 + [6_000.0] * 5):
+        assert times.quantile_ms("r", 0.75, 0.0, running, long_ms=5_300.0) is None
+
+
+@pytest.mark.parametrize("services", [("quick", "long"), ("long", "new", "quick")])
+def test_the_slowest_service_of_a_route_counts(services):
+    # Guards against requests that are taken because one of the services of their route
+    # is quick or unknown, though another one needs longer than is left.
+    trial = StopTrial(*services)
+    trial.answer("quick", [10.0] * 30)
+    trial.answer("long", [10.0] * 30)
+    assert trial.decide(500.0).is_taken
+    trial.running.extend(trial.exchange("long", 9_000.0) for _ in range(60))
+    trial.clock.advance(1_000.0)
+    assert not trial.decide(500.0).is_taken
+
+
+def test_long_requests_do_not_show_that_shorter_ones_are_long():
+    # Guards against requests of a rare length that are turned away early in a stop,
+    # when callers reach no other process, because longer ones do not end in time.
+    trial = StopTrial("desk")
+    trial.answer("desk", [9_000.0] * 30, tokens=4_000)
+    assert trial.decide(500.0, tokens=100).is_taken
+    assert not trial.decide(500.0, tokens=4_000).is_taken
+    assert not trial.decide(2_400.0, tokens=100).is_taken
--- a/wigeonwind/decisions/response_times.py
+++ b/wigeonwind/decisions/response_times.py
@@ -66,12 +66,15 @@
         now_ms: float,
         running_ms: Iterable[float] = (),
         min_samples: int = MIN_SAMPLES,
+        long_ms: float = math.inf,
     ) -> float | None:
         """Return a quantile of the durations of a group, None if it is not known.
 
         It is known from `min_samples` whole durations on, and infinite if requests that
         run or were interrupted show that it lies above all whole durations.
-        `running_ms` is how long each request in flight has been running.
+        `running_ms` is how long each request in flight has been running. With fewer
+        whole durations it is infinite too if, of at least `min_samples` requests, so
+        many have run for `long_ms` that it lies above that.
         """
         since_ms = now_ms - MAX_SAMPLE_AGE_MS
         samples = [
@@ -79,9 +82,12 @@
             for each in self._samples_by_group.get(group, ())
             if each.added_ms >= since_ms
         ]
-        if sum(not is_interrupted for _, is_interrupted in samples) < min_samples:
-            return None
+        whole = sum(not is_interrupted for _, is_interrupted in samples)
         samples += [(duration_ms, True) for duration_ms in running_ms]
+        if whole < min_samples:
+            long = sum(duration_ms >= long_ms for duration_ms, _ in samples)
+            is_long = long > (1.0 - quantile) * len(samples)
+            return math.inf if is_long and len(samples) >= min_samples else None
         surviving, at_risk = 1.0, len(samples)
         for duration_ms, is_interrupted in sorted(samples):
             if not is_interrupted:
--- a/wigeonwind/routing/stop_requests.py
+++ b/wigeonwind/routing/stop_requests.py
@@ -1,5 +1,6 @@
 """Admission of requests during a planned stop, and the durations it is based on."""
 
+import math
 from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -93,35 +94,46 @@
     ) -> StopDecision:
         """Return whether to take a request during a planned stop."""
         now_ms = self._clock.now_ms()
-        sure_ms = self._quantile_ms(routed, SURE_QUANTILE, SURE_SAMPLES, now_ms)
-        likely_ms = self._quantile_ms(routed, LIKELY_QUANTILE, MIN_SAMPLES, now_ms)
+        left_ms = stop.ends_from_ms - now_ms
+        sure_ms = self._quantile_ms(
+            routed, SURE_QUANTILE, SURE_SAMPLES, now_ms, left_ms
+        )
+        likely_ms = self._quantile_ms(
+            routed, LIKELY_QUANTILE, MIN_SAMPLES, now_ms, left_ms
+        )
         estimate = estimate_duration(
             sure_ms, likely_ms, routed.route.is_stream, routed.timeout_ms
         )
         is_leaving = now_ms >= stop.leaves_from_ms
         situation = StopSituation(
             now_ms - stop.signaled_ms,
-            stop.ends_from_ms - now_ms,
+            left_ms,
             now_ms - stop.leaves_from_ms if is_leaving else None,
             others,
         )
         return decide_in_stop(situation, estimate, likely_ms is not None)
 
     def _quantile_ms(
-        self, routed: RoutedRequest, quantile: float, min_samples: int, now_ms: float
+        self,
+        routed: RoutedRequest,
+        quantile: float,
+        min_samples: int,
+        now_ms: float,
+        long_ms: float,
     ) -> float | None:
-        """Return the quantile of the slowest service, None if one is not known."""
-        values = []
-        for share in routed.route.shares:
-            if share.weight <= 0.0:
-                continue
-            value = self._service_quantile_ms(
-                routed, share.service, quantile, min_samples, now_ms
+        """Return the quantile of the slowest service, None if it is not known."""
+        values = [
+            self._service_quantile_ms(
+                routed, share.service, quantile, min_samples, now_ms, long_ms
             )
-            if value is None:
-                return None
-            values.append(value)
-        return max(values, default=None)
+            for share in routed.route.shares
+            if share.weight > 0.0
+        ]
+        known = [value for value in values if value is not None]
+        slowest_ms = max(known, default=None)
+        if slowest_ms != math.inf and len(known) < len(values):
+            return None
+        return slowest_ms
 
     def _service_quantile_ms(
         self,
@@ -130,14 +142,18 @@
         quantile: float,
         min_samples: int,
         now_ms: float,
+        long_ms: float,
     ) -> float | None:
-        for group in comparable_groups(routed.route, service, routed.metadata):
+        groups = comparable_groups(routed.route, service, routed.metadata)
+        for rank, group in enumerate(groups):
             running = self._running_ms(group, now_ms)
             value = self._times.quantile_ms(
-                group, quantile, now_ms, running, min_samples
+                group, quantile, now_ms, running, min_samples, long_ms
             )
             if value is not None:
-                return value
+                # That longer requests are too long says nothing about this one.
+                is_no_evidence = rank > 0 and value >= long_ms
+                return None if is_no_evidence else value
         return None
 
     def _running_ms(self, group: DurationGroup, now_ms: float) -> Iterator[float]:
