--- a/tests/test_stop_estimates.py
+++ b/tests/test_stop_estimates.py
@@ -28,7 +28,7 @@
 from wigeonwind.routing.routed_request import RoutedRequest
 from wigeonwind.routing.routes import HttpRoute, Repetition, ServiceShare
 from wigeonwind.routing.send_outcomes import Delivered
-from wigeonwind.routing.stop_requests import StopRequests
+from wigeonwind.routing.stop_requests import ESTIMATE_AGE_MS, StopRequests
 from wigeonwind.standins.platform_worker import (
     EchoRequestId,
     EventStream,
@@ -227,3 +227,32 @@
     trial = StopTrial("desk")
     trial.answer("desk", [10.0] * 24)
     assert trial.decide(7_300.0).is_taken
+
+
+class CountedReads(list):
+    """Requests in flight; `reads` counts how many were read."""
+
+    reads = 0
+
+    def __iter__(self):
+        for each in super().__iter__():
+            self.reads += 1
+            yield each
+
+
+def test_decisions_do_not_each_read_all_requests_in_flight():
+    # Guards against a stopping process that is busy with decisions when many requests
+    # are in flight, and against estimates that stay as they are.
+    trial = StopTrial("desk", "spare")
+    trial.running = CountedReads(trial.exchange("desk", 10.0) for _ in range(1_000))
+    trial.requests = StopRequests(trial.clock, trial.running)
+    for service in ("desk", "spare"):
+        trial.answer(service, [10.0] * 30)
+    for number in range(100):
+        assert trial.decide(500.0, tokens=2 ** (number % 16)).is_taken
+    assert trial.running.reads == 1_000
+    trial.clock.advance(ESTIMATE_AGE_MS)
+    trial.decide(500.0)
+    assert trial.running.reads == 2_000
+    trial.clock.advance(9_000.0)
+    assert not trial.decide(500.0).is_taken
--- a/wigeonwind/routing/stop_requests.py
+++ b/wigeonwind/routing/stop_requests.py
@@ -30,6 +30,10 @@
 """Class of the longest responses; those of a class differ by a factor of two."""
 
 
+ESTIMATE_AGE_MS = 50.0
+"""Time for which an estimate is kept, as it costs time for each request in flight."""
+
+
 class DurationGroup(NamedTuple):
     """Requests of like duration; `length_class` is None for those of any length."""
 
@@ -78,6 +82,9 @@
         self._clock = clock
         self._in_flight = in_flight
         self._times = ResponseTimes()
+        self._estimated_ms = -math.inf
+        self._starts_by_group: dict[DurationGroup, list[float]] = {}
+        self._estimates: dict[tuple[DurationGroup, DurationRule], float | None] = {}
 
     def on_outcome(self, exchange: "Exchange", outcome: SendOutcome) -> None:
         """Record how long a request took, or ran until it broke off or failed."""
@@ -94,6 +101,8 @@
     ) -> StopDecision:
         """Return whether to take a request during a planned stop."""
         now_ms = self._clock.now_ms()
+        if now_ms - self._estimated_ms >= ESTIMATE_AGE_MS:
+            self._forget_estimates(now_ms)
         left_ms = stop.ends_from_ms - now_ms
         rule = sure_rule(routed.route.is_stream, now_ms - stop.signaled_ms)
         sure_ms = self._duration_ms(routed, rule, now_ms, left_ms)
@@ -139,26 +148,39 @@
     ) -> float | None:
         groups = comparable_groups(routed.route, service, routed.metadata)
         for rank, group in enumerate(groups):
-            running = self._running_ms(group, now_ms)
-            value = self._times.quantile_ms(
+            value = self._group_duration_ms(group, rule, now_ms, long_ms)
+            if value is not None:
+                # That longer requests are too long says nothing about this one.
+                is_no_evidence = rank > 0 and value >= long_ms
+                return None if is_no_evidence else value
+        return None
+
+    def _group_duration_ms(
+        self, group: DurationGroup, rule: DurationRule, now_ms: float, long_ms: float
+    ) -> float | None:
+        key = (group, rule)
+        if key not in self._estimates:
+            starts_ms = self._starts_by_group.get(group, ())
+            self._estimates[key] = self._times.quantile_ms(
                 group,
                 rule.quantile,
                 now_ms,
-                running,
+                [now_ms - started_ms for started_ms in starts_ms],
                 rule.min_samples,
                 long_ms,
                 rule.uses_longest,
             )
-            if value is not None:
-                # That longer requests are too long says nothing about this one.
-                is_no_evidence = rank > 0 and value >= long_ms
-                return None if is_no_evidence else value
-        return None
+        return self._estimates[key]
 
-    def _running_ms(self, group: DurationGroup, now_ms: float) -> Iterator[float]:
+    def _forget_estimates(self, now_ms: float) -> None:
+        """Drop the estimates and group the requests that are in flight now."""
+        self._estimated_ms = now_ms
+        self._estimates.clear()
+        self._starts_by_group.clear()
         for exchange in self._in_flight:
-            if group in _groups_of(exchange):
-                yield now_ms - exchange.started_ms
+            for group in _groups_of(exchange):
+                starts_ms = self._starts_by_group.setdefault(group, [])
+                starts_ms.append(exchange.started_ms)
 
 
 def _groups_of(exchange: "Exchange") -> tuple[DurationGroup, ...]:
