--- a/wigeonwind/routing/stop_requests.py
+++ b/wigeonwind/routing/stop_requests.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Iterable, Iterator
+from functools import lru_cache
 from typing import TYPE_CHECKING, NamedTuple
 
 from wigeonwind.clock import Clock
@@ -46,11 +47,17 @@
     route: HttpRoute, service: str, metadata: RequestMetadata
 ) -> tuple[DurationGroup, ...]:
     """Return the groups that the duration of a request is added to."""
-    any_length = DurationGroup(route.name, service, None)
-    length_class = _length_class(metadata)
+    return _duration_groups(route.name, service, _length_class(metadata))
+
+
+@lru_cache(maxsize=1_024)
+def _duration_groups(
+    route: str, service: str, length_class: int | None
+) -> tuple[DurationGroup, ...]:
+    any_length = DurationGroup(route, service, None)
     if length_class is None:
         return (any_length,)
-    return any_length._replace(length_class=length_class), any_length
+    return DurationGroup(route, service, length_class), any_length
 
 
 def comparable_groups(
