--- a/wigeonwind/routing/stop_requests.py
+++ b/wigeonwind/routing/stop_requests.py
@@ -30,7 +30,6 @@
 MAX_LENGTH_CLASS = 20
 """Class of the longest responses; those of a class differ by a factor of two."""
 
-
 ESTIMATE_AGE_MS = 50.0
 """Time for which an estimate is kept, as it costs time for each request in flight."""
 
