--- a/wigeonwind/routing/stop_requests.py
+++ b/wigeonwind/routing/stop_requests.py
@@ -1,19 +1,21 @@
 """Admission of requests during a planned stop, and the durations it is based on."""
 
+import math
 from collections.abc import Iterable, Iterator
+from functools import lru_cache
 from typing import TYPE_CHECKING, NamedTuple
 
 from wigeonwind.clock import Clock
-from wigeonwind.decisions.response_times import MIN_SAMPLES, ResponseTimes
+from wigeonwind.decisions.response_times import ResponseTimes
 from wigeonwind.decisions.stop_admission import (
-    LIKELY_QUANTILE,
-    SURE_QUANTILE,
-    SURE_SAMPLES,
+    LIKELY_RULE,
+    DurationRule,
     OtherRouters,
     StopDecision,
     StopSituation,
     decide_in_stop,
     estimate_duration,
+    sure_rule,
 )
 from wigeonwind.routing.header_codec import RequestMetadata
 from wigeonwind.routing.planned_stop import PlannedStop
@@ -28,6 +30,9 @@
 MAX_LENGTH_CLASS = 20
 """Class of the longest responses; those of a class differ by a factor of two."""
 
+ESTIMATE_AGE_MS = 50.0
+"""Time for which an estimate is kept, as it costs time for each request in flight."""
+
 
 class DurationGroup(NamedTuple):
     """Requests of like duration; `length_class` is None for those of any length."""
@@ -41,11 +46,17 @@
     route: HttpRoute, service: str, metadata: RequestMetadata
 ) -> tuple[DurationGroup, ...]:
     """Return the groups that the duration of a request is added to."""
-    any_length = DurationGroup(route.name, service, None)
-    length_class = _length_class(metadata)
+    return _duration_groups(route.name, service, _length_class(metadata))
+
+
+@lru_cache(maxsize=1_024)
+def _duration_groups(
+    route: str, service: str, length_class: int | None
+) -> tuple[DurationGroup, ...]:
+    any_length = DurationGroup(route, service, None)
     if length_class is None:
         return (any_length,)
-    return any_length._replace(length_class=length_class), any_length
+    return DurationGroup(route, service, length_class), any_length
 
 
 def comparable_groups(
@@ -77,6 +88,9 @@
         self._clock = clock
         self._in_flight = in_flight
         self._times = ResponseTimes()
+        self._estimated_ms = -math.inf
+        self._starts_by_group: dict[DurationGroup, list[float]] = {}
+        self._estimates: dict[tuple[DurationGroup, DurationRule], float | None] = {}
 
     def on_outcome(self, exchange: "Exchange", outcome: SendOutcome) -> None:
         """Record how long a request took, or ran until it broke off or failed."""
@@ -93,57 +107,86 @@
     ) -> StopDecision:
         """Return whether to take a request during a planned stop."""
         now_ms = self._clock.now_ms()
-        sure_ms = self._quantile_ms(routed, SURE_QUANTILE, SURE_SAMPLES, now_ms)
-        likely_ms = self._quantile_ms(routed, LIKELY_QUANTILE, MIN_SAMPLES, now_ms)
+        if now_ms - self._estimated_ms >= ESTIMATE_AGE_MS:
+            self._forget_estimates(now_ms)
+        left_ms = stop.ends_from_ms - now_ms
+        rule = sure_rule(routed.route.is_stream, now_ms - stop.signaled_ms)
+        sure_ms = self._duration_ms(routed, rule, now_ms, left_ms)
+        likely_ms = self._duration_ms(routed, LIKELY_RULE, now_ms, left_ms)
         estimate = estimate_duration(
-            sure_ms, likely_ms, routed.route.is_stream, routed.timeout_ms
+            sure_ms,
+            likely_ms,
+            routed.route.is_stream,
+            routed.timeout_ms,
+            rule.spread_factor,
         )
         is_leaving = now_ms >= stop.leaves_from_ms
         situation = StopSituation(
             now_ms - stop.signaled_ms,
-            stop.ends_from_ms - now_ms,
+            left_ms,
             now_ms - stop.leaves_from_ms if is_leaving else None,
             others,
         )
         return decide_in_stop(situation, estimate, likely_ms is not None)
 
-    def _quantile_ms(
-        self, routed: RoutedRequest, quantile: float, min_samples: int, now_ms: float
+    def _duration_ms(
+        self, routed: RoutedRequest, rule: DurationRule, now_ms: float, long_ms: float
     ) -> float | None:
-        """Return the quantile of the slowest service, None if one is not known."""
-        values = []
-        for share in routed.route.shares:
-            if share.weight <= 0.0:
-                continue
-            value = self._service_quantile_ms(
-                routed, share.service, quantile, min_samples, now_ms
-            )
-            if value is None:
-                return None
-            values.append(value)
-        return max(values, default=None)
-
-    def _service_quantile_ms(
+        """Return the duration at the slowest service, None if it is not known."""
+        values = [
+            self._service_duration_ms(routed, share.service, rule, now_ms, long_ms)
+            for share in routed.route.shares
+            if share.weight > 0.0
+        ]
+        known = [value for value in values if value is not None]
+        slowest_ms = max(known, default=None)
+        if slowest_ms != math.inf and len(known) < len(values):
+            return None
+        return slowest_ms
+
+    def _service_duration_ms(
         self,
         routed: RoutedRequest,
         service: str,
-        quantile: float,
-        min_samples: int,
+        rule: DurationRule,
         now_ms: float,
+        long_ms: float,
     ) -> float | None:
-        for group in comparable_groups(routed.route, service, routed.metadata):
-            running = self._running_ms(group, now_ms)
-            value = self._times.quantile_ms(
-                group, quantile, now_ms, running, min_samples
-            )
+        groups = comparable_groups(routed.route, service, routed.metadata)
+        for rank, group in enumerate(groups):
+            value = self._group_duration_ms(group, rule, now_ms, long_ms)
             if value is not None:
-                return value
+                # That longer requests are too long says nothing about this one.
+                is_no_evidence = rank > 0 and value >= long_ms
+                return None if is_no_evidence else value
         return None
 
-    def _running_ms(self, group: DurationGroup, now_ms: float) -> Iterator[float]:
+    def _group_duration_ms(
+        self, group: DurationGroup, rule: DurationRule, now_ms: float, long_ms: float
+    ) -> float | None:
+        key = (group, rule)
+        if key not in self._estimates:
+            starts_ms = self._starts_by_group.get(group, ())
+            self._estimates[key] = self._times.quantile_ms(
+                group,
+                rule.quantile,
+                now_ms,
+                [now_ms - started_ms for started_ms in starts_ms],
+                rule.min_samples,
+                long_ms,
+                rule.uses_longest,
+            )
+        return self._estimates[key]
+
+    def _forget_estimates(self, now_ms: float) -> None:
+        """Drop the estimates and group the requests that are in flight now."""
+        self._estimated_ms = now_ms
+        self._estimates.clear()
+        self._starts_by_group.clear()
         for exchange in self._in_flight:
-            if group in _groups_of(exchange):
-                yield now_ms - exchange.started_ms
+            for group in _groups_of(exchange):
+                starts_ms = self._starts_by_group.setdefault(group, [])
+                starts_ms.append(exchange.started_ms)
 
 
 def _groups_of(exchange: "Exchange") -> tuple[DurationGroup, ...]:
