--- a/tests/test_sends_during_stops.py
+++ b/tests/test_sends_during_stops.py
@@ -1,6 +1,8 @@
 """Sends during planned stops: the time left when a request is sent, not just taken."""
 
+import math
 import time
+from types import SimpleNamespace
 
 import gevent
 import pytest
@@ -18,6 +20,10 @@
     stop_router,
 )
 
+from wigeonwind.clock import ManualClock
+from wigeonwind.decisions.stop_admission import OtherRouters, StopDecision, StopReason
+from wigeonwind.routing.planned_stop import plan_stop
+from wigeonwind.routing.send_window import SendWindow
 from wigeonwind.standins.platform_worker import (
     EchoRequestId,
     EventStream,
@@ -148,3 +154,60 @@
         assert reply.status == 200
     finally:
         fleet.stop()
+
+
+class StopRequestsStub:
+    """Takes a request if a number of milliseconds is left."""
+
+    def __init__(self, clock, needed_ms):
+        self.clock, self.needed_ms, self.calls = clock, needed_ms, []
+
+    def decide(self, routed, stop, others):
+        left_ms = stop.ends_from_ms - self.clock.now_ms()
+        self.calls.append((stop.leaves_from_ms, others))
+        is_taken = self.needed_ms <= left_ms
+        return StopDecision(is_taken, StopReason.LIKELY, self.needed_ms, left_ms)
+
+
+def window_at(clock, stop, needed_ms, deadline_ms):
+    routed = SimpleNamespace(
+        metadata=SimpleNamespace(request_id="a1"), route=SimpleNamespace(name="once")
+    )
+    stub = StopRequestsStub(clock, needed_ms)
+    started_ms = clock.now_ms()
+    return stub, SendWindow(clock, stub, lambda: stop, routed, started_ms, deadline_ms)
+
+
+def test_a_request_that_is_sent_at_once_keeps_the_decision_of_its_arrival():
+    # Guards against a request that is taken on arrival and refused some ms later.
+    clock = ManualClock(1_000.0)
+    stop = plan_stop(0.0, 2_500.0)
+    _, window = window_at(clock, stop, 1_000.0, 20_000.0)
+    clock.advance(100.0)
+    assert window.check() and window.check_in_wait()
+    clock.advance(1.0)
+    assert not window.check_in_wait() and window.is_over
+
+
+def test_a_request_is_not_refused_for_a_stop_that_outlasts_its_deadline():
+    # Guards against a refusal of a request that the stop can't cut, or of any request
+    # while no stop runs.
+    clock = ManualClock(1_000.0)
+    for stop, deadline_ms in ((plan_stop(0.0, 2_500.0), 2_000.0), (None, 20_000.0)):
+        stub, window = window_at(clock, stop, 30_000.0, deadline_ms)
+        clock.advance(500.0)
+        assert window.check() and window.check_in_wait()
+        assert not stub.calls
+
+
+def test_a_request_that_was_taken_is_not_refused_as_the_process_leaves():
+    # Guards against a request that was taken and is refused, with time left, as the
+    # process has stopped listening since or as other processes have become ready.
+    clock = ManualClock(1_000.0)
+    stop = plan_stop(0.0, 8_000.0)
+    stop.leaves_from_ms = 1_100.0
+    stub, window = window_at(clock, stop, 1_000.0, 20_000.0)
+    clock.advance(600.0)
+    assert window.check()
+    assert stub.calls == [(math.inf, OtherRouters())]
+    assert stop.leaves_from_ms == 1_100.0
