--- a/tests/test_sends_during_stops.py
+++ b/tests/test_sends_during_stops.py
@@ -21,6 +21,7 @@
 )
 
 from wigeonwind.clock import ManualClock
+from wigeonwind.decisions.quarantine import NeedsTrial
 from wigeonwind.decisions.stop_admission import OtherRouters, StopDecision, StopReason
 from wigeonwind.routing.planned_stop import plan_stop
 from wigeonwind.routing.send_window import SendWindow
@@ -104,6 +105,25 @@
         assert took_ms < 3_100.0
 
 
+def test_a_wait_for_a_trial_ends_when_its_request_can_no_longer_end_in_time():
+    # Guards against a request that waits for the trial of a suspect part and is then
+    # sent without one as its time is over, or held until the end of the wait.
+    config = configuration(routes=SLOW_ROUTES)
+    with stopping_fleet(EchoRequestId(), config) as stopping:
+        quarantine = stopping.fleet.router.quarantine
+        quarantine._quarantine.verdict = lambda keys, _: NeedsTrial(keys)
+        quarantine._try_to_start_trial = lambda *_: None
+        stopping.stop()
+        with stopping.fleet.connect() as sock:
+            sock.sendall(request_bytes("/once/x", "POST", b"b", PROMPT, "a1"))
+            reply = read_reply(sock)
+        took_ms = (time.monotonic() - stopping.signaled_s) * 1_000.0
+        assert is_refused(reply)
+        assert b"draining" in reply.body
+        assert not stopping.executed_ids()
+        assert took_ms < 2_900.0
+
+
 def test_a_short_call_that_waited_in_a_stop_is_sent():
     # Guards against a call that is refused after its wait, though it takes some ms.
     config = configuration(routes=SLOW_ROUTES)
