Object store double: a watch answers with the fields of its protocol only

test_a_watch_without_changes_under_its_prefix_times_out_empty failed on the joined tree: the double wrote all fields of a WatchBatch, which has an era now, so that the own deployment's protocol had a new field. It writes the two it had.

--- a/wigeonwind/standins/object_store_server.py
+++ b/wigeonwind/standins/object_store_server.py
@@ -141,7 +141,8 @@
             if changes is None:
                 return _refusal_response(StoreUnavailable())
             batch = changes
-        return json_response(asdict(batch))
+        events = [asdict(event) for event in batch.events]
+        return json_response({"revision": batch.revision, "events": events})
 
     def _wait_for_changes(
         self, request: HttpRequest, prefix: str, after: int, until_ms: float
