Discovery: a second return does not hold back an endpoint that is in use again

Found by review: after the hold of a removed endpoint that was listed again had ended, its departure was remembered for 60 s, so that each further return of the store held the live endpoint back for 10 s. The departure goes with the hold now, unless the endpoint had drained. The test failed before.

--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -238,6 +238,18 @@
     assert discovery.instance_ids() == ["w1"]
 
 
+def test_second_return_does_not_hold_back_an_endpoint_that_was_used_again():
+    # Guards against a live endpoint that each return of the store holds back again.
+    discovery = DiscoveryHarness()
+    discovery.endpoints.on_removed("w0")
+    for held_ids in (["w1"], ["w0", "w1"]):
+        discovery.endpoints.on_store_returned()
+        discovery.endpoints.on_listed([endpoint("w0"), endpoint("w1")])
+        assert discovery.instance_ids() == held_ids
+        discovery.advance_ms(DEPARTURE_HOLD_MS + 1.0)
+        assert discovery.instance_ids() == ["w0", "w1"]
+
+
 def test_departures_are_forgotten():
     # Guards against memory that grows, and against an endpoint that is held back for
     # ever.
--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -226,6 +226,9 @@
         ]
         for key in released_keys:
             del self._held_until_ms[key]
+            departure = self._departure_by_key.get(key)
+            if departure is not None and not departure.was_draining:
+                del self._departure_by_key[key]
         self._forget_departures(now_ms)
         for instance_id in expired_ids:
             self._remove_expired(instance_id)
