--- a/tests/test_sends_during_stops.py
+++ b/tests/test_sends_during_stops.py
@@ -129,8 +129,7 @@
     config = configuration(routes=SLOW_ROUTES)
     with stopping_fleet(EchoRequestId(), config) as stopping:
         fleet = stopping.fleet
-        for _ in range(3):
-            answer_requests(fleet, "/once/x")
+        answer_requests(fleet, "/once/x")
         has_capacity = [False]
         fleet.router._chooser.has_capacity = lambda *_: has_capacity[0]
         stopping.stop()
@@ -201,7 +200,7 @@
 def test_a_request_that_is_sent_at_once_keeps_the_decision_of_its_arrival():
     # Guards against a request that is taken on arrival and refused some ms later.
     clock = ManualClock(1_000.0)
-    stop = plan_stop(0.0, 2_500.0)
+    stop = plan_stop(None, 0.0, 2_500.0)
     _, window = window_at(clock, stop, 1_000.0, 20_000.0)
     clock.advance(100.0)
     assert window.check() and window.check_in_wait()
@@ -213,7 +212,10 @@
     # Guards against a refusal of a request that the stop can't cut, or of any request
     # while no stop runs.
     clock = ManualClock(1_000.0)
-    for stop, deadline_ms in ((plan_stop(0.0, 2_500.0), 2_000.0), (None, 20_000.0)):
+    for stop, deadline_ms in (
+        (plan_stop(None, 0.0, 2_500.0), 2_000.0),
+        (None, 20_000.0),
+    ):
         stub, window = window_at(clock, stop, 30_000.0, deadline_ms)
         clock.advance(500.0)
         assert window.check() and window.check_in_wait()
@@ -224,7 +226,7 @@
     # Guards against a request that was taken and is refused, with time left, as the
     # process has stopped listening since or as other processes have become ready.
     clock = ManualClock(1_000.0)
-    stop = plan_stop(0.0, 8_000.0)
+    stop = plan_stop(None, 0.0, 8_000.0)
     stop.leaves_from_ms = 1_100.0
     stub, window = window_at(clock, stop, 1_000.0, 20_000.0)
     clock.advance(600.0)
--- a/tests/test_stop_estimates.py
+++ b/tests/test_stop_estimates.py
@@ -86,6 +86,7 @@
             metadata=metadata,
             started_ms=self.clock.now_ms() - ran_ms,
             sends=1,
+            may_have_run=True,
         )
 
     def answer(self, service, durations_ms, tokens=0):
@@ -96,7 +97,7 @@
     def decide(self, since_signal_ms, tokens=0):
         metadata = RequestMetadata("a", "h", (), expected_output_tokens=tokens)
         routed = RoutedRequest(None, metadata, self.route, None, 1)
-        stop = plan_stop(self.clock.now_ms() - since_signal_ms, 8_000.0)
+        stop = plan_stop(None, self.clock.now_ms() - since_signal_ms, 8_000.0)
         return self.requests.decide(routed, stop, OtherRouters())
 
 
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -750,6 +750,11 @@
         """Return the address from which the last endpoint was to copy KV cache."""
         return None if self._fetch_from is None else str(self._fetch_from)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Return whether an endpoint may have run the request."""
+        return self._may_have_run
+
     @property
     def sends(self) -> int:
         """Return the number of sends."""
--- a/wigeonwind/routing/stop_requests.py
+++ b/wigeonwind/routing/stop_requests.py
@@ -94,7 +94,7 @@
 
     def on_outcome(self, exchange: "Exchange", outcome: SendOutcome) -> None:
         """Record how long a request took, or ran until it broke off or failed."""
-        if isinstance(outcome, NotRun) or not exchange.sends:
+        if isinstance(outcome, NotRun) or not exchange.may_have_run:
             return
         now_ms = self._clock.now_ms()
         took_ms = now_ms - exchange.started_ms
@@ -184,7 +184,8 @@
         self._estimates.clear()
         self._starts_by_group.clear()
         for exchange in self._in_flight:
-            for group in _groups_of(exchange):
+            # The wait of a request that has not been sent says nothing about others.
+            for group in _groups_of(exchange) if exchange.sends else ():
                 starts_ms = self._starts_by_group.setdefault(group, [])
                 starts_ms.append(exchange.started_ms)
 
