--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """A part of prompts crashes workers, and requests with it are sent on and on."""
 
 import asyncio
+import os
 import sys
 import time
 from dataclasses import dataclass
@@ -16,11 +17,13 @@
     Reply,
     Worker,
     configuration,
-    is_disrupted,
     route,
     run_case,
 )
 
+IS_DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
+"""TROUBLE=0 runs the case without its disruption."""
+
 DEADLY_PART = "dead0001"
 SOUND_PART = "50000001"
 """First part of the requests: only it tells deadly and sound ones apart."""
@@ -81,7 +84,7 @@
         if is_deadly:
             self.deadly_arrivals.append(time.monotonic())
         await asyncio.sleep(PREFILL_S)
-        crashes = is_deadly and is_disrupted()
+        crashes = is_deadly and IS_DISRUPTED
         if not crashes or self._variant.writes_event:
             headers = worker.answer_headers(request)
             headers |= {"Content-Type": "text/event-stream"}
@@ -195,4 +198,4 @@
     return late <= TOLERATED_REQUESTS
 
 
-run_case(hold, FOLDER)
+run_case(hold, FOLDER, IS_DISRUPTED)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """One worker repeats an event of a stream without end; other calls get no answer."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -15,11 +16,13 @@
     Reply,
     Worker,
     configuration,
-    is_disrupted,
     route,
     run_case,
 )
 
+IS_DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
+"""TROUBLE=0 runs the case without its disruption."""
+
 STREAM_PATH = "/dossier/1"
 CALL_PATH = "/check/1"
 
@@ -55,10 +58,10 @@
         writer.write(EVENT % (number, number))
         await writer.drain()
         await asyncio.sleep(0.1)
-        if is_disrupted():
+        if IS_DISRUPTED:
             break
     sent, began = 0, time.monotonic()
-    while is_disrupted():
+    while IS_DISRUPTED:
         writer.write(REPEATED)
         await writer.drain()
         sent += len(REPEATED)
@@ -129,4 +132,4 @@
     return not is_broken
 
 
-run_case(hold, FOLDER)
+run_case(hold, FOLDER, IS_DISRUPTED)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A worker answers a long request early and is reset midway in its answer."""
 
 import asyncio
+import os
 import socket
 import struct
 import sys
@@ -15,11 +16,13 @@
     Message,
     Worker,
     configuration,
-    is_disrupted,
     route,
     run_case,
 )
 
+IS_DISRUPTED = os.environ.get("TROUBLE", "1") != "0"
+"""TROUBLE=0 runs the case without its disruption."""
+
 REQUESTS = 6
 REQUEST_BYTES = 4_194_304
 """The limit of the configuration, `max_body_bytes`."""
@@ -50,7 +53,7 @@
     headers = worker.answer_headers(request)
     lines += [f"{name}: {text}" for name, text in headers.items()]
     head = "\r\n".join([*lines, "", ""]).encode()
-    if not is_disrupted():
+    if not IS_DISRUPTED:
         await reader.readexactly(size)
         writer.write(head + body)
         await writer.drain()
@@ -92,9 +95,9 @@
         f"of {len(replies)} requests {len(successes)} got a complete success, "
         f"{len(wrong)} of these without the worker's whole body"
     )
-    if not is_disrupted():
+    if not IS_DISRUPTED:
         return len(successes) == len(replies) and not wrong
     return not wrong
 
 
-run_case(hold, FOLDER)
+run_case(hold, FOLDER, IS_DISRUPTED)
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -32,11 +32,6 @@
 """Memory limit of a router; the platform kills a process that exceeds it."""
 
 
-def is_disrupted() -> bool:
-    """Return whether the case runs with its disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """Writes what was sent, answered and run to `record.txt`, with times in seconds."""
 
@@ -674,17 +669,19 @@
 Case = Callable[[Fleet], Awaitable[bool]]
 
 
-def run_case(case: Case, folder: Path, limit_s: float = 100.0) -> None:
+def run_case(
+    case: Case, folder: Path, is_disrupted: bool, limit_s: float = 100.0
+) -> None:
     """Run a case and exit: 1 if the rule was broken, 0 if it held, 2 if it can't run.
 
-    `case` returns whether the rule held.
+    `case` returns whether the rule held; `is_disrupted` goes into the record.
     """
     record = Record(folder / "record.txt")
+    record.write(f"begin; disruption: {is_disrupted}")
     sys.exit(asyncio.run(_run(case, record, limit_s)))
 
 
 async def _run(case: Case, record: Record, limit_s: float) -> int:
-    record.write(f"begin; disruption: {is_disrupted()}")
     with tempfile.TemporaryDirectory() as folder:
         store = Store(record)
         fleet = Fleet(record, store, Client(record), Path(folder))
