Quarantine: the first event of an answer clears no part of its prompt

Cause: SuspectWatch.on_answer_begun cleared all keys at the first event, so the crash that followed had no keys; the log line had unanswered=0. A body that ends with its connection was cleared by the crash itself. 'endpoint crashed' states how many requests had begun. Evidence: test_a_part_is_refused_if_workers_crash_after_the_first_bytes fails in 3 of 4 cases before the change (first event, first event without length, body without length), passes after it.

--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -256,6 +256,36 @@
     assert crashes < TOLERATED_CRASHES
 
 
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nWorker-Signature: x\r\n"
+    b"Content-Type: %s\r\n"
+)
+EVENT = b"id: 1\ndata: 1\n\n"
+BEGUN_BY_NAME = {
+    "head": HEAD % b"text/event-stream" + b"Transfer-Encoding: chunked\r\n",
+    "first event": HEAD % b"text/event-stream"
+    + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(EVENT), EVENT),
+    "first event without length": HEAD % b"text/event-stream" + b"\r\n" + EVENT,
+    "body without length": HEAD % b"text/plain" + b"\r\npart of a body",
+}
+
+
+@pytest.mark.parametrize("begun", BEGUN_BY_NAME)
+def test_a_part_is_refused_if_workers_crash_after_the_first_bytes(begun):
+    # Guards against the beginning of an answer that clears the part on which the worker
+    # crashes, so that requests with it are sent on and on.
+    with running_fleet(3, STREAM, config()) as fleet:
+        make_deadly(fleet)
+        for worker in fleet.workers:
+            worker.crashing.sent_first = BEGUN_BY_NAME[begun]
+        fleet.restart_after_crashes(0.2)
+        reply, received = send_until_refused(fleet)
+        crashes = len(crash_times_ms(fleet))
+    assert (reply.status, reply.headers["x-outcome"]) == (503, "not-run")
+    assert received == 0
+    assert crashes < TOLERATED_CRASHES
+
+
 def test_a_part_seen_only_in_deadly_requests_is_served_in_sound_ones():
     # Guards against a shared first part that is blocked with the one which crashes
     # workers, because no sound request has been answered before.
--- a/wigeonwind/routing/endpoint_monitor.py
+++ b/wigeonwind/routing/endpoint_monitor.py
@@ -1,5 +1,8 @@
 """Detection of endpoints that have crashed, and the requests they had not answered.
 
+A request counts as not answered until its answer shows that the endpoint can run it:
+an endpoint that crashes as it begins to answer may have sent the first bytes.
+
 A lost connection alone proves nothing: the network or a fault of one answer may be the
 cause. An endpoint has crashed if it also refuses a new connection, and discovery does
 not report that it leaves.
@@ -32,10 +35,11 @@
 
 @dataclass(slots=True, eq=False)
 class UnansweredSend:
-    """A request that was sent to an endpoint, which has not begun to answer it.
+    """A request that was sent to an endpoint, which may still crash because of it.
 
     `keys` identify its parts. `abort` gives the send up, and `was_aborted` says that
-    this was done. The endpoint may crash all the same.
+    this was done. The endpoint may crash all the same. `has_begun` says that the first
+    event of an answer has arrived.
     """
 
     endpoint: Endpoint
@@ -43,6 +47,7 @@
     keys: tuple[int, ...]
     abort: Callable[[], None]
     was_aborted: bool = False
+    has_begun: bool = False
 
 
 OnCrash = Callable[[Endpoint, Collection[UnansweredSend]], None]
@@ -88,13 +93,13 @@
             watched.unanswered.discard(send)
             self._forget_if_idle(send.endpoint.key)
 
-    def unanswered_with(self, key: int) -> list[UnansweredSend]:
-        """Return the unanswered sends whose request has a key, at any endpoint."""
+    def not_begun_with(self, key: int) -> list[UnansweredSend]:
+        """Return the sends without a first event whose request has a key."""
         return [
             send
             for watched in self._watched_by_key.values()
             for send in watched.unanswered
-            if key in send.keys
+            if key in send.keys and not send.has_begun
         ]
 
     def on_lost(self, send: UnansweredSend) -> None:
@@ -157,6 +162,7 @@
             endpoint=endpoint.instance_id,
             service=endpoint.service,
             unanswered=len(sends),
+            begun=sum(send.has_begun for send in sends),
             request_ids=[send.request_id for send in sends][:MAX_LOGGED_KEYS],
             keys=[format_key(key) for key in keys[:MAX_LOGGED_KEYS]],
         )
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -110,7 +110,11 @@
         self.keys = request_keys(self.service, routed.request, metadata)
         """Keys of the parts of the request, see `request_keys`."""
         self._watch = SuspectWatch(
-            context.quarantine, self.service, metadata.request_id, self.keys
+            context.clock,
+            context.quarantine,
+            self.service,
+            metadata.request_id,
+            self.keys,
         )
         self._events = EventSplitter(metadata.last_event_id)
         self._first_event_ms: float | None = None
@@ -529,7 +533,7 @@
         if response.status >= 500:
             return Failed(response, metadata)
         if is_success:
-            self._watch.on_answer_begun()
+            self._watch.on_answer_complete(response.is_ended_by_close)
         return self._deliver(response, metadata)
 
     def _deliver(self, response: Response, metadata: ResponseMetadata) -> SendOutcome:
@@ -596,6 +600,7 @@
                 response.status, response.reason, metadata.forwarded_headers, b""
             )
         self.caller.finish_body()
+        self._watch.on_answer_complete(response.is_ended_by_close)
         self._release_connection(connection, response)
         return Delivered(response.status)
 
@@ -605,7 +610,7 @@
         now_ms = self.context.clock.now_ms()
         if not send.is_started:
             self.context.chooser.on_started(send, now_ms)
-        self._watch.on_answer_begun()
+        self._watch.on_events()
         if self._first_event_ms is None:
             self._first_event_ms = now_ms
         else:
--- a/wigeonwind/routing/request_quarantine.py
+++ b/wigeonwind/routing/request_quarantine.py
@@ -236,8 +236,25 @@
             result=result,
         )
 
+    def judge_closed_answer(
+        self, send: UnansweredSend, trial: Admission | None
+    ) -> None:
+        """Record an answer that ended with its connection, unless by a crash.
+
+        `trial` is the trial that the request was, if any. `send` must be recorded as
+        lost, so that it counts as evidence of a crash.
+        """
+        has_crashed = True
+        try:
+            has_crashed = self.monitor.check(send.endpoint)
+            if not has_crashed:
+                self.on_answered(send)
+        finally:
+            if trial is not None:
+                self.end_trial(trial, "broken" if has_crashed else "answered")
+
     def on_answered(self, send: UnansweredSend) -> None:
-        """Record that the endpoint has begun to answer a request."""
+        """Record that an answer shows that the endpoint can run a request."""
         self.monitor.remove(send)
         cleared = self._quarantine.on_answered(send.keys, self._clock.now_ms())
         if cleared:
@@ -282,7 +299,7 @@
             verdict = self._quarantine.verdict((key,), now_ms)
             sends = [
                 send
-                for send in self.monitor.unanswered_with(key)
+                for send in self.monitor.not_begun_with(key)
                 if isinstance(self._quarantine.verdict(send.keys, now_ms), Blocked)
             ]
             log.warning(
--- a/wigeonwind/routing/response_parser.py
+++ b/wigeonwind/routing/response_parser.py
@@ -66,13 +66,18 @@
         has_length = b"content-length" in names or b"transfer-encoding" in names
         return not has_length and self.status not in BODYLESS_STATUSES
 
+    @property
+    def is_ended_by_close(self) -> bool:
+        """Return whether the body is complete because the connection was closed."""
+        return self.is_complete and self.is_delimited_by_close
+
     @property
     def ends_with_head(self) -> bool:
         """Return whether the connection was closed where a body without length begins.
 
         The endpoint may have stopped there, so the response is not known to be whole.
         """
-        return self.is_complete and self.is_empty and self.is_delimited_by_close
+        return self.is_ended_by_close and self.is_empty
 
 
 class ResponseParser:
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -94,7 +94,7 @@
         )
         self._unanswered_at_crash = self._metrics.counter(
             "endpoint_crash_unanswered",
-            "Requests that a crashed endpoint had not begun to answer.",
+            "Requests that a crashed endpoint had not answered, or only begun to.",
             ("service",),
         )
         self._trials = self._metrics.counter(
@@ -170,7 +170,7 @@
         self._connections.inc()
 
     def on_endpoint_crashed(self, service: str, unanswered: int) -> None:
-        """Count a crash and the requests that the endpoint had not begun to answer."""
+        """Count a crash and the requests that the endpoint had not answered."""
         self._endpoint_crashes.labels(service).inc()
         self._unanswered_at_crash.labels(service).inc(unanswered)
 
--- a/wigeonwind/standins/crashing_requests.py
+++ b/wigeonwind/standins/crashing_requests.py
@@ -10,6 +10,9 @@
 class CrashingRequests:
     """Which requests crash a worker, `prefill_ms` after their arrival.
 
+    The worker first sends `sent_first`, the beginning of its answer, in which `{id}`
+    stands for the request id. It crashes `writing_ms` later.
+
     A request does if its `Prefix-Hash` holds one of `part_ids` before its last part, or
     if its path is one of `paths`. Workers may share an instance, and it may change
     while they run.
@@ -18,6 +21,8 @@
     part_ids: set[int] = field(default_factory=set)
     paths: set[str] = field(default_factory=set)
     prefill_ms: float = 0.0
+    sent_first: bytes = b""
+    writing_ms: float = 20.0
 
     def crashes(self, request: HttpRequest) -> bool:
         """Return whether a request crashes the worker."""
--- a/wigeonwind/standins/platform_worker.py
+++ b/wigeonwind/standins/platform_worker.py
@@ -263,6 +263,7 @@
                     )
                     if self.crashing.crashes(request):
                         gevent.sleep(self.crashing.prefill_ms / MS_PER_SECOND)
+                        self._begin_last_answer(sock, _request_id(request))
                         # Another request may have ended the worker in the meantime.
                         if sock in self._open_sockets:
                             self._crash()
@@ -276,6 +277,14 @@
             self._open_sockets.discard(sock)
             sock.close()
 
+    def _begin_last_answer(self, sock: gevent_socket.socket, request_id: str) -> None:
+        """Send what the worker still writes of an answer on which it crashes."""
+        if not self.crashing.sent_first:
+            return
+        begun = self.crashing.sent_first.replace(b"{id}", request_id.encode())
+        sock.sendall(begun)
+        gevent.sleep(self.crashing.writing_ms / MS_PER_SECOND)
+
     def _respond(
         self, sock: gevent_socket.socket, request: HttpRequest, behaviour: Behaviour
     ) -> bool:
