--- a/wigeonwind/decisions/quarantine.py
+++ b/wigeonwind/decisions/quarantine.py
@@ -3,8 +3,9 @@
 A request has keys, one for each part of its prompt or one for the whole request. A
 crash of an endpoint is evidence against the keys of all requests whose answers had not
 begun or only just; an answer that goes on clears the keys of its request of earlier
-crashes. What follows for a request is derived from this evidence alone, so that routers which know
-the same crashes and answers agree, whatever the order in which they learned of them.
+crashes. What follows for a request is derived from this evidence alone, so that routers
+which know the same crashes and answers agree, whatever the order in which they learned
+of them.
 """
 
 from collections import OrderedDict
