Quarantine: keys of all parts of a prompt, told to peers in several messages

Cause: request_keys kept the last 32 parts, and a message 40 keys. Change: a key for each part that fits a head of 16 KB; further rows go into further messages, 16 at most at a time; full messages go on in turn. The verdict no longer takes time by the square of the parts.

--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -286,6 +286,33 @@
     assert crashes < TOLERATED_CRASHES
 
 
+def call_with_many_parts(fleet, router, parts, first, number):
+    """Send a prompt of `parts` parts, which begins with `first`."""
+    shared = [(0x1_000 + index, 5) for index in range(parts - 2)]
+    prompt = [(first, 5), *shared, (0x50_000 + number, 5)]
+    return fleet.call_with_prompt(prompt, f"m{first:x}-{number}", router)
+
+
+@pytest.mark.parametrize("parts", [33, 100, 500])
+def test_the_first_of_many_parts_is_refused_after_two_crashes(parts):
+    # Guards against parts of long prompts that no router keeps or tells its peers, so
+    # that requests with them are sent on and on.
+    routers, crashes = 2, []
+    limits = configuration()["limits"] | {"max_header_bytes": 16_384}
+    with running_fleet(3, STREAM, config(limits=limits), routers=routers) as fleet:
+        make_deadly(fleet)
+        fleet.restart_after_crashes(0.2)
+        for number in range(8):
+            wait_for_all_workers(fleet)
+            for router in fleet.routers:
+                call_with_many_parts(fleet, router, parts, SHARED, number)
+            router = fleet.routers[number % routers]
+            call_with_many_parts(fleet, router, parts, DEADLY, number)
+            crashes.append(len(crash_times_ms(fleet)))
+    assert 0 < crashes[-1] <= TOLERATED_CRASHES
+    assert crashes[-1] == crashes[-4]
+
+
 def test_a_part_seen_only_in_deadly_requests_is_served_in_sound_ones():
     # Guards against a shared first part that is blocked with the one which crashes
     # workers, because no sound request has been answered before.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -145,10 +145,10 @@
     first, second = Quarantine(), Quarantine()
     for number in (1, 2):
         crash_with_deadly(first, number, 0.0)
-    second.merge(list(first.rows(1.0, 40)), 1.0)
+    second.merge(list(first.rows(1.0)), 1.0)
     assert first.lift(DEADLY, 2.0) and not first.lift(OTHER, 2.0)
-    second.merge(list(first.rows_changed(2.0, 3.0, 40)), 3.0)
-    first.merge(list(second.rows_changed(0.0, 4.0, 40)), 4.0)
+    second.merge(list(first.rows_changed(2.0, 3.0)), 3.0)
+    first.merge(list(second.rows_changed(0.0, 4.0)), 4.0)
     for quarantine in (first, second):
         assert quarantine.verdict((DEADLY,), 5.0) == Allowed()
 
@@ -165,12 +165,12 @@
             router.on_crash(rng.randrange(1, 6), [(DEADLY, OTHER)], now_ms)
         elif rng.random() < 0.2:
             router.on_answered((rng.choice((DEADLY, OTHER)),), now_ms)
-        messages.append(list(router.rows_changed(now_ms - 5.0, now_ms, 40)))
+        messages.append(list(router.rows_changed(now_ms - 5.0, now_ms)))
         for receiver in routers:
             if rng.random() >= lost_share:
                 receiver.merge(rng.choice(messages), now_ms)
     for now_ms in (50.0, 51.0):
-        rows = [router.rows(now_ms, 40) for router in routers]
+        rows = [router.rows(now_ms) for router in routers]
         for router in routers:
             for each in rows:
                 router.merge(each, now_ms)
@@ -184,14 +184,14 @@
     # part beside them were counted at different routers.
     first, second = Quarantine(), Quarantine()
     first.on_crash(1, [(SHARED, DEADLY)], 0.0)
-    second.merge(first.rows(1.0, 40), 1.0)
+    second.merge(first.rows(1.0), 1.0)
     first.on_crash(2, [(SHARED,)], 1_000.0)
     second.on_crash(2, [(DEADLY,)], 1_000.0)
     for number in (3, 4):
         second.on_crash(number, [(DEADLY, SHARED)], 1_000.0 * number)
     second.on_crash(5, [(DEADLY,)], 5_000.0)
-    first.merge(second.rows(5_001.0, 40), 5_001.0)
-    second.merge(first.rows(5_001.0, 40), 5_001.0)
+    first.merge(second.rows(5_001.0), 5_001.0)
+    second.merge(first.rows(5_001.0), 5_001.0)
     for quarantine in (first, second):
         assert isinstance(quarantine.verdict((SHARED, DEADLY), 5_002.0), Blocked)
         assert quarantine.verdict((SHARED,), 5_002.0) == Allowed()
@@ -205,7 +205,7 @@
         router.on_crash(number + 1, [(DEADLY,)], 100.0 + number)
     for router in routers:
         for other in routers:
-            router.merge(other.rows(110.0, 40), 110.0)
+            router.merge(other.rows(110.0), 110.0)
     for router in routers:
         assert isinstance(router.verdict((DEADLY,), 120.0), Blocked)
 
@@ -220,8 +220,8 @@
         now_ms += 1_000.0
         for router in routers:
             router.drop_expired(now_ms)
-            rng.choice(routers).merge(router.rows(now_ms, 40), now_ms)
-    assert not any(router.rows(now_ms, 40) for router in routers)
+            rng.choice(routers).merge(router.rows(now_ms), now_ms)
+    assert not any(router.rows(now_ms) for router in routers)
 
 
 def test_a_peer_that_missed_a_clear_learns_of_it_later():
@@ -231,7 +231,7 @@
         for number in (1, 2):
             crash_with_deadly(quarantine, number, 0.0)
     assert first.lift(DEADLY, 10.0)
-    second.merge(first.rows(30_000.0, 40), 30_000.0)
+    second.merge(first.rows(30_000.0), 30_000.0)
     assert not isinstance(second.verdict((DEADLY,), 30_001.0), Blocked)
 
 
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -10,6 +10,7 @@
 from wigeonwind.routing.request_keys import format_key
 from wigeonwind.routing.request_quarantine import Admission
 from wigeonwind.routing.send_outcomes import Quarantined
+from wigeonwind.routing.suspect_messages import MAX_MESSAGES, MAX_ROWS
 from wigeonwind.tool.commands import ExitCode
 from wigeonwind.tool.main import run
 
@@ -60,6 +61,27 @@
     assert first.trial_at.key != second.trial_at.key
 
 
+def test_all_suspects_reach_the_peers_in_several_messages(router):
+    # Guards against evidence of long prompts that a restarted router never learns.
+    keys = tuple(range(1_000, 5_000, 2))
+    router.quarantine._quarantine.on_crash(3, [keys], router._clock.now_ms())
+    told = set()
+    for _ in range(len(keys) // (MAX_ROWS * MAX_MESSAGES) + 1):
+        messages = list(router.quarantine.full_messages("edge-1"))
+        assert len(messages) <= MAX_MESSAGES
+        told |= {row.key for each in messages for row in each.rows}
+    assert told == {SUSPECT, *keys}
+
+
+def test_peers_are_told_of_all_parts_of_a_crash_at_once(router):
+    # Guards against a part that a second router learns of only by a crash of its own.
+    keys = tuple(range(1_000, 1_200, 2))
+    router.quarantine._quarantine.on_crash(3, [keys], router._clock.now_ms())
+    messages = list(router.quarantine.change_messages("edge-1"))
+    assert set(keys) <= {row.key for each in messages for row in each.rows}
+    assert [each.is_full for each in messages] == [False, True, True]
+
+
 def test_a_caller_that_has_gone_does_not_wait_for_a_trial(router):
     # Guards against requests that are held although nobody reads the answer.
     admit(router)
--- a/wigeonwind/decisions/quarantine.py
+++ b/wigeonwind/decisions/quarantine.py
@@ -39,8 +39,9 @@
 OWN_KEY_BIT = 1
 """Set in keys of what belongs to one request or session and is not shared by others."""
 
-MAX_KEYS = 1_024
-"""Most keys with crashes. Beyond it, those with the fewest and oldest are dropped."""
+MAX_KEYS = 4_096
+"""Most keys with crashes, those of the largest request. Beyond it, those with the
+fewest and oldest crashes are dropped."""
 
 MAX_CRASHES_PER_KEY = 8
 """Most crashes that are kept for a key, the latest ones. More do not change how it is
@@ -165,14 +166,18 @@
         """Return how a request with these keys is to be handled."""
         finding_by_key = self._findings()
         suspect_keys = []
+        absent: frozenset[frozenset[int]] | None = None
         for key in keys:
             finding = finding_by_key.get(key)
             if finding is None:
                 continue
             remaining_ms = self._block_remaining_ms(key, now_ms)
-            if remaining_ms > 0.0 and not self._is_explained_by_absent(key, keys):
-                crashes = len(self._evidence_by_key[key].open_crashes())
-                return Blocked(key, crashes, remaining_ms)
+            if remaining_ms > 0.0:
+                if absent is None:
+                    absent = self._crashes_of_absent(keys)
+                crashes = self._evidence_by_key[key].open_crashes()
+                if not any(crashes <= others for others in absent):
+                    return Blocked(key, len(crashes), remaining_ms)
             suspect_keys.append(key)
         return NeedsTrial(tuple(suspect_keys)) if suspect_keys else Allowed()
 
@@ -183,19 +188,21 @@
         block_ms = _block_ms(len(evidence.open_crashes()))
         return max(0.0, evidence.last_crash_ms + block_ms - now_ms)
 
-    def _is_explained_by_absent(self, key: int, keys: Collection[int]) -> bool:
-        """Return whether another guilty key explains all crashes of a guilty key.
+    def _crashes_of_absent(self, keys: Collection[int]) -> frozenset[frozenset[int]]:
+        """Return the crashes of each guilty key that a request lacks.
 
-        Requests that contained both do not tell which of them was the cause. One that
-        lacks the other does, so `keys` of a request without it may be tried. A key that
-        belongs to one request explains nothing: all others lack it.
+        They explain all crashes of a guilty key of the request that were among them:
+        requests that contained both do not tell which of them was the cause. One that
+        lacks the other does, so it may be tried. A key that belongs to one request
+        explains nothing: all others lack it.
         """
-        crashes = self._evidence_by_key[key].open_crashes()
-        return any(
-            finding is _Finding.GUILTY
-            and crashes <= self._evidence_by_key[other].open_crashes()
+        present = frozenset(keys)
+        return frozenset(
+            self._evidence_by_key[other].open_crashes()
             for other, finding in self._findings().items()
-            if other not in keys and not other & OWN_KEY_BIT
+            if finding is _Finding.GUILTY
+            and other not in present
+            and not other & OWN_KEY_BIT
         )
 
     def _findings(self) -> dict[int, _Finding]:
@@ -359,22 +366,20 @@
                 del self._evidence_by_key[key]
                 self._finding_by_key = None
 
-    def rows(self, now_ms: float, limit: int) -> list[SuspectRow]:
+    def rows(self, now_ms: float) -> list[SuspectRow]:
         """Return what peers should know, the keys with the most open crashes first."""
-        return self._rows(self._evidence_by_key, now_ms, limit)
+        return self._rows(self._evidence_by_key, now_ms)
 
-    def rows_changed(
-        self, since_ms: float, now_ms: float, limit: int
-    ) -> list[SuspectRow]:
-        """Return the rows of keys that changed since `since_ms`."""
+    def rows_changed(self, since_ms: float, now_ms: float) -> list[SuspectRow]:
+        """Return the rows of keys that changed since `since_ms`, in the same order."""
         keys = [
             key
             for key, evidence in self._evidence_by_key.items()
             if evidence.changed_ms >= since_ms
         ]
-        return self._rows(keys, now_ms, limit)
+        return self._rows(keys, now_ms)
 
-    def _rows(self, keys: Iterable[int], now_ms: float, limit: int) -> list[SuspectRow]:
+    def _rows(self, keys: Iterable[int], now_ms: float) -> list[SuspectRow]:
         by_weight = sorted(
             keys,
             key=lambda key: (
@@ -384,7 +389,7 @@
             ),
             reverse=True,
         )
-        return [self._row(key, now_ms) for key in by_weight[:limit]]
+        return [self._row(key, now_ms) for key in by_weight]
 
     def _row(self, key: int, now_ms: float) -> SuspectRow:
         evidence = self._evidence_by_key[key]
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -153,12 +153,12 @@
 
     changed: Event
 
-    def change_message(self, sender: str) -> SuspectMessage | None:
-        """Return recent changes for all peers, None without any."""
+    def change_messages(self, sender: str) -> Iterable[SuspectMessage]:
+        """Return recent changes for all peers."""
         ...
 
-    def full_message(self, sender: str) -> SuspectMessage | None:
-        """Return all that is known, None if nothing is."""
+    def full_messages(self, sender: str) -> Iterable[SuspectMessage]:
+        """Return all that is known, in portions over several calls."""
         ...
 
     def on_message(self, message: SuspectMessage) -> None:
@@ -465,15 +465,13 @@
             gevent.sleep(interval_ms / MS_PER_SECOND)
 
     def _send_changes(self, suspects: SuspectSource, peers: Iterable[_Peer]) -> None:
-        message = suspects.change_message(self._local_id)
-        if message is not None:
+        for message in suspects.change_messages(self._local_id):
             self._send_data(encode_suspects(message), peers)
 
     def _send_all_suspects(
         self, suspects: SuspectSource, peers: Iterable[_Peer]
     ) -> None:
-        message = suspects.full_message(self._local_id)
-        if message is not None:
+        for message in suspects.full_messages(self._local_id):
             self._send_data(encode_suspects(message), peers)
 
     def _send_data(self, data: bytes, peers: Iterable[_Peer]) -> None:
--- a/wigeonwind/routing/request_keys.py
+++ b/wigeonwind/routing/request_keys.py
@@ -7,9 +7,9 @@
 from wigeonwind.routing.header_codec import RequestMetadata
 from wigeonwind.routing.request_parser import HttpRequest
 
-MAX_KEYS = 32
-"""Most keys of a request, those of the last chunks; working callers send fewer."""
-
+MAX_KEYS = 4_096
+"""Most keys of a request. A head of 16 KB, the usual limit, has room for no more chunks
+of a prompt."""
 
 KEY_CHARS = 16
 """Length of a formatted key: 64 bits in hexadecimal digits."""
@@ -21,9 +21,11 @@
     """Return a key for each chunk of the prompt, or one for a request without chunks.
 
     All routers derive the same keys. A chunk has the same key wherever it stands in a
-    prompt, except for the last one, which belongs to the request or its session.
+    prompt, except for the last one, which belongs to the request or its session. Beyond
+    MAX_KEYS, the chunks before the last one have none.
     """
-    return tuple(dict.fromkeys(_keys(service, request, metadata)))[-MAX_KEYS:]
+    *keys, own = dict.fromkeys(_keys(service, request, metadata))
+    return (*keys[: MAX_KEYS - 1], own)
 
 
 def _keys(
--- a/wigeonwind/routing/request_quarantine.py
+++ b/wigeonwind/routing/request_quarantine.py
@@ -5,7 +5,7 @@
 other trial; the others wait for the result.
 """
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -20,6 +20,7 @@
     Blocked,
     NeedsTrial,
     Quarantine,
+    SuspectRow,
     SuspectStatus,
 )
 from wigeonwind.routing.discovery import EndpointSet
@@ -28,7 +29,12 @@
 from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.request_keys import format_key
 from wigeonwind.routing.send_outcomes import Quarantined
-from wigeonwind.routing.suspect_messages import MAX_ROWS, MAX_TRIALS, SuspectMessage
+from wigeonwind.routing.suspect_messages import (
+    MAX_MESSAGES,
+    MAX_ROWS,
+    MAX_TRIALS,
+    SuspectMessage,
+)
 
 TRIAL_POLL_MS = 25.0
 """Interval of the check whether the trial of a suspect has ended."""
@@ -100,6 +106,8 @@
         self._trial_at_by_key: dict[int, Endpoint] = {}
         self._had_trials = False
         """Whether the last message to the peers named trials."""
+        self._sent_keys: dict[int, None] = {}
+        """Keys of the last full messages, until all keys have been sent."""
         self._peer_trials_by_sender: dict[str, tuple[float, dict[int, int]]] = {}
         self.monitor = EndpointMonitor(clock, pool, endpoints, self._on_crash)
         endpoints.on_draining = self._on_endpoint_draining
@@ -313,25 +321,35 @@
                 send.was_aborted = True
                 send.abort()
 
-    def change_message(self, sender: str) -> SuspectMessage | None:
-        """Return the trials and recent changes for all peers, None without any.
+    def change_messages(self, sender: str) -> Iterator[SuspectMessage]:
+        """Yield the trials and recent changes for all peers.
 
-        After the last trial, one message without any says so.
+        After the last trial, one message without any says so. Of the keys on trial, the
+        lowest are named, so that routers which try the same keys name the same ones.
         """
         now_ms = self._clock.now_ms()
         trials = tuple(
-            (key, short_id(at.key)) for key, at in self._trial_at_by_key.items()
+            (key, short_id(at.key)) for key, at in sorted(self._trial_at_by_key.items())
         )[:MAX_TRIALS]
-        rows = self._quarantine.rows_changed(now_ms - REPEAT_MS, now_ms, MAX_ROWS)
+        rows = self._quarantine.rows_changed(now_ms - REPEAT_MS, now_ms)
         had_trials, self._had_trials = self._had_trials, bool(trials)
         if not rows and not trials and not had_trials:
-            return None
-        return SuspectMessage(sender, False, tuple(rows), trials)
-
-    def full_message(self, sender: str) -> SuspectMessage | None:
-        """Return all evidence, None without any."""
-        rows = self._quarantine.rows(self._clock.now_ms(), MAX_ROWS)
-        return SuspectMessage(sender, True, tuple(rows), ()) if rows else None
+            return
+        yield SuspectMessage(sender, False, tuple(rows[:MAX_ROWS]), trials)
+        further = rows[MAX_ROWS : MAX_ROWS * MAX_MESSAGES]
+        yield from _full_messages(sender, further)
+
+    def full_messages(self, sender: str) -> Iterator[SuspectMessage]:
+        """Yield all evidence; the next calls go on with what is too much for one."""
+        rows = self._quarantine.rows(self._clock.now_ms())
+        unsent = [row for row in rows if row.key not in self._sent_keys]
+        if not unsent:
+            self._sent_keys.clear()
+            unsent = rows
+        unsent = unsent[: MAX_ROWS * MAX_MESSAGES]
+        if len(unsent) < len(rows):
+            self._sent_keys.update(dict.fromkeys(row.key for row in unsent))
+        yield from _full_messages(sender, unsent)
 
     def run_maintenance(self) -> None:
         """Drop what is outdated; call periodically."""
@@ -353,3 +371,8 @@
             self.changed.set()
             log.warning("request key cleared by an operator", key=format_key(key))
         return is_lifted
+
+
+def _full_messages(sender: str, rows: Sequence[SuspectRow]) -> Iterator[SuspectMessage]:
+    for start in range(0, len(rows), MAX_ROWS):
+        yield SuspectMessage(sender, True, tuple(rows[start : start + MAX_ROWS]), ())
--- a/wigeonwind/routing/suspect_messages.py
+++ b/wigeonwind/routing/suspect_messages.py
@@ -20,6 +20,9 @@
 
 MAX_TRIALS = 40
 
+MAX_MESSAGES = 16
+"""Most messages that are sent at a time: rows of 640 keys."""
+
 MAX_KEY = 2**64 - 1
 MAX_SHORT_ID = 2**32 - 1
 MAX_AGE_MS = 2**32 - 1
@@ -29,8 +32,9 @@
 class SuspectMessage:
     """What a router knows of suspects, and the trials that it has in flight.
 
-    A full message has all suspects and no trials, any other one recent changes and all
-    trials: pairs of a key and the short id of the endpoint at which it is tried.
+    A full message has suspects and no trials, any other one recent changes and all
+    trials: pairs of a key and the short id of the endpoint at which it is tried. What
+    exceeds MAX_ROWS goes into further full messages.
     """
 
     sender: str
