Platform: ids of prompt parts may be longer than 64 bits

Cause: the list of parts ended at the first id over 64 bits. Change: such an id is replaced by its 64-bit hash. Evidence: test_parts_with_long_ids_are_refused_after_two_crashes fails before the change (six requests crash six workers), passes after it.

--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -313,6 +313,23 @@
     assert crashes[-1] == crashes[-4]
 
 
+def test_parts_with_long_ids_are_refused_after_two_crashes():
+    # Guards against parts that are left out because of the length of their ids.
+    with running_fleet(3, STREAM, config()) as fleet:
+        for worker in fleet.workers:
+            worker.crashing.part_ids.add(DEADLY << 120)
+        fleet.restart_after_crashes(0.2)
+        for number in range(6):
+            wait_for_all_workers(fleet)
+            parts = ((SHARED, 400), (DEADLY, 300), (0x20_000 + number, 50))
+            long_parts = [(part_id << 120, tokens) for part_id, tokens in parts]
+            path = f"/stream/{number}"
+            reply = fleet.call_with_prompt(long_parts, f"d{number}", path=path)
+        crashes = len(crash_times_ms(fleet))
+    assert crashes < TOLERATED_CRASHES
+    assert (reply.status, reply.headers["x-outcome"]) == (503, "not-run")
+
+
 def test_a_part_seen_only_in_deadly_requests_is_served_in_sound_ones():
     # Guards against a shared first part that is blocked with the one which crashes
     # workers, because no sound request has been answered before.
--- a/wigeonwind/platform/headers.py
+++ b/wigeonwind/platform/headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator, Sequence
 from math import isfinite
 
+from wigeonwind.hashing import stable_hash
 from wigeonwind.hop_headers import HOP_BY_HOP
 from wigeonwind.routing.header_codec import (
     Header,
@@ -151,15 +152,19 @@
     return None if number is None or number > MAX_EVENT_ID else int(number)
 
 
+def _chunk_id(stated_id: int) -> int:
+    """Return an id of at most 64 bits; a longer one is replaced by its hash."""
+    return stated_id if stated_id <= MAX_CHUNK_ID else stable_hash(f"{stated_id:x}")
+
+
 def _prompt_chunks(value: bytes) -> Iterator[PromptChunk]:
     """Yield the chunks of an ID:TOKENS list, up to the first invalid item."""
     for entry in value.split(b","):
         chunk_id, _, tokens = entry.strip().partition(b":")
         try:
-            chunk = PromptChunk(int(chunk_id, 16), int(tokens))
+            chunk = PromptChunk(_chunk_id(int(chunk_id, 16)), int(tokens))
         except ValueError:
             return
-        is_in_range = 0 <= chunk.chunk_id <= MAX_CHUNK_ID
-        if not is_in_range or not 0 <= chunk.tokens <= MAX_TOKENS:
+        if chunk.chunk_id < 0 or not 0 <= chunk.tokens <= MAX_TOKENS:
             return
         yield chunk
