Endpoint connections: a failed write leaves no orderly end of the answer

Cause: the kernel reported the reset to the write; the end of input that recv then returned was taken for the end of the body. Change: after a failed write, the end of input completes no answer, and the connection is not returned to the pool. New log line. Evidence: test_early_answers.py, three cases without length fail before the change and pass after it; whole answers with a length are still delivered.

--- a/wigeonwind/routing/endpoint_connection.py
+++ b/wigeonwind/routing/endpoint_connection.py
@@ -52,6 +52,9 @@
         """Whether the end of the input has been read."""
         self.is_lost = False
         """Whether the connection ended while a response was due."""
+        self.has_write_failed = False
+        """Whether an error ended a write. The kernel reports a reset once, so that the
+        end of input which is then read may be no orderly one."""
         self.usable_until_ms = float("inf")
         self.request_ids: deque[str] = deque(maxlen=MAX_REMEMBERED_REQUESTS)
         """Ids of the requests that the connection has carried."""
@@ -60,7 +63,11 @@
     def send(self, data: bytes, timeout_ms: float) -> None:
         """Send all bytes; raises OSError if that fails or exceeds the timeout."""
         self._sock.settimeout(max(timeout_ms, 1.0) / MS_PER_SECOND)
-        self._sock.sendall(data)
+        try:
+            self._sock.sendall(data)
+        except OSError:
+            self.has_write_failed = True
+            raise
 
     def has_unread_data(self) -> bool:
         """Return whether unread bytes have arrived."""
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -362,7 +362,15 @@
             # An endpoint may respond and close before it has read the whole request.
             self._may_have_run = True
             connection.is_lost = True
-            if not connection.has_unread_data():
+            has_answer = connection.has_unread_data()
+            self.context.log.info(
+                "request not sent in full",
+                request_id=self.metadata.request_id,
+                endpoint=connection.endpoint.instance_id,
+                error=str(error),
+                has_answer=has_answer,
+            )
+            if not has_answer:
                 return Broken(f"request not sent in full: {error}")
         self._may_have_run = True
         for _ in range(MAX_DISCARDED_RESPONSES + 1):
@@ -479,8 +487,10 @@
             self.context.chooser.on_received(send, clock.now_ms())
             if not data:
                 connection.is_closed_by_endpoint = True
-                connection.parser.feed_end()
                 connection.is_lost = True
+                if connection.has_write_failed:
+                    return Broken("the connection ended while the request was sent")
+                connection.parser.feed_end()
                 return Broken("the endpoint closed the connection too early")
             connection.parser.feed(data)
             if connection.parser.error:
@@ -630,11 +640,13 @@
         """Return the connection to the pool, or close it if it cannot be reused.
 
         It cannot if the endpoint has sent a response to another request, if bytes
-        follow the response, or if the endpoint closes the connection.
+        follow the response, if the request was not sent in full, or if the endpoint
+        closes the connection.
         """
         parser = connection.parser
         is_clean = not (parser.responses or parser.has_partial_message or parser.error)
         is_clean = is_clean and not connection.has_sent_foreign_response
+        is_clean = is_clean and not connection.has_write_failed
         if is_clean and parser.keeps_alive and not connection.is_closed_by_endpoint:
             self.context.pool.release(connection, keep_alive_ms(response))
         else:
--- a/wigeonwind/standins/platform_worker.py
+++ b/wigeonwind/standins/platform_worker.py
@@ -178,6 +178,8 @@
         self.crash_times_ms: list[float] = []
         """Times of the crashes by requests (monotonic ms)."""
         self.on_crash: Callable[[], None] = lambda: None
+        self.early_answer: RawBytes | None = None
+        """Sent when the head of a request has arrived; its body stays unread."""
         self.is_ended = False
         self._open_sockets: set[gevent_socket.socket] = set()
         self._listen(0)
@@ -252,6 +254,9 @@
                     if not data:
                         return
                     parser.feed(data)
+                    if self.early_answer is not None:
+                        self._answer_early(sock, data, self.early_answer)
+                        return
                 request = parser.requests.popleft()
                 self.requests.append(request)
                 behaviour = self.scripted.popleft() if self.scripted else self.default
@@ -277,6 +282,21 @@
             self._open_sockets.discard(sock)
             sock.close()
 
+    def limit_receive_buffer(self, size: int) -> None:
+        """Set the receive buffer of later connections, in bytes."""
+        self._server.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+    def _answer_early(
+        self, sock: gevent_socket.socket, head: bytes, answer: RawBytes
+    ) -> None:
+        """Answer a request whose body is not read, and end the connection."""
+        fields = head.lower().partition(b"request-id: ")[2]
+        request_id = fields.partition(b"\r\n")[0]
+        for part in answer.parts:
+            sock.sendall(part.replace(b"{id}", request_id))
+        gevent.sleep(answer.gap_ms / MS_PER_SECOND)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+
     def _begin_last_answer(self, sock: gevent_socket.socket, request_id: str) -> None:
         """Send what the worker still writes of an answer on which it crashes."""
         if not self.crashing.sent_first:
