Event loop: a histogram of long turns, and a log line that names who held it up

Nothing measured how long a greenlet kept the loop to itself, so that a process that answers nothing left no trace of the cause. Turns of 5 ms and more are recorded (wigeonwind_loop_turn_ms); one line a second names the functions and the request of a turn of 100 ms and more.

--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -43,6 +43,7 @@
 )
 from wigeonwind.routing.send_window import SendWindow
 from wigeonwind.routing.suspect_watch import SuspectWatch
+from wigeonwind.runtime.loop_monitor import name_work
 
 MAX_TRIED_ENDPOINTS = 6
 """Most endpoints that one request tries, whatever its route allows. Refusals and failed
@@ -310,6 +311,7 @@
         self.expected_ms = round(send.expected_ms)
         self._sends += 1
         self._watch.on_sent(endpoint, connection.close)
+        name_work(f"request {self.metadata.request_id} at {endpoint.instance_id}")
         outcome: SendOutcome = Broken("the exchange was interrupted")
         try:
             outcome = self._send_and_relay(connection, send, remaining_ms)
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -59,6 +59,7 @@
 from wigeonwind.routing.store_follower import FollowedStore, StoreFollower
 from wigeonwind.routing.store_watchers import StoreView, StoreWatchers
 from wigeonwind.runtime.error_boundary import call_isolated
+from wigeonwind.runtime.loop_monitor import LoopMonitor, name_work
 from wigeonwind.runtime.loops import SupervisedLoops
 from wigeonwind.state.store_eras import StoreEras
 from wigeonwind.state.store_types import NO_REVISION, UNKNOWN_ERA
@@ -224,6 +225,7 @@
             lambda: self.stopped.is_set(),
         )
         self._loops = SupervisedLoops(self.stop)
+        self._loop_monitor = LoopMonitor(clock, self.metrics.loop_turns.record)
         self.stopped = Event()
 
     @property
@@ -272,6 +274,7 @@
 
     def start(self) -> None:
         """Start listening and following the store; raises OSError if that fails."""
+        self._loop_monitor.start()
         self._readiness.start()
         self._server.start()
         if self._metrics_server is not None:
@@ -373,6 +376,7 @@
 
     def _route_request(self, caller: CallerConnection, request: HttpRequest) -> None:
         metadata = self._header_codec.decode_request_headers(request.headers)
+        name_work(f"request {metadata.request_id}")
         table = self.configuration.table
         if table is None or not self._start_check.is_done:
             self._refuse(caller, metadata, NO_CONFIGURATION)
@@ -471,6 +475,7 @@
 
     def stop(self) -> None:
         """Stop at once; requests in flight are cut off."""
+        self._loop_monitor.stop()
         self._loops.stop()
         self._server.stop(timeout=0)
         self._readiness.stop()
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -154,6 +154,10 @@
             "store_watched",
             "1 while this process watches the store, 0 while it reads from peers.",
         )
+        self.loop_turns = self._metrics.latency(
+            "loop_turn", "Turns of a greenlet on the event loop, of 5 ms and more."
+        )
+        """Durations of long turns; see `wigeonwind.runtime.loop_monitor`."""
         self._first_event_latency = self._metrics.latency(
             "route_first_event", "Time to the first event of a stream."
         )
