Links, sidecars, peers' datagrams and states: reads give way to others

Evidence, before this change: frames on a link delayed a timer by 4.4 s, and with datagrams from three threads a test of calls did not end in 25 s. The sidecar's calls and the states of peers passed before as well (their parser limits end them); the cases stay as guards.

--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -1,11 +1,26 @@
 """Peers that send bytes without end as fast as they are read."""
 
+import socket
+import subprocess
+import sys
+import threading
 import time
+from contextlib import contextmanager
+from random import Random
 
 import gevent
 import pytest
 from flooding_server import as_worker, flooding
 from routing_fleet import configuration, entry, route, running_fleet
+from test_links_link import LinkHarness
+
+from wigeonwind.clock import SystemClock
+from wigeonwind.platform.store_format import PlatformStoreFormat
+from wigeonwind.routing import peer_state
+from wigeonwind.side.endpoint_http import HttpExchange, HttpFailure
+from wigeonwind.state.store_client import StoreClient, StoreLimits
+from wigeonwind.state.store_http import PoolLimits
+from wigeonwind.state.store_types import StoreFailure
 
 HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nWorker-Signature: s\r\n"
 CLOSED_STREAM = HEAD + b"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: 1\n\n"
@@ -108,3 +123,127 @@
         fleet.wait_for(lambda: server.closed)
     assert server.sent_bytes <= MAX_SENT_BYTES
     assert not (reply.status == 200 and reply.is_whole)
+
+
+@contextmanager
+def measured_ticks():
+    """Yield a list of how late a timer of 10 ms was each time, in milliseconds."""
+    late_ms = []
+
+    def tick():
+        while True:
+            began = time.monotonic()
+            gevent.sleep(0.01)
+            late_ms.append((time.monotonic() - began) * 1e3 - 10.0)
+
+    ticking = gevent.spawn(tick)
+    try:
+        yield late_ms
+        gevent.sleep(0.02)
+    finally:
+        ticking.kill()
+
+
+RESPONSE_BY_NAME = {
+    "body": (b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+    "body in small chunks": (b"HTTP/1.1 200 OK\r\n" + CHUNKED, b"1\r\nx\r\n"),
+    "header line": (b"HTTP/1.1 200 OK\r\nX-Long: ", b"x"),
+    "interim responses": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+}
+TIMEOUT_MS = 500.0
+
+
+@pytest.mark.parametrize("name", RESPONSE_BY_NAME)
+def test_a_sidecar_ends_a_call_whose_response_has_no_end(name):
+    # Guards against a sidecar that serves nothing else, and whose timer never fires.
+    with flooding(*RESPONSE_BY_NAME[name]) as server, measured_ticks() as late_ms:
+        exchange = HttpExchange(server.address, TIMEOUT_MS)
+        began = time.monotonic()
+        assert exchange.connect() is None
+        result = exchange.request("GET", "/x", [], b"")
+        while result and not isinstance(result, HttpFailure):
+            result = exchange.read()
+        took_ms = (time.monotonic() - began) * 1e3
+        exchange.close()
+    assert isinstance(result, HttpFailure)
+    assert took_ms <= TIMEOUT_MS + SLACK_MS
+    assert max(late_ms) <= SLACK_MS
+
+
+@pytest.mark.parametrize("name", RESPONSE_BY_NAME)
+def test_a_call_to_the_store_whose_response_has_no_end_fails_in_time(name):
+    # Guards against a store that makes a process stand still, or run out of memory.
+    limits = PoolLimits(2, 100, TIMEOUT_MS)
+    with flooding(*RESPONSE_BY_NAME[name]) as server, measured_ticks() as late_ms:
+        store = StoreClient(
+            server.address,
+            StoreLimits(limits, limits, limits),
+            SystemClock(),
+            Random(1),
+            format=PlatformStoreFormat(),
+        )
+        began = time.monotonic()
+        result = store.list_objects("config/")
+        took_ms = (time.monotonic() - began) * 1e3
+    assert isinstance(result, StoreFailure)
+    assert took_ms <= TIMEOUT_MS + SLACK_MS
+    assert max(late_ms) <= SLACK_MS
+    assert server.sent_bytes <= MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize("name", RESPONSE_BY_NAME)
+def test_the_state_of_a_peer_without_end_is_given_up(name):
+    # Guards against a peer that holds up the processes which read its state.
+    with flooding(*RESPONSE_BY_NAME[name]) as server, measured_ticks() as late_ms:
+        result = peer_state._fetch(server.address, "/state")
+    assert isinstance(result, str)
+    assert max(late_ms) <= SLACK_MS
+
+
+DATAGRAM_SENDER = """
+import socket, sys, time
+until = time.monotonic() + 10.0
+with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+    while time.monotonic() < until:
+        sock.sendto(b"x" * 50, (sys.argv[1], int(sys.argv[2])))
+"""
+
+
+def test_datagrams_without_end_do_not_hold_up_calls():
+    # Guards against a VM that sends datagrams as fast as they are read.
+    with running_fleet(1) as fleet:
+        host, port = fleet.router.peers._sock.getsockname()
+        # A thread would compete for the interpreter with the router.
+        command = [sys.executable, "-c", DATAGRAM_SENDER, host, str(port)]
+        with subprocess.Popen(command) as sender:
+            gevent.sleep(0.3)
+            took_ms = timed_calls_ms(fleet, 20)
+            received = fleet.router.peers.undecodable_datagrams
+            sender.kill()
+    assert received > 1_000
+    assert max(took_ms) <= CALL_TIMEOUT_MS + SLACK_MS
+
+
+def test_frames_without_end_on_a_link_do_not_hold_up_the_process():
+    # Guards against a peer that sends control frames as fast as they are read.
+    harness = LinkHarness()
+    sock, _ = harness.connect_raw()
+    masked_pong = b"\x8a\x80\0\0\0\0"
+    flooding_sock = socket.socket(fileno=sock.detach())
+    flooding_sock.setblocking(True)
+    is_done = threading.Event()
+
+    def send():
+        with flooding_sock:
+            while not is_done.is_set():
+                try:
+                    flooding_sock.sendall(masked_pong * 5_000)
+                except OSError:
+                    return
+
+    with measured_ticks() as late_ms:
+        threading.Thread(target=send, daemon=True).start()
+        gevent.sleep(1.0)
+        is_done.set()
+    harness.server.stop()
+    assert max(late_ms) <= SLACK_MS
--- a/wigeonwind/entry/http_limits.py
+++ b/wigeonwind/entry/http_limits.py
@@ -10,6 +10,7 @@
 from wigeonwind.entry.replies import encode_reply, failure_reply, refusal
 from wigeonwind.ids import new_id
 from wigeonwind.outcomes import ErrorCode, Failure
+from wigeonwind.runtime.fair_receive import receive
 
 REFUSAL_DRAIN_S = 0.5
 REFUSAL_DRAIN_BYTES = 1_000_000
@@ -104,7 +105,7 @@
         with gevent.Timeout(linger_s, False):
             discarded = 0
             while discarded < REFUSAL_DRAIN_BYTES and (
-                data := sock.recv(DRAIN_READ_BYTES)
+                data := receive(sock, DRAIN_READ_BYTES)
             ):
                 discarded += len(data)
     except OSError:
--- a/wigeonwind/links/handshake.py
+++ b/wigeonwind/links/handshake.py
@@ -18,6 +18,7 @@
 
 from wigeonwind.ids import new_id
 from wigeonwind.links.messages import Hello
+from wigeonwind.runtime.fair_receive import receive
 
 NONCE_HEADER = "X-Wigeonwind-Nonce"
 """Response header that carries the server's nonce."""
@@ -95,7 +96,7 @@
 def _first_event(sock: Any, protocol: WebsocketProtocol) -> Any:
     """Read until the first event; later events remain in the protocol."""
     while True:
-        data = sock.recv(RECEIVE_BYTES)
+        data = receive(sock, RECEIVE_BYTES)
         if not data:
             raise HandshakeError("connection closed during the handshake")
         protocol.receive_data(data)
--- a/wigeonwind/links/websocket.py
+++ b/wigeonwind/links/websocket.py
@@ -32,6 +32,7 @@
 )
 from wigeonwind.links.link_types import LinkHandler, LinkOptions
 from wigeonwind.links.messages import Hello, Ping, Pong
+from wigeonwind.runtime.fair_receive import receive
 
 MAX_HELLO_BYTES = 65_536
 """Maximum message size before the peer is authenticated."""
@@ -158,7 +159,7 @@
 
     def _read_hello(self) -> Hello:
         while not self._protocol.events:
-            data = self._sock.recv(RECEIVE_BYTES)
+            data = receive(self._sock, RECEIVE_BYTES)
             if not data:
                 raise HandshakeError("connection closed before the Hello")
             self._protocol.receive_data(data)
@@ -203,7 +204,7 @@
         self._process_frames()
         while True:
             try:
-                data = self._sock.recv(RECEIVE_BYTES)
+                data = receive(self._sock, RECEIVE_BYTES)
             except SOCKET_ERRORS as error:
                 self._fail(f"connection broken: {error}")
                 return
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -49,6 +49,7 @@
     is_suspect_message,
 )
 from wigeonwind.runtime.error_boundary import call_isolated
+from wigeonwind.runtime.fair_receive import give_way
 from wigeonwind.state.store_types import (
     Conflict,
     ObjectPage,
@@ -323,6 +324,7 @@
     def _receive(self) -> None:
         while True:
             data, source = self._sock.recvfrom(MAX_MESSAGE_BYTES)
+            give_way()
             address = SocketAddress(*source[:2])
             call_isolated(
                 "a datagram",
--- a/wigeonwind/routing/peer_state.py
+++ b/wigeonwind/routing/peer_state.py
@@ -25,6 +25,7 @@
 from wigeonwind.routing.store_follower import StoreFollower
 from wigeonwind.routing.store_watchers import StoreWatchers
 from wigeonwind.runtime.error_boundary import call_isolated
+from wigeonwind.runtime.fair_receive import receive
 from wigeonwind.state.store_eras import StoreEras
 from wigeonwind.state.store_types import (
     NO_REVISION,
@@ -338,7 +339,7 @@
     parser = ResponseParser()
     body = b""
     while len(body) <= MAX_STATE_BYTES:
-        data = sock.recv(READ_BYTES)
+        data = receive(sock, READ_BYTES)
         parser.feed(data)
         for response in list(parser.responses)[:1]:
             body += response.take_body()
--- a/wigeonwind/routing/small_http.py
+++ b/wigeonwind/routing/small_http.py
@@ -8,6 +8,7 @@
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
+from wigeonwind.runtime.fair_receive import receive
 
 READ_TIMEOUT_MS = 1_000.0
 """Timeout for a request and its response; readiness is checked once a second."""
@@ -56,7 +57,7 @@
     """Read the head of a request; return its method and path, empty if invalid."""
     head = b""
     while b"\r\n\r\n" not in head and len(head) < MAX_HEAD_BYTES:
-        data = sock.recv(MAX_HEAD_BYTES)
+        data = receive(sock, MAX_HEAD_BYTES)
         if not data:
             break
         head += data
--- a/wigeonwind/side/endpoint_http.py
+++ b/wigeonwind/side/endpoint_http.py
@@ -20,6 +20,7 @@
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.routing.response_parser import Response, ResponseParser
+from wigeonwind.runtime.fair_receive import receive
 
 READ_BYTES = 65_536
 """Maximum bytes per read from a connection."""
@@ -134,7 +135,7 @@
     def _receive(self) -> HttpFailure | None:
         """Receive the next bytes; return a failure if no more can be received."""
         try:
-            data = self._sock.recv(READ_BYTES)
+            data = receive(self._sock, READ_BYTES)
         except OSError as error:
             return HttpFailure(True, f"connection to the endpoint failed: {error}")
         if data:
