Store: responses without end fail at the deadline of the call

geventhttpclient reads heads and bodies without a bound, and its reads do not give way, so that the deadline of the call could not end them. Its sockets now give way, and raise beyond 4 MB of one response, head included. A call to the VM list has a deadline as a whole; that of the library bounded each read.

--- a/wigeonwind/runtime/fair_receive.py
+++ b/wigeonwind/runtime/fair_receive.py
@@ -5,10 +5,12 @@
 itself, and no timeout could end it.
 """
 
+from functools import partial
 from typing import Any
 
 import gevent
 from gevent import socket as gevent_socket
+from geventhttpclient import HTTPClient
 
 SHORTEST_SLEEP_S = 1e-6
 """A sleep of 0 s would not do: gevent runs up to 50 greenlets that are ready, however
@@ -42,8 +44,12 @@
     before the next one. Beyond `max_response_bytes`, `recv` raises OSError.
     """
 
-    max_response_bytes = 0
-    _response_bytes = 0
+    def __init__(
+        self, family: int, kind: int, protocol: int, max_response_bytes: int
+    ) -> None:
+        super().__init__(family, kind, protocol)
+        self._max_response_bytes = max_response_bytes
+        self._response_bytes = 0
 
     def sendall(self, data: Any, flags: int = 0) -> None:
         """Send all bytes; what is received from now on is a new response."""
@@ -54,6 +60,18 @@
         """Return the next bytes, and give way to others."""
         data = receive(super(), *args)
         self._response_bytes += len(data)
-        if self._response_bytes > self.max_response_bytes:
-            raise OSError(f"response exceeds {self.max_response_bytes} bytes")
+        if self._response_bytes > self._max_response_bytes:
+            raise OSError(f"response exceeds {self._max_response_bytes} bytes")
         return data
+
+
+def use_fair_sockets(client: HTTPClient, max_response_bytes: int) -> None:
+    """Let an HTTP client open fair sockets, which bound each of its responses."""
+    pool: Any = client._connection_pool
+    pool._create_tcp_socket = partial(_open_fair_socket, max_response_bytes)
+
+
+def _open_fair_socket(
+    max_response_bytes: int, family: int, kind: int, protocol: int
+) -> FairSocket:
+    return FairSocket(family, kind, protocol, max_response_bytes)
--- a/wigeonwind/runtime/vm_list_client.py
+++ b/wigeonwind/runtime/vm_list_client.py
@@ -4,12 +4,14 @@
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
+import gevent
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND
 from wigeonwind.outcomes import ErrorCode, Failure, Ok, Outcome
+from wigeonwind.runtime.fair_receive import use_fair_sockets
 from wigeonwind.state.membership import ListedVm
 
 VM_LIST_PATH = "/v1/vms"
@@ -55,12 +57,16 @@
             connection_timeout=timeout_s,
             network_timeout=timeout_s,
         )
+        use_fair_sockets(self._client, MAX_LIST_BYTES)
 
     def read(self) -> Ok[VmList] | Failure:
         """Return the list; after a failure the caller keeps the members it has."""
+        timeout_s = CALL_TIMEOUT_MS / MS_PER_SECOND
         try:
-            response = self._client.get(urlsplit(VM_LIST_PATH).path)
-            body = response.read(MAX_LIST_BYTES)
+            # The timeout of the library bounds each read, not the whole call.
+            with gevent.Timeout(timeout_s, TimeoutError("deadline exceeded")):
+                response = self._client.get(urlsplit(VM_LIST_PATH).path)
+                body = response.read(MAX_LIST_BYTES)
             if response.status_code != 200:
                 return _failure(f"status {response.status_code}")
             return Ok(_parse(json.loads(bytes(body))))
--- a/wigeonwind/state/store_http.py
+++ b/wigeonwind/state/store_http.py
@@ -19,6 +19,7 @@
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.clock import MS_PER_SECOND, Clock
+from wigeonwind.runtime.fair_receive import use_fair_sockets
 from wigeonwind.state.store_eras import StoreEras
 from wigeonwind.state.store_types import UNKNOWN_ERA, StoreFailure
 
@@ -29,7 +30,7 @@
 """Shortest backoff after a first failure; it doubles with each consecutive failure."""
 
 MAX_STORE_RESPONSE_BYTES = 4_000_000
-"""Bound on a response body: a value of 1 MB in base64, or a long list of keys."""
+"""Bound on a response: a value of 1 MB in base64, or a long list of keys."""
 
 CONNECT_TIMEOUT_MS = 1_000.0
 
@@ -248,8 +249,6 @@
             # The library releases its socket on an OSError such as TimeoutError.
             with gevent.Timeout(max(left_s, 0.001), TimeoutError("deadline exceeded")):
                 response = self._client.request(method, path, body, dict(headers))
-                if (response.content_length or 0) > MAX_STORE_RESPONSE_BYTES:
-                    raise OSError(f"response exceeds {MAX_STORE_RESPONSE_BYTES} bytes")
                 data = response.read()
         except ConnectionRefusedError:
             return StoreFailure("connection refused", maybe_written=False)
@@ -321,6 +320,7 @@
     # wait 40 ms for the delayed acknowledgement of the first.
     pool: Any = client._connection_pool
     pool.after_connect = _set_no_delay
+    use_fair_sockets(client, MAX_STORE_RESPONSE_BYTES)
     return client
 
 
