Endpoints: those that announce in a response that they leave get no more requests

Cause: nothing read the announcement; departure came from the store alone. Change: it is read from every head, held by decisions/leaving_endpoints.py for the start of the instance, and told to peers; EndpointSet leaves it out of all choices. Log lines at start and end, gauge, GET /leaving. Evidence: with the reading switched off, six tests of test_leaving_endpoints.py fail; all pass with it.

--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -22,6 +22,7 @@
     parse_address_list,
     parse_valid_address,
 )
+from wigeonwind.decisions.leaving_endpoints import LeavingRow
 from wigeonwind.decisions.peer_loads import InFlightLoad
 from wigeonwind.decisions.quarantine import SuspectRow
 from wigeonwind.entry.openai_request import ModelRequest, read_model_request
@@ -35,6 +36,11 @@
 from wigeonwind.platform.store_format import PlatformStoreFormat
 from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.event_stream import _event_id
+from wigeonwind.routing.leaving_messages import (
+    LeavingMessage,
+    decode_leaving,
+    encode_leaving,
+)
 from wigeonwind.routing.peer_exchange import DirectoryEntry
 from wigeonwind.routing.peer_exchange import decode_record as decode_peer_record
 from wigeonwind.routing.peer_messages import LoadMessage, decode_load, encode_load
@@ -131,6 +137,7 @@
 SUSPECTS = SuspectMessage("edge-2", True, (SuspectRow(4, ((3, 9),), 5),), ((4, 3),))
 ENTRY_OBJECT = stored("a")
 STORED = StoredObject("k/a", 5, json.dumps(SPEC).encode())
+LEAVING = LeavingMessage("r1", (LeavingRow(7, 5),))
 STOP = StopMessage("r2", 1, 500, 7_000, True)
 STATE = SharedState(StoreRevision(1, 5), True, STORED, (STORED,))
 ANSWER = RecordedResponse(200, [["a", "b"]], b"x")
@@ -165,6 +172,9 @@
     "routing.suspect_messages.decode_suspects": Decoder(
         decode_suspects, encode_suspects(SUSPECTS), "cbor", (SuspectMessage, str)
     ),
+    "routing.leaving_messages.decode_leaving": Decoder(
+        decode_leaving, encode_leaving(LEAVING), "cbor", (LeavingMessage, str)
+    ),
     "routing.stop_messages.decode_stop": Decoder(
         decode_stop, encode_stop(STOP), "cbor", (StopMessage, str)
     ),
--- a/wigeonwind/platform/headers.py
+++ b/wigeonwind/platform/headers.py
@@ -22,6 +22,10 @@
 LAST_EVENT_ID = b"last-event-id"
 WORKER_SIGNATURE = b"worker-signature"
 NOT_EXECUTED = b"not-executed"
+SERVER_LEAVING = b"server-leaving"
+LEAVING = b"1"
+"""Value of the header of an endpoint that leaves."""
+
 MAX_TOKENS = 100_000_000
 """Largest number of tokens of a prompt, or of a chunk of it; a larger one is not
 believed."""
@@ -112,6 +116,7 @@
         dropped = FRAMING_HEADERS | HOP_HEADERS
         dropped |= _connection_options(by_name.get(b"connection", b""))
         content_type = by_name.get(b"content-type", b"")
+        announced = {each[1] for each in headers if each[0].lower() == SERVER_LEAVING}
         return ResponseMetadata(
             by_name.get(REQUEST_ID, b"").decode("latin-1"),
             WORKER_SIGNATURE in by_name,
@@ -119,6 +124,8 @@
             content_type.lower().startswith(b"text/event-stream"),
             b"content-encoding" in by_name,
             tuple(each for each in headers if each[0].lower() not in dropped),
+            announced == {LEAVING},
+            b", ".join(sorted(announced - {LEAVING})).decode("latin-1"),
         )
 
     def local_response_headers(self, request_id: str) -> Sequence[Header]:
--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -1,12 +1,17 @@
 """Service discovery: usable endpoints, from their entries in the platform's store."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 from dataclasses import dataclass
 
 from structlog import get_logger
 
 from wigeonwind.clock import Clock
 from wigeonwind.decisions.latency_choice import LatencyChooser
+from wigeonwind.decisions.leaving_endpoints import (
+    LeavingEndpoints,
+    LeavingRow,
+    key_digest,
+)
 from wigeonwind.decisions.placement import Candidate
 from wigeonwind.routing.endpoint_connection import ConnectionPool
 from wigeonwind.routing.endpoints import Endpoint, EndpointKey
@@ -66,12 +71,14 @@
         self._departure_by_key: dict[EndpointKey, _Departure] = {}
         self._held_until_ms: dict[EndpointKey, float] = {}
         self._usable_by_key: dict[EndpointKey, Endpoint] = {}
+        self.leaving = LeavingEndpoints()
+        """Endpoints that have announced that they leave, whatever their entry says."""
         self._store_is_unreachable = False
         self._authoritative_from_ms = float("-inf")
         self._copy_listed_until_ms = float("-inf")
         """Until when a listing may have entries from before a restart."""
         self.on_draining: Callable[[Endpoint], None] = lambda endpoint: None
-        """Called when an endpoint is reported to be draining."""
+        """Called when an endpoint is reported to be draining, or announces it."""
 
     def __len__(self) -> int:
         """Return the number of endpoints that may get new requests."""
@@ -209,6 +216,51 @@
         )
         self._update()
 
+    def on_leaving_announced(self, endpoint: Endpoint) -> None:
+        """Stop using an endpoint that has announced in a response that it leaves."""
+        now_ms = self._clock.now_ms()
+        digest = key_digest(endpoint.key)
+        if self.leaving.add(digest, now_ms, now_ms):
+            self._stop_using_leaving((digest,), "its response")
+
+    def on_leaving_rows(self, rows: Iterable[LeavingRow], sender: str) -> None:
+        """Stop using the endpoints whose announcements a peer has read."""
+        new = self.leaving.merge(rows, self._clock.now_ms())
+        if new:
+            self._stop_using_leaving(new, f"message of {sender}")
+
+    def _stop_using_leaving(self, digests: Collection[int], source: str) -> None:
+        now_ms = self._clock.now_ms()
+        concerned = [
+            each
+            for each in self._usable_by_key.values()
+            if key_digest(each.key) in digests
+        ]
+        self._update()
+        for endpoint in concerned:
+            digest = key_digest(endpoint.key)
+            log.info(
+                "endpoint has announced that it leaves",
+                endpoint=endpoint.instance_id,
+                service=endpoint.service,
+                source=source,
+                not_used_for_ms=round(self.leaving.left_ms(digest, now_ms)),
+            )
+            self.on_draining(endpoint)
+
+    def leaving_endpoints(self) -> Iterator[tuple[Endpoint, float, float]]:
+        """Yield each known endpoint that is leaving, since when and for how long.
+
+        The times are in milliseconds: since the first announcement, and until the
+        endpoint may be used again.
+        """
+        now_ms = self._clock.now_ms()
+        for endpoint in self._by_id.values():
+            digest = key_digest(endpoint.key)
+            if digest in self.leaving:
+                since_ms = now_ms - self.leaving.since_ms(digest)
+                yield endpoint, since_ms, self.leaving.left_ms(digest, now_ms)
+
     def expire_entries(self) -> None:
         """Drop expired entries and exclusions whose time is over; call periodically."""
         now_ms = self._clock.now_ms()
@@ -238,7 +290,14 @@
             )
         for key in readmitted_keys:
             del misdirected[key]
-        if expired_ids or readmitted_keys or released_keys:
+        left = self.leaving.drop_expired(now_ms)
+        for endpoint in self._by_id.values():
+            if key_digest(endpoint.key) in left:
+                log.info(
+                    "endpoint that had announced to leave is used again",
+                    endpoint=endpoint.instance_id,
+                )
+        if expired_ids or readmitted_keys or released_keys or left:
             self._update()
 
     def _remove_expired(self, instance_id: str) -> None:
@@ -309,6 +368,12 @@
         usable = {each.key: each for each in [*expired, *present]}
         for key in (*self._misdirected_until_ms, *self._held_until_ms):
             usable.pop(key, None)
+        if len(self.leaving):
+            usable = {
+                key: each
+                for key, each in usable.items()
+                if key_digest(key) not in self.leaving
+            }
         for key in self._usable_by_key:
             if key not in usable:
                 self._pool.discard(key)
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -64,6 +64,12 @@
 MIN_TRIAL_WAIT_MS = 500.0
 """Least time for which a request waits while another one tries a suspect part of it."""
 
+MISDIRECTED = 421
+"""Status of an endpoint that is not the one which the request is for, as its address
+has been given to another one (RFC 9110 section 15.5.20)."""
+
+MAX_LOGGED_CHARS = 80
+
 MIN_REMAINING_MS = 20.0
 """Time to the deadline below which a request is not sent, as no response could arrive
 in time."""
@@ -379,9 +385,7 @@
             response = self._next_response(connection, send)
             if not isinstance(response, Response):
                 return response
-            metadata = self.context.header_codec.decode_response_headers(
-                response.headers
-            )
+            metadata = self._read_head(connection, response)
             if self._matches_request(metadata):
                 return self._relay_response(connection, send, response, metadata)
             if not metadata.request_id:
@@ -400,6 +404,28 @@
             f"more than {MAX_DISCARDED_RESPONSES} responses to other requests"
         )
 
+    def _read_head(
+        self, connection: EndpointConnection, response: Response
+    ) -> ResponseMetadata:
+        """Decode the head of a response, and note whether its endpoint leaves."""
+        metadata = self.context.header_codec.decode_response_headers(response.headers)
+        # Another endpoint has answered 421, which uses the address now.
+        if response.status != MISDIRECTED:
+            self._note_announcement(connection.endpoint, metadata)
+        return metadata
+
+    def _note_announcement(
+        self, endpoint: Endpoint, metadata: ResponseMetadata
+    ) -> None:
+        if metadata.is_leaving:
+            self.context.endpoints.on_leaving_announced(endpoint)
+        elif metadata.odd_announcement:
+            self.context.log.warning(
+                "ignored an announcement that says nothing known",
+                endpoint=endpoint.instance_id,
+                value=metadata.odd_announcement[:MAX_LOGGED_CHARS],
+            )
+
     def _can_resume(self) -> bool:
         """Return whether a new run can go on after what the caller has received."""
         return self.route.is_stream and self._events.can_resume
@@ -498,6 +524,9 @@
                 connection.parser.feed_end()
                 return Broken("the endpoint closed the connection too early")
             connection.parser.feed(data)
+            for headers in connection.parser.take_interim_heads():
+                interim = self.context.header_codec.decode_response_headers(headers)
+                self._note_announcement(connection.endpoint, interim)
             if connection.parser.error:
                 return Broken(connection.parser.error)
             return None
@@ -533,9 +562,9 @@
             return body
         self._release_connection(connection, response)
         self.context.chooser.on_started(send, self.context.clock.now_ms())
-        if metadata.was_not_run or response.status == 421:
+        is_misdirected = response.status == MISDIRECTED
+        if metadata.was_not_run or is_misdirected:
             reason = f"the endpoint answered {response.status}"
-            is_misdirected = response.status == 421
             return NotRun(reason, was_sent=True, is_misdirected=is_misdirected)
         if not metadata.is_signed:
             return Broken(f"unsigned response with status {response.status}")
--- a/wigeonwind/routing/header_codec.py
+++ b/wigeonwind/routing/header_codec.py
@@ -65,7 +65,8 @@
 
     `is_signed` says that the endpoint's signature is present. `was_not_run` says that
     the endpoint did not run the request. `is_encoded` says that the body has a content
-    encoding.
+    encoding. `is_leaving` says that the endpoint announces that it leaves;
+    `odd_announcement` is a value of that announcement which says nothing.
     """
 
     request_id: str
@@ -74,6 +75,8 @@
     is_event_stream: bool
     is_encoded: bool
     forwarded_headers: tuple[Header, ...]
+    is_leaving: bool = False
+    odd_announcement: str = ""
 
 
 class HeaderCodec(Protocol):
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -20,11 +20,19 @@
 from wigeonwind.addresses import SocketAddress, parse_valid_address
 from wigeonwind.clock import MS_PER_SECOND, Clock
 from wigeonwind.decisions.latency_choice import LatencyChooser
+from wigeonwind.decisions.leaving_endpoints import LeavingRow
 from wigeonwind.decisions.peer_loads import MAX_AGE_MS
 from wigeonwind.decisions.stop_admission import OtherRouters
 from wigeonwind.hashing import stable_hash
 from wigeonwind.ids import new_incarnation
 from wigeonwind.outcomes import Ok
+from wigeonwind.routing.leaving_messages import (
+    LeavingMessage,
+    decode_leaving,
+    encode_leaving,
+    is_leaving_message,
+    leaving_messages,
+)
 from wigeonwind.routing.peer_messages import (
     EARLIER_VERSION,
     MAX_MESSAGE_BYTES,
@@ -89,6 +97,9 @@
 FULL_SUSPECTS_INTERVAL_MS = 1_000.0
 """Interval of messages with all suspects, for processes that missed the changes."""
 
+REPEAT_LEAVING_MS = 2_000.0
+"""Time for which each message repeats an announcement, as datagrams may be lost."""
+
 FULL_SUSPECTS_PEERS = 3
 """Peers that get such a message; they pass on what is new to them."""
 
@@ -167,6 +178,14 @@
         ...
 
 
+class LeavingSource(Protocol):
+    """Exchanges what routers know of endpoints that are leaving."""
+
+    def rows(self, now_ms: float, learned_since_ms: float) -> Iterable[LeavingRow]:
+        """Return the announcements that were learned since a time."""
+        ...
+
+
 class DirectoryStore(Protocol):
     """The store calls that the directory needs."""
 
@@ -221,7 +240,11 @@
         suspects: SuspectSource | None = None,
         on_view: Callable[[StoreView], None] = lambda view: None,
         on_directory_read: Callable[[], None] = lambda: None,
+        leaving: LeavingSource | None = None,
+        on_leaving: Callable[[Iterable[LeavingRow], str], None] = lambda *_: None,
     ) -> None:
+        self._leaving = leaving
+        self._on_leaving_rows = on_leaving
         self._on_directory_read = on_directory_read
         self._local_id = local_id
         self._on_view = on_view
@@ -334,8 +357,10 @@
             )
 
     def _on_datagram(self, data: bytes, source: SocketAddress) -> None:
-        message: LoadMessage | SuspectMessage | StopMessage | str
-        if is_suspect_message(data):
+        message: LoadMessage | SuspectMessage | StopMessage | LeavingMessage | str
+        if is_leaving_message(data):
+            message = decode_leaving(data)
+        elif is_suspect_message(data):
             message = decode_suspects(data)
         elif is_stop_message(data):
             message = decode_stop(data)
@@ -347,6 +372,9 @@
         if isinstance(message, StopMessage):
             self._on_stop(message, source)
             return
+        if isinstance(message, LeavingMessage):
+            self._on_leaving(message, source)
+            return
         if isinstance(message, LoadMessage):
             self._on_message(message, source)
             return
@@ -360,6 +388,12 @@
             return
         self._suspects.on_message(message)
 
+    def _on_leaving(self, message: LeavingMessage, source: SocketAddress) -> None:
+        """Apply announcements that come from a known peer's VM."""
+        peer = self._peer_by_id.get(message.sender)
+        if peer is not None and peer.address.host == source.host:
+            self._on_leaving_rows(message.rows, message.sender)
+
     def _on_stop(self, message: StopMessage, source: SocketAddress) -> None:
         """Apply a stop message of a known peer's VM and present process."""
         peer = self._peer_by_id.get(message.sender)
@@ -400,6 +434,8 @@
             peer.started_ms = now_ms
             # A process that has just started compares its configuration with others.
             self._send_load(self._load_message(()), (peer,))
+        if has_started:
+            self._send_leaving((peer,), float("-inf"))
         if has_started and self._suspects is not None:
             self._send_all_suspects(self._suspects, (peer,))
 
@@ -424,6 +460,7 @@
         self._send_load(message, peers)
         if self._local_stop is not None:
             self._send_data(encode_stop(self._local_stop()), peers)
+        self._send_leaving(peers, now_ms - REPEAT_LEAVING_MS)
         if self._suspects is None:
             return
         self._send_changes(self._suspects, peers)
@@ -432,6 +469,13 @@
             sample = self._rng.sample(peers, min(len(peers), FULL_SUSPECTS_PEERS))
             self._send_all_suspects(self._suspects, sample)
 
+    def _send_leaving(self, peers: Iterable[_Peer], learned_since_ms: float) -> None:
+        if self._leaving is None:
+            return
+        rows = self._leaving.rows(self._clock.now_ms(), learned_since_ms)
+        for message in leaving_messages(self._local_id, rows):
+            self._send_data(encode_leaving(message), peers)
+
     def _load_message(self, prefixes: tuple[tuple[int, int], ...]) -> LoadMessage:
         self._sequence += 1
         return LoadMessage(
--- a/wigeonwind/routing/response_parser.py
+++ b/wigeonwind/routing/response_parser.py
@@ -81,7 +81,7 @@
 
 
 class ResponseParser:
-    r"""Parses the responses of one connection; interim responses are skipped.
+    r"""Parses the responses of one connection; interim responses are set aside.
 
     `responses` holds the responses whose head has arrived. A faulty endpoint may send
     more responses than it received requests, so whoever takes a response must check
@@ -97,6 +97,8 @@
 
     def __init__(self) -> None:
         self.responses: deque[Response] = deque()
+        self.interim_heads: list[list[Header]] = []
+        """Headers of interim responses, until `take_interim_heads`."""
         self.error = ""
         self.has_partial_message = False
         """Whether a response has been received in part."""
@@ -120,6 +122,11 @@
         if self._framing_bytes > MAX_FRAMING_BYTES:
             self.error = f"more than {MAX_FRAMING_BYTES} bytes without a body"
 
+    def take_interim_heads(self) -> list[list[Header]]:
+        """Return and clear the headers of the interim responses received."""
+        heads, self.interim_heads = self.interim_heads, []
+        return heads
+
     def feed_end(self) -> None:
         """Handle an orderly close of the connection by the endpoint."""
         response = self._response
@@ -148,6 +155,8 @@
             raise ValueError("a second head within the head of a response")
         if self._response.status >= FIRST_FINAL_STATUS:
             self.responses.append(self._response)
+        elif self._response.headers:
+            self.interim_heads.append(self._response.headers)
 
     def _has_second_head(self) -> bool:
         values = [value for _, value in self._response.headers]
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -25,6 +25,7 @@
 from wigeonwind.routing.exchange import Exchange
 from wigeonwind.routing.forwarding_context import ForwardingContext
 from wigeonwind.routing.header_codec import HeaderCodec, RequestMetadata
+from wigeonwind.routing.leaving_api import LEAVING_PATH, leaving_response
 from wigeonwind.routing.local_responses import status_response
 from wigeonwind.routing.peer_exchange import DirectoryStore, PeerExchange
 from wigeonwind.routing.peer_state import PeerState
@@ -179,6 +180,8 @@
             self.quarantine,
             lambda view: store.eras.learn(view.endpoints_revision.era),
             lambda: self._start_check.on_directory_read(),
+            self.endpoints.leaving,
+            self.endpoints.on_leaving_rows,
         )
         self._start_check = StartCheck(
             clock, self.peers.live_views, self.peers.peer_count
@@ -311,6 +314,7 @@
             self.endpoints.expire_entries()
             self.metrics.set_engine_profiles(self._chooser.service_profiles())
             self.metrics.set_suspects(self.quarantine.statuses())
+            self.metrics.set_leaving(len(list(self.endpoints.leaving_endpoints())))
             self.metrics.on_store_watched(self._store_view().is_watching)
             failed_steps = sum(each.failed_steps for each in self._followers)
             self.metrics.set_failed_store_steps(failed_steps)
@@ -329,6 +333,8 @@
     def _metrics_response(self, method: str, path: str) -> bytes:
         if path.startswith(QUARANTINE_PATH):
             return quarantine_response(self.quarantine, method, path)
+        if path.startswith(LEAVING_PATH):
+            return leaving_response(self.endpoints, method, path)
         body = self.metrics.render()
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4\r\n"
--- a/wigeonwind/routing/routing_metrics.py
+++ b/wigeonwind/routing/routing_metrics.py
@@ -102,6 +102,10 @@
             "Ended trials of request keys that may crash endpoints, by result.",
             ("result",),
         )
+        self._leaving = self._metrics.gauge(
+            "endpoints_leaving",
+            "Listed endpoints that have announced in a response that they leave.",
+        )
         self._suspect_keys = self._metrics.gauge(
             "quarantine_suspect_keys",
             "Request keys that may crash endpoints and may be tried.",
@@ -182,6 +186,10 @@
         """Count the end of a trial of suspect request keys."""
         self._trials.labels(result).inc()
 
+    def set_leaving(self, count: int) -> None:
+        """Record how many endpoints have announced that they leave."""
+        self._leaving.set(count)
+
     def set_suspects(self, statuses: Iterable[SuspectStatus]) -> None:
         """Record how many request keys are suspect and how many are blocked."""
         is_blocked = [each.blocked_ms > 0.0 for each in statuses]
