Retries: one that has waited is counted when it is sent

Found by listing what bounds the sum over all routers: a retry was counted when it was decided and could wait up to its deadline, so that those of several windows arrived together. Change: the count moves to the send; beyond the budget the retry is not sent. Evidence: test_retries_that_have_waited_are_within_the_budget_when_they_are_sent (there was nothing to ask at the send before; over twice the budget of a window could arrive at once).

--- a/tests/test_decisions_choice.py
+++ b/tests/test_decisions_choice.py
@@ -18,7 +18,7 @@
     RouteRequest,
 )
 from wigeonwind.decisions.prefix_index import PREFIX_TTL_MS, PrefixIndex
-from wigeonwind.decisions.retry import RetryPolicy
+from wigeonwind.decisions.retry import RetryLimits, RetryPolicy
 
 CHAT = RouteRequest("llm", "chat", 0, 100)
 
@@ -186,3 +186,29 @@
     assert sum(isinstance(each, Resend) for each in refused) <= 10
     last = policy.decide(3, False, True, None, 3.0, RetryCause.INTERRUPTED)
     assert isinstance(last, GiveUp)
+
+
+def test_retries_that_have_waited_are_within_the_budget_when_they_are_sent():
+    # Guards against retries of several windows that wait for the same endpoints and
+    # arrive there together.
+    policy = RetryPolicy(Random(1), RetryLimits(0.12, 0.2, 0.0, frozenset()))
+    decided_ms = []
+    for now_ms in range(0, 30_000, 20):
+        policy.on_request(now_ms)
+        if isinstance(policy.decide(0, True, True, 60_000.0, now_ms), Resend):
+            decided_ms.append(now_ms)
+    requests_of_a_window = 500
+    assert len(decided_ms) > 2 * 0.12 * requests_of_a_window
+    sent = sum(policy.confirm(each, 30_000.0) for each in decided_ms)
+    assert 0 < sent <= 0.12 * requests_of_a_window
+
+
+def test_a_retry_that_is_sent_at_once_is_counted_once():
+    # Guards against a budget that is used up twice as fast.
+    policy = RetryPolicy(Random(1))
+    sent = 0
+    for now_ms in range(0, 9_000, 10):
+        policy.on_request(now_ms)
+        if isinstance(policy.decide(0, True, True, 60_000.0, now_ms), Resend):
+            sent += policy.confirm(now_ms, now_ms + 5.0)
+    assert sent == 90
--- a/wigeonwind/decisions/retry.py
+++ b/wigeonwind/decisions/retry.py
@@ -116,16 +116,41 @@
         if cause in self._limits.unbudgeted:
             return Resend(delay_ms)
         current = self._current_second(now_ms)
-        budget = max(
-            self._limits.budget_share * self._requests,
-            self._limits.budget_floor_per_s * WINDOW_S,
-        )
-        if self._retries + 1 > budget:
+        if self._retries + 1 > self._budget():
             return GiveUp("the retry budget is exhausted")
         current.retries += 1
         self._retries += 1
         return Resend(delay_ms)
 
+    def confirm(self, decided_ms: float, now_ms: float) -> bool:
+        """Count a retry at its send, which may come long after the decision.
+
+        Return whether it may be sent: retries of different windows that have waited for
+        the same endpoint must not arrive in one.
+        """
+        current = self._current_second(now_ms)
+        decided = int(decided_ms // MS_PER_SECOND)
+        counted = next((each for each in self._seconds if each.number == decided), None)
+        if counted is None:
+            if self._retries + 1 > self._budget():
+                return False
+            self._retries += 1
+        else:
+            counted.retries -= 1
+        current.retries += 1
+        return True
+
+    def has_budget(self, now_ms: float) -> bool:
+        """Return whether the budget allows one more retry now."""
+        self._current_second(now_ms)
+        return self._retries + 1 <= self._budget()
+
+    def _budget(self) -> float:
+        return max(
+            self._limits.budget_share * self._requests,
+            self._limits.budget_floor_per_s * WINDOW_S,
+        )
+
     def _delay_ms(self, attempt: int) -> float:
         bound_ms = min(MAX_DELAY_MS, self._limits.base_delay_ms * 2.0**attempt)
         return self._rng.uniform(0.0, bound_ms)
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -144,6 +144,8 @@
         self.expected_ms: int | None = None
         """Time to the first event that was estimated for the last send."""
         self._last_failure: Failed | None = None
+        self._retry_decided_ms: float | None = None
+        """When the budget was asked for the next send, None if that is no retry."""
         self._is_stopped = False
         """Whether the process has reached the end of a planned stop."""
 
@@ -182,6 +184,11 @@
                 outcome = self._outcome_without_endpoint(destination)
                 break
             endpoint = destination.endpoint
+            if not self._confirm_retry():
+                outcome = self._outcome_without_endpoint(
+                    NoEndpoint("the retry budget is exhausted", 0.0)
+                )
+                break
             outcome = self._send_to(destination)
             if not self._should_retry(endpoint, outcome):
                 break
@@ -236,6 +243,14 @@
                 return _Destination(endpoint, source)
             exclude |= {chosen.endpoint_id}
 
+    def _confirm_retry(self) -> bool:
+        """Return whether a retry that has waited is still within the budget."""
+        decided_ms, self._retry_decided_ms = self._retry_decided_ms, None
+        if decided_ms is None:
+            return True
+        policy = self.context.retry_policy_of(self.service)
+        return policy.confirm(decided_ms, self.context.clock.now_ms())
+
     def _outcome_without_endpoint(self, no_endpoint: NoEndpoint) -> SendOutcome:
         if self._last_failure is not None:
             return self._last_failure
@@ -741,7 +756,10 @@
             cause,
         )
         self.context.on_retry(self, outcome, decision)
-        return not isinstance(decision, GiveUp)
+        if isinstance(decision, GiveUp):
+            return False
+        self._retry_decided_ms = now_ms
+        return True
 
     def _finish(self, outcome: SendOutcome) -> None:
         """Respond to the caller unless that was done, and report the final outcome."""
