Silent endpoints: give up a request only if it can be sent elsewhere

Callers saw answers that ended, and workers runs that were repeated, when a worker began to drain or was silent for a second. Cause: the chooser reported an infinite silence of endpoints that are no longer offered, so that repeatable requests in flight there were given up within 100 ms; and a send was given up before the retry was asked for. Change: the silence counts from the request's own last byte at most; a send is given up only if budget, route, stop and another endpoint allow a further one; an answer that has begun after 1.5 s at the earliest.

--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -61,6 +61,10 @@
 """Lower bound of the silence limit; long prompts and slow links cause silences that are
 shorter than this."""
 
+BEGUN_SILENCE_LIMIT_MS = 1_500.0
+"""Lower bound of the silence limit of an answer that has begun. A sound endpoint may be
+silent for about a second; callers give up after two or more."""
+
 MIN_TRIAL_WAIT_MS = 500.0
 """Least time for which a request waits while another one tries a suspect part of it."""
 
@@ -126,6 +130,8 @@
         self._events = EventSplitter(metadata.last_event_id)
         self._first_event_ms: float | None = None
         self._last_event_ms = 0.0
+        self._last_data_ms = 0.0
+        """When the last send began, or its endpoint has last sent bytes."""
         self.longest_pause_ms = 0.0
         self._tried_keys: set[str] = set()
         self._sends = 0
@@ -331,6 +337,7 @@
         )
         self.expected_ms = round(send.expected_ms)
         self._sends += 1
+        self._last_data_ms = now_ms
         self._watch.on_sent(endpoint, connection.close)
         name_work(f"request {self.metadata.request_id} at {endpoint.instance_id}")
         outcome: SendOutcome = Broken("the exchange was interrupted")
@@ -530,7 +537,8 @@
                     return CallerDisconnected()
                 connection.is_lost = True
                 return Broken(f"connection lost: {error}")
-            self.context.chooser.on_received(send, clock.now_ms())
+            self._last_data_ms = clock.now_ms()
+            self.context.chooser.on_received(send, self._last_data_ms)
             if not data:
                 connection.is_closed_by_endpoint = True
                 connection.is_lost = True
@@ -547,15 +555,35 @@
             return None
 
     def _should_abandon(self, endpoint: Endpoint) -> bool:
-        """Return whether the endpoint is silent and another one may be tried."""
+        """Return whether the endpoint is silent and the request can be sent elsewhere.
+
+        Otherwise the request waits: a sound endpoint may go on after a silence.
+        """
         limit_ms = max(MIN_SILENCE_LIMIT_MS, SILENCE_FACTOR * self.route.target_ms)
+        if self.caller.head_sent:
+            limit_ms = max(limit_ms, BEGUN_SILENCE_LIMIT_MS)
         now_ms = self.context.clock.now_ms()
-        if self.context.chooser.silence_ms(endpoint.key, now_ms) <= limit_ms:
-            return False
-        return self._may_use_another_endpoint()
+        # The chooser knows nothing of an endpoint that has left the candidates.
+        silence_ms = min(
+            self.context.chooser.silence_ms(endpoint.key, now_ms),
+            now_ms - self._last_data_ms,
+        )
+        return silence_ms > limit_ms and self._can_send_elsewhere(endpoint, now_ms)
 
-    def _may_use_another_endpoint(self) -> bool:
-        return self._endpoints_sent_to + 1 < self.route.max_endpoints
+    def _can_send_elsewhere(self, endpoint: Endpoint, now_ms: float) -> bool:
+        """Return whether the budgets and the other endpoints allow one more send."""
+        if self._endpoints_sent_to + 1 >= self.route.max_endpoints:
+            return False
+        if len(self._tried_keys) + 1 >= MAX_TRIED_ENDPOINTS or not self._may_send():
+            return False
+        if not self.context.retry_policy_of(self.service).has_budget(now_ms):
+            return False
+        return any(
+            each.service == self.service
+            and each.key != endpoint.key
+            and each.key not in self._tried_keys
+            for each in self.context.endpoints.all()
+        )
 
     def _relay_response(
         self,
