--- a/wigeonwind/soak/soak_callers.py
+++ b/wigeonwind/soak/soak_callers.py
@@ -42,6 +42,13 @@
 
 MAX_SLOW_HEAD_S = 0.3
 
+CHUNKED_SHARE = 0.4
+"""Share of requests whose body comes in chunks, with pauses between them."""
+
+CHUNKS = (b"bo", b"d", b"y")
+CHUNK_PAUSE_S = 0.05
+"""Longest pause before a chunk."""
+
 # Relative frequencies of the kinds of request.
 WEIGHT_BY_KIND = {
     Kind.SAFE: 4,
@@ -74,6 +81,7 @@
         self._number = number
         self._rng = Random(f"{seed}/{number}")
         self._prompt_rng = Random(f"{seed}/{number}/prompts")
+        self._body_rng = Random(f"{seed}/{number}/bodies")
         self._request_count = 0
         self._router: SoakRouter | None = None
         self._sock: gevent_socket.socket | None = None
@@ -110,7 +118,10 @@
         try:
             with gevent.Timeout(timeout_s):
                 seen.is_sent_whole = False
-                self._write(sock, _encode_request(seen))
+                if self._body_rng.random() < CHUNKED_SHARE:
+                    self._write_chunks(sock, seen)
+                else:
+                    self._write(sock, _encode_request(seen))
                 seen.is_sent_whole = True
                 seen.sent_ms = soak_now_ms()
                 can_reuse = _read_response(sock, seen)
@@ -134,6 +145,15 @@
         gevent.sleep(self._rng.uniform(0.0, longest_s))
         sock.sendall(data[split:])
 
+    def _write_chunks(self, sock: gevent_socket.socket, seen: ExchangeSeen) -> None:
+        """Write a request whose body comes in chunks, the last of them empty."""
+        head = _encode_head(seen, "Transfer-Encoding: chunked")
+        pieces = [b"%x\r\n%s\r\n" % (len(each), each) for each in (*CHUNKS, b"")]
+        for number, piece in enumerate([head, *pieces]):
+            if number:
+                gevent.sleep(self._body_rng.uniform(0.0, CHUNK_PAUSE_S))
+            sock.sendall(piece)
+
     def _draw_prompt(self, seen: ExchangeSeen) -> None:
         """Draw the prompt of a stream; it may contain a part that crashes workers."""
         if seen.kind not in (Kind.STREAM, Kind.RESUMABLE):
@@ -162,6 +182,10 @@
 
 
 def _encode_request(seen: ExchangeSeen) -> bytes:
+    return _encode_head(seen, "Content-Length: 4") + b"body"
+
+
+def _encode_head(seen: ExchangeSeen, framing: str) -> bytes:
     route = ROUTE_BY_KIND.get(seen.kind, seen.kind.value)
     prompt = ",".join(f"{part_id:x}:100" for part_id in seen.prompt_parts)
     return "\r\n".join(
@@ -174,9 +198,9 @@
             # Routers must replace this by the customer of the key.
             "Tenant: another",
             *([f"Prefix-Hash: {prompt}", "Token-Usage: 300,12"] if prompt else []),
-            "Content-Length: 4",
+            framing,
+            "",
             "",
-            "body",
         ]
     ).encode()
 
