Streams: partial events count towards the memory for incomplete responses

Change: the partial event is reserved in the budget; without room the stream ends. A reservation is given back at the end of its response.

--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -5,6 +5,7 @@
 import sys
 import threading
 import time
+import tracemalloc
 from contextlib import contextmanager
 from random import Random
 
@@ -17,7 +18,11 @@
 from wigeonwind.clock import SystemClock
 from wigeonwind.platform.store_format import PlatformStoreFormat
 from wigeonwind.routing import peer_state
+from wigeonwind.routing.request_parser import RequestParser
+from wigeonwind.routing.response_limits import MAX_BUFFERED_TOTAL_BYTES
+from wigeonwind.routing.routes import CallerLimits
 from wigeonwind.side.endpoint_http import HttpExchange, HttpFailure
+from wigeonwind.standins.platform_worker import EndlessBytes
 from wigeonwind.state.store_client import StoreClient, StoreLimits
 from wigeonwind.state.store_http import PoolLimits
 from wigeonwind.state.store_types import StoreFailure
@@ -125,6 +130,45 @@
     assert not (reply.status == 200 and reply.is_whole)
 
 
+def test_events_without_end_of_many_streams_share_the_memory_for_responses():
+    # Guards against one buffer of full size for each stream, with which one faulty
+    # worker takes the memory of a process and of all its other requests.
+    streams, event_bytes = 80, 950_000
+    partial = b"%x\r\ndata: %s\r\n" % (event_bytes + 6, b"x" * event_bytes)
+    start = HEAD + b"Content-Type: text/event-stream\r\n" + CHUNKED + partial
+    # Bytes of a chunk's head, which go on without adding to the event.
+    waiting = EndlessBytes(start, b"0", pause_ms=200.0)
+    with running_fleet(1, waiting) as fleet:
+        calls = [
+            gevent.spawn(fleet.call, "/stream/x", "POST", b"x", (), f"f{n}")
+            for n in range(streams)
+        ]
+        most = 0
+        for _ in range(60):
+            gevent.sleep(0.025)
+            open_streams = list(fleet.router._in_flight)
+            buffered = sum(len(each._events._partial_event) for each in open_streams)
+            most = max(most, buffered)
+        gevent.killall(calls)
+    assert event_bytes < most <= MAX_BUFFERED_TOTAL_BYTES
+
+
+def test_a_body_in_small_chunks_takes_no_more_memory_than_in_large_ones():
+    # Guards against a caller whose body takes many times its size in memory.
+    size = 1_000_000
+    parser = RequestParser(CallerLimits(max_body_bytes=size))
+    head = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    tracemalloc.start()
+    try:
+        parser.feed(head)
+        for _ in range(size // 2_000):
+            parser.feed(b"2\r\nab\r\n" * 1_000)
+        used, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert used <= 2 * size
+
+
 @contextmanager
 def measured_ticks():
     """Yield a list of how late a timer of 10 ms was each time, in milliseconds."""
--- a/wigeonwind/routing/event_stream.py
+++ b/wigeonwind/routing/event_stream.py
@@ -64,6 +64,11 @@
         self.error = ""
         self._is_first_of_run = self.last_id is not None
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return the size of the partial event that is buffered."""
+        return len(self._partial_event)
+
     @property
     def has_partial_event(self) -> bool:
         """Return whether a partial event is buffered."""
--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -22,6 +22,7 @@
 from wigeonwind.routing.response_limits import (
     MAX_BUFFERED_BODY_BYTES,
     MAX_DISCARDED_RESPONSES,
+    Reservation,
 )
 from wigeonwind.routing.response_parser import (
     BODYLESS_STATUSES,
@@ -74,6 +75,8 @@
 
 MAX_LOGGED_CHARS = 80
 
+BUFFERS_FULL = "too many bytes of incomplete responses are buffered"
+
 MIN_REMAINING_MS = 20.0
 """Time to the deadline below which a request is not sent, as no response could arrive
 in time."""
@@ -635,25 +638,19 @@
     def _read_full_body(
         self, connection: EndpointConnection, send: Send, response: Response
     ) -> bytes | SendOutcome:
-        budget = self.context.buffer_budget
         body = bytearray()
-        size = 0
-        try:
+        with Reservation(self.context.buffer_budget) as buffered:
             while True:
-                chunk = response.take_body()
-                if not budget.take(len(chunk)):
-                    return Broken("too many bytes of incomplete responses are buffered")
-                body += chunk
-                size += len(chunk)
-                if size > MAX_BUFFERED_BODY_BYTES:
+                body += response.take_body()
+                if not buffered.resize(len(body)):
+                    return Broken(BUFFERS_FULL)
+                if len(body) > MAX_BUFFERED_BODY_BYTES:
                     return Broken(f"response body over {MAX_BUFFERED_BODY_BYTES} bytes")
                 if response.is_complete:
                     return bytes(body)
                 outcome = self._receive_body(connection, send, response)
                 if outcome is not None:
                     return outcome
-        finally:
-            budget.give_back(size)
 
     def _relay_stream(
         self,
@@ -662,22 +659,34 @@
         response: Response,
         metadata: ResponseMetadata,
     ) -> SendOutcome:
-        """Relay complete events as they arrive."""
+        """Relay complete events as they arrive, then the end of the stream."""
         self._events.begin_run()
-        while True:
-            try:
-                events = self._events.feed(response.take_body())
-            except ValueError as error:
-                return Broken(str(error))
-            if events:
-                self._relay_events(send, response, metadata, events)
-            if self._events.error:
-                return Broken(self._events.error)
-            if response.is_complete:
-                break
-            outcome = self._receive_body(connection, send, response)
-            if outcome is not None:
-                return outcome
+        with Reservation(self.context.buffer_budget) as partial_event:
+            while True:
+                try:
+                    events = self._events.feed(response.take_body())
+                except ValueError as error:
+                    return Broken(str(error))
+                if events:
+                    self._relay_events(send, response, metadata, events)
+                if self._events.error:
+                    return Broken(self._events.error)
+                if response.is_complete:
+                    break
+                if not partial_event.resize(self._events.partial_bytes):
+                    self._events.discard_partial_event()
+                    return Broken(BUFFERS_FULL)
+                outcome = self._receive_body(connection, send, response)
+                if outcome is not None:
+                    return outcome
+        return self._end_stream(connection, response, metadata)
+
+    def _end_stream(
+        self,
+        connection: EndpointConnection,
+        response: Response,
+        metadata: ResponseMetadata,
+    ) -> SendOutcome:
         if self._events.has_partial_event:
             return Broken("the stream ended with a partial event")
         if response.ends_with_head:
