--- a/tests/test_silent_endpoints.py
+++ b/tests/test_silent_endpoints.py
@@ -94,3 +94,22 @@
             worker.scripted.append(FullResponse(delay_ms=10_000.0))
         replies = [fleet.call("/safe/x", request_id=f"r{n}") for n in range(2)]
     assert [reply.status for reply in replies].count(200) >= 1
+
+
+def test_a_stream_whose_endpoint_is_silent_in_a_stop_is_not_cut():
+    # Guards against streams that are given up for a silence while their process stops,
+    # as it may not send them again.
+    limits_ms = 4_000.0
+    with running_fleet(2, EventStream(count=2, gap_ms=1_000.0)) as fleet:
+        for worker in fleet.workers:
+            fleet.call("/resume/x", "POST", b"x", request_id=f"warm-{worker.name}")
+        begun = runs(fleet)
+        fleet.router.stop_limit_ms = limits_ms
+        call = gevent.spawn(
+            fleet.call, "/resume/x", "POST", b"x", ("Deadline-Ms: 9000",)
+        )
+        fleet.wait_for(lambda: runs(fleet) == begun + 1)
+        gevent.spawn(fleet.router.drain)
+        reply = call.get()
+        assert runs(fleet) == begun + 1
+    assert reply.status == 200 and reply.is_whole
