--- a/wigeonwind/routing/discovery.py
+++ b/wigeonwind/routing/discovery.py
@@ -255,7 +255,7 @@
         endpoint may be used again.
         """
         now_ms = self._clock.now_ms()
-        for endpoint in self._by_id.values():
+        for endpoint in self._by_id.values() if len(self.leaving) else ():
             digest = key_digest(endpoint.key)
             if digest in self.leaving:
                 since_ms = now_ms - self.leaving.since_ms(digest)
@@ -290,14 +290,14 @@
             )
         for key in readmitted_keys:
             del misdirected[key]
-        left = self.leaving.drop_expired(now_ms)
-        for endpoint in self._by_id.values():
-            if key_digest(endpoint.key) in left:
+        ended = self.leaving.drop_expired(now_ms)
+        for endpoint in self._by_id.values() if ended else ():
+            if key_digest(endpoint.key) in ended:
                 log.info(
                     "endpoint that had announced to leave is used again",
                     endpoint=endpoint.instance_id,
                 )
-        if expired_ids or readmitted_keys or released_keys or left:
+        if expired_ids or readmitted_keys or released_keys or ended:
             self._update()
 
     def _remove_expired(self, instance_id: str) -> None:
