--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -167,6 +167,15 @@
     ("made", "promise"),
     [
         (history(runs=(RUN, replace(RUN, worker="w2"))), "run-once"),
+        (
+            history(
+                runs=[
+                    replace(RUN, request_id=f"r{number // 2}", at_ms=10.0 * number)
+                    for number in range(116)
+                ]
+            ),
+            "bounded-repeats",
+        ),
         (history(whole_exchange(status=503, is_whole=False)), "true-refusal"),
         (history(whole_exchange(body=b"r2")), "own-answer"),
         (history(whole_exchange(signature="w2")), "own-answer"),
--- a/wigeonwind/soak/soak_checks.py
+++ b/wigeonwind/soak/soak_checks.py
@@ -6,6 +6,8 @@
 """
 
 import re
+from bisect import bisect_left
+from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
@@ -50,6 +52,12 @@
 MIN_COMPARED = 20
 """Number of requests from which shares of served requests are compared."""
 
+REPEAT_RATIO = 0.2
+REPEAT_SLACK = 56
+REPEAT_WINDOW_MS = 10_000.0
+"""Executions beyond the first of each request that the platform allows in a window, as
+a ratio to the requests, plus the slack."""
+
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: ([0-9a-f]+)/(\d+)\n\n")
 
 
@@ -415,6 +423,38 @@
             yield Violation("sound-prompts", message)
 
 
+@SOAK_CHECKS.register("bounded-repeats")
+def check_repeats(history: SoakHistory) -> Iterator[Violation]:
+    """Check that all routers together repeat few requests of a service in any window.
+
+    The requests are those of the window, the one before it or the one half a window
+    before it, whichever has most. Those of all routes count, as routes may move.
+    """
+    sent_ms = sorted(seen.sent_ms for seen in history.exchanges)
+    repeats_by_service: dict[str, list[float]] = defaultdict(list)
+    for runs in history.runs_by_id().values():
+        for run in sorted(runs, key=lambda each: each.at_ms)[1:]:
+            repeats_by_service[run.service].append(run.at_ms)
+    for service, repeats_ms in repeats_by_service.items():
+        repeats_ms.sort()
+        for begin_ms in repeats_ms:
+            repeats = _count_in_window(repeats_ms, begin_ms)
+            requests = max(
+                _count_in_window(sent_ms, begin_ms - back * REPEAT_WINDOW_MS)
+                for back in (0.0, 0.5, 1.0)
+            )
+            allowed = REPEAT_RATIO * requests + REPEAT_SLACK
+            if repeats > allowed:
+                message = f"{repeats} repeats at {service} from {begin_ms:.0f}"
+                yield Violation("bounded-repeats", f"{message}, {allowed:.0f} allowed")
+                break
+
+
+def _count_in_window(times_ms: list[float], begin_ms: float) -> int:
+    end_ms = begin_ms + REPEAT_WINDOW_MS
+    return bisect_left(times_ms, end_ms) - bisect_left(times_ms, begin_ms)
+
+
 @SOAK_CHECKS.register("own-end")
 def check_unexpected_exit(history: SoakHistory) -> Iterator[Violation]:
     """Check that no router exits without being stopped."""
