Quarantine: an answer that ended with its connection is no evidence of a later crash

Such a send stayed among the lost ones for a second after it had been cleared. Evidence: test_an_answer_that_ended_by_close_is_no_evidence_of_a_later_crash fails before, passes after.

--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -7,6 +7,8 @@
 from routing_fleet import running_fleet
 from test_crashing_prompts import STREAM, config, make_deadly, send_until_refused
 
+from wigeonwind.routing.endpoint_connection import ConnectFailure
+from wigeonwind.routing.endpoint_monitor import UnansweredSend
 from wigeonwind.routing.request_keys import format_key
 from wigeonwind.routing.request_quarantine import Admission
 from wigeonwind.routing.send_outcomes import Quarantined
@@ -82,6 +84,21 @@
     assert [each.is_full for each in messages] == [False, True, True]
 
 
+def test_an_answer_that_ended_by_close_is_no_evidence_of_a_later_crash(router):
+    # Guards against sound parts that count as present at a crash within a second of
+    # their answer.
+    monitor = router.quarantine.monitor
+    (endpoint, *_) = router.endpoints.all()
+    send = UnansweredSend(endpoint, "r1", (SUSPECT + 2,), lambda: None)
+    monitor.add(send)
+    monitor.on_lost(send)
+    router.quarantine.judge_closed_answer(send, None)
+    monitor.on_connect_failure(endpoint, ConnectFailure("refused", True))
+    rows = router.quarantine._quarantine.rows(router._clock.now_ms())
+    known = {row.key for row in rows if row.age_ms_by_crash}
+    assert monitor.has_crashed(endpoint.key) and SUSPECT + 2 not in known
+
+
 def test_a_caller_that_has_gone_does_not_wait_for_a_trial(router):
     # Guards against requests that are held although nobody reads the answer.
     admit(router)
--- a/wigeonwind/routing/endpoint_monitor.py
+++ b/wigeonwind/routing/endpoint_monitor.py
@@ -87,10 +87,11 @@
         watched.unanswered.add(send)
 
     def remove(self, send: UnansweredSend) -> None:
-        """Forget a send that was answered or given up."""
+        """Forget a send that was answered or given up, also if it was lost."""
         watched = self._watched_by_key.get(send.endpoint.key)
         if watched is not None:
             watched.unanswered.discard(send)
+            watched.lost[:] = [row for row in watched.lost if row[1] is not send]
             self._forget_if_idle(send.endpoint.key)
 
     def not_begun_with(self, key: int) -> list[UnansweredSend]:
--- a/wigeonwind/routing/request_quarantine.py
+++ b/wigeonwind/routing/request_quarantine.py
@@ -106,7 +106,7 @@
         self._trial_at_by_key: dict[int, Endpoint] = {}
         self._had_trials = False
         """Whether the last message to the peers named trials."""
-        self._sent_keys: dict[int, None] = {}
+        self._sent_keys: set[int] = set()
         """Keys of the last full messages, until all keys have been sent."""
         self._peer_trials_by_sender: dict[str, tuple[float, dict[int, int]]] = {}
         self.monitor = EndpointMonitor(clock, pool, endpoints, self._on_crash)
@@ -348,7 +348,7 @@
             unsent = rows
         unsent = unsent[: MAX_ROWS * MAX_MESSAGES]
         if len(unsent) < len(rows):
-            self._sent_keys.update(dict.fromkeys(row.key for row in unsent))
+            self._sent_keys.update(row.key for row in unsent)
         yield from _full_messages(sender, unsent)
 
     def run_maintenance(self) -> None:
