--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -1,9 +1,7 @@
 """Peers that send bytes without end as fast as they are read."""
 
-import socket
 import subprocess
 import sys
-import threading
 import time
 import tracemalloc
 from contextlib import contextmanager
@@ -61,9 +59,9 @@
 }
 
 
-def config():
+def config(flood_timeout_ms=5_000):
     """Return routes to a flooding service and to a sound one."""
-    flood = {"backend": "flood", "attempts": 1, "timeout_ms": 5_000}
+    flood = {"backend": "flood", "attempts": 1, "timeout_ms": flood_timeout_ms}
     routes = [
         route("flood", "/flood/", "unsafe", **flood),
         route("flood-stream", "/flood-stream/", "streaming", gap_aim_ms=200, **flood),
@@ -117,14 +115,16 @@
     # Guards against a processor that is busy until the deadline with bytes that are
     # skipped or discarded.
     path, start, repeated = FLOOD_BY_NAME[name]
+    settings = config(flood_timeout_ms=60_000)
     with (
-        running_fleet(1, config=config()) as fleet,
+        running_fleet(1, config=settings) as fleet,
         flooding(start, repeated) as server,
     ):
         worker = as_worker(server, "f1")
         fleet.store.put("servers", "f1", entry(worker, backend="flood"))
         fleet.wait_for(lambda: len(fleet.router.endpoints) == 2)
-        reply = fleet.call(path, "POST", b"x", ("Deadline-Ms: 60000",))
+        with gevent.Timeout(30.0):
+            reply = fleet.call(path, "POST", b"x", ("Deadline-Ms: 60000",))
         fleet.wait_for(lambda: server.closed)
     assert server.sent_bytes <= MAX_SENT_BYTES
     assert not (reply.status == 200 and reply.is_whole)
@@ -229,6 +229,10 @@
         began = time.monotonic()
         result = store.list_objects("config/")
         took_ms = (time.monotonic() - began) * 1e3
+        store.close()
+        with gevent.Timeout(5.0):
+            while not server.closed:
+                gevent.sleep(0.01)
     assert isinstance(result, StoreFailure)
     assert took_ms <= TIMEOUT_MS + SLACK_MS
     assert max(late_ms) <= SLACK_MS
@@ -257,7 +261,6 @@
     # Guards against a VM that sends datagrams as fast as they are read.
     with running_fleet(1) as fleet:
         host, port = fleet.router.peers._sock.getsockname()
-        # A thread would compete for the interpreter with the router.
         command = [sys.executable, "-c", DATAGRAM_SENDER, host, str(port)]
         with subprocess.Popen(command) as sender:
             gevent.sleep(0.3)
@@ -268,26 +271,25 @@
     assert max(took_ms) <= CALL_TIMEOUT_MS + SLACK_MS
 
 
+FRAME_SENDER = r"""
+import socket, sys
+masked_pong = b"\x8a\x80\0\0\0\0"
+with socket.socket(fileno=int(sys.argv[1])) as sock:
+    sock.setblocking(True)
+    while True:
+        sock.sendall(masked_pong * 5_000)
+"""
+
+
 def test_frames_without_end_on_a_link_do_not_hold_up_the_process():
     # Guards against a peer that sends control frames as fast as they are read.
     harness = LinkHarness()
     sock, _ = harness.connect_raw()
-    masked_pong = b"\x8a\x80\0\0\0\0"
-    flooding_sock = socket.socket(fileno=sock.detach())
-    flooding_sock.setblocking(True)
-    is_done = threading.Event()
-
-    def send():
-        with flooding_sock:
-            while not is_done.is_set():
-                try:
-                    flooding_sock.sendall(masked_pong * 5_000)
-                except OSError:
-                    return
-
-    with measured_ticks() as late_ms:
-        threading.Thread(target=send, daemon=True).start()
-        gevent.sleep(1.0)
-        is_done.set()
+    descriptor = sock.fileno()
+    command = [sys.executable, "-c", FRAME_SENDER, str(descriptor)]
+    sender = subprocess.Popen(command, pass_fds=(descriptor,))
+    with measured_ticks() as late_ms, sender:
+        gevent.sleep(1.5)
+        sender.kill()
     harness.server.stop()
     assert max(late_ms) <= SLACK_MS
