--- a/wigeonwind/entry/request_durations.py
+++ b/wigeonwind/entry/request_durations.py
@@ -11,6 +11,12 @@
 MARGIN = 1.5
 """Factor on the longest of them: the next request may need longer."""
 
+SILENCE_MS = 1_250.0
+"""Allowance for a sound endpoint that is silent for a second or so."""
+
+STREAM_SILENCES = 4
+"""Silences that are allowed for in a stream."""
+
 UNMEASURED_MS = 5_000.0
 """Assumed duration of a kind of request that this process has not measured."""
 
@@ -34,15 +40,15 @@
     >>> clock = ManualClock()
     >>> durations, kind = RequestDurations(clock), RequestKind("desk", "chat", False)
     >>> durations.expected_ms(kind)
-    5000.0
+    6250.0
     >>> durations.add(kind, 40.0)
     >>> durations.expected_ms(kind)
-    60.0
+    1310.0
     >>> durations.start(kind)
     0
     >>> clock.advance(100.0)
     >>> durations.expected_ms(kind)
-    150.0
+    1400.0
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -73,7 +79,10 @@
         recent.append(duration_ms)
 
     def expected_ms(self, kind: RequestKind) -> float:
-        """Return the time that a new request of this kind must be given."""
+        """Return the time that a new request of this kind must be given.
+
+        It allows for silences of its endpoint, which the durations need not contain.
+        """
         now_ms = self._clock.now_ms()
         recent = self._recent_by_kind.get(kind)
         longest_ms = max(recent) * MARGIN if recent else UNMEASURED_MS
@@ -82,4 +91,5 @@
             for active_kind, started_ms in self._active_by_id.values()
             if active_kind == kind
         ]
-        return max([longest_ms, *(MARGIN * each for each in active_ms)])
+        silence_ms = SILENCE_MS * (STREAM_SILENCES if kind.is_stream else 1)
+        return max([longest_ms, *(MARGIN * each for each in active_ms)]) + silence_ms
