Soak: sound workers fall silent

Workers that are silent for 1 to 1.6 s, one to three times each, in half of the runs, from a random source of their own, so that the other faults of a seed stay as they are. It is no disturbance: all checks stay in force, but that a request which was sent up to 3 s after a stop signal may be cut by the end of the stop if a worker of it was silent, as the platform allows. `--grace` sets the time from SIGTERM to SIGKILL.

Before, a silence of a worker was only drawn as a disturbance, which suspends the check of planned stops, so that no run could show what a sound one does.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,6 +27,7 @@
     ExchangeSeen,
     Kind,
     RunSeen,
+    Silence,
     SoakHistory,
 )
 
@@ -279,6 +280,23 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("sent_ms", "silent_worker", "is_violation"),
+    [(2_900.0, "w1", False), (3_100.0, "w1", True), (2_900.0, "w2", True)],
+)
+def test_a_silent_worker_excuses_only_what_was_sent_early_in_a_stop(
+    sent_ms, silent_worker, is_violation
+):
+    # Guards against a check that excuses each cut stream of a run in which any worker
+    # was silent, and against reports of what the platform allows.
+    cut = ExchangeSeen("r1", Kind.STREAM, "router-0", sent_ms, 7_500.0, 200)
+    silences = [Silence(silent_worker, 4_000.0, 5_500.0)]
+    stops = [Disturbance("router-0", "stop", 0.0, 7_700.0)]
+    runs = (replace(RUN, at_ms=sent_ms + 5.0),)
+    made = history(cut, runs, disturbances=stops, silences=silences)
+    assert ("planned-stop" in broken_promises(made)) is is_violation
+
+
 def test_disturbances_suspend_only_time_bounds():
     # Guards against checks that report the effects of injected faults, and against
     # excusing violations that no fault can cause.
--- a/wigeonwind/soak/__main__.py
+++ b/wigeonwind/soak/__main__.py
@@ -13,6 +13,7 @@
 from wigeonwind.soak.run_soak import SoakOptions, run_soak
 from wigeonwind.soak.soak_checks import Violation
 from wigeonwind.soak.soak_faults import SOAK_FAULTS
+from wigeonwind.soak.soak_fleet import GRACE_S
 
 FLAGS = flags.FLAGS
 flags.DEFINE_integer("seed", 1, "First seed.", 0)
@@ -23,6 +24,7 @@
 flags.DEFINE_integer("routers", 3, "Number of routing processes.", 1, 40)
 flags.DEFINE_integer("engines", 3, "Number of workers that stream responses.", 1, 40)
 flags.DEFINE_integer("desks", 3, "Number of workers that send whole responses.", 1, 40)
+flags.DEFINE_integer("grace", GRACE_S, "Seconds from SIGTERM to SIGKILL.", 2, 30)
 flags.DEFINE_list("only", [], "Draw only these kinds of fault.")
 flags.DEFINE_string("logs", "", "Directory in which to keep the logs of all seeds.")
 
@@ -60,6 +62,7 @@
             FLAGS.engines,
             FLAGS.desks,
             tuple(FLAGS.only),
+            FLAGS.grace,
         )
         if _run_seed(options):
             failed_seeds.append(seed)
--- a/wigeonwind/soak/loopback_proxy.py
+++ b/wigeonwind/soak/loopback_proxy.py
@@ -50,6 +50,8 @@
         self.target = target
         self.fault = ProxyFault.NONE
         self.delay_ms = 0.0
+        self.holds_responses = False
+        """Whether the target is silent: responses are kept and forwarded later."""
         self._pairs: list[ConnectionPair] = []
         self._server = StreamServer(("127.0.0.1", 0), self._handle)
         self._server.start()
@@ -134,7 +136,8 @@
             raise ConnectionResetError("the proxied connection is closed")
         if pair.is_muted or self.fault is ProxyFault.SILENT:
             return True
-        return is_response and self.fault is ProxyFault.ONE_WAY
+        is_held = self.holds_responses or self.fault is ProxyFault.ONE_WAY
+        return is_response and is_held
 
     def _close(self, pair: ConnectionPair, is_reset: bool) -> None:
         if pair in self._pairs:
--- a/wigeonwind/soak/run_soak.py
+++ b/wigeonwind/soak/run_soak.py
@@ -10,7 +10,7 @@
 from wigeonwind.soak.soak_callers import SoakCaller
 from wigeonwind.soak.soak_checks import Violation, find_violations
 from wigeonwind.soak.soak_faults import SOAK_FAULTS, FaultContext, draw_faults
-from wigeonwind.soak.soak_fleet import SoakFleet, loopback_network
+from wigeonwind.soak.soak_fleet import GRACE_S, SoakFleet, loopback_network
 from wigeonwind.soak.soak_records import SoakHistory, soak_now_ms
 
 RECOVERY_S = 6.0
@@ -24,7 +24,7 @@
     """Size and faults of one run.
 
     Faults begin during `seconds`, on average `gap_s` apart. `only` names the kinds of
-    fault to draw, empty for all.
+    fault to draw, empty for all. `grace_s` is the time from SIGTERM to SIGKILL.
     """
 
     seed: int = 1
@@ -35,6 +35,7 @@
     engines: int = 3
     desks: int = 3
     only: tuple[str, ...] = ()
+    grace_s: int = GRACE_S
 
 
 @dataclass(frozen=True)
@@ -47,7 +48,8 @@
 
 def run_soak(options: SoakOptions, directory: Path) -> SoakResult:
     """Run one seed; the processes write their logs to `directory`."""
-    fleet = SoakFleet(directory, loopback_network(options.seed))
+    network = loopback_network(options.seed)
+    fleet = SoakFleet(directory, network, grace_s=options.grace_s)
     background: list[gevent.Greenlet] = []
     try:
         fleet.start(options.routers, options.engines, options.desks)
--- a/wigeonwind/soak/soak_checks.py
+++ b/wigeonwind/soak/soak_checks.py
@@ -22,6 +22,7 @@
     CrashingPart,
     ExchangeSeen,
     Kind,
+    RunSeen,
     SoakHistory,
 )
 
@@ -42,6 +43,10 @@
 MIN_SERVED_SHARE = 0.9
 """Share of the requests that must be served after all faults have ended."""
 
+EXCUSED_STOP_MS = 3_000.0
+"""Time after a stop signal up to which a request may be cut at the end of the stop, if
+its worker is still at work then, as the platform specifies."""
+
 STREAM_EVENTS = 12
 """Events of a whole stream, as sent by the worker doubles of `ENGINES`."""
 
@@ -257,7 +262,8 @@
 
     Requests sent during the stop count too, except one that crosses the close of its
     connection: it has no answer, and no worker began to execute it. Of the requests
-    before, only those of the last `RESPONSE_SLACK_MS` count.
+    before, only those of the last `RESPONSE_SLACK_MS` count. One that was sent up to
+    `EXCUSED_STOP_MS` after the signal may be cut if a worker of it was silent.
     """
     runs_by_id = history.runs_by_id()
     workers = {run.worker for run in history.runs}
@@ -283,11 +289,28 @@
                 )
                 if each is not stop
             ]
-            if not others:
+            is_excused = (
+                seen.sent_ms <= stop.begin_ms + EXCUSED_STOP_MS
+                and _was_at_silent_worker(history, seen, runs_by_id)
+            )
+            if not (others or is_excused):
                 message = f"{seen.request_id} was cut off by the stop of {stop.target}"
                 yield Violation("planned-stop", message)
 
 
+def _was_at_silent_worker(
+    history: SoakHistory, seen: ExchangeSeen, runs_by_id: dict[str, list[RunSeen]]
+) -> bool:
+    """Return whether a worker of a request was silent while the request was open."""
+    workers = {run.worker for run in runs_by_id.get(seen.request_id, ())}
+    return any(
+        each.worker in workers
+        and each.begin_ms <= seen.ended_ms
+        and each.end_ms >= seen.sent_ms
+        for each in history.silences
+    )
+
+
 @SOAK_CHECKS.register("answer-in-time")
 def check_response_in_time(history: SoakHistory) -> Iterator[Violation]:
     """Check that each request gets its final response by the timeout of its route."""
--- a/wigeonwind/soak/soak_faults.py
+++ b/wigeonwind/soak/soak_faults.py
@@ -23,6 +23,7 @@
     PART_CRASH,
     STORE,
     CrashingPart,
+    Silence,
     soak_now_ms,
 )
 from wigeonwind.standins.platform_store import ObjectsByKind
@@ -67,6 +68,17 @@
 """Time until a router whose calls do not fail has an answer of the new era: the longest
 wait of its watch."""
 
+SILENCE = "worker-silent"
+SILENCE_SHARE = 0.5
+"""Share of the runs in which sound workers fall silent."""
+
+MAX_SILENCES = 6
+"""Most workers that fall silent in a run; one may be drawn repeatedly."""
+
+MIN_SILENCE_S, MAX_SILENCE_S = 1.0, 1.6
+"""Duration of one silence. The platform says that a sound worker may be silent for a
+second or so."""
+
 WORKER_FAULTS: tuple[Behaviour, ...] = (
     TruncatedResponse(),
     StaleResponse(),
@@ -117,8 +129,8 @@
 ) -> Iterator[tuple[float, str]]:
     """Yield (start time in seconds, fault name), ordered by time.
 
-    CRASHING_PART, with at most one start, and STORE_RETURN have random sources of their
-    own.
+    CRASHING_PART, with at most one start, STORE_RETURN and SILENCE have random sources
+    of their own.
     """
     names = [name for name in SOAK_FAULTS.names() if not only or name in only]
     faults = []
@@ -137,6 +149,14 @@
                 (rng.uniform(1.0, max(1.0, seconds)), STORE_RETURN)
                 for _ in range(rng.randint(1, 3))
             ]
+    if SILENCE in names:
+        names.remove(SILENCE)
+        rng = Random(f"{SILENCE}/{seed}")
+        if only or rng.random() < SILENCE_SHARE:
+            faults += [
+                (rng.uniform(1.0, max(1.0, seconds)), SILENCE)
+                for _ in range(rng.randint(1, MAX_SILENCES))
+            ]
     rng = Random(f"faults/{seed}")
     at_s = 1.0 + rng.expovariate(1.0 / gap_s)
     while names and at_s < seconds:
@@ -363,6 +383,20 @@
         worker.proxy.delay_ms = 0.0
 
 
+@SOAK_FAULTS.register(SILENCE)
+def _silence_worker(context: FaultContext) -> None:
+    """Let a sound worker send nothing for a second or so, one to three times."""
+    worker, rng = context.draw_worker(), context.rng
+    for _ in range(rng.randint(1, 3)):
+        silence = Silence(worker.name, soak_now_ms())
+        context.fleet.history.silences.append(silence)
+        worker.proxy.holds_responses = True
+        gevent.sleep(rng.uniform(MIN_SILENCE_S, MAX_SILENCE_S))
+        worker.proxy.holds_responses = False
+        silence.end_ms = soak_now_ms()
+        gevent.sleep(rng.uniform(0.0, 0.5))
+
+
 @SOAK_FAULTS.register("worker-connections-reset")
 def _reset_worker_connections(context: FaultContext) -> None:
     worker = context.draw_worker()
--- a/wigeonwind/soak/soak_fleet.py
+++ b/wigeonwind/soak/soak_fleet.py
@@ -44,8 +44,8 @@
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.05
 GRACE_S = 4
-"""Time from SIGTERM to SIGKILL; the platform allows 8 s, which would leave time for few
-faults in a short run."""
+"""Default time from SIGTERM to SIGKILL; the platform allows 8 s, which would leave time
+for few faults in a short run."""
 
 DRAIN_MS = 2_000.0
 """Time for which a worker still serves after the store acknowledged its drain, as the
@@ -125,6 +125,8 @@
         default_factory=lambda: CrashingRequests(prefill_ms=30.0)
     )
     """The requests that crash workers; the same for all of them."""
+    grace_s: int = GRACE_S
+    """Time from SIGTERM to SIGKILL."""
     version: int = 0
     _worker_count: int = 0
 
@@ -219,7 +221,7 @@
             router.address(),
             router.address(READY_PORT),
             router.store_proxy.address,
-            GRACE_S,
+            self.grace_s,
         )
         path.write_text(source, encoding="utf-8")
         log = str(self.directory / f"{router.name}.log")
@@ -244,7 +246,7 @@
             if pause_s:
                 gevent.sleep(pause_s)
                 process.thaw()
-            code = process.wait(GRACE_S - pause_s)
+            code = process.wait(self.grace_s - pause_s)
         else:
             process.kill()
             code = process.wait()
--- a/wigeonwind/soak/soak_records.py
+++ b/wigeonwind/soak/soak_records.py
@@ -94,6 +94,15 @@
     end_ms: float = float("inf")
 
 
+@dataclass
+class Silence:
+    """A time in which a sound worker sent nothing; it is no disturbance."""
+
+    worker: str
+    begin_ms: float
+    end_ms: float = float("inf")
+
+
 @dataclass
 class CrashingPart:
     """A prompt part that crashed each engine for a time, and when it did."""
@@ -139,6 +148,7 @@
     exchanges: list[ExchangeSeen] = field(default_factory=list)
     runs: list[RunSeen] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    silences: list[Silence] = field(default_factory=list)
     crashing_parts: list[CrashingPart] = field(default_factory=list)
     configs: list[ConfigSeen] = field(default_factory=list)
     drains: list[DrainSeen] = field(default_factory=list)
