Stops: more time for calls that may run only once, none for repeatable ones

Callers got 502 unknown for bookings that were sent late in a stop to an endpoint that fell silent for 1.6 s.

Change: the allowance is 1,600 ms, for calls that may run only once. A caller whose repeatable call is cut can repeat it, so that its refusal would only cost. A process that refuses such calls, as less than that is left, stops listening if another one listens that has more time; requests in flight go on. The allowance of entries is 1,600 ms too.

Evidence: test_a_call_to_a_silent_endpoint_is_not_cut_by_a_stop and test_a_booking_late_in_a_stop_is_not_cut[one-silence] failed before. Two silences of 1.2 s in one call ([two-silences]) stay known red: a larger allowance refuses callers for longer than the test of rolling stops allows.

--- a/tests/test_silent_endpoints_in_stops.py
+++ b/tests/test_silent_endpoints_in_stops.py
@@ -61,8 +61,8 @@
     # Guards against a booking that is sent so late that a silence of its endpoint for a
     # second or so, which is no failure, lets the stop cut it.
     usual = EchoRequestId(delay_ms=10.0)
-    with fleet_late_in_a_stop("/once/x", usual, 6.4) as fleet:
-        fleet.workers[0].default = EchoRequestId(delay_ms=1_200.0)
+    with fleet_late_in_a_stop("/once/x", usual, 6.0) as fleet:
+        fleet.workers[0].default = EchoRequestId(delay_ms=1_600.0)
         late = fleet.call("/once/x", "POST", b"b", LONG, "late")
     assert late.is_whole
     assert late.status == 200 or "late" not in executed_ids(fleet)
--- a/tests/test_stop_decisions.py
+++ b/tests/test_stop_decisions.py
@@ -21,6 +21,7 @@
     estimate_duration,
     leave_delay_ms,
     may_leave,
+    passes_on_calls,
     retry_after_ms,
 )
 from wigeonwind.routing.peer_stops import SILENCE_MS, START_MS, PeerStops
@@ -87,8 +88,10 @@
     # Guards against a call that is cut because a sound endpoint paused for a second,
     # and against callers who are turned away though their deadline comes first.
     estimate = estimate_duration(100.0, 50.0, 12_000.0)
-    assert estimate.sure_ms - SURE_FACTOR * 100.0 >= 1_200.0
-    assert not decide_in_stop(replace(LATE, left_ms=1_300.0), estimate, True).is_taken
+    assert estimate.sure_ms - SURE_FACTOR * 100.0 >= 1_600.0
+    assert not decide_in_stop(replace(LATE, left_ms=1_600.0), estimate, True).is_taken
+    repeatable = estimate_duration(100.0, 50.0, 12_000.0, is_repeatable=True)
+    assert decide_in_stop(replace(LATE, left_ms=300.0), repeatable, True).is_taken
     limited = estimate_duration(100.0, 50.0, 1_000.0)
     assert decide_in_stop(replace(LATE, left_ms=1_000.0), limited, True).is_taken
 
@@ -159,6 +162,15 @@
     assert not may_leave(BALANCER_MS, True, OtherRouters(ready=1))
 
 
+def test_a_process_that_takes_no_more_calls_leaves_them_to_others():
+    # Guards against callers who are refused by a process that waits for the end of one
+    # request, while another one listens that has more time.
+    assert passes_on_calls(5_700.0, 1_800.0, OtherRouters(stops_later=1))
+    assert not passes_on_calls(5_600.0, 1_900.0, OtherRouters(stops_later=1))
+    assert not passes_on_calls(5_700.0, 1_800.0, OtherRouters(away=2))
+    assert not passes_on_calls(BALANCER_MS - 1.0, 1_000.0, OtherRouters(ready=1))
+
+
 def test_a_refused_caller_comes_back_when_another_process_is_ready():
     # Guards against callers who use up their one retry while no process can take it.
     reason, alone = StopReason.TOO_LONG, OtherRouters()
--- a/tests/test_stop_estimates.py
+++ b/tests/test_stop_estimates.py
@@ -225,8 +225,8 @@
     # endpoint is silent for a second.
     trial = StopTrial("desk")
     trial.answer("desk", [10.0] * 24)
-    assert trial.decide(6_100.0).is_taken
-    assert not trial.decide(6_200.0).is_taken
+    assert trial.decide(5_750.0).is_taken
+    assert not trial.decide(5_850.0).is_taken
 
 
 class CountedReads(list):
--- a/wigeonwind/decisions/stop_admission.py
+++ b/wigeonwind/decisions/stop_admission.py
@@ -42,8 +42,9 @@
 
 LIKELY_RULE = DurationRule(0.75, MIN_SAMPLES)
 
-SILENCE_MS = 1_250.0
-"""Allowance for a sound endpoint that is silent for a second or so."""
+SILENCE_MS = 1_600.0
+"""Allowance for a sound endpoint that is silent for a second or so. It is for calls
+that may run only once: a caller whose repeatable call is cut can repeat it."""
 
 MARGIN_MS = 100.0
 """Allowance for delays of this process."""
@@ -135,21 +136,24 @@
 
 
 def estimate_duration(
-    sure_ms: float | None, likely_ms: float | None, limit_ms: float
+    sure_ms: float | None,
+    likely_ms: float | None,
+    limit_ms: float,
+    is_repeatable: bool = False,
 ) -> DurationEstimate:
     """Return an estimate from quantiles, or the limit where they are not known.
 
     `limit_ms` is when the request ends at the latest, by its deadline or its route.
 
     >>> estimate_duration(400.0, 200.0, 5_000.0)
-    DurationEstimate(sure_ms=1950.0, undisturbed_ms=700.0, likely_ms=300.0)
+    DurationEstimate(sure_ms=2300.0, undisturbed_ms=700.0, likely_ms=300.0)
     >>> estimate_duration(None, 200.0, 5_000.0)
     DurationEstimate(sure_ms=5000.0, undisturbed_ms=5000.0, likely_ms=300.0)
     """
     sure, undisturbed, likely = limit_ms, limit_ms, limit_ms
     if sure_ms is not None:
         undisturbed = min(limit_ms, SURE_FACTOR * sure_ms + MARGIN_MS)
-        sure = min(limit_ms, undisturbed + SILENCE_MS)
+        sure = min(limit_ms, undisturbed + (0.0 if is_repeatable else SILENCE_MS))
     if likely_ms is not None:
         likely = min(limit_ms, likely_ms + MARGIN_MS)
     return DurationEstimate(sure, undisturbed, likely)
@@ -192,6 +196,24 @@
     return others.ready >= ENOUGH_READY and not others.stops_earlier
 
 
+def passes_on_calls(
+    since_signal_ms: float, left_ms: float, others: OtherRouters
+) -> bool:
+    """Return whether a process stops listening as others can take what it refuses.
+
+    Its requests in flight go on. It refuses most calls that may run only once, and
+    another one that listens has more time left.
+
+    >>> passes_on_calls(6_000.0, 1_500.0, OtherRouters(stops_later=1))
+    True
+    >>> passes_on_calls(6_000.0, 1_500.0, OtherRouters(away=1))
+    False
+    """
+    is_short = left_ms <= SILENCE_MS + 2.0 * MARGIN_MS
+    has_others = others.ready > 0 or others.stops_later > 0
+    return since_signal_ms >= BALANCER_MS and is_short and has_others
+
+
 def may_leave(
     since_signal_ms: float, has_early_work: bool, others: OtherRouters
 ) -> bool:
--- a/wigeonwind/entry/request_durations.py
+++ b/wigeonwind/entry/request_durations.py
@@ -11,7 +11,7 @@
 MARGIN = 1.5
 """Factor on the longest of them: the next request may need longer."""
 
-SILENCE_MS = 1_250.0
+SILENCE_MS = 1_600.0
 """Allowance for a sound endpoint that is silent for a second or so."""
 
 STREAM_SILENCES = 4
@@ -40,15 +40,15 @@
     >>> clock = ManualClock()
     >>> durations, kind = RequestDurations(clock), RequestKind("desk", "chat", False)
     >>> durations.expected_ms(kind)
-    6250.0
+    6600.0
     >>> durations.add(kind, 40.0)
     >>> durations.expected_ms(kind)
-    1310.0
+    1660.0
     >>> durations.start(kind)
     0
     >>> clock.advance(100.0)
     >>> durations.expected_ms(kind)
-    1400.0
+    1750.0
     """
 
     def __init__(self, clock: Clock) -> None:
--- a/wigeonwind/routing/stop_requests.py
+++ b/wigeonwind/routing/stop_requests.py
@@ -110,11 +110,13 @@
         if now_ms - self._estimated_ms >= ESTIMATE_AGE_MS:
             self._forget_estimates(now_ms)
         left_ms = stop.ends_from_ms - now_ms
-        sure_ms = None
-        if not routed.route.is_stream:
+        sure_ms, route = None, routed.route
+        if not route.is_stream:
             sure_ms = self._duration_ms(routed, SURE_RULE, now_ms, left_ms)
         likely_ms = self._duration_ms(routed, LIKELY_RULE, now_ms, left_ms)
-        estimate = estimate_duration(sure_ms, likely_ms, routed.timeout_ms)
+        estimate = estimate_duration(
+            sure_ms, likely_ms, routed.timeout_ms, route.is_repeatable
+        )
         is_leaving = now_ms >= stop.leaves_from_ms
         situation = StopSituation(
             now_ms - stop.signaled_ms,
--- a/wigeonwind/routing/stop_sequence.py
+++ b/wigeonwind/routing/stop_sequence.py
@@ -12,6 +12,7 @@
     BALANCER_MS,
     leave_delay_ms,
     may_leave,
+    passes_on_calls,
 )
 from wigeonwind.routing.caller_connection import CallerConnection
 from wigeonwind.routing.exchange import Exchange
@@ -97,6 +98,8 @@
         now_ms = self._clock.now_ms()
         others = self._peers.others(plan)
         since_signal_ms = now_ms - plan.signaled_ms
+        if passes_on_calls(since_signal_ms, plan.ends_from_ms - now_ms, others):
+            return True
         if not may_leave(since_signal_ms, self._has_early_work(plan), others):
             self._may_leave_since_ms = None
             return False
