Streams: an answer that has begun is not given up for a silence in a stop

Callers saw streams cut 2 s after a stop signal, with 5 s of the stop left and their endpoint at work: it had been silent for 1.65 s.

Cause: a resumable stream is given up after 1.5 s of silence if another endpoint exists. Its connection is closed before the other one has answered; if that one refuses or resets, the stream is cut. The router did so also where it knew that the stream cannot be resumed, as its events have no ids.

Change: an answer that has begun waits while a planned stop runs, and at any time if it cannot be resumed. At other times it goes on elsewhere after 1.5 s as before, since callers leave after 2 s and the endpoint may be gone.

--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -564,6 +564,10 @@
         """
         limit_ms = max(MIN_SILENCE_LIMIT_MS, SILENCE_FACTOR * self.route.target_ms)
         if self.caller.head_sent:
+            # A stop must not cut an answer whose endpoint may still be at work, and
+            # the other endpoint may refuse.
+            if self._send_window.is_in_stop or not self._can_resume():
+                return False
             limit_ms = max(limit_ms, BEGUN_SILENCE_LIMIT_MS)
         now_ms = self.context.clock.now_ms()
         # The chooser knows nothing of an endpoint that has left the candidates.
--- a/wigeonwind/routing/send_window.py
+++ b/wigeonwind/routing/send_window.py
@@ -59,6 +59,11 @@
         self.is_over = False
         """Whether a check has found that the request must not be sent any more."""
 
+    @property
+    def is_in_stop(self) -> bool:
+        """Return whether a planned stop runs."""
+        return self._current_stop() is not None
+
     def check(self) -> bool:
         """Return whether the request may be sent now."""
         if self.is_over:
