Peers: load messages state whether the sender is ready

A stopping process took a peer for ready that was stopping itself, and left, or refused long requests with "others ready", so that callers found nobody.

Cause: a peer counted as ready unless it had announced its stop in a message of its own. One of an earlier version sends none, and one whose message is lost counts as ready until the next one.

Change: load messages have a version 4 with the sender's readiness, the same that the load balancer sees. A peer counts as ready only if its last load message says so; versions 2 and 3 don't, so that nobody leaves early for their sake. Peers get the latest version that they understand, as before: versions 2 and 3 are still written and read.

Test changed: test_peers_get_the_latest_version_that_they_understand took version 4 for a later one than is known; it is 5 now, and 3 is asked as well.

--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -273,7 +273,8 @@
     assert sent_after(2, 1, 2) == 2, "a start of an earlier version"
     for record, version in (
         (b'{"address":"127.0.0.1:9"}', 2),
-        (b'{"address":"127.0.0.1:9","message_version":4}', 3),
+        (b'{"address":"127.0.0.1:9","message_version":3}', 3),
+        (b'{"address":"127.0.0.1:9","message_version":5}', 4),
     ):
         exchange._on_record(StoredObject("routers/other", 1, record))
         exchange._send_once()
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -217,6 +217,8 @@
     """When the first message of its present incarnation came."""
     view: StoreView | None = None
     """Its view of the store, None if it sends none."""
+    is_ready: bool | None = None
+    """Whether it can serve new callers, None if its messages do not say."""
     message_version: int = EARLIER_VERSION
     """Version of the load messages that it is sent."""
 
@@ -242,7 +244,9 @@
         on_directory_read: Callable[[], None] = lambda: None,
         leaving: LeavingSource | None = None,
         on_leaving: Callable[[Iterable[LeavingRow], str], None] = lambda *_: None,
+        local_readiness: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._local_readiness = local_readiness
         self._leaving = leaving
         self._on_leaving_rows = on_leaving
         self._on_directory_read = on_directory_read
@@ -309,11 +313,16 @@
         return len(self._peer_by_id)
 
     def others(self, stop: PlannedStop) -> OtherRouters:
-        """Return what the other processes do, for a process that is stopping."""
+        """Return what the other processes do, for a process that is stopping.
+
+        A peer whose messages do not say that it is ready does not count as ready, since
+        one of an earlier version may stop without a message.
+        """
         now_ms = self._clock.now_ms()
         ready = sum(
             peer.last_received_ms >= now_ms - MAX_AGE_MS
             and peer.started_ms <= now_ms - SETTLING_MS
+            and peer.is_ready is True
             and peer.view is not None
             and peer.view.configuration_version > 0
             and not self.stops.is_stopping(peer_id)
@@ -425,6 +434,7 @@
         peer.incarnation, peer.sequence = position
         peer.last_received_ms = now_ms
         peer.view = message.store_view
+        peer.is_ready = message.is_ready
         if peer.view is not None:
             self._on_view(peer.view)
         self.stops.on_incarnation(message.sender, message.incarnation)
@@ -485,6 +495,7 @@
             self._chooser.local_load(self._clock.now_ms()),
             prefixes,
             self._local_view(),
+            is_ready=self._local_readiness(),
         )
 
     def _send_load(self, message: LoadMessage, peers: Iterable[_Peer]) -> None:
--- a/wigeonwind/routing/peer_messages.py
+++ b/wigeonwind/routing/peer_messages.py
@@ -8,9 +8,12 @@
 from wigeonwind.routing.store_watchers import StoreView
 from wigeonwind.state.store_types import UNKNOWN_ERA, StoreRevision
 
-MESSAGE_VERSION = 3
-"""First element of each message. Version 1 has no store view, version 2 no era in it;
-messages of later versions are ignored."""
+MESSAGE_VERSION = 4
+"""First element of each message. Version 1 has no store view, version 2 no era in it,
+version 3 no readiness; messages of later versions are ignored."""
+
+READINESS_VERSION = 4
+"""First version that states whether the sender is ready."""
 
 EARLIER_VERSION = 2
 """Version that is sent to peers that may not understand MESSAGE_VERSION."""
@@ -41,8 +44,9 @@
 
     Endpoints are identified by their `short_id`. `prefixes` are pairs of prefix key and
     endpoint. `incarnation` orders the starts of a process, `sequence` its messages.
-    `store_view` is None in messages of processes of an earlier version. `version` is
-    that of the message.
+    `store_view` is None in messages of processes of an earlier version, and so is
+    `is_ready`, which says that the sender can serve new callers. `version` is that of
+    the message.
     """
 
     sender: str
@@ -52,6 +56,7 @@
     prefixes: tuple[tuple[int, int], ...]
     store_view: StoreView | None = None
     version: int = MESSAGE_VERSION
+    is_ready: bool | None = None
 
 
 def encode_load(message: LoadMessage) -> bytes:
@@ -66,17 +71,18 @@
         for short_id, row in message.load_by_id.items()
     ]
     view = message.store_view
-    return cbor2.dumps(
-        [
-            message.version,
-            message.sender,
-            message.incarnation,
-            message.sequence,
-            loads,
-            [list(pair) for pair in message.prefixes],
-            None if view is None else _encode_view(view, message.version),
-        ]
-    )
+    fields = [
+        message.version,
+        message.sender,
+        message.incarnation,
+        message.sequence,
+        loads,
+        [list(pair) for pair in message.prefixes],
+        None if view is None else _encode_view(view, message.version),
+    ]
+    if message.version >= READINESS_VERSION:
+        fields.append(message.is_ready)
+    return cbor2.dumps(fields)
 
 
 def _encode_view(view: StoreView, version: int) -> list[str | int | bool]:
@@ -102,9 +108,11 @@
         version, *fields = cbor2.loads(data)
         if version == 1:
             fields.append(None)
-        elif version not in (EARLIER_VERSION, MESSAGE_VERSION):
+        elif version not in range(EARLIER_VERSION, MESSAGE_VERSION + 1):
             return f"unsupported message version {version!r}"
-        sender, incarnation, sequence, loads, prefixes, view = fields
+        if version < READINESS_VERSION:
+            fields.append(None)
+        sender, incarnation, sequence, loads, prefixes, view, is_ready = fields
         if len(loads) > MAX_ROWS or len(prefixes) > MAX_ROWS:
             return f"more than {MAX_ROWS} endpoints or prefixes"
         rows = {
@@ -127,6 +135,7 @@
             pairs,
             None if view is None else _decode_view(view, version),
             version,
+            None if is_ready is None else bool(is_ready),
         )
     except DECODE_ERRORS as error:
         return f"not a load message: {error}"
--- a/wigeonwind/routing/router.py
+++ b/wigeonwind/routing/router.py
@@ -182,6 +182,7 @@
             lambda: self._start_check.on_directory_read(),
             self.endpoints.leaving,
             self.endpoints.on_leaving_rows,
+            lambda: self.is_ready,
         )
         self._start_check = StartCheck(
             clock, self.peers.live_views, self.peers.peer_count
