Peers: messages of a stop state when the next one comes

In a fleet of more than 48 routers, those that stop at the same time took one another for gone between two messages: the order in which they leave was lost, and long requests were passed on, or kept, by the wrong ones.

Cause: the limit of the silence was 500 ms, whatever the size of the fleet. A stop was told with each load message, to a random sample of 48 peers each 400 ms: a mean gap of 500 ms at 60 peers, 833 at 100 and 2,500 at 300.

Change: a message of a stop goes to 48 peers at most, as before, but to those that stop too first, then to the others in turn; and it states when the next one comes (stops/2). A router counts as gone after two such times and 100 ms, 500 ms at least: 900 ms among up to 48 that stop at a time, at any size of the fleet. Peers whose load messages are of version 2 or 3 get stops/1 as before; for the stops/1 of such a router the gap is calculated from the number of known peers. The schedule of messages is a module of its own.

Evidence: test_stop_messages_come_more_often_than_the_silence_limit failed at 60, 100 and 300 before (known red) and passes. With the limit put back to 500 ms (a trial) it fails at these three, and so do five of the new tests. 480 messages of a stop in 4 s, of 35 to 40 B each, stay below two thirds of 8 KB/s. Passed: tests/test_stops_of_peers.py, test_stop_messages.py, test_stop_decisions.py, test_decoders.py, test_ends_of_stops.py, test_peer_state.py, test_requests_during_stops.py, test_silent_endpoints_in_stops.py and test_planned_stops.py. Not run: a fleet of 60 real processes.

Test changed: test_stop_messages_come_more_often_than_the_silence_limit compared a mean gap, calculated in the test, with a constant that no longer is the limit. It now plays a whole stop against the exchange, at the same sizes and with the times of sending, and asks that none of the peers ever takes the router for gone.

--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from functools import partial
+from heapq import nsmallest
 from random import Random
 from typing import Protocol
 
@@ -37,12 +38,19 @@
     EARLIER_VERSION,
     MAX_MESSAGE_BYTES,
     MESSAGE_VERSION,
+    STOP_GAP_VERSION,
     LoadMessage,
     decode_load,
     encode_load,
 )
 from wigeonwind.routing.peer_stops import PeerStops
 from wigeonwind.routing.planned_stop import PlannedStop, StopPhase
+from wigeonwind.routing.send_schedule import (
+    BASE_INTERVAL_PEERS,
+    MAX_PEERS_PER_SEND,
+    send_interval_ms,
+    stop_gaps_ms,
+)
 from wigeonwind.routing.stop_messages import (
     StopMessage,
     decode_stop,
@@ -65,17 +73,6 @@
     StoreFailure,
 )
 
-SEND_INTERVAL_MS = 100.0
-"""Interval between messages in a small fleet; prefill of a prompt takes about as
-long."""
-
-BASE_INTERVAL_PEERS = 12
-"""Number of peers above which the interval grows in proportion, so that a process sends
-and receives about 120 messages per second."""
-
-MAX_PEERS_PER_SEND = 48
-"""Most peers that get a message per interval; a larger fleet is sampled at random."""
-
 DIRECTORY_READ_DELAY_MS = 700.0
 """Time from registering to reading the directory. Processes of a fleet start together,
 and the delay lets all of them register first."""
@@ -221,6 +218,8 @@
     """Whether it can serve new callers, None if its messages do not say."""
     message_version: int = EARLIER_VERSION
     """Version of the load messages that it is sent."""
+    told_ms: float = float("-inf")
+    """When it was last sent a message of the local stop."""
 
     def silence_ms(self, now_ms: float) -> float:
         """Return the time since its last message, or since it was discovered."""
@@ -351,7 +350,38 @@
     def repeat_stop(self) -> None:
         """Tell all peers of the stop now, as its phase has changed."""
         if self._local_stop is not None:
-            self._send_data(encode_stop(self._local_stop()), self._peer_by_id.values())
+            self._send_stop(self._local_stop(), self._peer_by_id.items())
+
+    def _send_stop(
+        self, message: StopMessage, peers: Iterable[tuple[str, _Peer]]
+    ) -> None:
+        """Send a stop, with the time at which the next message will come.
+
+        Peers of earlier versions get it without that time.
+        """
+        now_ms = self._clock.now_ms()
+        stopping = sum(self.stops.is_stopping(each) for each in self._peer_by_id)
+        gap_ms, others_gap_ms = stop_gaps_ms(len(self._peer_by_id), stopping)
+        for peer_id, peer in peers:
+            next_in_ms: int | None = None
+            if peer.message_version >= STOP_GAP_VERSION:
+                is_stopping = self.stops.is_stopping(peer_id)
+                next_in_ms = gap_ms if is_stopping else others_gap_ms
+            peer.told_ms = now_ms
+            data = encode_stop(replace(message, next_in_ms=next_in_ms))
+            self._send_data(data, (peer,))
+
+    def _peers_to_tell(self) -> list[tuple[str, _Peer]]:
+        """Return the peers that get the next message of the local stop.
+
+        Those that stop themselves come first, as they decide by it. The others need it
+        only once they stop.
+        """
+        return nsmallest(
+            MAX_PEERS_PER_SEND,
+            self._peer_by_id.items(),
+            key=lambda item: (not self.stops.is_stopping(item[0]), item[1].told_ms),
+        )
 
     def _receive(self) -> None:
         while True:
@@ -409,7 +439,10 @@
         if peer is None or peer.address.host != source.host:
             return
         if peer.incarnation == message.incarnation:
-            self.stops.on_message(message, self._clock.now_ms())
+            gap_ms, others_gap_ms = stop_gaps_ms(len(self._peer_by_id), 0)
+            self.stops.on_message(
+                message, self._clock.now_ms(), max(gap_ms, others_gap_ms)
+            )
 
     def _on_message(self, message: LoadMessage, source: SocketAddress) -> None:
         if message.sender == self._local_id:
@@ -451,11 +484,7 @@
 
     def _send(self) -> None:
         while True:
-            count = len(self._peer_by_id)
-            interval_ms = SEND_INTERVAL_MS * max(
-                1.0, min(count, MAX_PEERS_PER_SEND) / BASE_INTERVAL_PEERS
-            )
-            gevent.sleep(interval_ms / MS_PER_SECOND)
+            gevent.sleep(send_interval_ms(len(self._peer_by_id)) / MS_PER_SECOND)
             self._send_once()
 
     def _send_once(self) -> None:
@@ -469,7 +498,7 @@
             peers = self._rng.sample(peers, MAX_PEERS_PER_SEND)
         self._send_load(message, peers)
         if self._local_stop is not None:
-            self._send_data(encode_stop(self._local_stop()), peers)
+            self._send_stop(self._local_stop(), self._peers_to_tell())
         self._send_leaving(peers, now_ms - REPEAT_LEAVING_MS)
         if self._suspects is None:
             return
--- a/wigeonwind/routing/peer_messages.py
+++ b/wigeonwind/routing/peer_messages.py
@@ -15,6 +15,9 @@
 READINESS_VERSION = 4
 """First version that states whether the sender is ready."""
 
+STOP_GAP_VERSION = 4
+"""Version from which on a peer understands the time to the next message of a stop."""
+
 EARLIER_VERSION = 2
 """Version that is sent to peers that may not understand MESSAGE_VERSION."""
 
--- a/wigeonwind/routing/peer_stops.py
+++ b/wigeonwind/routing/peer_stops.py
@@ -11,8 +11,29 @@
 routers cannot agree on it by messages that take time."""
 
 SILENCE_MS = 500.0
-"""Time without a message after which a stopping router no longer listens. It sends one
-with each load message."""
+"""Least time without a message after which a stopping router no longer listens."""
+
+MISSED_MESSAGES = 2
+"""Messages that a stopping router must miss, as one of them may be lost."""
+
+SEND_DELAY_MS = 100.0
+"""Allowance for a message that is sent or read late."""
+
+MAX_SILENCE_MS = 6_000.0
+"""Longest time without a message for which a router of a large fleet listens."""
+
+
+def silence_limit_ms(gap_ms: float) -> float:
+    """Return the time after which a stopping router no longer listens.
+
+    `gap_ms` is the time from one of its messages to the next.
+
+    >>> silence_limit_ms(100.0), silence_limit_ms(400.0)
+    (500.0, 900.0)
+    """
+    limit_ms = MISSED_MESSAGES * gap_ms + SEND_DELAY_MS
+    return min(max(SILENCE_MS, limit_ms), MAX_SILENCE_MS)
+
 
 START_MS = 2_000.0
 """Time from the exit of a process until the load balancer sends to its successor."""
@@ -30,10 +51,11 @@
     exits_ms: float
     is_listening: bool
     received_ms: float
+    silence_ms: float
 
     def listens(self, now_ms: float) -> bool:
         """Return whether callers can still connect to the router."""
-        return self.is_listening and now_ms - self.received_ms < SILENCE_MS
+        return self.is_listening and now_ms - self.received_ms < self.silence_ms
 
     def is_expected(self, now_ms: float) -> bool:
         """Return whether the successor should be ready soon."""
@@ -51,8 +73,13 @@
         self._local_id = local_id
         self._stop_by_id: dict[str, _PeerStop] = {}
 
-    def on_message(self, message: StopMessage, now_ms: float) -> None:
-        """Apply the message of a router that is known and of this incarnation."""
+    def on_message(
+        self, message: StopMessage, now_ms: float, gap_ms: float = 0.0
+    ) -> None:
+        """Apply the message of a router that is known and of this incarnation.
+
+        `gap_ms` is the time to its next message, if the message does not state it.
+        """
         known = self._stop_by_id.get(message.sender)
         signaled_ms = now_ms - message.since_ms
         if known is not None and known.incarnation == message.incarnation:
@@ -65,6 +92,9 @@
             now_ms + message.exits_in_ms,
             message.is_listening,
             now_ms,
+            silence_limit_ms(
+                gap_ms if message.next_in_ms is None else message.next_in_ms
+            ),
         )
 
     def on_incarnation(self, peer_id: str, incarnation: int) -> None:
