Configuration: an empty list of customers refuses every API key

Cause: decode_configuration took an empty list for a missing one, so that the route table needed no key.

Change: only a configuration without the field needs no key. An empty list and null need one, and none is valid; public routes are served.

--- a/wigeonwind/platform/configuration.py
+++ b/wigeonwind/platform/configuration.py
@@ -94,7 +94,8 @@
     routes: list[_Route]
     backends: list[_Backend] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] | None = None
+    tenants: list[_Tenant] | msgspec.UnsetType | None = msgspec.UNSET
+    """Without the field no API keys are needed; an empty list holds no valid key."""
 
 
 _decode_document = msgspec.json.Decoder(_Configuration, strict=False).decode
@@ -107,6 +108,7 @@
     except (ValueError, RecursionError) as error:
         shown = value[:40].decode(errors="replace")
         return Invalid((Problem("", CONFIGURATION_KEY, shown, str(error)),))
+    has_tenants = document.tenants is not msgspec.UNSET
     tenants = document.tenants or []
     return Ok(
         RouteTable(
@@ -118,7 +120,7 @@
                 for tenant in tenants
                 for key in tenant.api_keys
             },
-            bool(tenants),
+            has_tenants,
             CallerLimits(
                 document.limits.max_header_bytes,
                 document.limits.max_body_bytes,
--- a/wigeonwind/routing/routes.py
+++ b/wigeonwind/routing/routes.py
@@ -81,9 +81,9 @@
     """One version of the routing configuration.
 
     `needs_key` says that requests of routes that are not public must carry the API key
-    of a customer. `fetch_rate_by_service` is the rate at which an engine copies KV
-    cache from another one, in tokens per millisecond; services without copies are
-    missing.
+    of a customer, also if there are no customers. `fetch_rate_by_service` is the rate
+    at which an engine copies KV cache from another one, in tokens per millisecond;
+    services without copies are missing.
     """
 
     version: int
