Configuration: an empty API key is not valid

Callers saw: with an empty string among the api_keys of a tenant, a request whose X-Api-Key is empty ran as this tenant.

Cause: the key was looked up like any other one.

Change: empty strings are left out of the keys.

Result: test_an_empty_key_is_not_valid, failed before, passes.

--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -105,3 +105,12 @@
         fleet.store.put("config", "main", configuration(3))
         wait_for_version(fleet, 3)
         assert fleet.call("/safe/x").status == 200
+
+
+def test_an_empty_key_is_not_valid():
+    # Guards against an empty string in the list of keys, with which requests run that
+    # carry an empty header.
+    tenants = [{"name": "mill", "api_keys": ["", "key-1"]}]
+    with running_fleet(workers=1, config=configuration(tenants=tenants)) as fleet:
+        assert fleet.call("/safe/x", headers=("X-Api-Key:",)).status == 401
+        assert fleet.call("/safe/x").status == 200
--- a/wigeonwind/platform/configuration.py
+++ b/wigeonwind/platform/configuration.py
@@ -86,6 +86,7 @@
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str] = []
+    """Empty ones are not valid, as a request with an empty header carries no key."""
     priority: Whole | None = None
 
 
@@ -119,6 +120,7 @@
                 key: HttpCustomer(tenant.name, tenant.priority)
                 for tenant in tenants
                 for key in tenant.api_keys
+                if key
             },
             has_tenants,
             CallerLimits(
