Configuration text: an empty list of a customer's classes is a mistake

Operators saw: a customer whose last class was removed from 'classes =' could use all classes.

Cause: an empty list and a missing key were the same value, which means all classes.

Change: an empty list is reported at its line.

--- a/tests/test_configuration_parse.py
+++ b/tests/test_configuration_parse.py
@@ -87,6 +87,8 @@
     ("requests_per_s = 40", "requests_per_s = 0", 24, "0 would shut out"),
     ("requests_per_s = 20", "concurrency = 0", 40, "0 would shut out"),
     ("classes = chat, desk", "classes = chess", 39, "one of chat, desk, dossier"),
+    ("classes = chat, desk", "classes =", 39, "at least one class, or no key"),
+    ("classes = chat, desk", "classes = ,", 39, "at least one class, or no key"),
     ("[customer tartu", "[customer Tartu", 36, "lower-case letters"),
     ("[class desk]", "[clas desk]", 31, "[class NAME]"),
     ("weight = 2", "weight 2", 37, "a line key = value"),
--- a/wigeonwind/state/configuration_schema.py
+++ b/wigeonwind/state/configuration_schema.py
@@ -11,7 +11,13 @@
 from dataclasses import dataclass
 from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, BeforeValidator, ConfigDict, ValidationError
+from pydantic import (
+    AfterValidator,
+    BaseModel,
+    BeforeValidator,
+    ConfigDict,
+    ValidationError,
+)
 from pydantic_core import PydanticCustomError
 
 from wigeonwind.catalog import (
@@ -130,6 +136,13 @@
     return BeforeValidator(check)
 
 
+def _require_class(names: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the names; an empty list would be taken for all classes."""
+    if not names:
+        raise _expected("at least one class, or no key `classes` to allow all")
+    return names
+
+
 def _optional_match(pattern: re.Pattern[str], what: str) -> BeforeValidator:
     def check(text: str) -> str:
         if text and not pattern.fullmatch(text):
@@ -147,6 +160,7 @@
     _list_of(KEY_PATTERN, "SHA-256 digests of API keys, 64 hexadecimal digits each"),
 ]
 Methods = Annotated[tuple[str, ...], _list_of(METHOD_PATTERN, "HTTP methods")]
+AllowedClasses = Annotated[Names, AfterValidator(_require_class)]
 Name = Annotated[str, _optional_match(NAME_PATTERN, "one name")]
 Version = Annotated[
     str, _optional_match(re.compile(r"[A-Za-z0-9._-]{1,63}"), "a version name")
@@ -253,7 +267,7 @@
 
     weight: Number = 1.0
     keys: Keys = ()
-    classes: Names = ()
+    classes: AllowedClasses = ()
 
     def value(self, name: str) -> SectionValue:
         """Return the customer called `name`."""
