Configuration: a service of weight 0 gets no requests

Callers saw: requests of a route whose services all have weight 0 ended with 502 unknown, though nothing had run; a single service of weight 0 got all requests.

Cause: weights were passed to random.choices as they were, which raises ValueError if none is above 0, and a single share was not looked at.

Change: the decoder leaves out services without a weight above 0.

--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from routing_fleet import configuration
+from routing_fleet import configuration, running_fleet
 
 from wigeonwind.addresses import SocketAddress
 from wigeonwind.outcomes import Invalid, Ok
@@ -83,6 +83,39 @@
     assert result.value.fetch_rate_by_service == expected
 
 
+@pytest.mark.parametrize(
+    ("split", "services"),
+    [
+        ([], ["desk"]),
+        ([{"backend": "a", "weight": 0}], []),
+        ([{"backend": "a", "weight": 0}, {"backend": "b", "weight": 0}], []),
+        ([{"backend": "a", "weight": 0}, {"backend": "b", "weight": 3}], ["b"]),
+        ([{"backend": "a", "weight": -1}, {"backend": "b", "weight": 3}], ["b"]),
+    ],
+)
+def test_services_with_weight_0_get_no_requests(split, services):
+    # Guards against a weight of 0 that is taken for no weight, and against an error
+    # for each request of a route whose weights are all 0.
+    document = configuration(7)
+    document["routes"][0].update(split=split)
+    result = decode_configuration(dumps(document))
+    assert isinstance(result, Ok)
+    shares = result.value.routes[0].shares
+    assert [each.service for each in shares if each.service] == services
+    assert shares
+
+
+def test_request_of_a_route_without_weights_is_refused():
+    # Guards against an unexpected error, which says nothing of whether a request ran.
+    config = configuration()
+    shares = [{"backend": "desk", "weight": 0}, {"backend": "mill", "weight": 0}]
+    config["routes"][0].update(split=shares)
+    with running_fleet(workers=1, config=config) as fleet:
+        reply = fleet.call("/safe/x")
+        assert fleet.received() == 0
+    assert (reply.status, reply.headers["x-outcome"]) == (503, "not-run")
+
+
 def test_kv_copy_source_is_encoded():
     # Guards against an engine that computes a shared prefix again instead of copying
     # it.
--- a/wigeonwind/platform/configuration.py
+++ b/wigeonwind/platform/configuration.py
@@ -21,6 +21,9 @@
 BITS_PER_MEGABIT = 1_000_000
 BITS_PER_BYTE = 8
 
+NO_SERVICE = ServiceShare("", 1.0)
+"""Share of a route whose requests no service gets; no endpoint has this service."""
+
 STREAMING = "streaming"
 SAFE = "safe"
 
@@ -52,7 +55,7 @@
     priority: Whole = 5
     backend: str = ""
     split: list[_Split] = []
-    """Replaces `backend` if the route has several services."""
+    """Replaces `backend` unless it is empty."""
     attempts: Whole = 1
     """Number of endpoints that a request may be sent to."""
     public: bool = False
@@ -147,14 +150,13 @@
 
 
 def _to_http_route(route: _Route) -> HttpRoute:
-    shares = tuple(ServiceShare(each.backend, each.weight) for each in route.split)
     return HttpRoute(
         route.name,
         route.hostname,
         route.path_prefix,
         _repetition_of(route),
         route.route_type == STREAMING,
-        shares or (ServiceShare(route.backend, 1.0),),
+        _shares_of(route),
         route.priority,
         route.timeout_ms,
         route.slo_ms,
@@ -164,6 +166,14 @@
     )
 
 
+def _shares_of(route: _Route) -> tuple[ServiceShare, ...]:
+    """Return the services that get requests, or NO_SERVICE if all weights are 0."""
+    if not route.split:
+        return (ServiceShare(route.backend, 1.0),)
+    shares = (ServiceShare(each.backend, each.weight) for each in route.split)
+    return tuple(each for each in shares if each.weight > 0) or (NO_SERVICE,)
+
+
 def _repetition_of(route: _Route) -> Repetition:
     if route.route_type == SAFE:
         return Repetition.SAFE
