Entries: an empty service name is invalid

Cause: an entry of another writer with an empty 'backend' named an endpoint of the service '', which is what a route without 'backend' and 'split' asks for.

Change: such an entry is ignored, as other invalid ones, with its reason in the log.

Result: a case of test_endpoint_entry_with_an_invalid_field_is_rejected, failed before, passes.

--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -144,6 +144,7 @@
     "change",
     [
         {"backend": 3},
+        {"backend": ""},
         {"state": "resting"},
         {"address": "10.0.0.256:80"},
         {"address": "here"},
--- a/wigeonwind/platform/endpoint_entries.py
+++ b/wigeonwind/platform/endpoint_entries.py
@@ -77,6 +77,8 @@
         return str(error)
     if not is_valid_address(address) or not MIN_PORT <= address.port <= MAX_PORT:
         return f"{entry.address!r} is not the address of an endpoint"
+    if not entry.backend:
+        return "the service is empty"
     if not (entry.backend.isprintable() and entry.zone.isprintable()):
         return "the service or the zone has characters that are not printable"
     return Endpoint(
