--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,7 +1,12 @@
 """Settings: all errors are reported, with section, key, value and expected value."""
 
+from configparser import ConfigParser
+from io import StringIO
+
+import pytest
+
 from wigeonwind.outcomes import Invalid, Ok
-from wigeonwind.settings import read_settings, settings_reference
+from wigeonwind.settings import Section, Settings, read_settings, settings_reference
 
 VALID_SETTINGS = """
 [node]
@@ -61,3 +66,48 @@
     page = settings_reference()
     for name in ("node", "listen", "platform", "links", "endpoint", "drain"):
         assert f"## [{name}]" in page
+
+
+def optional_keys():
+    """Yield the section, key and default of each optional setting of an entry."""
+    for section, field in Settings.model_fields.items():
+        model = type(field.default) if not field.is_required() else field.annotation
+        if not issubclass(model, Section):
+            continue  # Sidecars alone have the section `endpoint`.
+        for key, setting in model.model_fields.items():
+            if not setting.is_required() and key != "callers":
+                yield section, key, setting.default
+
+
+def settings_with(section, line):
+    document = ConfigParser()
+    document.read_string(VALID_SETTINGS)
+    for each in {section} - set(document.sections()):
+        document.add_section(each)
+    key, _, value = line.partition(" = ")
+    document.set(section, key, value)
+    text = StringIO()
+    document.write(text)
+    return text.getvalue()
+
+
+@pytest.mark.parametrize(("section", "key", "default"), list(optional_keys()))
+def test_an_empty_value_means_a_missing_key_or_is_an_error(section, key, default):
+    # Guards against an empty value that is taken for a default which is not empty.
+    result = read_settings(settings_with(section, f"{key} = "))
+    if default == "":
+        assert isinstance(result, Ok)
+        assert getattr(getattr(result.value, section), key) == ""
+    else:
+        assert isinstance(result, Invalid)
+
+
+@pytest.mark.parametrize(
+    ("section", "key"),
+    [("drain", "grace_ms"), ("drain", "limit_ms"), ("trace", "sample")],
+)
+def test_0_is_kept_where_it_is_valid(section, key):
+    # Guards against 0 that is taken for a missing value.
+    result = read_settings(settings_with(section, f"{key} = 0"))
+    assert isinstance(result, Ok)
+    assert getattr(getattr(result.value, section), key) == 0
