Choice: requests sent before their endpoint was dropped are not counted

Cause: the state of an endpoint that comes back is a new one. on_started subtracted the tokens of a request that this state had never counted.

Change: a request that is not in flight in the present state changes none of its counts and gives no latency sample. A first event that comes while the endpoint is absent counts as the first one, so that a later one is not measured as it.

Result: 2 tests in test_latency_choice.py and 3 cases in test_odd_entries.py failed before, all pass.

--- a/tests/test_latency_choice.py
+++ b/tests/test_latency_choice.py
@@ -258,3 +258,29 @@
     chooser.on_ended(sent[0], True, 1.0)
     assert chooser.has_capacity(LONG, 1.0, NONE_EXCLUDED)
     assert chooser.has_capacity(SHORT, 1.0, NONE_EXCLUDED)
+
+
+def test_a_first_event_after_a_return_of_the_endpoint_is_not_counted():
+    # Guards against an error, and against pending tokens below zero, with which peers
+    # reject the load messages of a router: the endpoint was dropped after the send.
+    chooser = make_chooser(names=NAMES[:1])
+    sent = [chooser.on_sent(NAMES[0], SHORT, 0.0) for _ in range(2)]
+    chooser.set_candidates([], 1.0)
+    chooser.set_candidates([Candidate(NAMES[0], "llm", "a", 96)], 2.0)
+    chooser.on_started(sent[0], 3.0)
+    chooser.on_ended(sent[0], True, 3.0)
+    again = chooser.on_sent(NAMES[0], SHORT, 4.0)
+    chooser.on_started(sent[1], 5.0)
+    chooser.on_ended(sent[1], True, 5.0)
+    row = chooser.local_load(6.0)[short_id(NAMES[0])]
+    assert row == InFlightLoad(1, 0, ((SHORT.priority, again.prefill_tokens),))
+
+
+def test_a_first_event_without_the_endpoint_is_recorded_once():
+    # Guards against a later event that is taken for the first one, as the endpoint
+    # was absent when the first one came.
+    chooser = make_chooser(names=NAMES[:1])
+    sent = chooser.on_sent(NAMES[0], SHORT, 0.0)
+    chooser.set_candidates([], 1.0)
+    chooser.on_started(sent, 2.0)
+    assert sent.is_started
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -15,6 +15,7 @@
 from wigeonwind.platform.store_format import PlatformStoreFormat
 from wigeonwind.routing.endpoints import Endpoint
 from wigeonwind.routing.peer_messages import MESSAGE_VERSION
+from wigeonwind.standins.platform_worker import EventStream, FullResponse
 from wigeonwind.state.store_http import StoreResponse
 from wigeonwind.state.store_types import Conflict
 
@@ -239,3 +240,25 @@
         }
         fleet.wait_for(lambda: records["edge-2"].spec == expected)
         fleet.wait_for(lambda: router.is_ready)
+
+
+@pytest.mark.parametrize("path", ["/once/x", "/safe/x", "/stream/x"])
+def test_an_answer_of_an_endpoint_whose_entry_was_spoiled_arrives(path):
+    # Guards against an error at the first event of a request that was sent before
+    # another writer spoiled the entry: its answer became 502.
+    behaviour = FullResponse(delay_ms=1_200.0)
+    if path.startswith("/stream"):
+        behaviour = EventStream(prefill_ms=1_200.0)
+    with running_fleet(workers=1, default_response=behaviour) as fleet:
+        worker = fleet.workers[0]
+        prompt = ("Token-Usage: 500,40",)
+        call = gevent.spawn(fleet.call, path, "POST", b"abc", prompt)
+        fleet.wait_for(lambda: fleet.received() == 1)
+        fleet.store.put("servers", worker.name, entry(worker, state="odd"))
+        wait_for_entries(fleet, fleet.router, set())
+        gevent.sleep(0.6)
+        fleet.store.put("servers", worker.name, entry(worker))
+        wait_for_entries(fleet, fleet.router, {worker.name})
+        reply = call.get(timeout=5.0)
+        assert (reply.status, reply.is_whole) == (200, True)
+        assert fleet.received() == 1
--- a/wigeonwind/decisions/endpoint_state.py
+++ b/wigeonwind/decisions/endpoint_state.py
@@ -152,13 +152,23 @@
         )
         self.pending_prefill_by_priority[priority] = pending_tokens
 
+    def counts(self, send: Send) -> bool:
+        """Return whether the request is counted as in flight.
+
+        It is not if the endpoint was dropped after the send, and added again since.
+        """
+        return send in self.in_flight
+
     def remove(self, send: Send) -> None:
         """Stop counting a request that has ended."""
+        if not self.counts(send):
+            return
+        self._mark_prefilled(send)
         self.in_flight.discard(send)
         self.long_prompts -= send.request.is_long
-        self._mark_prefilled(send)
 
     def _mark_prefilled(self, send: Send) -> None:
+        """Stop counting the prompt of a request in flight as pending."""
         if not send.is_started:
             send.is_started = True
             self.pending_prefill_by_priority[send.request.priority] -= (
@@ -187,7 +197,9 @@
         self.unreachable_until_ms = float("-inf")
 
     def on_started(self, send: Send, now_ms: float) -> None:
-        """Record the latency of a first event or a plain call."""
+        """Record the latency of a first event or a plain call, if it is counted."""
+        if not self.counts(send):
+            return
         self._mark_prefilled(send)
         ratio = (now_ms - send.sent_ms) / send.expected_ms
         ratio = min(max(ratio, LATENCY_RATIO_RANGE[0]), LATENCY_RATIO_RANGE[1])
--- a/wigeonwind/decisions/latency_choice.py
+++ b/wigeonwind/decisions/latency_choice.py
@@ -411,7 +411,8 @@
         """Record the first event of a stream, or the response to a plain call."""
         self._window_of(send.request.service).on_started(send, now_ms)
         endpoint = self._endpoint_by_id.get(send.endpoint_id)
-        if endpoint is not None and not send.is_started:
+        is_counted = endpoint is not None and endpoint.counts(send)
+        if endpoint is not None and is_counted and not send.is_started:
             endpoint.on_started(send, now_ms)
             if send.tokens_to_first_event == send.prefill_tokens > 0:
                 # Prompts of others may have been prefilled by the time of this one, so
@@ -420,6 +421,7 @@
                 profile.on_first_event(
                     send.tokens_to_first_event, now_ms - send.sent_ms
                 )
+        send.is_started = True
 
     def on_event_gap(self, send: Send, gap_ms: float) -> None:
         """Record the pause between two events of a stream."""
@@ -431,7 +433,7 @@
         """Record the end of a send; `ok` is False if the endpoint failed."""
         self._window_of(send.request.service).on_ended(send, now_ms)
         endpoint = self._endpoint_by_id.get(send.endpoint_id)
-        if endpoint is not None and send in endpoint.in_flight:
+        if endpoint is not None and endpoint.counts(send):
             endpoint.remove(send)
             endpoint.on_response(ok, now_ms)
 
@@ -439,7 +441,7 @@
         """Record that the endpoint refused a request for lack of capacity."""
         self._window_of(send.request.service).on_ended(send, now_ms)
         endpoint = self._endpoint_by_id.get(send.endpoint_id)
-        if endpoint is None or send not in endpoint.in_flight:
+        if endpoint is None or not endpoint.counts(send):
             return
         endpoint.remove(send)
         endpoint.full_until_ms = now_ms + REFUSAL_BACKOFF_MS
