Exchange: a connection in the pool no longer belongs to the earlier request

Callers saw: a request on a reused connection ended with 502 unknown when the caller of the connection's earlier request left while its large response was still sent, or when that earlier request was ended by a stop.

Cause: the connection returns to the pool before the response is sent, but the exchange kept it and closed it when its caller left, at the end of a stop, when its send was given up for a suspect part, and after a failed write to the caller.

Change: an exchange closes only a connection that it has not released. A response that is not passed on (unsigned, cut off) is judged before the release, so that its connection is closed and not reused.

--- a/wigeonwind/routing/exchange.py
+++ b/wigeonwind/routing/exchange.py
@@ -147,6 +147,7 @@
         """Reason of the last refusal, empty without one."""
         self.last_endpoint_id = ""
         self._connection: EndpointConnection | None = None
+        """The connection of the send, None once it is back in the pool."""
         self._fetch_from: SocketAddress | None = None
         self.waited_ms: int | None = None
         """Time from the arrival of the request to its first send, None if not sent."""
@@ -272,14 +273,17 @@
 
         A request that may run only once and is not a stream is left to complete.
         """
-        connection = self._connection
-        if connection is not None and self._cancels_on_disconnect():
-            connection.close()
+        if self._cancels_on_disconnect():
+            self._close_connection()
 
     def end_by_stop(self) -> None:
         """Let the exchange send its final response now, as the process is to exit."""
         self._is_stopped = True
         self.deadline_ms = min(self.deadline_ms, self.context.clock.now_ms())
+        self._close_connection()
+
+    def _close_connection(self) -> None:
+        """Close the connection of the send, unless another request may use it."""
         if self._connection is not None:
             self._connection.close()
 
@@ -341,7 +345,7 @@
         self.expected_ms = round(send.expected_ms)
         self._sends += 1
         self._last_data_ms = now_ms
-        self._watch.on_sent(endpoint, connection.close)
+        self._watch.on_sent(endpoint, self._close_connection)
         name_work(f"request {self.metadata.request_id} at {endpoint.instance_id}")
         outcome: SendOutcome = Broken("the exchange was interrupted")
         try:
@@ -349,12 +353,12 @@
         except CallerDisconnectedError:
             outcome = CallerDisconnected()
         finally:
-            self._connection = None
             self._record_outcome(send, outcome)
             is_lost = isinstance(outcome, Broken) and not self._is_stopped
             unanswered = self._watch.end_send(is_lost)
             if not isinstance(outcome, (Delivered, Failed, NotRun)):
-                connection.close()
+                self._close_connection()
+            self._connection = None
         if unanswered is not None and unanswered.was_aborted:
             return Broken("given up: a part of the request crashes endpoints")
         if connection.is_lost and is_lost:
@@ -606,10 +610,10 @@
         body = self._read_full_body(connection, send, response)
         if not isinstance(body, bytes):
             return body
-        self._release_connection(connection, response)
         self.context.chooser.on_started(send, self.context.clock.now_ms())
         is_misdirected = response.status == MISDIRECTED
         if metadata.was_not_run or is_misdirected:
+            self._release_connection(connection, response)
             reason = f"the endpoint answered {response.status}"
             return NotRun(reason, was_sent=True, is_misdirected=is_misdirected)
         if not metadata.is_signed:
@@ -620,6 +624,7 @@
             # The bytes that follow are the rest of the body.
             return Broken("another response within the body of a response")
         response.body.append(body)
+        self._release_connection(connection, response)
         if response.status >= 500:
             return Failed(response, metadata)
         if is_success:
@@ -733,6 +738,7 @@
         is_clean = not (parser.responses or parser.has_partial_message or parser.error)
         is_clean = is_clean and not connection.has_sent_foreign_response
         is_clean = is_clean and not connection.has_write_failed
+        self._connection = None
         if is_clean and parser.keeps_alive and not connection.is_closed_by_endpoint:
             self.context.pool.release(connection, keep_alive_ms(response))
         else:
