Choice: the backoff of an unreachable endpoint does not overflow

Callers saw: after 1,024 failed connections to an endpoint, each further one ended its request with an unexpected error.

Cause: the backoff was 2.0 to the power of the number of failures, and only then bounded.

Change: the state keeps the next backoff, which doubles up to its bound.

Result: test_the_backoff_of_an_endpoint_is_bounded_after_many_failures, failed before with OverflowError, passes; a second test holds the times of the backoff.

--- a/tests/test_latency_choice.py
+++ b/tests/test_latency_choice.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from wigeonwind.decisions.endpoint_state import SILENCE_LIMIT_MS, UNREACHABLE_BACKOFF_MS
+from wigeonwind.decisions.endpoint_state import (
+    MAX_UNREACHABLE_BACKOFF_MS,
+    SILENCE_LIMIT_MS,
+    UNREACHABLE_BACKOFF_MS,
+)
 from wigeonwind.decisions.engine_ranking import LONG_SLOT_SHARE
 from wigeonwind.decisions.interfaces import NoEndpoint
 from wigeonwind.decisions.latency_choice import FULL_SLOT_SHARE, LatencyChooser
@@ -284,3 +288,29 @@
     chooser.set_candidates([], 1.0)
     chooser.on_started(sent, 2.0)
     assert sent.is_started
+
+
+def test_the_backoff_of_an_endpoint_is_bounded_after_many_failures():
+    # Guards against an overflow after 1,024 failed connections, which is an error for
+    # each request that tries the endpoint.
+    chooser = make_chooser(names=NAMES[:2])
+    for _ in range(1_100):
+        chooser.on_unreachable(NAMES[0], 0.0)
+    soon_ms = MAX_UNREACHABLE_BACKOFF_MS - 1.0
+    assert {choose_endpoint(chooser, SHORT, soon_ms) for _ in range(20)} == {NAMES[1]}
+    later_ms = MAX_UNREACHABLE_BACKOFF_MS + 1.0
+    assert NAMES[0] in {choose_endpoint(chooser, SHORT, later_ms) for _ in range(40)}
+
+
+def test_the_backoff_of_an_endpoint_doubles():
+    # Guards against a backoff that stays short, or does not start again after bytes.
+    chooser = make_chooser(names=NAMES[:2])
+    sent = chooser.on_sent(NAMES[0], SHORT, 0.0)
+    for wait_ms in (500.0, 1_000.0, 2_000.0, 4_000.0, 4_000.0):
+        chooser.on_unreachable(NAMES[0], 0.0)
+        chosen = {choose_endpoint(chooser, SHORT, wait_ms - 1.0) for _ in range(20)}
+        assert chosen == {NAMES[1]}
+    chooser.on_received(sent, 0.0)
+    chooser.on_ended(sent, True, 0.0)
+    chooser.on_unreachable(NAMES[0], 0.0)
+    assert NAMES[0] in {choose_endpoint(chooser, SHORT, 501.0) for _ in range(40)}
--- a/wigeonwind/decisions/endpoint_state.py
+++ b/wigeonwind/decisions/endpoint_state.py
@@ -48,14 +48,14 @@
     Attributes whose names begin with `peer_` count requests, long prompts and pending
     prefill tokens of other routers, the others those of this router. The endpoint is
     avoided until `full_until_ms` after a refusal for lack of capacity, and until
-    `unreachable_until_ms` after a failed connection; both are clock readings.
+    `unreachable_until_ms` after a failed connection; both are clock readings. After the
+    next failed connection it is avoided for `unreachable_backoff_ms`.
     """
 
     __slots__ = (
         "candidate",
         "error_rate",
         "error_rate_updated_ms",
-        "connect_failures",
         "event_gap_ms",
         "full_until_ms",
         "last_response_ms",
@@ -67,6 +67,7 @@
         "peer_running",
         "peer_pending_prefill",
         "short_id",
+        "unreachable_backoff_ms",
         "unreachable_until_ms",
         "pending_prefill_by_priority",
     )
@@ -87,7 +88,7 @@
         """Mean pause between the events of a stream, 0 until one is measured."""
         self.error_rate = 0.0
         self.error_rate_updated_ms = now_ms
-        self.connect_failures = 0
+        self.unreachable_backoff_ms = UNREACHABLE_BACKOFF_MS
         self.unreachable_until_ms = float("-inf")
         self.full_until_ms = float("-inf")
 
@@ -193,7 +194,7 @@
     def on_received(self, now_ms: float) -> None:
         """Record that bytes of a response were received."""
         self.last_response_ms = now_ms
-        self.connect_failures = 0
+        self.unreachable_backoff_ms = UNREACHABLE_BACKOFF_MS
         self.unreachable_until_ms = float("-inf")
 
     def on_started(self, send: Send, now_ms: float) -> None:
@@ -217,12 +218,10 @@
 
     def on_unreachable(self, now_ms: float) -> None:
         """Avoid the endpoint for a time after a failed connection."""
-        wait_ms = min(
-            UNREACHABLE_BACKOFF_MS * 2.0**self.connect_failures,
-            MAX_UNREACHABLE_BACKOFF_MS,
+        self.unreachable_until_ms = now_ms + self.unreachable_backoff_ms
+        self.unreachable_backoff_ms = min(
+            2.0 * self.unreachable_backoff_ms, MAX_UNREACHABLE_BACKOFF_MS
         )
-        self.connect_failures += 1
-        self.unreachable_until_ms = now_ms + wait_ms
 
     def set_peers(self, rows: Iterable[InFlightLoad]) -> None:
         """Replace the load that other routers have in flight at the endpoint."""
