Streams: lines may end with CRLF

Callers saw: a stream with CRLF line ends came as one piece at its end, or was cut off beyond 1 MB.

Cause: an event ended at two LF only.

Change: an empty line ends an event whichever way lines end. Streams without CR are split as before. With CR, an incomplete event is not searched anew for each part.

--- a/tests/test_routing_parts.py
+++ b/tests/test_routing_parts.py
@@ -1,5 +1,6 @@
 """Modules of the routing process without I/O: discovery, parsers, store follower."""
 
+import time
 from random import Random
 
 import pytest
@@ -49,6 +50,57 @@
 EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 9))
 
 
+MAX_SEARCH_S = 5.0
+"""Processor time for an event of 1 MB in 10,000 parts."""
+
+CRLF_EVENTS = EVENTS.replace(b"\n", b"\r\n")
+
+
+@given(
+    st.sampled_from([CRLF_EVENTS, EVENTS + CRLF_EVENTS.replace(b"id: ", b"id: 1")]),
+    st.lists(st.integers(0, 1000), max_size=12),
+)
+def test_events_with_crlf_are_complete_for_any_read_boundaries(events, positions):
+    # Guards against a stream whose lines end with CRLF that is passed on at its end
+    # only, or cut off as one event of more than 1 MB.
+    splitter = EventSplitter()
+    for part in split_at(events, positions):
+        output = splitter.feed(part)
+        assert not output or output.endswith((b"\n\n", b"\n\r\n"))
+        assert splitter.partial_bytes < 25
+    assert (splitter.error, splitter.has_partial_event) == ("", False)
+    assert splitter.last_id in (8, 18)
+
+
+@given(st.lists(st.integers(0, 1000), max_size=12))
+def test_each_event_with_crlf_is_passed_on_once(positions):
+    # Guards against changed, lost or repeated bytes of a stream with CRLF.
+    splitter = EventSplitter(last_id=2)
+    parts = split_at(CRLF_EVENTS, positions)
+    output = b"".join(splitter.feed(part) for part in parts)
+    assert output == CRLF_EVENTS[CRLF_EVENTS.index(b"id: 3") :]
+
+
+def test_empty_lines_at_the_end_of_a_stream_are_no_partial_event():
+    # Guards against a complete stream that is reported as broken.
+    for end in (b"\n", b"\r\n"):
+        splitter = EventSplitter()
+        data = b"id: 1" + end * 3
+        assert splitter.feed(data) == data
+        assert not splitter.has_partial_event
+
+
+def test_a_large_event_with_crlf_is_searched_once():
+    # Guards against an event in small parts that is searched anew for each part, which
+    # holds up all other requests.
+    splitter = EventSplitter()
+    started_s = time.process_time()
+    for _ in range(MAX_EVENT_BYTES // 100 - 1):
+        splitter.feed(b"data: " + b"x" * 92 + b"\r\n")
+    assert time.process_time() - started_s < MAX_SEARCH_S
+    assert splitter.feed(b"\r\n").endswith(b"x\r\n\r\n")
+
+
 @given(st.lists(st.integers(0, 1000), max_size=12))
 def test_events_are_complete_for_any_read_boundaries(positions):
     # Guards against lost or duplicated events if a read ends within an event.
--- a/wigeonwind/routing/event_stream.py
+++ b/wigeonwind/routing/event_stream.py
@@ -10,7 +10,13 @@
 """Most bytes in a row that are skipped as events which the caller has received."""
 
 EVENT_END = b"\n\n"
-"""The empty line that ends an event."""
+"""The empty line that ends an event, if lines end with LF."""
+
+ANY_EVENT_END = re.compile(rb"(?:\r?\n){2,}+")
+"""Empty lines that end an event, where lines may end with CRLF."""
+
+LONGEST_PART_OF_END = b"\r\n\r"
+"""Longest incomplete ANY_EVENT_END."""
 
 COMMENT = b":"
 """Prefix of a comment line, which keeps a connection in use and is no event."""
@@ -83,20 +89,16 @@
 
         Raises ValueError if a partial event exceeds MAX_EVENT_BYTES.
         """
-        head, separator, partial_event = (self._partial_event + data).rpartition(
-            EVENT_END
+        events, self._partial_event = _split(
+            self._partial_event + data, len(self._partial_event)
         )
-        self._partial_event = partial_event
-        if len(partial_event) > MAX_EVENT_BYTES:
+        if len(self._partial_event) > MAX_EVENT_BYTES:
             raise ValueError(f"an event is too long: over {MAX_EVENT_BYTES} bytes")
-        if not separator:
-            return b""
-        return b"".join(
-            event + separator for event in self._new_events(head.split(EVENT_END))
-        )
+        return b"".join(self._new_events(events))
 
-    def _new_events(self, events: list[bytes]) -> Iterator[bytes]:
-        for event in events:
+    def _new_events(self, events: list[tuple[bytes, bytes]]) -> Iterator[bytes]:
+        """Yield the events that are passed on, with their ends."""
+        for event, end in events:
             if not self.error and not EVENT.fullmatch(event):
                 self.error = "the stream contains bytes that are no event"
             event_id = _event_id(event)
@@ -106,17 +108,17 @@
                 return
             if event_id is None:
                 self.can_resume = self.can_resume and event.startswith(COMMENT)
-                yield event
+                yield event + end
             elif self.last_id is None or event_id > self.last_id:
                 self.last_id = event_id
                 self.can_resume = True
                 self._skipped_bytes = 0
-                yield event
+                yield event + end
             else:
-                self._skip(event)
+                self._skip(event + end)
 
     def _skip(self, event: bytes) -> None:
-        self._skipped_bytes += len(event) + len(EVENT_END)
+        self._skipped_bytes += len(event)
         if self._skipped_bytes > MAX_SKIPPED_BYTES:
             self.error = f"the stream repeats events, over {MAX_SKIPPED_BYTES} bytes"
 
@@ -137,6 +139,26 @@
             self._has_steps = self._has_steps or not has_gap
 
 
+def _split(data: bytes, searched: int = 0) -> tuple[list[tuple[bytes, bytes]], bytes]:
+    r"""Return the complete events, each with its end, and the rest.
+
+    The first `searched` bytes hold no whole end of an event.
+
+    >>> _split(b"id: 1\r\n\r\nid: 2\r\n\r")
+    ([(b'id: 1', b'\r\n\r\n')], b'id: 2\r\n\r')
+    """
+    if b"\r" not in data:
+        head, end, rest = data.rpartition(EVENT_END)
+        events = head.split(EVENT_END) if end else []
+        return [(event, EVENT_END) for event in events], rest
+    ends = ANY_EVENT_END.finditer(data, max(0, searched - len(LONGEST_PART_OF_END)))
+    found, begin = [], 0
+    for match in ends:
+        found.append((data[begin : match.start()], match[0]))
+        begin = match.end()
+    return found, data[begin:]
+
+
 def _event_id(event: bytes) -> int | None:
     """Return the numeric id of an event, None if it has none."""
     for line in event.split(b"\n"):
