Known red: a peer whose record another process deleted is never removed

Seen: the peer stays in memory for ever, and messages go to its dead address.

Cause: PeerExchange._read_directory calls _remove_if_expired for listed records only. The process that the hash of the peer chooses deletes the record after PEER_EXPIRY_MS; all others then no longer see it. To mend: check the silence of each known peer there, and delete the record only if it is listed.

--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -156,13 +156,13 @@
 
     def __init__(self):
         self.deleted = []
+        self.process_ids = ("me", "gone")
 
     def list_objects(self, _):
         value = b'{"address":"127.0.0.1:9"}'
-        process_ids = ("me", "gone")
         found = tuple(
             StoredObject(f"routers/{process_id}", 5, value)
-            for process_id in process_ids
+            for process_id in self.process_ids
         )
         return Ok(ObjectPage(found, 9))
 
@@ -187,6 +187,24 @@
     exchange.stop()
 
 
+def test_a_silent_peer_is_removed_although_another_process_deleted_its_record():
+    # Guards against peers that stay in memory for ever, each with datagrams to its
+    # dead address: only a record that is still listed led to the removal.
+    clock, store = ManualClock(), RecordStore()
+    chooser = LatencyChooser("a", Random(1))
+    exchange = PeerExchange("me", clock, Random(1), chooser, store, "routers/")
+    exchange._read_directory()
+    assert exchange.peer_count() == 1
+    clock.advance(PEER_EXPIRY_MS - 1.0)
+    store.process_ids = ("me",)
+    exchange._read_directory()
+    assert exchange.peer_count() == 1
+    clock.advance(2.0)
+    exchange._read_directory()
+    assert (exchange.peer_count(), store.deleted) == (0, [])
+    exchange.stop()
+
+
 def test_process_without_a_record_registers_again():
     # Guards against a process that was cut off for a minute and is not found again,
     # because its peers have deleted its record.
