Connections: closes without notice are logged

Callers saw tries that were cut without an answer, with no line of the log for them: a connection that was closed while idle, with nothing read or unread, left none. Each close by the process that the last response did not announce now has a line with its reason, the caller's address, the requests served on it, the idle time and the phase of the stop.

--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -84,6 +84,8 @@
         self._is_chunked = False
         self._closes_after_response = False
         self._idle_since_ms = clock.now_ms()
+        self._served = 0
+        """Requests that were answered or refused."""
         self._head_started_ms: float | None = None
         self._has_caller_left = False
         self._close_reason = "unexpected error"
@@ -103,27 +105,40 @@
             raise
         finally:
             if not self.is_disconnected:
-                self._log_unanswered()
+                self._log_close()
             self.is_disconnected = True
             reader.kill(block=False)
             self._sock.close()
 
-    def _log_unanswered(self) -> None:
-        """Log a close by this process that leaves requests without an answer."""
+    def _log_close(self) -> None:
+        """Log a close by this process that the caller may not expect."""
         if self._has_caller_left:
             return
         unread = self._has_unread_input()
         unanswered = len(self._parser.requests) + self._is_answer_missing
-        if unanswered or unread:
-            log.info(
-                "connection closed with requests unanswered",
-                reason=self._close_reason,
-                unanswered=unanswered,
-                has_unread_input=unread,
-                has_partial_message=self._parser.has_partial_message,
-                idle_ms=round(self._clock.now_ms() - self._idle_since_ms),
-                stop_phase=self._stop_phase().value,
-            )
+        event = "connection closed with requests unanswered"
+        if not (unanswered or unread):
+            event = "connection closed without notice"
+            if self._closes_after_response:
+                return
+        log.info(
+            event,
+            reason=self._close_reason,
+            caller=self._caller_address(),
+            served=self._served,
+            unanswered=unanswered,
+            has_unread_input=unread,
+            has_partial_message=self._parser.has_partial_message,
+            idle_ms=round(self._clock.now_ms() - self._idle_since_ms),
+            stop_phase=self._stop_phase().value,
+        )
+
+    def _caller_address(self) -> str:
+        try:
+            host, port = self._sock.getpeername()[:2]
+        except OSError:
+            return "unknown"
+        return f"{host}:{port}"
 
     def _serve_requests(self) -> None:
         while not self.is_disconnected:
@@ -170,6 +185,7 @@
         try:
             self._serve(self, request)
             self._is_answer_missing = not self._head_sent
+            self._served += 1
         finally:
             self.is_serving = False
             self.on_disconnect = None
@@ -352,7 +368,7 @@
         if self.is_serving and not self._is_response_whole:
             self._reset_on_close()
         self._close_reason = "exit of the process"
-        self._log_unanswered()
+        self._log_close()
         self.is_disconnected = True
         self._sock.close()
 
