Connections: a request that crosses a close of its connection gets 408

Callers saw a request that they had sent in full end with the connection, without an answer: this process had closed the connection as idle, in a stop or at a timeout, while the request was on its way. With round trips of 6 to 10 ms and up to 172 idle connections closed at once when a process leaves, some requests cross.

Such a close now sends 408 not-run with `Connection: close` (RFC 9110 section 15.5.9), ends the write side and discards input for up to 100 ms. Nothing that arrives afterwards is served, so the notice is true of any request that crosses. Idle connections of a process that leaves are closed after 200 instead of 300 ms, so that a stop is no longer.

test_incomplete_request_head_times_out asserted the end of the connection without a byte. The rest of such a request may be on its way as well, so its caller gets the notice, too. The test now asserts the whole notice, `Connection: close` and the end within the same 2 s.

--- a/tests/test_routing_requests.py
+++ b/tests/test_routing_requests.py
@@ -312,6 +312,9 @@
     with running_fleet(1) as fleet, fleet.connect() as sock:
         sock.sendall(b"GET /safe/x HTTP/1.1\r\nHost:")
         sock.settimeout(2.0)
+        reply = read_reply(sock)
+        assert (reply.status, reply.is_whole) == (408, True)
+        assert reply.headers["connection"] == "close"
         assert sock.recv(100) == b""
 
 
--- a/wigeonwind/routing/caller_connection.py
+++ b/wigeonwind/routing/caller_connection.py
@@ -32,9 +32,24 @@
 """Time for which input is discarded after an error response that ends a connection.
 Closing a socket with unread input resets it, and the caller would lose the response."""
 
-STOP_IDLE_MS = 300.0
-"""Idle time after which a process that leaves closes a connection. A caller that was
-not told to close it may be sending its next request, which is then refused."""
+LINGER_POLL_MS = 10.0
+
+STOP_IDLE_MS = 200.0
+"""Idle time after which a process that leaves closes a connection."""
+
+CLOSE_LINGER_MS = 100.0
+"""Time for which input is discarded after a close notice; more than a round trip, so
+that a request on its way does not reset the connection before the notice is read."""
+
+CLOSED = Failure(
+    Outcome.NOT_RUN,
+    ErrorCode.CANCELLED,
+    "the connection was closed before a whole request arrived; retry on a new one",
+    408,
+    0.0,
+)
+"""The close notice: the response to a request that crosses the close of its connection
+(RFC 9110 section 15.5.9). Nothing that arrives after it is served."""
 
 RESET_LINGER = struct.pack("ii", 1, 0)
 """SO_LINGER value that makes `close` reset the connection."""
@@ -88,6 +103,7 @@
         """Requests that were answered or refused."""
         self._head_started_ms: float | None = None
         self._has_caller_left = False
+        self._is_notice_sent = False
         self._close_reason = "unexpected error"
         """Why the connection ends, for the log."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -118,7 +134,7 @@
         unanswered = len(self._parser.requests) + self._is_answer_missing
         event = "connection closed with requests unanswered"
         if not (unanswered or unread):
-            event = "connection closed without notice"
+            event = "connection closed while idle"
             if self._closes_after_response:
                 return
         log.info(
@@ -166,14 +182,14 @@
                 self._close_gracefully()
                 return
             if self._is_idle_in_stop() and not self._has_unread_input():
-                self._close_reason = "idle in a stop"
+                self._close_with_notice("idle in a stop")
                 return
             self._ask_for_body()
             self._wakeup.clear()
             self._may_read.set()
             self._wakeup.wait(self._read_timeout_s())
             if not self._parser.requests and self._has_timed_out():
-                self._close_reason = "timeout"
+                self._close_with_notice("timeout")
                 return
 
     def _serve_request(self, request: HttpRequest) -> None:
@@ -263,6 +279,14 @@
 
     def _feed(self, data: bytes) -> None:
         if self._discards_input:
+            if self._is_notice_sent:
+                log.info(
+                    "input arrived after the close notice",
+                    reason=self._close_reason,
+                    caller=self._caller_address(),
+                    bytes=len(data),
+                    stop_phase=self._stop_phase().value,
+                )
             return
         now_ms = self._clock.now_ms()
         if not self._parser.has_partial_message:
@@ -408,7 +432,20 @@
             self._mark_disconnected()
             raise CallerDisconnectedError(str(error)) from error
 
-    def _close_gracefully(self) -> None:
+    def _close_with_notice(self, reason: str) -> None:
+        """Close a connection that has no whole request.
+
+        The caller may have sent its next one already. It takes the notice for the
+        response, and knows that the request does not run.
+        """
+        self._close_reason = reason
+        self._log_close()
+        self._discards_input = self._is_notice_sent = True
+        self._closes_after_response = True
+        self._send(failure_response(CLOSED, "", (), True))
+        self._close_gracefully(CLOSE_LINGER_MS)
+
+    def _close_gracefully(self, linger_ms: float = LINGER_MS) -> None:
         """Close the write side first, so that the response is not lost to a reset.
 
         Input that follows is read and discarded. Without effect after `abort`: the end
@@ -422,11 +459,11 @@
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:
             return
-        deadline_ms = self._clock.now_ms() + LINGER_MS
+        deadline_ms = self._clock.now_ms() + linger_ms
         while not self.is_disconnected and self._clock.now_ms() < deadline_ms:
             if self._parser.failure is not None and not self._discard_input():
                 return
-            sleep(LINGER_MS / 10.0 / MS_PER_SECOND)
+            sleep(LINGER_POLL_MS / MS_PER_SECOND)
 
     def _discard_input(self) -> bool:
         """Read and discard input; return False at the end of input."""
