Peers: one that is silent for long is removed also without a record

Cause: the silence was checked for listed records only.

Change: it is checked for all known peers; a record is deleted if one is listed.

Evidence: test_a_silent_peer_is_removed_although_another_process_deleted_its_record failed before (known red) and passes.

--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -629,23 +629,31 @@
             del self._reason_by_invalid_key[key]
         for stored in page.value.objects:
             self._on_record(stored)
-            self._remove_if_expired(stored)
+        self._remove_silent_peers({each.key: each for each in page.value.objects})
         return self._is_registered
 
-    def _remove_if_expired(self, record: StoredObject) -> None:
-        """Remove a peer after PEER_EXPIRY_MS of silence, and its record.
+    def _remove_silent_peers(self, record_by_key: dict[str, StoredObject]) -> None:
+        """Remove peers after PEER_EXPIRY_MS of silence, and their records.
+
+        The record of a peer may have been deleted by another process.
+        """
+        now_ms = self._clock.now_ms()
+        for peer_id, peer in list(self._peer_by_id.items()):
+            if peer.silence_ms(now_ms) > PEER_EXPIRY_MS:
+                self._remove_peer(peer_id, record_by_key.get(self._prefix + peer_id))
+
+    def _remove_peer(self, peer_id: str, record: StoredObject | None) -> None:
+        """Remove a peer and its record, None if there is none.
 
         Records do not expire in the store. One of the remaining processes, chosen by
         hash, deletes the record.
         """
-        peer_id = record.key.removeprefix(self._prefix)
-        peer, now_ms = self._peer_by_id.get(peer_id), self._clock.now_ms()
-        if peer is None or peer.silence_ms(now_ms) <= PEER_EXPIRY_MS:
-            return
-        del self._peer_by_id[peer_id]
+        peer = self._peer_by_id.pop(peer_id)
         log.info(
             "peer removed after a long silence", peer=peer_id, address=str(peer.address)
         )
+        if record is None:
+            return
         live = [self._local_id, *self._peer_by_id]
         if (
             min(live, key=lambda each: stable_hash(f"{peer_id}|{each}"))
