Peers: no traceback at the end of a stop

Cause: the socket is closed while the greenlet that reads it waits, before its kill is delivered. The failure counted as that of a background loop.

Change: the loop ends if its exchange has been stopped; other errors are raised.

Evidence: test_an_exchange_that_stops_while_it_receives_raises_no_error failed before and passes.

--- a/tests/test_stops_of_peers.py
+++ b/tests/test_stops_of_peers.py
@@ -67,6 +67,15 @@
     return exchange, clock
 
 
+def running_exchange():
+    """Return an exchange with a bound socket, and its clock."""
+    clock = ManualClock()
+    chooser = LatencyChooser("a", Random(1))
+    exchange = PeerExchange("me", clock, Random(1), chooser, None, "routers/")
+    exchange.start(SocketAddress("127.0.0.1", 0))
+    return exchange, clock
+
+
 def stop_messages_by_port(exchange):
     """Return and forget the stop messages that were sent, by port."""
     sent = exchange._sock.sent
@@ -146,6 +155,17 @@
     assert not listens(exchange.stops, clock.now_ms() + 6_000.0)
 
 
+def test_an_exchange_that_stops_while_it_receives_raises_no_error():
+    # Guards against a traceback at the end of each stop whose socket is closed before
+    # the greenlet that reads it has ended.
+    exchange, _ = running_exchange()
+    receiver = gevent.spawn(exchange._receive)
+    gevent.sleep(0.01)
+    exchange.stop()
+    receiver.join(timeout=1.0)
+    assert receiver.ready() and receiver.exception is None
+
+
 def test_a_stopping_peer_of_an_earlier_version_does_not_count_as_ready():
     # Guards against a process that leaves, or refuses long requests, because a peer
     # that stops without a message counts as ready.
--- a/wigeonwind/routing/peer_exchange.py
+++ b/wigeonwind/routing/peer_exchange.py
@@ -245,6 +245,7 @@
         on_leaving: Callable[[Iterable[LeavingRow], str], None] = lambda *_: None,
         local_readiness: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._is_stopped = False
         self._local_readiness = local_readiness
         self._leaving = leaving
         self._on_leaving_rows = on_leaving
@@ -285,6 +286,7 @@
 
     def stop(self) -> None:
         """Close the socket."""
+        self._is_stopped = True
         self._sock.close()
 
     @property
@@ -385,7 +387,12 @@
 
     def _receive(self) -> None:
         while True:
-            data, source = self._sock.recvfrom(MAX_MESSAGE_BYTES)
+            try:
+                data, source = self._sock.recvfrom(MAX_MESSAGE_BYTES)
+            except OSError:
+                if self._is_stopped:
+                    return
+                raise
             give_way()
             address = SocketAddress(*source[:2])
             call_isolated(
